--- /dev/null
+++ b/include/hawthornbank/error.h
@@ -0,0 +1,123 @@
+#ifndef HAWTHORNBANK_ERROR_H_
+#define HAWTHORNBANK_ERROR_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+/// @file
+/// The closed list of error kinds and the table from kind to answer.
+namespace hawthornbank {
+
+/// Every way in which the system refuses or fails.
+enum class ErrorKind : std::uint8_t {
+  kMalformed,            ///< The input can't be decoded.
+  kTooLarge,             ///< The input is over its size limit.
+  kUnknownService,       ///< No such service here.
+  kUnknownRequest,       ///< A part or cancellation names no request.
+  kDeadlineExpired,      ///< The deadline had passed on arrival; not run.
+  kOverloaded,           ///< Shed by a limit; not run.
+  kDraining,             ///< The target takes no new work; not run.
+  kUnhealthy,            ///< The target is failing its work; not run.
+  kTokenRequired,        ///< A non-idempotent request needs a fresh token.
+  kCancelled,            ///< The caller cancelled before it ran; not run.
+  kFailed,               ///< It ran and the target reported a failure.
+  kOutcomeUnknown,       ///< It may have run; the outcome is lost.
+  kUnauthenticated,      ///< Digest missing, forged, replayed or too old.
+  kFenced,               ///< The lease epoch or generation is superseded.
+  kConflict,             ///< A conditional update lost a race.
+  kPlatformUnavailable,  ///< The platform's object API does not answer.
+  kInvalidSettings,      ///< Settings, sheet or command line are wrong.
+  kInternal,             ///< A defect in this program.
+};
+
+/// Number of error kinds.
+inline constexpr std::size_t kErrorKindCount = 18;
+
+/// What is known about the execution of a request that got an error.
+enum class Execution : std::uint8_t { kNotRun, kRan, kUnknown };
+
+/// What the caller is told for an error kind.
+struct ErrorAnswer {
+  ErrorKind kind;
+  std::string_view name;     ///< Name in logs, metrics and messages.
+  std::uint8_t coap_class;   ///< Class of the CoAP response code.
+  std::uint8_t coap_detail;  ///< Detail of the CoAP response code.
+  Execution execution;       ///< Whether the request ran.
+  bool retryable;            ///< Whether to come back later, with Max-Age.
+  int exit_code;             ///< Exit code of the command-line programs.
+};
+
+/// The table from kind to answer, in the order of ErrorKind.
+inline constexpr std::array<ErrorAnswer, kErrorKindCount> kErrorAnswers = {{
+    {ErrorKind::kMalformed, "malformed", 4, 0, Execution::kNotRun, false, 2},
+    {ErrorKind::kTooLarge, "too_large", 4, 13, Execution::kNotRun, false, 2},
+    {ErrorKind::kUnknownService, "unknown_service", 4, 4, Execution::kNotRun,
+     false, 3},
+    {ErrorKind::kUnknownRequest, "unknown_request", 4, 8, Execution::kNotRun,
+     false, 3},
+    {ErrorKind::kDeadlineExpired, "deadline_expired", 5, 4, Execution::kNotRun,
+     false, 4},
+    {ErrorKind::kOverloaded, "overloaded", 5, 3, Execution::kNotRun, true, 4},
+    {ErrorKind::kDraining, "draining", 5, 3, Execution::kNotRun, true, 4},
+    {ErrorKind::kUnhealthy, "unhealthy", 5, 3, Execution::kNotRun, true, 4},
+    {ErrorKind::kTokenRequired, "token_required", 4, 1, Execution::kNotRun,
+     false, 3},
+    {ErrorKind::kCancelled, "cancelled", 5, 3, Execution::kNotRun, false, 4},
+    {ErrorKind::kFailed, "failed", 5, 0, Execution::kRan, false, 5},
+    {ErrorKind::kOutcomeUnknown, "outcome_unknown", 5, 2, Execution::kUnknown,
+     false, 6},
+    {ErrorKind::kUnauthenticated, "unauthenticated", 4, 3, Execution::kNotRun,
+     false, 3},
+    {ErrorKind::kFenced, "fenced", 4, 12, Execution::kNotRun, false, 7},
+    {ErrorKind::kConflict, "conflict", 4, 9, Execution::kNotRun, false, 7},
+    {ErrorKind::kPlatformUnavailable, "platform_unavailable", 5, 3,
+     Execution::kUnknown, true, 8},
+    {ErrorKind::kInvalidSettings, "invalid_settings", 4, 0, Execution::kNotRun,
+     false, 2},
+    {ErrorKind::kInternal, "internal", 5, 0, Execution::kUnknown, false, 70},
+}};
+
+namespace detail {
+
+/// @return Whether row n of the table describes kind n.
+constexpr auto ErrorTableIsOrdered() -> bool {
+  for (std::size_t n = 0; n < kErrorAnswers.size(); ++n) {
+    if (static_cast<std::size_t>(kErrorAnswers[n].kind) != n) {
+      return false;
+    }
+  }
+  return true;
+}
+static_assert(ErrorTableIsOrdered());
+
+}  // namespace detail
+
+/// Looks up the answer for an error kind.
+/// @param kind Any error kind.
+/// @return Its row of the table.
+constexpr auto AnswerFor(ErrorKind kind) -> const ErrorAnswer& {
+  return kErrorAnswers[static_cast<std::size_t>(kind)];
+}
+
+/// Exception that carries an error kind and a message for people.
+class Error : public std::runtime_error {
+ public:
+  /// @param kind The error kind.
+  /// @param message What went wrong, naming the place.
+  Error(ErrorKind kind, const std::string& message)
+      : std::runtime_error(message), kind_(kind) {}
+
+  /// @return The error kind.
+  [[nodiscard]] auto kind() const noexcept -> ErrorKind { return kind_; }
+
+ private:
+  ErrorKind kind_;
+};
+
+}  // namespace hawthornbank
+
+#endif  // HAWTHORNBANK_ERROR_H_
--- /dev/null
+++ b/src/transport/version.cc
@@ -0,0 +1,9 @@
+#include "transport/version.h"
+
+namespace hawthornbank::transport {
+
+auto Version() -> const char* {
+  return "0.1.0";
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/support/lint.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Checks format and lint of every source file the build knows.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files '*.h' '*.cc' | xargs clang-format --dry-run --Werror
+git ls-files 'src/*.cc' 'apps/*.cc' 'standins/*.cc' 'bench/*.cc' |
+  xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build/release \
+    2> >(grep -v 'warnings generated' >&2)
+echo "lint: clean"
