--- /dev/null
+++ b/bench/common/virtual_network.cc
@@ -0,0 +1,63 @@
+#include "common/virtual_network.h"
+
+#include <algorithm>
+
+#include <utility>
+
+namespace hawthornbank::bench {
+
+auto VirtualNetwork::At(TimePoint when, Action action) -> void {
+  events_.push(Event{.when = std::max(when, now_),
+                     .order = next_order_++,
+                     .action = std::move(action)});
+}
+
+auto VirtualNetwork::AtHost(std::uint64_t host, TimePoint when, Action action)
+    -> void {
+  At(when, [this, host, action = std::move(action)]() {
+    if (dead_.contains(host)) {
+      return;
+    }
+    if (frozen_.contains(host)) {
+      held_.push_back(Held{.host = host, .action = action});
+      return;
+    }
+    action();
+  });
+}
+
+auto VirtualNetwork::Send(std::uint64_t from, std::uint64_t to, Action deliver)
+    -> void {
+  const Link link = link_rule_ ? link_rule_(from, to) : Link{};
+  if (NextFraction(random_) < link.loss) {
+    return;
+  }
+  const auto jitter = static_cast<Duration::rep>(
+      NextFraction(random_) * static_cast<double>(link.jitter.count()));
+  AtHost(to, now_ + link.delay + Duration{jitter}, std::move(deliver));
+}
+
+auto VirtualNetwork::Thaw(std::uint64_t host) -> void {
+  frozen_.erase(host);
+  std::vector<Held> kept;
+  for (auto& it : held_) {
+    if (it.host == host) {
+      AtHost(host, now_, std::move(it.action));
+    } else {
+      kept.push_back(std::move(it));
+    }
+  }
+  held_ = std::move(kept);
+}
+
+auto VirtualNetwork::RunUntil(TimePoint end) -> void {
+  while (!events_.empty() && events_.top().when <= end) {
+    Event event = events_.top();
+    events_.pop();
+    now_ = event.when;
+    event.action();
+  }
+  now_ = end;
+}
+
+}  // namespace hawthornbank::bench
