Add packet view, tunnel header, flow cache and the routing decisions

A balancer sends a packet to the cached owner or to the flow's home, the first agent by weighted rendezvous hash; the home's agent decides. Ruled out: a flow table per balancer, as any packet may reach any balancer.

--- /dev/null
+++ b/include/hawthornbank/packet.h
@@ -0,0 +1,73 @@
+#ifndef HAWTHORNBANK_PACKET_H_
+#define HAWTHORNBANK_PACKET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "hawthornbank/types.h"
+
+/// @file
+/// View of a whole IPv4 packet, and the few packets the system writes itself.
+namespace hawthornbank {
+
+using Bytes = std::vector<std::uint8_t>;
+using ByteView = std::span<const std::uint8_t>;
+
+/// What a packet means for its flow.
+enum class PacketKind : std::uint8_t {
+  kData,       ///< UDP, or TCP within a connection.
+  kOpening,    ///< TCP SYN without ACK.
+  kFinish,     ///< TCP FIN.
+  kReset,      ///< TCP RST.
+  kIcmpError,  ///< ICMP error about a packet that a target sent.
+  kFragment,   ///< Any fragment: it can't be routed by its ports.
+  kMalformed,  ///< Not a whole IPv4 packet of a known transport.
+};
+
+/// Parsed header fields; the bytes stay with the caller.
+struct PacketView {
+  PacketKind kind = PacketKind::kMalformed;
+  Transport transport = Transport::kUdp;
+  Endpoint source;       ///< For an ICMP error: the caller of the flow.
+  Endpoint destination;  ///< For an ICMP error: the service's address.
+  ByteView bytes;        ///< The whole packet.
+  ByteView payload;      ///< Behind the UDP or TCP header.
+};
+
+/// Smallest IPv4 header, in bytes.
+inline constexpr std::size_t kIpv4HeaderBytes = 20;
+/// UDP and ICMP header, in bytes.
+inline constexpr std::size_t kUdpHeaderBytes = 8;
+/// Smallest TCP header, in bytes.
+inline constexpr std::size_t kTcpHeaderBytes = 20;
+
+/// Parses a whole IPv4 packet.
+/// @param bytes The packet; must outlive the view.
+/// @return The view; its kind is kMalformed when the packet isn't understood.
+auto ParsePacket(ByteView bytes) -> PacketView;
+
+/// Writes an IPv4 packet that carries one UDP datagram.
+/// @param source Sender.
+/// @param destination Receiver.
+/// @param payload The datagram's payload.
+/// @return The packet, with valid checksums.
+auto BuildUdpPacket(Endpoint source, Endpoint destination, ByteView payload)
+    -> Bytes;
+
+/// Writes the packet that tells a caller that its flow is over: TCP RST, or
+/// ICMP port unreachable for UDP.
+/// @param packet A packet of the flow, from the caller to the service.
+/// @return The packet to send to the caller; empty for a TCP RST, for ICMP and
+/// for fragments, which are never answered with an error.
+auto BuildReset(const PacketView& packet) -> Bytes;
+
+/// Writes the ICMP "fragmentation needed" error for a first fragment.
+/// @param packet The fragment.
+/// @return The packet to send to the caller; empty for a later fragment.
+auto BuildFragmentationNeeded(const PacketView& packet) -> Bytes;
+
+}  // namespace hawthornbank
+
+#endif  // HAWTHORNBANK_PACKET_H_
--- /dev/null
+++ b/src/coordination/agent.cc
@@ -0,0 +1,282 @@
+#include "hawthornbank/agent.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "coordination/flow_walk.h"
+
+namespace hawthornbank {
+namespace {
+
+using Kind = AgentAction::Kind;
+
+auto IsInView(const Agent& agent, Endpoint endpoint) -> bool {
+  return std::any_of(
+      agent.view.begin(), agent.view.end(),
+      [endpoint](const Candidate& it) { return it.agent == endpoint; });
+}
+
+auto AddReset(Agent& agent,
+              const FlowKey& flow,
+              Counter reason,
+              std::vector<AgentAction>& out) -> void {
+  Count(agent.counters, reason);
+  out.push_back(AgentAction{.kind = Kind::kReset, .flow = flow});
+}
+
+auto HandleOwned(Agent& agent,
+                 OwnedFlow& owned,
+                 const FlowKey& key,
+                 const TunnelHeader& header,
+                 const PacketView& packet,
+                 TimePoint now,
+                 std::vector<AgentAction>& out) -> void {
+  owned.last_from_caller = now;
+  owned.probes = 0;
+  // A balancer that needed a hop is told, so that its next packet needs none.
+  if (header.hops > 0 && header.balancer.port != 0) {
+    Count(agent.counters, Counter::kHintsSent);
+    out.push_back(AgentAction{.kind = Kind::kHint,
+                              .flow = key,
+                              .to = header.balancer,
+                              .owner = agent.options.self});
+  }
+  out.push_back(AgentAction{.kind = Kind::kDeliver, .flow = key});
+  if (packet.kind == PacketKind::kReset) {
+    EndFlow(agent, key, out);
+  }
+}
+
+// Follows a pointer; one to an agent that is gone ends the flow.
+auto HandlePointer(Agent& agent,
+                   const FlowKey& key,
+                   const TunnelHeader& header,
+                   TimePoint now,
+                   std::vector<AgentAction>& out) -> bool {
+  const auto it = agent.pointers.find(key);
+  if (it == agent.pointers.end()) {
+    return false;
+  }
+  if (!IsInView(agent, it->second.owner)) {
+    agent.pointers.erase(it);
+    AddReset(agent, key, Counter::kResetTargetLost, out);
+    return true;
+  }
+  // The home that asks is no answer to its own question.
+  const bool asks_itself =
+      header.phase == WalkPhase::kLookup && it->second.owner == header.walk[0];
+  if (asks_itself) {
+    return false;
+  }
+  it->second.last_used = now;
+  TunnelHeader onward = header;
+  onward.phase = WalkPhase::kNone;
+  onward.walk_size = 0;
+  detail::Pass(agent, key, it->second.owner, onward, out);
+  return true;
+}
+
+auto TellHome(Agent& agent,
+              const FlowKey& key,
+              OwnedFlow& owned,
+              Endpoint home,
+              TimePoint now,
+              std::vector<AgentAction>& out) -> void {
+  owned.home = home;
+  owned.last_told = now;
+  if (home == agent.options.self || home.port == 0) {
+    return;
+  }
+  Count(agent.counters, Counter::kPointersSent);
+  out.push_back(AgentAction{.kind = Kind::kPointer,
+                            .flow = key,
+                            .to = home,
+                            .owner = agent.options.self});
+}
+
+auto HomeOf(const Agent& agent, const FlowKey& key) -> Endpoint {
+  const auto* const home = FirstCandidate(agent.view, HashFlow(key));
+  return home == nullptr ? agent.options.self : home->agent;
+}
+
+auto ProbeSilentFlow(Agent& agent,
+                     const FlowKey& key,
+                     OwnedFlow& owned,
+                     TimePoint now,
+                     std::vector<AgentAction>& out) -> bool {
+  if (owned.probes >= agent.options.probe_limit) {
+    AddReset(agent, key, Counter::kResetSilentFlow, out);
+    return false;
+  }
+  if (now - owned.last_probe >= agent.options.probe_interval) {
+    owned.last_probe = now;
+    ++owned.probes;
+    Count(agent.counters, Counter::kProbesSent);
+    out.push_back(AgentAction{.kind = Kind::kProbe, .flow = key});
+  }
+  return true;
+}
+
+// One end talks and the other doesn't: one of them may have lost track.
+auto IsOneSided(const Agent& agent, const OwnedFlow& owned) -> bool {
+  const auto gap = owned.last_from_caller > owned.last_from_target
+                       ? owned.last_from_caller - owned.last_from_target
+                       : owned.last_from_target - owned.last_from_caller;
+  return gap > agent.options.silence_timeout;
+}
+
+auto KeepFlow(Agent& agent,
+              const FlowKey& key,
+              OwnedFlow& owned,
+              TimePoint now,
+              std::vector<AgentAction>& out) -> bool {
+  const auto last = std::max(owned.last_from_caller, owned.last_from_target);
+  if (agent.draining && now - agent.drain_started > agent.options.drain_limit) {
+    AddReset(agent, key, Counter::kFlowsEnded, out);
+    return false;
+  }
+  if (now - last > agent.options.idle_timeout || IsOneSided(agent, owned)) {
+    return ProbeSilentFlow(agent, key, owned, now, out);
+  }
+  return true;
+}
+
+}  // namespace
+
+auto OnTunnelPacket(Agent& agent,
+                    const TunnelHeader& header,
+                    const PacketView& packet,
+                    TimePoint now,
+                    std::vector<AgentAction>& out) -> void {
+  if (header.service != agent.options.service) {
+    Count(agent.counters, Counter::kDropWrongService);
+    return;
+  }
+  const FlowKey key{.service = header.service,
+                    .caller = packet.source,
+                    .address = packet.destination,
+                    .transport = packet.transport};
+  const auto owned = agent.flows.find(key);
+  if (owned != agent.flows.end()) {
+    HandleOwned(agent, owned->second, key, header, packet, now, out);
+    return;
+  }
+  // A walk that has ended here overrides what was noted while it passed.
+  const bool walk_ended = header.phase == WalkPhase::kAccept;
+  if (!walk_ended && HandlePointer(agent, key, header, now, out)) {
+    return;
+  }
+  detail::HandleUnknownFlow(agent, key, header, packet, now, out);
+}
+
+auto OnTargetSent(Agent& agent, const FlowKey& flow, TimePoint now) -> void {
+  const auto it = agent.flows.find(flow);
+  if (it != agent.flows.end()) {
+    it->second.last_from_target = now;
+  }
+}
+
+auto OnProbeAnswered(Agent& agent, const FlowKey& flow, TimePoint now) -> void {
+  const auto it = agent.flows.find(flow);
+  if (it != agent.flows.end()) {
+    it->second.last_from_caller = now;
+    it->second.last_from_target = now;
+    it->second.probes = 0;
+  }
+}
+
+auto EndFlow(Agent& agent, const FlowKey& flow, std::vector<AgentAction>& out)
+    -> void {
+  if (agent.flows.erase(flow) > 0) {
+    Count(agent.counters, Counter::kFlowsEnded);
+    out.push_back(AgentAction{.kind = Kind::kClose, .flow = flow});
+  }
+}
+
+auto OnFlowPointer(Agent& agent,
+                   const FlowKey& flow,
+                   Endpoint owner,
+                   TimePoint now) -> void {
+  Count(agent.counters, Counter::kPointersReceived);
+  detail::KeepPointer(agent, flow, owner, now);
+}
+
+auto SetServiceView(Agent& agent,
+                    std::vector<Candidate> view,
+                    TimePoint now,
+                    std::vector<AgentAction>& out) -> void {
+  if (agent.view == view) {
+    return;
+  }
+  std::vector<Endpoint> restarted;
+  for (const auto& it : view) {
+    const auto old = std::find_if(
+        agent.view.begin(), agent.view.end(),
+        [&it](const Candidate& known) { return known.agent == it.agent; });
+    if (old == agent.view.end() || old->joined != it.joined) {
+      restarted.push_back(it.agent);
+    }
+  }
+  agent.view = std::move(view);
+  agent.view_changed = now;
+  for (const auto& it : agent.view) {
+    if (it.agent == agent.options.self) {
+      agent.weight_percent = it.weight_percent;
+    }
+  }
+  // A home that is new to a flow, or that forgot it, is told who owns it.
+  for (auto& [key, owned] : agent.flows) {
+    const Endpoint home = HomeOf(agent, key);
+    const bool forgot =
+        std::find(restarted.begin(), restarted.end(), home) != restarted.end();
+    if (home != owned.home || forgot) {
+      TellHome(agent, key, owned, home, now, out);
+    }
+  }
+}
+
+auto BeginDrain(Agent& agent, TimePoint now) -> void {
+  if (!agent.draining) {
+    agent.draining = true;
+    agent.drain_started = now;
+  }
+}
+
+auto EndDrain(Agent& agent) -> void {
+  agent.draining = false;
+}
+
+auto HandOverPointers(Agent& agent, std::vector<AgentAction>& out) -> void {
+  for (const auto& [key, pointer] : agent.pointers) {
+    const Endpoint home = HomeOf(agent, key);
+    if (home != agent.options.self && home != pointer.owner) {
+      Count(agent.counters, Counter::kPointersSent);
+      out.push_back(AgentAction{.kind = Kind::kPointer,
+                                .flow = key,
+                                .to = home,
+                                .owner = pointer.owner});
+    }
+  }
+}
+
+auto OnAgentTick(Agent& agent, TimePoint now, std::vector<AgentAction>& out)
+    -> void {
+  for (auto it = agent.flows.begin(); it != agent.flows.end();) {
+    if (KeepFlow(agent, it->first, it->second, now, out)) {
+      // A home forgets pointers that nobody uses; a live flow's must stay.
+      if (now - it->second.last_told > agent.options.pointer_refresh) {
+        TellHome(agent, it->first, it->second, HomeOf(agent, it->first), now,
+                 out);
+      }
+      ++it;
+      continue;
+    }
+    out.push_back(AgentAction{.kind = Kind::kClose, .flow = it->first});
+    it = agent.flows.erase(it);
+  }
+  std::erase_if(agent.pointers, [&](const auto& it) {
+    return now - it.second.last_used > agent.options.idle_timeout;
+  });
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/coordination/routing.cc
@@ -0,0 +1,111 @@
+#include "hawthornbank/routing.h"
+
+namespace hawthornbank {
+namespace {
+
+auto Drop(Counters& counters, Counter reason) -> RouteDecision {
+  Count(counters, reason);
+  return {};
+}
+
+auto Forward(const RoutingTable& table,
+             const BalancerState& state,
+             ServiceId service,
+             Endpoint agent,
+             Counters& counters) -> RouteDecision {
+  Count(counters, Counter::kPacketsForwarded);
+  return RouteDecision{
+      .verdict = RouteVerdict::kForward,
+      .agent = agent,
+      .header = TunnelHeader{.service = service,
+                             .generation = table.generation,
+                             .balancer = state.self},
+  };
+}
+
+// A new target is no flow's home until every balancer knows it; if all are
+// new, the service itself is, and there is no older home to ask.
+auto FindHome(const RoutedService& service,
+              std::uint64_t flow_hash,
+              TimePoint now) -> const Candidate* {
+  const auto* const home =
+      FirstCandidate(service.candidates, flow_hash, now - kJoinWindow);
+  return home != nullptr ? home : FirstCandidate(service.candidates, flow_hash);
+}
+
+auto MayOpenFlows(const BalancerState& state, TimePoint now) -> bool {
+  return state.alone || now - state.last_heard <= kIsolationTimeout;
+}
+
+auto MayOpen(const PacketView& packet) -> bool {
+  return packet.kind == PacketKind::kOpening ||
+         (packet.transport == Transport::kUdp &&
+          packet.kind == PacketKind::kData);
+}
+
+}  // namespace
+
+auto RoutePacket(const RoutingTable& table,
+                 FlowCache& cache,
+                 const BalancerState& state,
+                 const PacketView& packet,
+                 TimePoint now,
+                 Counters& counters) -> RouteDecision {
+  if (packet.kind == PacketKind::kMalformed) {
+    return Drop(counters, Counter::kDropMalformed);
+  }
+  if (packet.kind == PacketKind::kFragment) {
+    Count(counters, Counter::kDropFragment);
+    return RouteDecision{.verdict = RouteVerdict::kTooBig};
+  }
+  const auto it = table.services.find(ServiceAddress{
+      .address = packet.destination, .transport = packet.transport});
+  if (it == table.services.end()) {
+    Count(counters, Counter::kDropUnknownService);
+    return RouteDecision{.verdict = RouteVerdict::kReset};
+  }
+  const RoutedService& service = it->second;
+  const FlowKey key{.service = service.id,
+                    .caller = packet.source,
+                    .address = packet.destination,
+                    .transport = packet.transport};
+  bool established = false;
+  if (const auto owner = cache.Find(key, now)) {
+    const auto agent = table.live_agents.find(owner->agent);
+    if (agent != table.live_agents.end() && agent->second <= owner->last_used) {
+      Count(counters, Counter::kCacheHits);
+      return Forward(table, state, service.id, owner->agent, counters);
+    }
+    // The owner died or restarted: whoever is asked now must not take the
+    // packet for a new flow's.
+    established = true;
+  }
+  Count(counters, Counter::kCacheMisses);
+  if (!established && MayOpen(packet) && !MayOpenFlows(state, now)) {
+    return Drop(counters, Counter::kDropIsolated);
+  }
+  const auto* const home = FindHome(service, HashFlow(key), now);
+  if (home == nullptr) {
+    return Drop(counters, Counter::kDropNoTarget);
+  }
+  if (packet.kind != PacketKind::kIcmpError &&
+      cache.Insert(key, home->agent, now)) {
+    Count(counters, Counter::kCacheEvictions);
+  }
+  auto decision = Forward(table, state, service.id, home->agent, counters);
+  decision.header.established = established;
+  return decision;
+}
+
+auto OnFlowHint(FlowCache& cache,
+                const FlowKey& key,
+                Endpoint owner,
+                TimePoint now,
+                Counters& counters) -> void {
+  Count(counters, Counter::kHintsReceived);
+  if (cache.Insert(key, owner, now)) {
+    Count(counters, Counter::kCacheEvictions);
+  }
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/protocol/packet_builder.cc
@@ -0,0 +1,149 @@
+#include <algorithm>
+
+#include "hawthornbank/packet.h"
+#include "protocol/byte_order.h"
+
+namespace hawthornbank {
+namespace {
+
+using detail::Load16;
+using detail::Load32;
+using detail::Store16;
+using detail::Store32;
+
+constexpr std::uint8_t kTimeToLive = 64;
+constexpr std::uint8_t kIcmpUnreachable = 3;
+constexpr std::uint8_t kCodePortUnreachable = 3;
+constexpr std::uint8_t kCodeFragmentationNeeded = 4;
+constexpr std::uint16_t kPathMtu = 1400;
+constexpr std::uint16_t kFragmentOffsetMask = 0x1FFF;
+constexpr std::uint8_t kTcpRst = 0x04;
+constexpr std::uint8_t kTcpAck = 0x10;
+constexpr std::uint8_t kTcpSynOrFin = 0x03;
+
+auto AddWords(std::uint32_t sum, ByteView bytes) -> std::uint32_t {
+  for (std::size_t n = 0; n + 1 < bytes.size(); n += 2) {
+    sum += Load16(bytes.data() + n);
+  }
+  if (bytes.size() % 2 != 0) {
+    sum += std::uint32_t{bytes.back()} << 8U;
+  }
+  return sum;
+}
+
+auto FinishChecksum(std::uint32_t sum) -> std::uint16_t {
+  while (sum > 0xFFFFU) {
+    sum = (sum & 0xFFFFU) + (sum >> 16U);
+  }
+  return static_cast<std::uint16_t>(~sum);
+}
+
+auto WriteIpv4Header(Bytes& packet,
+                     std::uint8_t protocol,
+                     std::uint32_t source,
+                     std::uint32_t destination) -> void {
+  packet[0] = 0x45;
+  Store16(packet.data() + 2, static_cast<std::uint16_t>(packet.size()));
+  packet[8] = kTimeToLive;
+  packet[9] = protocol;
+  Store32(packet.data() + 12, source);
+  Store32(packet.data() + 16, destination);
+  const ByteView header = ByteView(packet).first(kIpv4HeaderBytes);
+  Store16(packet.data() + 10, FinishChecksum(AddWords(0, header)));
+}
+
+// Checksum over the pseudo header and the segment behind the IPv4 header.
+auto SegmentChecksum(const Bytes& packet) -> std::uint16_t {
+  const ByteView view(packet);
+  const ByteView segment = view.subspan(kIpv4HeaderBytes);
+  std::uint32_t sum = AddWords(0, view.subspan(12, 8));
+  sum += packet[9];
+  sum += static_cast<std::uint32_t>(segment.size());
+  return FinishChecksum(AddWords(sum, segment));
+}
+
+auto BuildIcmpError(const PacketView& packet, std::uint8_t code) -> Bytes {
+  const std::size_t quoted =
+      std::min(packet.bytes.size(),
+               std::size_t{packet.bytes[0]} % 16 * 4 + kUdpHeaderBytes);
+  Bytes buf(kIpv4HeaderBytes + kUdpHeaderBytes + quoted);
+  auto* const icmp = buf.data() + kIpv4HeaderBytes;
+  icmp[0] = kIcmpUnreachable;
+  icmp[1] = code;
+  if (code == kCodeFragmentationNeeded) {
+    Store16(icmp + 6, kPathMtu);
+  }
+  std::copy_n(packet.bytes.begin(), quoted, icmp + kUdpHeaderBytes);
+  const ByteView message = ByteView(buf).subspan(kIpv4HeaderBytes);
+  Store16(icmp + 2, FinishChecksum(AddWords(0, message)));
+  WriteIpv4Header(buf, 1, packet.destination.address, packet.source.address);
+  return buf;
+}
+
+auto BuildTcpReset(const PacketView& packet) -> Bytes {
+  const std::size_t header = std::size_t{packet.bytes[0]} % 16 * 4;
+  const auto* const old = packet.bytes.data() + header;
+  const std::uint8_t flags = old[13];
+  Bytes buf(kIpv4HeaderBytes + kTcpHeaderBytes);
+  auto* const tcp = buf.data() + kIpv4HeaderBytes;
+  Store16(tcp, packet.destination.port);
+  Store16(tcp + 2, packet.source.port);
+  tcp[12] = (kTcpHeaderBytes / 4) << 4U;
+  // RFC 9293, 3.10.7.1: the sequence number comes from the caller's ACK.
+  if ((flags & kTcpAck) != 0) {
+    Store32(tcp + 4, Load32(old + 8));
+    tcp[13] = kTcpRst;
+  } else {
+    const auto length = static_cast<std::uint32_t>(
+        packet.payload.size() + ((flags & kTcpSynOrFin) != 0 ? 1 : 0));
+    Store32(tcp + 8, Load32(old + 4) + length);
+    tcp[13] = kTcpRst | kTcpAck;
+  }
+  WriteIpv4Header(buf, 6, packet.destination.address, packet.source.address);
+  Store16(tcp + 16, SegmentChecksum(buf));
+  return buf;
+}
+
+}  // namespace
+
+auto BuildUdpPacket(Endpoint source, Endpoint destination, ByteView payload)
+    -> Bytes {
+  Bytes buf(kIpv4HeaderBytes + kUdpHeaderBytes + payload.size());
+  auto* const udp = buf.data() + kIpv4HeaderBytes;
+  Store16(udp, source.port);
+  Store16(udp + 2, destination.port);
+  Store16(udp + 4,
+          static_cast<std::uint16_t>(kUdpHeaderBytes + payload.size()));
+  std::copy(payload.begin(), payload.end(), udp + kUdpHeaderBytes);
+  WriteIpv4Header(buf, 17, source.address, destination.address);
+  const std::uint16_t checksum = SegmentChecksum(buf);
+  // RFC 768: zero means "no checksum", so it is sent as all ones.
+  Store16(udp + 6, checksum == 0 ? 0xFFFF : checksum);
+  return buf;
+}
+
+auto BuildReset(const PacketView& packet) -> Bytes {
+  switch (packet.kind) {
+    case PacketKind::kReset:
+    case PacketKind::kIcmpError:
+    case PacketKind::kFragment:
+    case PacketKind::kMalformed:
+      return {};
+    case PacketKind::kData:
+    case PacketKind::kOpening:
+    case PacketKind::kFinish:
+      break;
+  }
+  return packet.transport == Transport::kTcp
+             ? BuildTcpReset(packet)
+             : BuildIcmpError(packet, kCodePortUnreachable);
+}
+
+auto BuildFragmentationNeeded(const PacketView& packet) -> Bytes {
+  const bool first =
+      packet.kind == PacketKind::kFragment &&
+      (Load16(packet.bytes.data() + 6) & kFragmentOffsetMask) == 0;
+  return first ? BuildIcmpError(packet, kCodeFragmentationNeeded) : Bytes{};
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/test/packet_test.cc
@@ -0,0 +1,95 @@
+#include "hawthornbank/packet.h"
+
+#include "protocol/byte_order.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+
+namespace {
+
+const Endpoint kCaller{.address = 0x7F000002, .port = 40000};
+const Endpoint kService{.address = 0x7F000001, .port = 5683};
+
+// A TCP packet with the given flags and no payload.
+auto TcpPacket(std::uint8_t flags) -> Bytes {
+  Bytes buf = BuildUdpPacket(kCaller, kService, Bytes(12, 0));
+  buf[9] = 6;
+  buf[kIpv4HeaderBytes + 12] = 0x50;
+  buf[kIpv4HeaderBytes + 13] = flags;
+  return buf;
+}
+
+auto KindOf(const Bytes& buf) -> PacketKind {
+  return ParsePacket(buf).kind;
+}
+
+}  // namespace
+
+TEST_GROUP(Packet){};
+
+TEST(Packet, UdpRoundTrip) {
+  const Bytes payload = {1, 2, 3};
+  const Bytes buf = BuildUdpPacket(kCaller, kService, payload);
+  const auto view = ParsePacket(buf);
+  CHECK(view.kind == PacketKind::kData);
+  CHECK(view.source == kCaller);
+  CHECK(view.destination == kService);
+  CHECK(Bytes(view.payload.begin(), view.payload.end()) == payload);
+}
+
+TEST(Packet, TcpFlagsGiveTheKind) {
+  CHECK(KindOf(TcpPacket(0x02)) == PacketKind::kOpening);
+  CHECK(KindOf(TcpPacket(0x12)) == PacketKind::kData);
+  CHECK(KindOf(TcpPacket(0x10)) == PacketKind::kData);
+  CHECK(KindOf(TcpPacket(0x11)) == PacketKind::kFinish);
+  CHECK(KindOf(TcpPacket(0x04)) == PacketKind::kReset);
+}
+
+TEST(Packet, FragmentsHaveNoPorts) {
+  Bytes buf = BuildUdpPacket(kCaller, kService, Bytes(32, 7));
+  buf[6] = 0x20;
+  CHECK(KindOf(buf) == PacketKind::kFragment);
+  CHECK(!BuildFragmentationNeeded(ParsePacket(buf)).empty());
+  buf[6] = 0x00;
+  buf[7] = 0x04;
+  CHECK(KindOf(buf) == PacketKind::kFragment);
+  CHECK(BuildFragmentationNeeded(ParsePacket(buf)).empty());
+  CHECK(BuildReset(ParsePacket(buf)).empty());
+}
+
+TEST(Packet, IcmpErrorBelongsToTheQuotedFlow) {
+  // A target's answer to the caller that the caller's host refuses.
+  const Bytes answer = BuildUdpPacket(kService, kCaller, Bytes(4, 0));
+  const Bytes icmp = BuildReset(ParsePacket(answer));
+  const auto view = ParsePacket(icmp);
+  CHECK(view.kind == PacketKind::kIcmpError);
+  CHECK(view.source == kCaller);
+  CHECK(view.destination == kService);
+  CHECK(BuildReset(view).empty());
+}
+
+TEST(Packet, TcpResetTakesTheSequenceNumberOfTheAck) {
+  Bytes buf = TcpPacket(0x10);
+  detail::Store32(buf.data() + kIpv4HeaderBytes + 8, 0x01020304);
+  const Bytes reset = BuildReset(ParsePacket(buf));
+  const auto view = ParsePacket(reset);
+  CHECK(view.kind == PacketKind::kReset);
+  CHECK(view.source == kService);
+  CHECK(view.destination == kCaller);
+  LONGS_EQUAL(0x01020304, detail::Load32(reset.data() + kIpv4HeaderBytes + 4));
+  CHECK(BuildReset(view).empty());
+}
+
+TEST(Packet, EveryTruncationIsMalformed) {
+  for (const auto& whole :
+       {BuildUdpPacket(kCaller, kService, Bytes(16, 1)), TcpPacket(0x10),
+        BuildReset(
+            ParsePacket(BuildUdpPacket(kService, kCaller, Bytes(4, 0))))}) {
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+      const Bytes part(whole.begin(),
+                       whole.begin() + static_cast<std::ptrdiff_t>(n));
+      CHECK(KindOf(part) == PacketKind::kMalformed);
+    }
+  }
+}
--- /dev/null
+++ b/test/tunnel_test.cc
@@ -0,0 +1,65 @@
+#include "hawthornbank/tunnel.h"
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+
+namespace {
+
+const TunnelKey kKey = {1, 2, 3};
+const TunnelKey kOtherKey = {4, 5, 6};
+
+auto SampleHeader() -> TunnelHeader {
+  TunnelHeader header{.service = ServiceId{9},
+                      .generation = Generation{77},
+                      .balancer = {.address = 0x7F000001, .port = 99},
+                      .phase = WalkPhase::kChoose,
+                      .established = true,
+                      .hops = 3,
+                      .index = 1,
+                      .best = 0,
+                      .best_load = 12345,
+                      .walk_size = 2};
+  header.walk[0] = {.address = 1, .port = 2};
+  header.walk[1] = {.address = 3, .port = 4};
+  return header;
+}
+
+auto Encode(const TunnelHeader& header, const TunnelKey& key) -> Bytes {
+  Bytes buf(200);
+  const Bytes packet = {10, 11, 12};
+  buf.resize(EncodeTunnel(header, packet, key, buf));
+  return buf;
+}
+
+}  // namespace
+
+TEST_GROUP(Tunnel){};
+
+TEST(Tunnel, RoundTripUnderEitherKey) {
+  const auto buf = Encode(SampleHeader(), kOtherKey);
+  const std::array<TunnelKey, 2> keys = {kKey, kOtherKey};
+  const auto decoded = DecodeTunnel(buf, keys);
+  CHECK(decoded.has_value());
+  CHECK(decoded->header == SampleHeader());
+  LONGS_EQUAL(3, decoded->packet.size());
+}
+
+TEST(Tunnel, ForgedOrChangedIsRefused) {
+  const std::array<TunnelKey, 1> keys = {kKey};
+  CHECK(!DecodeTunnel(Encode(SampleHeader(), kOtherKey), keys));
+  const auto whole = Encode(SampleHeader(), kKey);
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    auto changed = whole;
+    changed[n] ^= 0x01U;
+    CHECK(!DecodeTunnel(changed, keys));
+    CHECK(!DecodeTunnel(ByteView(whole).first(n), keys));
+  }
+}
+
+TEST(Tunnel, SmallBufferIsRefused) {
+  Bytes buf(10);
+  LONGS_EQUAL(0, EncodeTunnel(SampleHeader(), Bytes(5), kKey, buf));
+}
