Read settings from INI and list all their faults

The daemons need addresses, zones and keys from one file, and an operator should see every fault at once. The INI library of the distribution is built without line numbers in its handler and stops naming lines after the first bad one, so lines are counted in the reader and a bad line is blanked and the text parsed again. Lines over the library's buffer would be read in pieces; they are refused. Ruled out: INIReader, which has no line numbers at all.

--- /dev/null
+++ b/src/transport/ini_lines.cc
@@ -0,0 +1,101 @@
+#include "transport/ini_lines.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <sstream>
+
+namespace hawthornbank::transport {
+namespace {
+
+/// Input and output of one pass of the INI library.
+struct Pass {
+  const std::vector<std::string>* lines = nullptr;
+  std::size_t next = 0;
+  std::vector<IniEntry> entries;
+};
+
+auto ReadLine(char* buf, int size, void* stream) -> char* {
+  auto* const pass = static_cast<Pass*>(stream);
+  if (pass->next == pass->lines->size()) {
+    return nullptr;
+  }
+  const std::string& line = (*pass->lines)[pass->next++];
+  const auto n = std::min(line.size(), static_cast<std::size_t>(size) - 1);
+  std::memcpy(buf, line.data(), n);
+  buf[n] = '\0';
+  return buf;
+}
+
+auto AddEntry(void* user,
+              const char* section,
+              const char* key,
+              const char* value) -> int {
+  constexpr int kAccepted = 1;
+  auto* const pass = static_cast<Pass*>(user);
+  const std::string& line = (*pass->lines)[pass->next - 1];
+  const bool continues = !pass->entries.empty() && !line.empty() &&
+                         (line[0] == ' ' || line[0] == '\t') &&
+                         pass->entries.back().section == section &&
+                         pass->entries.back().key == key;
+  if (continues) {
+    pass->entries.back().value += std::string(" ") + value;
+    return kAccepted;
+  }
+  pass->entries.push_back(IniEntry{.line = static_cast<int>(pass->next),
+                                   .section = section,
+                                   .key = key,
+                                   .value = value});
+  return kAccepted;
+}
+
+auto SplitLines(const std::string& text) -> std::vector<std::string> {
+  std::vector<std::string> lines;
+  std::istringstream stream(text);
+  for (std::string line; std::getline(stream, line);) {
+    lines.push_back(line);
+  }
+  return lines;
+}
+
+/// Takes out lines that the library would read in pieces or cut short.
+auto TakeOutLongLines(std::vector<std::string>& lines, IniLines& result)
+    -> void {
+  const auto limit = static_cast<std::size_t>(ini_max_line) - 3;
+  for (std::size_t n = 0; n < lines.size(); ++n) {
+    if (lines[n].size() <= limit && lines[n].find('\0') == std::string::npos) {
+      continue;
+    }
+    const bool long_line = lines[n].size() > limit;
+    result.faults.push_back(IniFault{
+        .line = static_cast<int>(n) + 1,
+        .reason = long_line
+                      ? "the line is longer than " + std::to_string(limit) +
+                            " characters; continue it on an indented line"
+                      : "the line holds a NUL character"});
+    lines[n].clear();
+  }
+}
+
+}  // namespace
+
+auto ParseIniLines(const std::string& text) -> IniLines {
+  IniLines result;
+  std::vector<std::string> lines = SplitLines(text);
+  TakeOutLongLines(lines, result);
+  while (true) {
+    Pass pass{.lines = &lines};
+    const int line = ini_parse_stream(ReadLine, &pass, AddEntry, &pass);
+    if (line <= 0) {
+      result.entries = std::move(pass.entries);
+      return result;
+    }
+    // The library names only the first bad line: blank it and look again.
+    result.faults.push_back(IniFault{
+        .line = line, .reason = "neither a [section] nor a key = value"});
+    lines[static_cast<std::size_t>(line) - 1].clear();
+  }
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/settings.cc
@@ -0,0 +1,268 @@
+#include "transport/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <string_view>
+
+#include "hawthornbank/error.h"
+#include "protocol/near_match.h"
+#include "transport/ini_lines.h"
+#include "transport/settings_values.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+/// Whether a role needs a key, may have it or must not.
+enum class Use : std::uint8_t { kRequired, kOptional, kForbidden };
+
+/// One key of the file.
+struct KeyRule {
+  std::string_view section;
+  std::string_view key;
+  Use balancer;
+  Use agent;
+  auto(*apply)(Settings& settings, const std::string& value) -> void;
+};
+
+constexpr auto kRequired = Use::kRequired;
+constexpr auto kOptional = Use::kOptional;
+constexpr auto kForbidden = Use::kForbidden;
+
+// clang-format off
+constexpr auto kKeyRules = std::to_array<KeyRule>({
+    {"host", "name", kRequired, kRequired,
+     [](auto& s, const auto& v) { s.name = ReadName(v); }},
+    {"host", "zone", kRequired, kRequired,
+     [](auto& s, const auto& v) { s.zone = ReadName(v); }},
+    {"host", "region", kOptional, kOptional,
+     [](auto& s, const auto& v) { s.region = ReadName(v); }},
+    {"listen", "packets", kRequired, kForbidden,
+     [](auto& s, const auto& v) { s.packets = ParseEndpoint(v); }},
+    {"listen", "peer", kRequired, kRequired,
+     [](auto& s, const auto& v) { s.peer = ParseEndpoint(v); }},
+    {"listen", "metrics", kRequired, kOptional,
+     [](auto& s, const auto& v) { s.metrics = ParseEndpoint(v); }},
+    {"platform", "address", kRequired, kOptional,
+     [](auto& s, const auto& v) { s.platform = ReadRemote(v); }},
+    {"peers", "balancers", kOptional, kRequired,
+     [](auto& s, const auto& v) { s.balancers = ReadEndpoints(v); }},
+    {"key", "current", kRequired, kRequired,
+     [](auto& s, const auto& v) { s.key = ReadKey(v); }},
+    {"key", "previous", kOptional, kOptional,
+     [](auto& s, const auto& v) { s.previous_key = ReadKey(v); }},
+    {"target", "service", kForbidden, kRequired,
+     [](auto& s, const auto& v) { s.service = ReadName(v); }},
+    {"target", "address", kForbidden, kRequired,
+     [](auto& s, const auto& v) { s.target_address = ReadRemote(v); }},
+    {"target", "return", kForbidden, kRequired,
+     [](auto& s, const auto& v) { s.return_address = ReadRemote(v); }},
+    {"log", "level", kOptional, kOptional,
+     [](auto& s, const auto& v) { s.log_level = ReadChoice(
+         v, {"trace", "debug", "info", "warn", "error"}); }},
+    {"log", "layout", kOptional, kOptional,
+     [](auto& s, const auto& v) { s.log_layout = ReadChoice(
+         v, {"text", "json"}); }},
+    {"limits", "workers", kOptional, kOptional,
+     [](auto& s, const auto& v) { s.workers = ReadNumber(v, {1, 64}); }},
+    {"limits", "flow_cache_entries", kOptional, kOptional,
+     [](auto& s, const auto& v) {
+       s.flow_cache_entries = ReadNumber(v, {1'000, 16'000'000}); }},
+    {"limits", "drain_limit_s", kOptional, kOptional,
+     [](auto& s, const auto& v) { s.drain_limit = std::chrono::seconds{
+         ReadNumber(v, {1, 604'800, "seconds"})}; }},
+    {"limits", "retry_budget_percent", kOptional, kOptional,
+     [](auto& s, const auto& v) {
+       s.retry_budget_percent = ReadNumber(v, {0, 100, "percent"}); }},
+});
+// clang-format on
+
+auto UseOf(const KeyRule& rule, Role role) -> Use {
+  return role == Role::kBalancer ? rule.balancer : rule.agent;
+}
+
+auto RoleName(Role role) -> std::string {
+  return role == Role::kBalancer ? "balancer" : "agent";
+}
+
+auto FullName(const KeyRule& rule) -> std::string {
+  return std::string(rule.section) + "." + std::string(rule.key);
+}
+
+/// A fault and where it stands; line 0 is the file as a whole.
+struct Fault {
+  int line = 0;
+  std::string text;
+};
+
+/// State of one reading of a file.
+struct Reading {
+  Settings settings;
+  std::map<std::string, int> lines;  ///< Line of each key that was seen.
+  std::vector<Fault> faults;
+};
+
+/// @return Why an entry without a rule is wrong.
+auto UnknownReason(const IniEntry& entry) -> std::string {
+  std::vector<std::string> sections;
+  std::vector<std::string> keys;
+  std::string elsewhere;
+  for (const auto& rule : kKeyRules) {
+    sections.emplace_back(rule.section);
+    if (rule.section == entry.section) {
+      keys.emplace_back(rule.key);
+    }
+    if (rule.key == entry.key) {
+      elsewhere = rule.section;
+    }
+  }
+  if (keys.empty()) {
+    return "unknown section [" + entry.section + "]" +
+           Suggestion(entry.section, sections);
+  }
+  const std::string suggestion = Suggestion(entry.key, keys);
+  if (suggestion.empty() && !elsewhere.empty()) {
+    return "unknown key; it belongs in [" + elsewhere + "]";
+  }
+  return "unknown key" + suggestion;
+}
+
+auto ReadEntry(Reading& reading, const IniEntry& entry) -> void {
+  const std::string name = entry.section + "." + entry.key;
+  const auto fault = [&](const std::string& reason) {
+    const std::string place = entry.section.empty() ? entry.key : name;
+    reading.faults.push_back({entry.line, place + ": " + reason});
+  };
+  const auto* const rule = std::find_if(
+      kKeyRules.begin(), kKeyRules.end(), [&entry](const KeyRule& it) {
+        return it.section == entry.section && it.key == entry.key;
+      });
+  if (rule == kKeyRules.end()) {
+    fault(UnknownReason(entry));
+    return;
+  }
+  const auto [seen, inserted] = reading.lines.try_emplace(name, entry.line);
+  if (!inserted) {
+    fault("duplicate key, first on line " + std::to_string(seen->second));
+    return;
+  }
+  if (UseOf(*rule, reading.settings.role) == Use::kForbidden) {
+    fault("not a key of role " + RoleName(reading.settings.role));
+    return;
+  }
+  try {
+    rule->apply(reading.settings, entry.value);
+  } catch (const Error& error) {
+    fault(error.what());
+  }
+}
+
+auto CheckMissing(Reading& reading) -> void {
+  for (const auto& rule : kKeyRules) {
+    const std::string name = FullName(rule);
+    if (UseOf(rule, reading.settings.role) == Use::kRequired &&
+        !reading.lines.contains(name)) {
+      reading.faults.push_back({0, name + ": missing; role " +
+                                       RoleName(reading.settings.role) +
+                                       " needs it"});
+    }
+  }
+}
+
+/// Two keys whose endpoints must differ.
+struct Clash {
+  std::string_view first;
+  std::string_view second;
+  Endpoint Settings::*first_endpoint;
+  Endpoint Settings::*second_endpoint;
+};
+
+// Pairs of the same transport protocol only: UDP and TCP may share a port.
+constexpr auto kClashes = std::to_array<Clash>({
+    {"listen.packets", "listen.peer", &Settings::packets, &Settings::peer},
+    {"listen.metrics", "platform.address", &Settings::metrics,
+     &Settings::platform},
+    {"listen.peer", "target.address", &Settings::peer,
+     &Settings::target_address},
+    {"listen.peer", "target.return", &Settings::peer,
+     &Settings::return_address},
+    {"target.address", "target.return", &Settings::target_address,
+     &Settings::return_address},
+});
+
+/// @return Whether two processes could not both listen there.
+auto Overlaps(Endpoint left, Endpoint right) -> bool {
+  const bool same_host =
+      left.address == right.address || left.address == 0 || right.address == 0;
+  return left.port != 0 && left.port == right.port && same_host;
+}
+
+auto CheckClashes(Reading& reading) -> void {
+  const Settings& settings = reading.settings;
+  for (const auto& it : kClashes) {
+    if (Overlaps(settings.*it.first_endpoint, settings.*it.second_endpoint)) {
+      reading.faults.push_back({reading.lines[std::string(it.second)],
+                                std::string(it.second) + ": " +
+                                    ToString(settings.*it.second_endpoint) +
+                                    " is also " + std::string(it.first)});
+    }
+  }
+  // A balancer may stand in the seed list that all balancers share.
+  const auto self = std::find(settings.balancers.begin(),
+                              settings.balancers.end(), settings.peer);
+  if (settings.role == Role::kAgent && self != settings.balancers.end()) {
+    reading.faults.push_back({reading.lines["peers.balancers"],
+                              "peers.balancers: " + ToString(*self) +
+                                  " is this agent's own listen.peer"});
+  }
+  if (!settings.key.empty() && settings.key == settings.previous_key) {
+    reading.faults.push_back({reading.lines["key.previous"],
+                              "key.previous: the same as key.current"});
+  }
+}
+
+auto ThrowFaults(std::vector<Fault>& faults, const std::string& file) -> void {
+  std::stable_sort(
+      faults.begin(), faults.end(),
+      [](const Fault& a, const Fault& b) { return a.line < b.line; });
+  std::string text;
+  for (const auto& it : faults) {
+    text += text.empty() ? "" : "\n";
+    text += file + ":" + std::to_string(it.line) + ": " + it.text;
+  }
+  throw Error(ErrorKind::kInvalidSettings, text);
+}
+
+}  // namespace
+
+auto ParseSettings(const std::string& text, const std::string& file, Role role)
+    -> Settings {
+  Reading reading{.settings = Settings{.role = role}};
+  const IniLines lines = ParseIniLines(text);
+  for (const auto& it : lines.faults) {
+    reading.faults.push_back({it.line, it.reason});
+  }
+  for (const auto& it : lines.entries) {
+    ReadEntry(reading, it);
+  }
+  CheckMissing(reading);
+  CheckClashes(reading);
+  if (!reading.faults.empty()) {
+    ThrowFaults(reading.faults, file);
+  }
+  return reading.settings;
+}
+
+auto LoadSettings(const std::string& path, Role role) -> Settings {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    throw Error(ErrorKind::kInvalidSettings,
+                path + ":0: the file can't be read or is empty");
+  }
+  return ParseSettings(text.str(), path, role);
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/settings.h
@@ -0,0 +1,62 @@
+#ifndef HAWTHORNBANK_SRC_TRANSPORT_SETTINGS_H_
+#define HAWTHORNBANK_SRC_TRANSPORT_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/types.h"
+
+/// @file
+/// The settings of one process, read from its INI file.
+namespace hawthornbank::transport {
+
+/// What a daemon process does.
+enum class Role : std::uint8_t { kBalancer, kAgent };
+
+/// Settings of one process. An endpoint that is not set has port 0.
+struct Settings {
+  Role role = Role::kBalancer;
+  std::string name;                 ///< Unique name; the target's for an agent.
+  std::string zone;                 ///< Availability zone of the host.
+  std::string region = "main";      ///< Names the configuration object.
+  Endpoint packets;                 ///< Balancer: packets from the fabric.
+  Endpoint peer;                    ///< UDP between processes of the system.
+  Endpoint metrics;                 ///< HTTP: metrics and status.
+  Endpoint platform;                ///< The platform's object API.
+  std::vector<Endpoint> balancers;  ///< Peer addresses to start from.
+  std::string key;                  ///< 64 hexadecimal digits.
+  std::string previous_key;  ///< Accepted during a rotation; may be empty.
+  std::string service;       ///< Agent: the service that its target serves.
+  Endpoint target_address;   ///< Agent: where the target listens.
+  Endpoint return_address;   ///< Agent: where answers to callers are sent.
+  std::string log_level = "info";
+  std::string log_layout = "text";
+  std::uint32_t workers = 1;
+  std::uint32_t flow_cache_entries = 500'000;
+  std::chrono::milliseconds drain_limit{std::chrono::hours{1}};
+  std::uint32_t retry_budget_percent = 10;
+};
+
+/// Reads settings from INI text.
+/// @param text The text of the file.
+/// @param file Name of the file in error messages.
+/// @param role Which keys are required and allowed.
+/// @return The settings.
+/// @throws Error kInvalidSettings; its message lists all faults, one a line:
+///         "file:line: section.key: why".
+auto ParseSettings(const std::string& text, const std::string& file, Role role)
+    -> Settings;
+
+/// Reads settings from an INI file.
+/// @param path The file.
+/// @param role Which keys are required and allowed.
+/// @return The settings.
+/// @throws Error kInvalidSettings as ParseSettings, or when the file can't be
+///         read.
+auto LoadSettings(const std::string& path, Role role) -> Settings;
+
+}  // namespace hawthornbank::transport
+
+#endif  // HAWTHORNBANK_SRC_TRANSPORT_SETTINGS_H_
