--- /dev/null
+++ b/bench/common/routing_world.cc
@@ -0,0 +1,465 @@
+#include "common/routing_world.h"
+
+#include <algorithm>
+
+namespace hawthornbank::bench {
+namespace {
+
+constexpr std::uint64_t kFabric = 0;
+constexpr std::uint64_t kFirstBalancer = 1;
+constexpr std::uint64_t kFirstAgent = 1000;
+const Endpoint kServiceAddress{.address = 0x0A000001, .port = 5683};
+const ServiceId kService{1};
+
+auto AgentEndpoint(std::uint32_t target) -> Endpoint {
+  return Endpoint{.address = 0x0A010000 + target, .port = 7000};
+}
+
+auto BalancerEndpoint(std::uint32_t balancer) -> Endpoint {
+  return Endpoint{.address = 0x0A020000 + balancer, .port = 7000};
+}
+
+auto IndexOf(Endpoint endpoint) -> std::uint32_t {
+  return endpoint.address & 0xFFFFU;
+}
+
+// A TCP packet is a UDP one with another protocol number and header.
+auto MakePacket(const FlowKey& key, bool opening) -> Bytes {
+  if (key.transport == Transport::kUdp) {
+    return BuildUdpPacket(key.caller, key.address, Bytes(16, 1));
+  }
+  Bytes buf = BuildUdpPacket(key.caller, key.address, Bytes(12, 0));
+  constexpr std::size_t kProtocolOffset = 9;
+  constexpr std::size_t kDataOffset = kIpv4HeaderBytes + 12;
+  constexpr std::size_t kFlags = kIpv4HeaderBytes + 13;
+  buf[kProtocolOffset] = static_cast<std::uint8_t>(Transport::kTcp);
+  buf[kDataOffset] = 0x50;
+  buf[kFlags] = opening ? 0x02 : 0x10;
+  return buf;
+}
+
+}  // namespace
+
+auto VariantName(Variant variant) -> const char* {
+  switch (variant) {
+    case Variant::kHawthornbank:
+      return "hawthornbank";
+    case Variant::kHashModulo:
+      return "baseline_hash_modulo";
+    case Variant::kFlowTable:
+      return "baseline_flow_table";
+  }
+  return "";
+}
+
+RoutingWorld::RoutingWorld(const WorldOptions& options)
+    : options_(options), network_(options.seed) {
+  network_.SetLinkRule([this](std::uint64_t from, std::uint64_t) {
+    // The fabric's own links are inside a host here: no loss before a balancer
+    // has the packet, so that every loss is between processes of the system.
+    return from == kFabric ? Link{.delay = options_.link.delay} : options_.link;
+  });
+  // Time starts late enough for the first targets to be old acquaintances.
+  network_.RunUntil(TimePoint{std::chrono::seconds{100}});
+  for (std::uint32_t n = 0; n < options_.targets; ++n) {
+    AddTarget();
+    agents_.back().candidate.joined = TimePoint{};
+  }
+  for (std::uint32_t n = 0; n < options_.targets; ++n) {
+    auto& core = *agents_[n].core;
+    core.view = Listed();
+    core.view_changed = TimePoint{};
+  }
+  for (std::uint32_t n = 0; n < options_.balancers; ++n) {
+    AddBalancer();
+  }
+}
+
+auto RoutingWorld::RandomDelay() -> Duration {
+  return Duration{static_cast<Duration::rep>(
+      NextFraction(network_.random()) *
+      static_cast<double>(options_.update_spread.count()))};
+}
+
+auto RoutingWorld::Listed() const -> std::vector<Candidate> {
+  std::vector<Candidate> listed;
+  for (const auto& it : agents_) {
+    if (it.listed) {
+      listed.push_back(it.candidate);
+    }
+  }
+  return listed;
+}
+
+auto RoutingWorld::AddBalancer() -> std::uint32_t {
+  BalancerHost host{
+      .table = std::make_shared<RoutingTable>(),
+      .cache = std::make_unique<FlowCache>(options_.cache_entries),
+      .counters = std::make_unique<Counters>()};
+  UpdateBalancer(host, Listed());
+  balancers_.push_back(std::move(host));
+  return static_cast<std::uint32_t>(balancers_.size() - 1);
+}
+
+auto RoutingWorld::CrashBalancer(std::uint32_t balancer) -> void {
+  balancers_[balancer].alive = false;
+}
+
+auto RoutingWorld::DeafenBalancer(std::uint32_t balancer) -> void {
+  balancers_[balancer].deaf = true;
+}
+
+auto RoutingWorld::AddTarget() -> std::uint32_t {
+  const auto index = static_cast<std::uint32_t>(agents_.size());
+  auto core = std::make_unique<Agent>();
+  core->options = AgentOptions{.self = AgentEndpoint(index),
+                               .service = kService,
+                               .max_connections = 100000};
+  core->busyness.slots = options_.slots;
+  agents_.push_back(AgentHost{
+      .core = std::move(core),
+      .candidate =
+          Candidate{.id = TargetId{(index + 1) * 0x9E3779B97F4A7C15ULL},
+                    .agent = AgentEndpoint(index),
+                    .joined = network_.now()}});
+  if (!balancers_.empty()) {
+    UpdateAgent(index, Listed());
+    SpreadTargets();
+  }
+  return index;
+}
+
+auto RoutingWorld::DrainTarget(std::uint32_t target) -> void {
+  agents_[target].drain_started = network_.now();
+  network_.AtHost(
+      kFirstAgent + target, network_.now() + RandomDelay(),
+      [this, target]() { BeginDrain(*agents_[target].core, network_.now()); });
+}
+
+auto RoutingWorld::RemoveTarget(std::uint32_t target) -> void {
+  agents_[target].listed = false;
+  auto& core = *agents_[target].core;
+  std::vector<AgentAction> actions;
+  core.view = Listed();
+  HandOverPointers(core, actions);
+  Perform(target, actions, nullptr, {});
+  network_.Kill(kFirstAgent + target);
+  agents_[target].alive = false;
+  SpreadTargets();
+}
+
+auto RoutingWorld::CrashTarget(std::uint32_t target, Duration detection)
+    -> void {
+  agents_[target].alive = false;
+  network_.Kill(kFirstAgent + target);
+  for (auto& it : flows_) {
+    it.target_crashed = it.target_crashed || it.owner == target;
+  }
+  network_.At(network_.now() + detection, [this, target]() {
+    agents_[target].listed = false;
+    SpreadTargets();
+  });
+}
+
+auto RoutingWorld::SetWeight(std::uint32_t target, std::uint16_t percent)
+    -> void {
+  agents_[target].candidate.weight_percent = percent;
+  SpreadTargets();
+}
+
+auto RoutingWorld::SpreadTargets() -> void {
+  const auto listed = Listed();
+  for (std::uint32_t n = 0; n < balancers_.size(); ++n) {
+    network_.At(network_.now() + RandomDelay(), [this, n, listed]() {
+      if (!balancers_[n].deaf) {
+        UpdateBalancer(balancers_[n], listed);
+      }
+    });
+  }
+  for (std::uint32_t n = 0; n < agents_.size(); ++n) {
+    network_.AtHost(kFirstAgent + n, network_.now() + RandomDelay(),
+                    [this, n, listed]() { UpdateAgent(n, listed); });
+  }
+}
+
+auto RoutingWorld::UpdateBalancer(BalancerHost& host,
+                                  std::vector<Candidate> targets) -> void {
+  auto table = std::make_shared<RoutingTable>();
+  for (const auto& it : targets) {
+    table->live_agents.emplace(it.agent, it.joined);
+  }
+  table->services.emplace(
+      ServiceAddress{.address = kServiceAddress, .transport = Transport::kUdp},
+      RoutedService{.id = kService, .candidates = targets});
+  table->services.emplace(
+      ServiceAddress{.address = kServiceAddress, .transport = Transport::kTcp},
+      RoutedService{.id = kService,
+                    .transport = Transport::kTcp,
+                    .candidates = std::move(targets)});
+  host.table = std::move(table);
+}
+
+auto RoutingWorld::UpdateAgent(std::uint32_t target,
+                               std::vector<Candidate> targets) -> void {
+  std::vector<AgentAction> actions;
+  SetServiceView(*agents_[target].core, std::move(targets), network_.now(),
+                 actions);
+  Perform(target, actions, nullptr, {});
+}
+
+auto RoutingWorld::OpenFlow() -> std::uint32_t {
+  const auto index = static_cast<std::uint32_t>(flows_.size());
+  const FlowKey key{
+      .service = kService,
+      .caller = {.address = 0x0B000000 + index / 50000,
+                 .port = static_cast<std::uint16_t>(1024 + index % 50000)},
+      .address = kServiceAddress,
+      .transport = index % 2 == 0 ? Transport::kUdp : Transport::kTcp};
+  flows_.push_back(
+      WorldFlow{.key = key, .owner = kNobody, .opened = network_.now()});
+  flow_index_.emplace(key, index);
+  const auto packet = std::make_shared<const Bytes>(MakePacket(key, true));
+  SendFromCaller(index, packet);
+  if (NextFraction(network_.random()) < options_.duplicate_openings) {
+    SendFromCaller(index, packet);
+  }
+  return index;
+}
+
+auto RoutingWorld::SendPacket(std::uint32_t flow) -> void {
+  // A caller whose opening got no answer opens again.
+  const bool opening = flows_[flow].delivered == 0;
+  SendFromCaller(flow, std::make_shared<const Bytes>(
+                           MakePacket(flows_[flow].key, opening)));
+}
+
+auto RoutingWorld::KeepTalking(Duration interval, TimePoint end) -> void {
+  const auto count = static_cast<std::uint32_t>(flows_.size());
+  for (std::uint32_t flow = 0; flow < count; ++flow) {
+    const auto offset = Duration{
+        static_cast<Duration::rep>(NextFraction(network_.random()) *
+                                   static_cast<double>(interval.count()))};
+    for (auto when = network_.now() + offset; when <= end; when += interval) {
+      network_.At(when, [this, flow]() { SendPacket(flow); });
+    }
+  }
+}
+
+auto RoutingWorld::CloseFlow(std::uint32_t flow) -> void {
+  const auto owner = flows_[flow].owner;
+  if (owner != kNobody) {
+    std::vector<AgentAction> actions;
+    EndFlow(*agents_[owner].core, flows_[flow].key, actions);
+  }
+}
+
+auto RoutingWorld::SendFromCaller(std::uint32_t flow, const Packet& packet)
+    -> void {
+  if (flows_[flow].broken || flows_[flow].resets > 0) {
+    return;
+  }
+  std::vector<std::uint32_t> alive;
+  for (std::uint32_t n = 0; n < balancers_.size(); ++n) {
+    if (balancers_[n].alive) {
+      alive.push_back(n);
+    }
+  }
+  const auto chosen =
+      alive[network_.random()(static_cast<std::uint32_t>(alive.size()))];
+  network_.Send(kFabric, kFirstBalancer + chosen,
+                [this, chosen, packet]() { HandleAtBalancer(chosen, packet); });
+}
+
+auto RoutingWorld::RouteBaseline(BalancerHost& host, const PacketView& packet)
+    -> Endpoint {
+  const FlowKey key{.service = kService,
+                    .caller = packet.source,
+                    .address = packet.destination,
+                    .transport = packet.transport};
+  if (options_.variant == Variant::kFlowTable) {
+    const auto it = host.flow_table.find(key);
+    if (it != host.flow_table.end()) {
+      return it->second;
+    }
+  }
+  const auto& targets = host.table->services.begin()->second.candidates;
+  const Endpoint chosen = targets[HashFlow(key) % targets.size()].agent;
+  host.flow_table.emplace(key, chosen);
+  return chosen;
+}
+
+auto RoutingWorld::HandleAtBalancer(std::uint32_t balancer,
+                                    const Packet& packet) -> void {
+  auto& host = balancers_[balancer];
+  if (!host.alive) {
+    return;
+  }
+  const PacketView view = ParsePacket(*packet);
+  const auto from = kFirstBalancer + balancer;
+  if (options_.variant != Variant::kHawthornbank) {
+    const auto target = IndexOf(RouteBaseline(host, view));
+    network_.Send(from, kFirstAgent + target, [this, target, packet]() {
+      const PacketView arrived = ParsePacket(*packet);
+      ++deliveries_;
+      Deliver(target, FlowKey{.service = kService,
+                              .caller = arrived.source,
+                              .address = arrived.destination,
+                              .transport = arrived.transport});
+    });
+    return;
+  }
+  const BalancerContext context{.self = BalancerEndpoint(balancer),
+                                .last_heard = network_.now()};
+  const auto decision = RoutePacket(*host.table, *host.cache, context, view,
+                                    network_.now(), *host.counters);
+  if (decision.verdict == RouteVerdict::kForward) {
+    const auto target = IndexOf(decision.agent);
+    network_.Send(from, kFirstAgent + target,
+                  [this, target, header = decision.header, packet]() {
+                    HandleAtAgent(target, header, packet);
+                  });
+  } else if (decision.verdict == RouteVerdict::kReset) {
+    Reset(FlowKey{.service = kService,
+                  .caller = view.source,
+                  .address = view.destination,
+                  .transport = view.transport});
+  }
+}
+
+auto RoutingWorld::HandleAtAgent(std::uint32_t target,
+                                 const TunnelHeader& header,
+                                 const Packet& packet) -> void {
+  actions_.clear();
+  OnTunnelPacket(*agents_[target].core, header, ParsePacket(*packet),
+                 network_.now(), actions_);
+  Perform(target, std::vector(actions_), packet, header);
+}
+
+auto RoutingWorld::Perform(std::uint32_t target,
+                           const std::vector<AgentAction>& actions,
+                           const Packet& packet,
+                           const TunnelHeader& header) -> void {
+  const auto from = kFirstAgent + target;
+  for (const auto& it : actions) {
+    const auto to = IndexOf(it.to);
+    switch (it.kind) {
+      case AgentAction::Kind::kDeliver:
+        ++deliveries_;
+        hops_ += header.hops > 0 ? 1 : 0;
+        Deliver(target, it.flow);
+        break;
+      case AgentAction::Kind::kPass:
+        network_.Send(from, kFirstAgent + to, [this, to, it, packet]() {
+          HandleAtAgent(to, it.header, packet);
+        });
+        break;
+      case AgentAction::Kind::kReset:
+        Reset(it.flow);
+        break;
+      case AgentAction::Kind::kHint:
+        network_.Send(from, kFirstBalancer + to, [this, to, it]() {
+          auto& host = balancers_[to];
+          OnFlowHint(*host.cache, it.flow, it.owner, network_.now(),
+                     *host.counters);
+        });
+        break;
+      case AgentAction::Kind::kPointer:
+        network_.Send(from, kFirstAgent + to, [this, to, it]() {
+          OnFlowPointer(*agents_[to].core, it.flow, it.owner, network_.now());
+        });
+        break;
+      case AgentAction::Kind::kProbe:
+      case AgentAction::Kind::kClose:
+        break;
+    }
+  }
+}
+
+auto RoutingWorld::Deliver(std::uint32_t target, const FlowKey& key) -> void {
+  const auto it = flow_index_.find(key);
+  if (it == flow_index_.end()) {
+    ++wrong_service_;
+    return;
+  }
+  WorldFlow& flow = flows_[it->second];
+  ++flow.delivered;
+  if (flow.owner == kNobody) {
+    flow.owner = target;
+    flow.opened = network_.now();
+    if (accept_handler_) {
+      accept_handler_(it->second, target);
+    }
+    return;
+  }
+  flow.broken = flow.broken || (flow.owner != target && !flow.target_crashed);
+}
+
+auto RoutingWorld::Reset(const FlowKey& key) -> void {
+  WorldFlow& flow = flows_[flow_index_.at(key)];
+  ++flow.resets;
+  flow.broken = flow.broken || !flow.target_crashed;
+}
+
+auto RoutingWorld::BrokenFlows() const -> std::uint64_t {
+  return static_cast<std::uint64_t>(
+      std::count_if(flows_.begin(), flows_.end(),
+                    [](const WorldFlow& it) { return it.broken; }));
+}
+
+auto RoutingWorld::ExtraHopShare() const -> double {
+  return deliveries_ == 0
+             ? 0
+             : static_cast<double>(hops_) / static_cast<double>(deliveries_);
+}
+
+auto RoutingWorld::ConnectionsMaxOverMean() const -> double {
+  std::vector<std::size_t> counts(agents_.size(), 0);
+  for (const auto& it : flows_) {
+    if (it.owner != kNobody && !it.target_crashed) {
+      ++counts[it.owner];
+    }
+  }
+  std::size_t serving = 0;
+  std::size_t sum = 0;
+  std::size_t most = 0;
+  for (std::size_t n = 0; n < agents_.size(); ++n) {
+    if (agents_[n].listed && !agents_[n].core->draining) {
+      ++serving;
+      sum += counts[n];
+      most = std::max(most, counts[n]);
+    }
+  }
+  return sum == 0
+             ? 1
+             : static_cast<double>(most * serving) / static_cast<double>(sum);
+}
+
+auto RoutingWorld::AcceptedAfterDrain(Duration grace) const -> std::uint64_t {
+  return static_cast<std::uint64_t>(
+      std::count_if(flows_.begin(), flows_.end(), [&](const WorldFlow& it) {
+        return it.owner != kNobody &&
+               agents_[it.owner].drain_started != TimePoint::max() &&
+               it.opened > agents_[it.owner].drain_started + grace;
+      }));
+}
+
+auto RoutingWorld::SpreadMeanConnections(Duration lag) -> void {
+  std::size_t sum = 0;
+  std::size_t serving = 0;
+  for (const auto& it : agents_) {
+    if (it.listed && !it.core->draining) {
+      sum += it.core->flows.size();
+      ++serving;
+    }
+  }
+  const double mean =
+      serving == 0 ? 0
+                   : static_cast<double>(sum) / static_cast<double>(serving);
+  network_.At(network_.now() + lag, [this, mean]() {
+    for (auto& it : agents_) {
+      it.core->mean_connections = mean;
+    }
+  });
+}
+
+}  // namespace hawthornbank::bench
--- /dev/null
+++ b/bench/common/slot_model.cc
@@ -0,0 +1,200 @@
+#include "common/slot_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <vector>
+
+#include "common/routing_world.h"
+
+namespace hawthornbank::bench {
+namespace {
+
+// Long against the links' delay, so that waits come from choices alone.
+constexpr Duration kMeanService = std::chrono::seconds{1};
+constexpr double kPercentile = 0.99;
+
+struct Job {
+  Duration arrival{};
+  Duration service{};
+};
+
+auto DrawExponential(Random& random, Duration mean) -> Duration {
+  const double fraction = 1.0 - NextFraction(random);
+  return Duration{static_cast<Duration::rep>(
+      -std::log(fraction) * static_cast<double>(mean.count()))};
+}
+
+auto DrawJobs(const SlotModelOptions& options) -> std::vector<Job> {
+  Random random(options.seed);
+  const double rate = options.load * options.targets * options.slots;
+  const Duration gap{static_cast<Duration::rep>(
+      static_cast<double>(kMeanService.count()) / rate)};
+  std::vector<Job> jobs(options.arrivals);
+  Duration now{0};
+  for (auto& it : jobs) {
+    now += DrawExponential(random, gap);
+    it = Job{.arrival = now, .service = DrawExponential(random, kMeanService)};
+  }
+  return jobs;
+}
+
+/// Slots and queue of one target.
+struct SlotQueue {
+  std::uint32_t busy = 0;
+  std::deque<std::uint32_t> waiting;
+};
+
+/// Runs jobs on targets once a policy has chosen one for each.
+class SlotRun {
+ public:
+  SlotRun(VirtualNetwork& network,
+          const std::vector<Job>& jobs,
+          const SlotModelOptions& options,
+          TimePoint start)
+      : network_(network),
+        jobs_(jobs),
+        options_(options),
+        start_(start),
+        queues_(options.targets),
+        waits_(jobs.size(), 0) {}
+
+  std::function<void(std::uint32_t target)> on_change;
+  std::function<void(std::uint32_t job)> on_done;
+
+  auto Begin(std::uint32_t job, std::uint32_t target) -> void {
+    auto& queue = queues_[target];
+    if (queue.busy < options_.slots) {
+      ++queue.busy;
+      Serve(job, target);
+    } else {
+      queue.waiting.push_back(job);
+    }
+    Notify(target);
+  }
+
+  [[nodiscard]] auto queues() const -> const std::vector<SlotQueue>& {
+    return queues_;
+  }
+
+  // The first tenth warms up.
+  auto WaitP99() -> double {
+    std::vector<double> waits(
+        waits_.begin() + static_cast<std::ptrdiff_t>(waits_.size() / 10),
+        waits_.end());
+    const auto place =
+        waits.begin() + static_cast<std::ptrdiff_t>(
+                            kPercentile * static_cast<double>(waits.size()));
+    std::nth_element(waits.begin(), place, waits.end());
+    return *place;
+  }
+
+ private:
+  auto Serve(std::uint32_t job, std::uint32_t target) -> void {
+    const Duration wait = network_.now() - (start_ + jobs_[job].arrival);
+    waits_[job] = static_cast<double>(wait.count()) /
+                  static_cast<double>(kMeanService.count());
+    network_.At(network_.now() + jobs_[job].service,
+                [this, job, target]() { Finish(job, target); });
+  }
+
+  auto Finish(std::uint32_t job, std::uint32_t target) -> void {
+    auto& queue = queues_[target];
+    if (on_done) {
+      on_done(job);
+    }
+    if (queue.waiting.empty()) {
+      --queue.busy;
+    } else {
+      const std::uint32_t next = queue.waiting.front();
+      queue.waiting.pop_front();
+      Serve(next, target);
+    }
+    Notify(target);
+  }
+
+  auto Notify(std::uint32_t target) -> void {
+    if (on_change) {
+      on_change(target);
+    }
+  }
+
+  VirtualNetwork& network_;
+  const std::vector<Job>& jobs_;
+  const SlotModelOptions& options_;
+  TimePoint start_;
+  std::vector<SlotQueue> queues_;
+  std::vector<double> waits_;
+};
+
+auto LeastLoaded(const std::vector<SlotQueue>& queues) -> std::uint32_t {
+  const auto it = std::min_element(
+      queues.begin(), queues.end(), [](const SlotQueue& a, const SlotQueue& b) {
+        return a.busy + a.waiting.size() < b.busy + b.waiting.size();
+      });
+  return static_cast<std::uint32_t>(it - queues.begin());
+}
+
+auto RunBaseline(const SlotModelOptions& options,
+                 const std::vector<Job>& jobs,
+                 bool all_knowing) -> double {
+  VirtualNetwork network(options.seed);
+  SlotRun run(network, jobs, options, network.now());
+  Random random(options.seed + 1);
+  for (std::uint32_t job = 0; job < jobs.size(); ++job) {
+    const std::uint32_t hashed = random(options.targets);
+    network.At(
+        TimePoint{jobs[job].arrival}, [&run, job, hashed, all_knowing]() {
+          run.Begin(job, all_knowing ? LeastLoaded(run.queues()) : hashed);
+        });
+  }
+  network.RunUntil(TimePoint{jobs.back().arrival} + kMeanService * 100);
+  return run.WaitP99();
+}
+
+auto RunOwn(const SlotModelOptions& options, const std::vector<Job>& jobs)
+    -> double {
+  RoutingWorld world({.targets = options.targets,
+                      .slots = options.slots,
+                      .cache_entries = 2048,
+                      .link = {.delay = std::chrono::microseconds{100}},
+                      .seed = options.seed});
+  auto& network = world.network();
+  const TimePoint start = network.now();
+  SlotRun run(network, jobs, options, start);
+  run.on_change = [&](std::uint32_t target) {
+    const auto& queue = run.queues()[target];
+    world.agent(target).busyness = {
+        .slots = options.slots,
+        .slots_busy = queue.busy,
+        .queued = static_cast<std::uint32_t>(queue.waiting.size())};
+  };
+  run.on_done = [&world](std::uint32_t job) { world.CloseFlow(job); };
+  world.SetAcceptHandler([&run](std::uint32_t flow, std::uint32_t target) {
+    run.Begin(flow, target);
+  });
+  for (std::uint32_t job = 0; job < jobs.size(); ++job) {
+    network.At(start + jobs[job].arrival, [&world]() { world.OpenFlow(); });
+  }
+  const TimePoint end = start + jobs.back().arrival + kMeanService * 100;
+  for (auto now = start; now < end; now += std::chrono::seconds{1}) {
+    network.At(now, [&world]() {
+      world.SpreadMeanConnections(std::chrono::seconds{1});
+    });
+  }
+  network.RunUntil(end);
+  return run.WaitP99();
+}
+
+}  // namespace
+
+auto RunSlotModel(const SlotModelOptions& options) -> SlotModelResult {
+  const auto jobs = DrawJobs(options);
+  return SlotModelResult{.own_p99 = RunOwn(options, jobs),
+                         .oracle_p99 = RunBaseline(options, jobs, true),
+                         .hash_p99 = RunBaseline(options, jobs, false)};
+}
+
+}  // namespace hawthornbank::bench
--- /dev/null
+++ b/bench/routing.cc
@@ -0,0 +1,235 @@
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "common/report.h"
+#include "common/routing_world.h"
+#include "common/slot_model.h"
+
+/// @file
+/// Benchmark of routing decisions under churn, in virtual time.
+
+namespace hawthornbank::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 1;
+constexpr Duration kTalkInterval = milliseconds{250};
+constexpr Duration kMeanInterval = seconds{1};
+constexpr double kMaxOverMeanSteady = 1.05;
+constexpr double kMaxOverMeanAfterChange = 1.25;
+constexpr double kMaxExtraHops = 0.01;
+constexpr Duration kDrainGrace = seconds{3};
+
+/// Opens flows at an even rate until an instant, with the mean spread lagging.
+auto OpenFlows(RoutingWorld& world, int count, Duration time) -> void {
+  auto& network = world.network();
+  const TimePoint start = network.now();
+  for (int n = 0; n < count; ++n) {
+    network.At(start + time * n / count, [&world]() { world.OpenFlow(); });
+  }
+  for (Duration at{0}; at < time; at += kMeanInterval) {
+    network.At(start + at,
+               [&world]() { world.SpreadMeanConnections(kMeanInterval); });
+  }
+}
+
+struct Case {
+  std::string name;
+  WorldOptions options;
+  std::function<void(RoutingWorld&, TimePoint start)> events;
+  bool bounds_extra_hops = false;
+  double max_over_mean = kMaxOverMeanAfterChange;
+};
+
+auto RunFor(RoutingWorld& world, Duration time) -> void {
+  world.network().RunUntil(world.network().now() + time);
+}
+
+auto PrintFigure(const Case& it,
+                 Variant variant,
+                 const std::string& figure,
+                 double value,
+                 const std::string& unit,
+                 std::optional<double> bound) -> void {
+  const bool own = variant == Variant::kHawthornbank;
+  Print(Row{.bench = "routing",
+            .name = it.name,
+            .variant = VariantName(variant),
+            .figure = figure,
+            .value = value,
+            .bound = own ? bound : std::nullopt,
+            .unit = unit,
+            .seed = kSeed});
+}
+
+/// 2,100 flows open in 10 s and talk on while the case's events happen; 700
+/// more open meanwhile.
+auto RunCase(const Case& it, Variant variant) -> void {
+  WorldOptions options = it.options;
+  options.variant = variant;
+  options.seed = kSeed;
+  RoutingWorld world(options);
+  OpenFlows(world, 2100, seconds{10});
+  RunFor(world, seconds{11});
+  const TimePoint start = world.network().now();
+  world.KeepTalking(kTalkInterval, start + seconds{40});
+  if (it.events) {
+    it.events(world, start);
+  }
+  OpenFlows(world, 700, seconds{20});
+  RunFor(world, seconds{22});
+  world.KeepTalking(seconds{1}, start + seconds{40});
+  RunFor(world, seconds{20});
+  PrintFigure(it, variant, "broken_flows",
+              static_cast<double>(world.BrokenFlows()), "flows", 0);
+  PrintFigure(it, variant, "wrong_service",
+              static_cast<double>(world.WrongService()), "packets", 0);
+  PrintFigure(it, variant, "accepted_after_drain",
+              static_cast<double>(world.AcceptedAfterDrain(kDrainGrace)),
+              "flows", 0);
+  PrintFigure(
+      it, variant, "extra_hops", world.ExtraHopShare(), "share",
+      it.bounds_extra_hops ? std::optional(kMaxExtraHops) : std::nullopt);
+  PrintFigure(it, variant, "connections_max_over_mean",
+              world.ConnectionsMaxOverMean(), "ratio", it.max_over_mean);
+}
+
+auto BalancerChurn(RoutingWorld& world, TimePoint start) -> void {
+  auto& network = world.network();
+  network.At(start + seconds{1}, [&world]() { world.CrashBalancer(0); });
+  network.At(start + seconds{3}, [&world]() { world.AddBalancer(); });
+  network.At(start + seconds{6}, [&world]() { world.CrashBalancer(1); });
+  network.At(start + seconds{9}, [&world]() { world.AddBalancer(); });
+}
+
+auto TargetChurn(RoutingWorld& world, TimePoint start) -> void {
+  auto& network = world.network();
+  network.At(start + seconds{1}, [&world]() { world.AddTarget(); });
+  network.At(start + seconds{4}, [&world]() { world.AddTarget(); });
+  network.At(start + seconds{6}, [&world]() { world.SetWeight(1, 50); });
+  network.At(start + seconds{8},
+             [&world]() { world.CrashTarget(2, seconds{4}); });
+}
+
+auto Drain(RoutingWorld& world, TimePoint start) -> void {
+  auto& network = world.network();
+  network.At(start + seconds{1}, [&world]() { world.DrainTarget(3); });
+  network.At(start + seconds{2}, [&world]() { world.AddBalancer(); });
+  network.At(start + seconds{5}, [&world]() { world.DrainTarget(4); });
+}
+
+auto GenerationsDisagree(RoutingWorld& world, TimePoint start) -> void {
+  auto& network = world.network();
+  network.At(start + seconds{1}, [&world]() { world.DeafenBalancer(2); });
+  network.At(start + seconds{2}, [&world]() { world.AddTarget(); });
+  network.At(start + seconds{3}, [&world]() { world.AddTarget(); });
+  network.At(start + seconds{4}, [&world]() { world.DrainTarget(0); });
+  network.At(start + seconds{9}, [&world]() { world.AddTarget(); });
+}
+
+auto BothAtOnce(RoutingWorld& world, TimePoint start) -> void {
+  GenerationsDisagree(world, start);
+  BalancerChurn(world, start + milliseconds{500});
+  world.network().At(start + seconds{12},
+                     [&world]() { world.CrashTarget(5, seconds{4}); });
+}
+
+auto Cases() -> std::vector<Case> {
+  const Link uneven{.delay = milliseconds{1}, .jitter = milliseconds{4}};
+  const Link lossy{
+      .delay = milliseconds{1}, .jitter = milliseconds{8}, .loss = 0.005};
+  return {
+      {.name = "steady",
+       .options = {.duplicate_openings = 0.1},
+       .bounds_extra_hops = true,
+       .max_over_mean = kMaxOverMeanSteady},
+      {.name = "balancer_churn",
+       .options = {.duplicate_openings = 0.1},
+       .events = BalancerChurn,
+       .max_over_mean = kMaxOverMeanSteady},
+      {.name = "target_churn",
+       .options = {.link = uneven, .duplicate_openings = 0.1},
+       .events = TargetChurn},
+      {.name = "drain",
+       .options = {.link = uneven, .duplicate_openings = 0.1},
+       .events = Drain},
+      {.name = "generations_disagree",
+       .options = {.link = uneven, .duplicate_openings = 0.3},
+       .events = GenerationsDisagree},
+      {.name = "both_at_once",
+       .options = {.link = lossy, .duplicate_openings = 0.3},
+       .events = BothAtOnce},
+  };
+}
+
+struct SlotCase {
+  std::uint32_t targets;
+  double load;
+  double bound_over_oracle;  ///< 0: the bound is on the wait itself.
+  double bound_wait;
+};
+
+auto RunSlotCases() -> void {
+  // Bounds are the issue's: over the oracle where it waits, else absolute.
+  for (const auto& it :
+       {SlotCase{7, 0.70, 1.25, 0}, SlotCase{7, 0.85, 1.25, 0},
+        SlotCase{460, 0.70, 0, 0.5}, SlotCase{460, 0.85, 0, 1.0}}) {
+    const std::string name = "steady_" + std::to_string(it.targets) + "_at_" +
+                             std::to_string(std::lround(it.load * 100));
+    const auto result = RunSlotModel({.targets = it.targets,
+                                      .slots = 3,
+                                      .load = it.load,
+                                      .arrivals = 150'000,
+                                      .seed = kSeed});
+    const auto print = [&name](const char* variant, const char* figure,
+                               double value, std::optional<double> bound) {
+      Print(Row{.bench = "routing",
+                .name = name,
+                .variant = variant,
+                .figure = figure,
+                .value = value,
+                .bound = bound,
+                .unit = "mean_service_times",
+                .seed = kSeed});
+    };
+    print("baseline_oracle", "slot_wait_p99", result.oracle_p99, std::nullopt);
+    print("baseline_plain_hash", "slot_wait_p99", result.hash_p99,
+          std::nullopt);
+    if (it.bound_over_oracle > 0) {
+      print("hawthornbank", "slot_wait_p99", result.own_p99, std::nullopt);
+      print("hawthornbank", "slot_wait_p99_over_oracle",
+            result.own_p99 / result.oracle_p99, it.bound_over_oracle);
+    } else {
+      print("hawthornbank", "slot_wait_p99", result.own_p99, it.bound_wait);
+    }
+  }
+}
+
+auto Run(const std::string& only) -> int {
+  for (const auto& it : Cases()) {
+    if (!only.empty() && only != it.name) {
+      continue;
+    }
+    for (const auto variant :
+         {Variant::kHawthornbank, Variant::kHashModulo, Variant::kFlowTable}) {
+      RunCase(it, variant);
+    }
+  }
+  if (only.empty() || only == "slots") {
+    RunSlotCases();
+  }
+  return ExitCode();
+}
+
+}  // namespace
+}  // namespace hawthornbank::bench
+
+auto main(int argc, char** argv) -> int {
+  return hawthornbank::bench::Run(argc > 1 ? argv[1] : "");
+}
--- a/include/hawthornbank/routing.h
+++ b/include/hawthornbank/routing.h
@@ -63,7 +63,7 @@
 };
 
 /// What a balancer knows beside the table.
-struct BalancerState {
+struct BalancerContext {
   Endpoint self;           ///< Where agents send hints.
   TimePoint last_heard{};  ///< Last word from a peer or the platform.
   bool alone = false;      ///< Has no peers by its settings.
@@ -94,7 +94,7 @@
 /// @return What to do.
 auto RoutePacket(const RoutingTable& table,
                  FlowCache& cache,
-                 const BalancerState& state,
+                 const BalancerContext& state,
                  const PacketView& packet,
                  TimePoint now,
                  Counters& counters) -> RouteDecision;
--- a/src/coordination/routing.cc
+++ b/src/coordination/routing.cc
@@ -9,7 +9,7 @@
 }
 
 auto Forward(const RoutingTable& table,
-             const BalancerState& state,
+             const BalancerContext& state,
              ServiceId service,
              Endpoint agent,
              Counters& counters) -> RouteDecision {
@@ -33,7 +33,7 @@
   return home != nullptr ? home : FirstCandidate(service.candidates, flow_hash);
 }
 
-auto MayOpenFlows(const BalancerState& state, TimePoint now) -> bool {
+auto MayOpenFlows(const BalancerContext& state, TimePoint now) -> bool {
   return state.alone || now - state.last_heard <= kIsolationTimeout;
 }
 
@@ -47,7 +47,7 @@
 
 auto RoutePacket(const RoutingTable& table,
                  FlowCache& cache,
-                 const BalancerState& state,
+                 const BalancerContext& state,
                  const PacketView& packet,
                  TimePoint now,
                  Counters& counters) -> RouteDecision {
--- /dev/null
+++ b/src/transport/daemon.h
@@ -0,0 +1,29 @@
+#ifndef HAWTHORNBANK_SRC_TRANSPORT_DAEMON_H_
+#define HAWTHORNBANK_SRC_TRANSPORT_DAEMON_H_
+
+#include "transport/settings.h"
+
+/// @file
+/// The two roles of the daemon, each run until it is told to stop.
+namespace hawthornbank::transport {
+
+/// Exit code after a graceful stop.
+inline constexpr int kExitStopped = 0;
+/// Exit code after a second signal ended the process at once.
+inline constexpr int kExitForced = 9;
+
+/// Runs an entry host's balancer until SIGTERM or SIGINT.
+/// @param settings Its settings.
+/// @return The exit code.
+/// @throws Error kInvalidSettings when a port can't be bound.
+auto RunBalancer(const Settings& settings) -> int;
+
+/// Runs the agent beside a target until SIGTERM or SIGINT.
+/// @param settings Its settings.
+/// @return The exit code.
+/// @throws Error kInvalidSettings when a port can't be bound.
+auto RunAgent(const Settings& settings) -> int;
+
+}  // namespace hawthornbank::transport
+
+#endif  // HAWTHORNBANK_SRC_TRANSPORT_DAEMON_H_
--- /dev/null
+++ b/src/transport/status_server.cc
@@ -0,0 +1,101 @@
+#include "transport/status_server.h"
+
+#include <httplib.h>
+
+#include <future>
+#include <optional>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "hawthornbank/error.h"
+#include "transport/logging.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+constexpr std::chrono::seconds kAnswerTimeout{2};
+
+// Asks on the daemon's own thread, so that the source needs no locks.
+template <class Result>
+auto Ask(asio::io_context& io, const std::function<Result()>& source)
+    -> std::optional<Result> {
+  auto promise = std::make_shared<std::promise<Result>>();
+  auto future = promise->get_future();
+  asio::post(io, [promise, source]() { promise->set_value(source()); });
+  if (future.wait_for(kAnswerTimeout) != std::future_status::ready) {
+    return std::nullopt;
+  }
+  return future.get();
+}
+
+auto FormatMetrics(const Metrics& metrics) -> std::string {
+  std::ostringstream text;
+  for (const auto& [name, value] : metrics) {
+    text << "hawthornbank_" << name << ' ' << value << '\n';
+  }
+  return text.str();
+}
+
+auto AnswerUnavailable(httplib::Response& response) -> void {
+  response.status = 503;
+  response.set_content("the process is stopping\n", "text/plain");
+}
+
+auto ChangeLogLevel(const httplib::Request& request,
+                    httplib::Response& response) -> void {
+  try {
+    SetLogLevel(request.matches[1], request.matches[2]);
+    response.set_content("ok\n", "text/plain");
+  } catch (const Error& error) {
+    response.status = 400;
+    response.set_content(std::string(error.what()) + "\n", "text/plain");
+  }
+}
+
+}  // namespace
+
+struct StatusServer::Server {
+  httplib::Server http;
+  std::thread thread;
+};
+
+StatusServer::StatusServer(asio::io_context& io,
+                           Endpoint local,
+                           StatusSource source)
+    : server_(std::make_unique<Server>()) {
+  if (local.port == 0) {
+    return;
+  }
+  auto& http = server_->http;
+  http.Get("/status", [&io, source](const httplib::Request&,
+                                    httplib::Response& response) {
+    const auto status = Ask(io, source.status);
+    status ? response.set_content(*status, "application/json")
+           : AnswerUnavailable(response);
+  });
+  http.Get("/metrics", [&io, source](const httplib::Request&,
+                                     httplib::Response& response) {
+    const auto metrics = Ask(io, source.metrics);
+    metrics ? response.set_content(FormatMetrics(*metrics),
+                                   "text/plain; version=0.0.4")
+            : AnswerUnavailable(response);
+  });
+  http.Put(R"(/log/(\w+)/(\w+))", ChangeLogLevel);
+  const auto address = ToString(Endpoint{.address = local.address});
+  const auto host = address.substr(0, address.find(':'));
+  if (!http.bind_to_port(host.c_str(), local.port)) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "can't bind " + ToString(local) + " for metrics");
+  }
+  server_->thread = std::thread([this]() { server_->http.listen_after_bind(); });
+}
+
+StatusServer::~StatusServer() {
+  if (server_->thread.joinable()) {
+    server_->http.stop();
+    server_->thread.join();
+  }
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/udp_socket.cc
@@ -0,0 +1,112 @@
+#include "transport/udp_socket.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+constexpr int kReceiveBufferBytes = 4 * 1024 * 1024;
+
+}  // namespace
+
+auto ToAsio(Endpoint endpoint) -> asio::ip::udp::endpoint {
+  return {asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+auto FromAsio(const asio::ip::udp::endpoint& endpoint) -> Endpoint {
+  return Endpoint{.address = endpoint.address().to_v4().to_uint(),
+                  .port = endpoint.port()};
+}
+
+UdpSocket::UdpSocket(asio::io_context& io, Endpoint local) : socket_(io) {
+  asio::error_code ec;
+  socket_.open(asio::ip::udp::v4(), ec);
+  socket_.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
+  socket_.bind(ToAsio(local), ec);
+  if (ec) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "can't bind " + ToString(local) + ": " + ec.message());
+  }
+  socket_.non_blocking(true);
+}
+
+UdpSocket::UdpSocket(asio::io_context& io, const UdpSocket& other)
+    : socket_(io) {
+  socket_.assign(asio::ip::udp::v4(), ::dup(other.socket_.native_handle()));
+  socket_.non_blocking(true);
+}
+
+auto UdpSocket::Connect(Endpoint peer) -> void {
+  asio::error_code ec;
+  socket_.connect(ToAsio(peer), ec);
+}
+
+auto UdpSocket::Receive(ReceiveHandler on_datagram, ErrorHandler on_error)
+    -> void {
+  on_datagram_ = std::move(on_datagram);
+  on_error_ = std::move(on_error);
+  ReceiveNext();
+}
+
+auto UdpSocket::ReceiveNext() -> void {
+  socket_.async_wait(asio::ip::udp::socket::wait_read,
+                     [this](const asio::error_code& ec) {
+                       if (ec == asio::error::operation_aborted ||
+                           !socket_.is_open()) {
+                         return;
+                       }
+                       Drain();
+                     });
+}
+
+auto UdpSocket::Drain() -> void {
+  // One buffer a thread: an agent holds a socket for each of its flows.
+  static thread_local std::array<std::uint8_t, kMaxDatagramBytes> buf;
+  for (int n = 0; n < kBatch; ++n) {
+    asio::error_code ec;
+    const std::size_t size =
+        socket_.receive_from(asio::buffer(buf), from_, 0, ec);
+    if (ec == asio::error::would_block) {
+      break;
+    }
+    if (ec) {
+      if (on_error_) {
+        on_error_(ec);
+      }
+    } else {
+      on_datagram_(FromAsio(from_), ByteView(buf).first(size));
+    }
+    if (!socket_.is_open()) {
+      return;
+    }
+  }
+  ReceiveNext();
+}
+
+auto UdpSocket::Send(Endpoint to, ByteView datagram) -> void {
+  asio::error_code ec;
+  socket_.send_to(asio::buffer(datagram.data(), datagram.size()), ToAsio(to), 0,
+                  ec);
+}
+
+auto UdpSocket::Send(ByteView datagram) -> void {
+  asio::error_code ec;
+  socket_.send(asio::buffer(datagram.data(), datagram.size()), 0, ec);
+}
+
+auto UdpSocket::Close() -> void {
+  asio::error_code ec;
+  socket_.close(ec);
+}
+
+auto UdpSocket::local() const -> Endpoint {
+  return FromAsio(socket_.local_endpoint());
+}
+
+}  // namespace hawthornbank::transport
