--- /dev/null
+++ b/bench/common/membership_fleet.cc
@@ -0,0 +1,336 @@
+#include "common/membership_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornbank::bench {
+namespace {
+
+constexpr std::uint64_t kOverhead = 28;  // Bytes of IPv4 and UDP headers.
+constexpr std::uint32_t kBalancerNet = 0x0A000000;
+constexpr std::uint32_t kAgentNet = 0x0B000000;
+constexpr std::uint16_t kPort = 4000;
+
+auto BalancerEndpoint(std::size_t n) -> Endpoint {
+  return Endpoint{.address = kBalancerNet + static_cast<std::uint32_t>(n),
+                  .port = kPort};
+}
+
+auto AgentEndpoint(std::size_t n) -> Endpoint {
+  return Endpoint{.address = kAgentNet + static_cast<std::uint32_t>(n),
+                  .port = kPort};
+}
+
+auto ZoneName(std::size_t zone) -> std::string {
+  return "zone-" + std::to_string(zone);
+}
+
+auto AgentName(std::size_t n) -> std::string {
+  return "target-" + std::to_string(n);
+}
+
+template <class Call>
+auto Timed(NodeTraffic& traffic, Call call) -> void {
+  const auto begin = std::chrono::steady_clock::now();
+  call();
+  const auto end = std::chrono::steady_clock::now();
+  traffic.core_seconds += std::chrono::duration<double>(end - begin).count();
+}
+
+}  // namespace
+
+MembershipFleet::MembershipFleet(const FleetOptions& options)
+    : options_(options),
+      network_(options.seed),
+      balancers_(options.balancers),
+      agents_(options.agents) {
+  network_.SetLinkRule([this](std::uint64_t from, std::uint64_t to) {
+    return LinkBetween(from, to);
+  });
+  for (std::size_t n = 0; n < balancers_.size(); ++n) {
+    StartBalancer(n);
+  }
+  for (std::size_t n = 0; n < agents_.size(); ++n) {
+    StartAgent(n);
+  }
+}
+
+auto MembershipFleet::Run(Duration duration) -> void {
+  network_.RunUntil(now() + duration);
+}
+
+auto MembershipFleet::balancer(std::size_t n) const -> const Membership& {
+  return *balancers_[n].core;
+}
+
+auto MembershipFleet::agent(std::size_t n) -> Announcer& {
+  return *agents_[n].core;
+}
+
+auto MembershipFleet::agent_id(std::size_t n) const -> TargetId {
+  return TargetId{HashName(AgentName(n))};
+}
+
+auto MembershipFleet::service_of(std::size_t n) const -> ServiceId {
+  return ServiceId{static_cast<std::uint32_t>(1 + n % options_.services)};
+}
+
+auto MembershipFleet::zone_of_balancer(std::size_t n) const -> std::size_t {
+  return n % options_.zones;
+}
+
+auto MembershipFleet::zone_of_agent(std::size_t n) const -> std::size_t {
+  return (n / options_.services) % options_.zones;
+}
+
+auto MembershipFleet::balancer_host(std::size_t n) const -> std::uint64_t {
+  return n;
+}
+
+auto MembershipFleet::agent_host(std::size_t n) const -> std::uint64_t {
+  return balancers_.size() + n;
+}
+
+auto MembershipFleet::ZoneOfHost(std::uint64_t host) const -> std::size_t {
+  return host < balancers_.size() ? zone_of_balancer(host)
+                                  : zone_of_agent(host - balancers_.size());
+}
+
+auto MembershipFleet::LinkBetween(std::uint64_t from, std::uint64_t to) const
+    -> Link {
+  const auto a = ZoneOfHost(from);
+  const auto b = ZoneOfHost(to);
+  if ((a < cut_) != (b < cut_)) {
+    return Link{.loss = 1};
+  }
+  const auto near = std::chrono::microseconds{300};
+  return Link{.delay = a == b ? Duration{near} : options_.link_delay,
+              .jitter = options_.jitter,
+              .loss = options_.loss};
+}
+
+auto MembershipFleet::StartBalancer(std::size_t n) -> void {
+  auto& node = balancers_[n];
+  const auto zone = zone_of_balancer(n);
+  const auto region = zone / options_.zones_per_region;
+  const auto name = "balancer-" + std::to_string(n);
+  ++node.run;
+  MembershipOptions options{
+      .self = BalancerRecord{.id = HostId{HashName(name)},
+                             .name = name,
+                             .peer = BalancerEndpoint(n),
+                             .zone = ZoneName(zone),
+                             .region = "region-" + std::to_string(region),
+                             .incarnation = Incarnation{node.run}},
+      .quantise_load = options_.quantise_load};
+  for (std::size_t it = 0; it < std::min(options_.seeds, balancers_.size());
+       ++it) {
+    options.seeds.push_back(BalancerEndpoint(it));
+  }
+  node.core = std::make_unique<Membership>(MakeMembership(options, now()));
+  node.alive = true;
+  network_.Revive(balancer_host(n));
+  const auto delay = Duration{
+      static_cast<Duration::rep>(NextFraction(network_.random()) * 1e8)};
+  network_.AtHost(balancer_host(n), now() + delay,
+                  [this, n, run = node.run] { TickBalancer(n, run); });
+}
+
+auto MembershipFleet::StartAgent(std::size_t n) -> void {
+  auto& node = agents_[n];
+  ++node.run;
+  AnnouncerOptions options{
+      .self =
+          TargetRecord{.id = agent_id(n),
+                       .name = AgentName(n),
+                       .service = service_of(n),
+                       .agent = AgentEndpoint(n),
+                       .zone = ZoneName(zone_of_agent(n)),
+                       .incarnation = Incarnation{node.run},
+                       .load = TargetLoad{.connections = 2000, .slots = 3}}};
+  for (std::size_t it = 0; it < std::min(options_.seeds, balancers_.size());
+       ++it) {
+    options.seeds.push_back(BalancerEndpoint(it));
+  }
+  node.core = std::make_unique<Announcer>(MakeAnnouncer(options));
+  node.alive = true;
+  network_.Revive(agent_host(n));
+  const auto delay = Duration{
+      static_cast<Duration::rep>(NextFraction(network_.random()) * 1e9)};
+  network_.AtHost(agent_host(n), now() + delay,
+                  [this, n, run = node.run] { TickAgent(n, run); });
+}
+
+auto MembershipFleet::KillBalancer(std::size_t n) -> void {
+  balancers_[n].alive = false;
+  ++balancers_[n].run;
+  network_.Kill(balancer_host(n));
+}
+
+auto MembershipFleet::KillAgent(std::size_t n) -> void {
+  agents_[n].alive = false;
+  ++agents_[n].run;
+  network_.Kill(agent_host(n));
+}
+
+auto MembershipFleet::Drain(std::size_t n) -> void {
+  std::vector<AnnouncerAction> actions;
+  BeginDrain(*agents_[n].core, now(), actions);
+  PerformAgent(n, actions);
+  TickAgent(n, ++agents_[n].run);
+}
+
+auto MembershipFleet::SetGeneration(std::size_t n, Generation generation)
+    -> void {
+  hawthornbank::SetGeneration(*balancers_[n].core, generation);
+}
+
+auto MembershipFleet::TickBalancer(std::size_t n, std::uint64_t run) -> void {
+  auto& node = balancers_[n];
+  if (run != node.run || !node.alive) {
+    return;
+  }
+  std::vector<MembershipAction> actions;
+  TimePoint next;
+  Timed(node.traffic, [&] {
+    next = OnMembershipTick(*node.core, now(), network_.random(), actions);
+  });
+  PerformBalancer(n, actions);
+  network_.AtHost(balancer_host(n), next,
+                  [this, n, run] { TickBalancer(n, run); });
+}
+
+auto MembershipFleet::TickAgent(std::size_t n, std::uint64_t run) -> void {
+  auto& node = agents_[n];
+  if (run != node.run || !node.alive) {
+    return;
+  }
+  std::vector<AnnouncerAction> actions;
+  TimePoint next;
+  Timed(node.traffic, [&] {
+    next = OnAnnouncerTick(*node.core, now(), network_.random(), actions);
+  });
+  PerformAgent(n, actions);
+  network_.AtHost(agent_host(n), next, [this, n, run] { TickAgent(n, run); });
+}
+
+auto MembershipFleet::SendToBalancer(std::size_t n, const SendDigest& send)
+    -> void {
+  const std::size_t to = send.to.address - kBalancerNet;
+  network_.Send(balancer_host(n), balancer_host(to),
+                [this, n, to, digest = std::make_shared<Digest>(send.digest)] {
+                  std::vector<MembershipAction> out;
+                  Timed(balancers_[to].traffic, [&] {
+                    OnDigest(*balancers_[to].core, BalancerEndpoint(n), *digest,
+                             now(), out);
+                  });
+                  PerformBalancer(to, out);
+                });
+}
+
+auto MembershipFleet::PerformBalancer(std::size_t n,
+                                      std::vector<MembershipAction>& actions)
+    -> void {
+  auto& traffic = balancers_[n].traffic;
+  for (const auto& action : actions) {
+    if (const auto* digest = std::get_if<SendDigest>(&action)) {
+      traffic.bytes += EncodedSize(digest->digest) + kOverhead;
+      ++traffic.messages;
+      SendToBalancer(n, *digest);
+    } else if (const auto* ack = std::get_if<SendAnnounceAck>(&action)) {
+      traffic.bytes += EncodedSize(ack->ack) + kOverhead;
+      ++traffic.messages;
+      const std::size_t to = ack->to.address - kAgentNet;
+      network_.Send(
+          balancer_host(n), agent_host(to),
+          [this, n, to, message = std::make_shared<AnnounceAck>(ack->ack)] {
+            std::vector<AnnouncerAction> out;
+            Timed(agents_[to].traffic, [&] {
+              OnAnnounceAck(*agents_[to].core, BalancerEndpoint(n), *message,
+                            now(), out);
+            });
+            PerformAgent(to, out);
+          });
+    } else if (const auto* event = std::get_if<CountMembershipEvent>(&action)) {
+      ++events_[static_cast<std::size_t>(event->event)];
+    } else {
+      ++changes_;
+    }
+  }
+}
+
+auto MembershipFleet::PerformAgent(std::size_t n,
+                                   std::vector<AnnouncerAction>& actions)
+    -> void {
+  auto& traffic = agents_[n].traffic;
+  for (const auto& action : actions) {
+    const auto* send = std::get_if<SendAnnounce>(&action);
+    if (send == nullptr) {
+      continue;
+    }
+    traffic.bytes += EncodedSize(send->announce) + kOverhead;
+    ++traffic.messages;
+    const std::size_t to = send->to.address - kBalancerNet;
+    network_.Send(
+        agent_host(n), balancer_host(to),
+        [this, n, to, message = std::make_shared<Announce>(send->announce)] {
+          std::vector<MembershipAction> out;
+          Timed(balancers_[to].traffic, [&] {
+            OnAnnounce(*balancers_[to].core, AgentEndpoint(n), *message, now(),
+                       out);
+          });
+          PerformBalancer(to, out);
+        });
+  }
+}
+
+auto MembershipFleet::Routes(std::size_t balancer, std::size_t agent) const
+    -> bool {
+  const auto& node = balancers_[balancer];
+  if (!node.alive) {
+    return false;
+  }
+  const auto id = agent_id(agent);
+  const auto targets = RoutableTargets(*node.core, service_of(agent));
+  return std::any_of(targets.begin(), targets.end(),
+                     [id](const TargetRecord& it) { return it.id == id; });
+}
+
+auto MembershipFleet::RoutingCount(std::size_t agent) const -> std::size_t {
+  std::size_t count = 0;
+  for (std::size_t n = 0; n < balancers_.size(); ++n) {
+    count += Routes(n, agent) ? 1 : 0;
+  }
+  return count;
+}
+
+auto MembershipFleet::IsWhole() const -> bool {
+  for (std::size_t n = 0; n < balancers_.size(); ++n) {
+    if (!balancers_[n].alive) {
+      continue;
+    }
+    std::size_t routable = 0;
+    for (std::size_t it = 1; it <= options_.services; ++it) {
+      const ServiceId service{static_cast<std::uint32_t>(it)};
+      routable += RoutableTargets(*balancers_[n].core, service).size();
+    }
+    const auto alive = static_cast<std::size_t>(
+        std::count_if(agents_.begin(), agents_.end(),
+                      [](const AgentNode& it) { return it.alive; }));
+    if (routable != alive) {
+      return false;
+    }
+  }
+  return true;
+}
+
+auto MembershipFleet::ResetTraffic() -> void {
+  for (auto& it : balancers_) {
+    it.traffic = {};
+  }
+  for (auto& it : agents_) {
+    it.traffic = {};
+  }
+}
+
+}  // namespace hawthornbank::bench
--- /dev/null
+++ b/src/coordination/membership_internal.h
@@ -0,0 +1,128 @@
+#ifndef HAWTHORNBANK_COORDINATION_MEMBERSHIP_INTERNAL_H_
+#define HAWTHORNBANK_COORDINATION_MEMBERSHIP_INTERNAL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/membership.h"
+
+/// @file
+/// Parts of membership that its source files share.
+namespace hawthornbank::detail {
+
+/// Buckets of members that synchronisation compares by checksum.
+inline constexpr std::uint32_t kBucketCount = 128;
+/// Most bytes of a digest; fits in a datagram without fragments.
+inline constexpr std::size_t kMaxDigestBytes = 1200;
+/// Bytes of IPv4 and UDP headers.
+inline constexpr std::size_t kDatagramOverhead = 28;
+/// Watchers of a member.
+inline constexpr std::size_t kWatcherCount = 3;
+/// Watchers of a member in its own zone.
+inline constexpr std::size_t kZoneWatcherCount = 2;
+
+using Actions = std::vector<MembershipAction>;
+
+/// What became of a record that was offered.
+enum class Merge : std::uint8_t { kStale, kSame, kAdopted };
+
+/// @return Hash of a zone's or region's name, as beacons carry it.
+auto PlaceHash(const std::string& name) -> std::uint32_t;
+
+/// @return Whether a balancer in this state can be sent to.
+auto IsPresent(BalancerState state) -> bool;
+/// @return Whether a target in this state can hold flows.
+auto IsPresent(TargetState state) -> bool;
+
+auto Count(MembershipEvent event, Actions& out) -> void;
+
+/// Takes a record if it is newer and marks what it changes for gossip.
+auto MergeTarget(Membership& membership,
+                 const TargetRecord& record,
+                 TimePoint now,
+                 Actions& out) -> Merge;
+auto MergeBalancer(Membership& membership,
+                   const BalancerRecord& record,
+                   TimePoint now,
+                   Actions& out) -> Merge;
+
+/// Gossips a member in the next rounds.
+auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
+    -> void;
+auto MarkBalancer(Membership& membership, BalancerEntry& entry) -> void;
+auto MarkSelf(Membership& membership) -> void;
+
+/// Sets a target's state, tells of it and gossips it.
+auto ChangeTargetState(Membership& membership,
+                       TargetEntry& entry,
+                       TargetState state,
+                       TimePoint now,
+                       Actions& out) -> void;
+auto ChangeBalancerState(Membership& membership,
+                         BalancerEntry& entry,
+                         BalancerState state,
+                         TimePoint now) -> void;
+
+/// Rebuilds the list of live balancers.
+auto RebuildRoster(Membership& membership) -> void;
+/// @return The watchers among the roster, the primary first.
+auto ChooseWatchers(const Membership& membership,
+                    std::uint64_t member,
+                    std::uint32_t zone,
+                    std::uint32_t region) -> std::vector<RosterEntry>;
+/// Finds out whether self watches a target.
+auto AssignWatch(Membership& membership, TargetEntry& entry, TimePoint now)
+    -> void;
+/// Finds out which members self watches.
+auto AssignWatches(Membership& membership, TimePoint now) -> void;
+/// Probes, suspects and declares members that self watches.
+auto CheckWatches(Membership& membership, TimePoint now, Actions& out) -> void;
+/// Doubts self after late ticks; ends the doubt after timely ones.
+auto CheckOwnHealth(Membership& membership, TimePoint now, Actions& out)
+    -> void;
+
+/// @return Whether a service has fewer serving targets than its floor, were
+///   another one to be taken away or not.
+auto IsBelowFloor(const Membership& membership, ServiceId service) -> bool;
+
+/// Notes a zone's life sign.
+auto AdvanceBeacon(Membership& membership,
+                   const ZoneBeacon& beacon,
+                   TimePoint now) -> void;
+/// @return Whether a zone has given no life sign for half of its timeout.
+auto IsZoneQuiet(const Membership& membership,
+                 std::uint32_t zone,
+                 TimePoint now) -> bool;
+/// Finds silent zones and marks their targets.
+auto CheckZones(Membership& membership, TimePoint now, Actions& out) -> void;
+
+/// @return A digest with the head filled in.
+auto MakeDigest(const Membership& membership) -> Digest;
+/// Sends a digest and takes it off the budget.
+auto Send(Membership& membership, Endpoint to, Digest digest, Actions& out)
+    -> void;
+auto SendHeartbeats(Membership& membership,
+                    TimePoint now,
+                    Random& random,
+                    Actions& out) -> void;
+auto SendGossip(Membership& membership, Random& random, Actions& out) -> void;
+
+/// @return A checksum a bucket, beginning with first.
+auto BucketChecksums(const Membership& membership, std::uint32_t first)
+    -> std::vector<std::uint32_t>;
+/// Asks peers for what is missing.
+auto SendSync(Membership& membership,
+              TimePoint now,
+              Random& random,
+              Actions& out) -> void;
+/// Answers a request for what is missing.
+auto AnswerSync(Membership& membership,
+                Endpoint to,
+                const Digest& request,
+                Actions& out) -> void;
+
+}  // namespace hawthornbank::detail
+
+#endif  // HAWTHORNBANK_COORDINATION_MEMBERSHIP_INTERNAL_H_
--- /dev/null
+++ b/src/coordination/membership_messages.cc
@@ -0,0 +1,64 @@
+#include "hawthornbank/membership_messages.h"
+
+#include <cstddef>
+#include <type_traits>
+
+namespace hawthornbank {
+namespace {
+
+/// Archive that only counts the bytes a cereal binary archive would write.
+class SizeCounter {
+ public:
+  using is_saving = std::true_type;
+
+  template <class... Values>
+  auto operator()(const Values&... values) -> void {
+    (Add(values), ...);
+  }
+
+  [[nodiscard]] auto size() const -> std::size_t { return size_; }
+
+ private:
+  template <class Value>
+  auto Add(const Value& value) -> void {
+    if constexpr (std::is_arithmetic_v<Value> || std::is_enum_v<Value>) {
+      size_ += sizeof(Value);
+    } else {
+      // serialize() serves loading too, so it can't be const.
+      const_cast<Value&>(value).serialize(*this);
+    }
+  }
+
+  std::size_t size_ = 0;
+};
+
+template <class Message>
+auto CountBytes(const Message& message) -> std::size_t {
+  SizeCounter counter;
+  counter(message);
+  return counter.size();
+}
+
+}  // namespace
+
+auto EncodedSize(const TargetRecord& record) -> std::size_t {
+  return CountBytes(record);
+}
+
+auto EncodedSize(const BalancerRecord& record) -> std::size_t {
+  return CountBytes(record);
+}
+
+auto EncodedSize(const Digest& digest) -> std::size_t {
+  return CountBytes(digest);
+}
+
+auto EncodedSize(const Announce& announce) -> std::size_t {
+  return CountBytes(announce);
+}
+
+auto EncodedSize(const AnnounceAck& ack) -> std::size_t {
+  return CountBytes(ack);
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/coordination/membership_view.cc
@@ -0,0 +1,217 @@
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+#include "membership_internal.h"
+
+namespace hawthornbank {
+namespace detail {
+namespace {
+
+/// Steps of the mean in a view's version, per doubling.
+constexpr double kMeanStepsPerDoubling = 8;
+
+auto EffectiveState(const TargetEntry& entry) -> TargetState {
+  const bool hidden =
+      entry.status.unreachable && entry.record.state < TargetState::kSuspect;
+  return hidden ? TargetState::kSuspect : entry.record.state;
+}
+
+struct ServiceCounts {
+  std::uint32_t known = 0;
+  std::uint32_t live = 0;
+};
+
+auto CountTargets(const Membership& membership, ServiceId service)
+    -> ServiceCounts {
+  ServiceCounts counts;
+  const auto it = membership.services.find(service);
+  if (it == membership.services.end()) {
+    return counts;
+  }
+  for (const auto id : it->second) {
+    const auto state = EffectiveState(membership.targets.at(id));
+    counts.known += state != TargetState::kLeft ? 1 : 0;
+    counts.live += state == TargetState::kServing ? 1 : 0;
+  }
+  return counts;
+}
+
+auto Mix(std::uint64_t hash, std::uint64_t value) -> std::uint64_t {
+  hash ^= value + 0x9E3779B97F4A7C15U + (hash << 6U) + (hash >> 2U);
+  return hash * 0xBF58476D1CE4E5B9U;
+}
+
+auto VersionOf(const ServiceView& view) -> std::uint64_t {
+  std::uint64_t hash = ToInteger(view.service) + 1U;
+  for (const auto& it : view.targets) {
+    hash = Mix(hash, ToInteger(it.id));
+    hash = Mix(hash, (std::uint64_t{it.agent.address} << 16U) | it.agent.port);
+    hash = Mix(hash, static_cast<std::uint64_t>(it.state));
+    hash = Mix(hash, it.weight_percent);
+  }
+  const double steps =
+      std::round(kMeanStepsPerDoubling * std::log2(1 + view.mean_connections));
+  hash = Mix(hash, static_cast<std::uint64_t>(steps));
+  return hash == 0 ? 1 : hash;
+}
+
+}  // namespace
+
+auto PlaceHash(const std::string& name) -> std::uint32_t {
+  return static_cast<std::uint32_t>(HashName(name));
+}
+
+auto IsBelowFloor(const Membership& membership, ServiceId service) -> bool {
+  const auto counts = CountTargets(membership, service);
+  return counts.live * 100 <
+         counts.known * membership.options.live_floor_percent;
+}
+
+auto AdvanceBeacon(Membership& membership,
+                   const ZoneBeacon& beacon,
+                   TimePoint now) -> void {
+  auto& zone = membership.zones[beacon.zone];
+  if (beacon.beacon > zone.beacon) {
+    zone.beacon = beacon.beacon;
+    zone.advanced = now;
+  }
+}
+
+auto IsZoneQuiet(const Membership& membership,
+                 std::uint32_t zone,
+                 TimePoint now) -> bool {
+  const auto it = membership.zones.find(zone);
+  return it != membership.zones.end() &&
+         now - it->second.advanced > membership.options.zone_timeout / 2;
+}
+
+auto CheckZones(Membership& membership, TimePoint now, Actions& out) -> void {
+  const auto timeout =
+      membership.options.zone_timeout * (1 + membership.health);
+  bool check_targets = false;
+  for (auto& [id, it] : membership.zones) {
+    const bool silent = now - it.advanced > timeout;
+    if (silent != it.silent) {
+      Count(silent ? MembershipEvent::kZoneSilent : MembershipEvent::kZoneBack,
+            out);
+    }
+    check_targets = check_targets || silent || it.silent;
+    it.silent = silent;
+  }
+  if (!check_targets) {
+    return;
+  }
+  for (auto& [id, entry] : membership.targets) {
+    const auto zone = membership.zones.find(PlaceHash(entry.record.zone));
+    const bool silent = zone != membership.zones.end() && zone->second.silent;
+    const bool vouched = now - entry.status.refreshed <= timeout;
+    const bool unreachable = silent && !vouched;
+    if (unreachable != entry.status.unreachable) {
+      entry.status.unreachable = unreachable;
+      out.emplace_back(TargetsChanged{entry.record.service});
+    }
+  }
+}
+
+}  // namespace detail
+
+auto TargetsOf(const Membership& membership, ServiceId service)
+    -> std::vector<TargetRecord> {
+  std::vector<TargetRecord> records;
+  const auto it = membership.services.find(service);
+  if (it == membership.services.end()) {
+    return records;
+  }
+  for (const auto id : it->second) {
+    const auto& entry = membership.targets.at(id);
+    records.push_back(entry.record);
+    records.back().state = detail::EffectiveState(entry);
+  }
+  return records;
+}
+
+auto RoutableTargets(const Membership& membership, ServiceId service)
+    -> std::vector<TargetRecord> {
+  const bool below_floor = detail::IsBelowFloor(membership, service);
+  auto records = TargetsOf(membership, service);
+  const auto end = std::remove_if(
+      records.begin(), records.end(), [below_floor](const TargetRecord& it) {
+        const bool routable =
+            it.state == TargetState::kServing ||
+            (below_floor && it.state == TargetState::kSuspect);
+        return !routable;
+      });
+  records.erase(end, records.end());
+  return records;
+}
+
+auto FirstSeen(const Membership& membership, TargetId target) -> TimePoint {
+  const auto it = membership.targets.find(target);
+  return it == membership.targets.end() ? TimePoint::max()
+                                        : it->second.status.first_seen;
+}
+
+auto Balancers(const Membership& membership) -> std::vector<BalancerRecord> {
+  std::vector<BalancerRecord> records;
+  bool self_listed = false;
+  for (const auto& [id, it] : membership.balancers) {
+    if (!self_listed && membership.self.id < id) {
+      records.push_back(membership.self);
+      self_listed = true;
+    }
+    records.push_back(it.record);
+  }
+  if (!self_listed) {
+    records.push_back(membership.self);
+  }
+  return records;
+}
+
+auto WatchersOf(const Membership& membership,
+                std::uint64_t member,
+                const std::string& zone,
+                const std::string& region) -> std::vector<Endpoint> {
+  const auto region_hash = region.empty() ? 0 : detail::PlaceHash(region);
+  std::vector<Endpoint> endpoints;
+  for (const auto& it : detail::ChooseWatchers(
+           membership, member, detail::PlaceHash(zone), region_hash)) {
+    endpoints.push_back(it.peer);
+  }
+  return endpoints;
+}
+
+auto ViewOf(const Membership& membership, ServiceId service) -> ServiceView {
+  ServiceView view{.service = service};
+  const auto it = membership.services.find(service);
+  if (it == membership.services.end()) {
+    return view;
+  }
+  double connections = 0;
+  std::uint32_t serving = 0;
+  for (const auto id : it->second) {
+    const auto& entry = membership.targets.at(id);
+    const auto state = detail::EffectiveState(entry);
+    if (!detail::IsPresent(state)) {
+      continue;
+    }
+    const auto& load = entry.spread_load;
+    view.targets.push_back(ViewTarget{.id = id,
+                                      .agent = entry.record.agent,
+                                      .state = state,
+                                      .weight_percent = load.weight_percent});
+    if (state == TargetState::kServing) {
+      connections += load.connections;
+      ++serving;
+    }
+  }
+  view.mean_connections = serving == 0 ? 0 : connections / serving;
+  view.version = detail::VersionOf(view);
+  return view;
+}
+
+auto IsReady(const Membership& membership) -> bool {
+  return membership.ready;
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/test/membership_test.cc
@@ -0,0 +1,215 @@
+#include "hawthornbank/membership.h"
+
+#include <algorithm>
+#include <cereal/archives/binary.hpp>
+#include <sstream>
+
+#include "common/membership_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+using bench::FleetOptions;
+using bench::MembershipFleet;
+
+namespace {
+
+/// Runs until a condition holds.
+/// @return How long that took, or the limit.
+template <class Condition>
+auto RunUntil(MembershipFleet& fleet, Duration limit, Condition condition)
+    -> Duration {
+  const auto begin = fleet.now();
+  while (!condition() && fleet.now() - begin < limit) {
+    fleet.Run(10ms);
+  }
+  return fleet.now() - begin;
+}
+
+auto Target(const std::string& name,
+            std::uint64_t incarnation,
+            std::uint64_t sequence) -> TargetRecord {
+  return TargetRecord{.id = TargetId{HashName(name)},
+                      .name = name,
+                      .service = ServiceId{1},
+                      .agent = Endpoint{.address = 2, .port = 2},
+                      .zone = "a",
+                      .incarnation = Incarnation{incarnation},
+                      .sequence = sequence};
+}
+
+auto Alone() -> Membership {
+  return MakeMembership(
+      MembershipOptions{.self =
+                            BalancerRecord{.id = HostId{1},
+                                           .name = "b",
+                                           .peer = {.address = 1, .port = 1},
+                                           .zone = "a",
+                                           .region = "r",
+                                           .incarnation = Incarnation{1}}},
+      TimePoint{});
+}
+
+auto CountOf(const std::vector<MembershipAction>& actions,
+             MembershipEvent event) -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      actions.begin(), actions.end(), [event](const MembershipAction& it) {
+        const auto* count = std::get_if<CountMembershipEvent>(&it);
+        return count != nullptr && count->event == event;
+      }));
+}
+
+}  // namespace
+
+TEST_GROUP(MembershipMessages){};
+
+TEST(MembershipMessages, SizeIsThatOfTheEncoding) {
+  Digest digest{.sender = HostId{1},
+                .incarnation = Incarnation{300},
+                .sequence = 70000,
+                .first_bucket = 200,
+                .checksums = {1, 2},
+                .beacons = {{.zone = 7, .beacon = 1000}},
+                .targets = {Target("t", 9, 1000)},
+                .balancers = {BalancerRecord{.name = "bb", .zone = "z"}}};
+  std::ostringstream stream;
+  cereal::BinaryOutputArchive archive(stream);
+  archive(digest);
+  LONGS_EQUAL(stream.str().size(), EncodedSize(digest));
+  std::istringstream input(stream.str());
+  Digest read;
+  cereal::BinaryInputArchive{input}(read);
+  CHECK(read.sequence == 70000);
+  CHECK(read.targets.at(0).sequence == 1000);
+  STRCMP_EQUAL("bb", read.balancers.at(0).name.c_str());
+}
+
+TEST(MembershipMessages, RefusesTooLongLists) {
+  std::istringstream input(std::string("\xFF\xFF\xFF\x7F", 4));
+  cereal::BinaryInputArchive archive(input);
+  std::vector<ZoneBeacon> list;
+  CHECK_THROWS(Error, wire::List(archive, list));
+}
+
+TEST_GROUP(MembershipRules){};
+
+TEST(MembershipRules, OldAnnounceIsIgnoredAndCounted) {
+  auto membership = Alone();
+  std::vector<MembershipAction> out;
+  const Endpoint from{.address = 2, .port = 2};
+  OnAnnounce(membership, from, Announce{.target = Target("t", 5, 10)},
+             TimePoint{1s}, out);
+  auto drained = Target("t", 5, 9);
+  drained.state = TargetState::kDraining;
+  out.clear();
+  OnAnnounce(membership, from, Announce{.target = drained}, TimePoint{2s}, out);
+  LONGS_EQUAL(1, CountOf(out, MembershipEvent::kStaleAnnounce));
+  drained.incarnation = Incarnation{4};
+  drained.sequence = 99;
+  OnAnnounce(membership, from, Announce{.target = drained}, TimePoint{2s}, out);
+  LONGS_EQUAL(2, CountOf(out, MembershipEvent::kStaleAnnounce));
+  LONGS_EQUAL(1, RoutableTargets(membership, ServiceId{1}).size());
+}
+
+TEST(MembershipRules, RestartReplacesAtOnceAndIsYoungAgain) {
+  auto membership = Alone();
+  std::vector<MembershipAction> out;
+  OnAnnounce(membership, {}, Announce{.target = Target("t", 5, 10)},
+             TimePoint{1s}, out);
+  auto restarted = Target("t", 6, 1);
+  restarted.agent.port = 77;
+  OnAnnounce(membership, {}, Announce{.target = restarted}, TimePoint{9s}, out);
+  const auto targets = RoutableTargets(membership, ServiceId{1});
+  LONGS_EQUAL(1, targets.size());
+  LONGS_EQUAL(77, targets[0].agent.port);
+  CHECK(FirstSeen(membership, restarted.id) == TimePoint{9s});
+}
+
+TEST(MembershipRules, TargetCannotDeclareDeathOrOverweight) {
+  auto membership = Alone();
+  std::vector<MembershipAction> out;
+  auto target = Target("t", 1, 1);
+  target.load.weight_percent = 5000;
+  OnAnnounce(membership, {}, Announce{.target = target}, TimePoint{1s}, out);
+  LONGS_EQUAL(100, TargetsOf(membership, ServiceId{1})[0].load.weight_percent);
+  target.state = TargetState::kDead;
+  target.sequence = 2;
+  OnAnnounce(membership, {}, Announce{.target = target}, TimePoint{1s}, out);
+  LONGS_EQUAL(1, CountOf(out, MembershipEvent::kMalformedAnnounce));
+  LONGS_EQUAL(1, RoutableTargets(membership, ServiceId{1}).size());
+}
+
+TEST(MembershipRules, ExpiredTombstoneDoesNotComeBack) {
+  auto membership = Alone();
+  std::vector<MembershipAction> out;
+  auto dead = Target("t", 1, 1);
+  dead.state = TargetState::kDead;
+  OnDigest(membership, {}, Digest{.sender = HostId{2}, .targets = {dead}},
+           TimePoint{1s}, out);
+  LONGS_EQUAL(0, TargetsOf(membership, ServiceId{1}).size());
+}
+
+TEST_GROUP(MembershipFleet){};
+
+TEST(MembershipFleet, EverybodyLearnsOfEverybody) {
+  MembershipFleet fleet(FleetOptions{});
+  const auto took = RunUntil(fleet, 10s, [&] { return fleet.IsWhole(); });
+  CHECK(took <= 4s);
+  LONGS_EQUAL(3, Balancers(fleet.balancer(0)).size());
+}
+
+TEST(MembershipFleet, CrashedTargetGetsNoNewFlowAfterFiveSeconds) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    MembershipFleet fleet(
+        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
+    fleet.Run(20s);
+    CHECK(fleet.IsWhole());
+    fleet.KillAgent(4);
+    const auto took =
+        RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+    CHECK(took <= 5s);
+  }
+}
+
+TEST(MembershipFleet, DrainingTargetGetsNoNewFlowAfterThreeSeconds) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    MembershipFleet fleet(
+        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
+    fleet.Run(20s);
+    fleet.Drain(4);
+    const auto took =
+        RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+    CHECK(took <= 3s);
+  }
+}
+
+TEST(MembershipFleet, NoFalseDeathInAnHourOfLossAndJitter) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(1h);
+  CHECK(fleet.IsWhole());
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+}
+
+TEST(MembershipFleet, NewcomerServesWithinTwoSeconds) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  fleet.KillBalancer(0);
+  fleet.Run(20s);
+  fleet.StartBalancer(0);
+  const auto took = RunUntil(fleet, 10s, [&] {
+    return IsReady(fleet.balancer(0)) && fleet.IsWhole();
+  });
+  CHECK(took <= 2s);
+}
+
+TEST(MembershipFleet, NewcomerIsNotReadyBeforeItKnowsAll) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(20s);
+  fleet.KillBalancer(0);
+  fleet.Run(20s);
+  fleet.StartBalancer(0);
+  CHECK(!IsReady(fleet.balancer(0)));
+  RunUntil(fleet, 10s, [&] { return IsReady(fleet.balancer(0)); });
+  CHECK(fleet.IsWhole());
+}
