--- /dev/null
+++ b/apps/hawthornd/main.cc
@@ -0,0 +1,72 @@
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/error.h"
+#include "transport/daemon.h"
+#include "transport/logging.h"
+#include "transport/settings.h"
+#include "transport/version.h"
+
+namespace {
+
+using hawthornbank::AnswerFor;
+using hawthornbank::Error;
+using hawthornbank::ErrorKind;
+using hawthornbank::transport::Role;
+
+constexpr auto kDescription =
+    "hawthornd forwards callers' packets to targets. Run one balancer on each "
+    "entry host and one agent beside each target.\n\n"
+    "Example:  hawthornd --role balancer --config balancer.ini\n\n"
+    "SIGTERM stops gracefully, a second one at once. Exit codes: 0 stopped, "
+    "2 wrong settings or command line, 7 superseded, 9 stopped at once, "
+    "70 internal error.";
+
+auto Run(int argc, char** argv) -> int {
+  TCLAP::CmdLine command(kDescription, ' ', hawthornbank::transport::Version());
+  std::vector<std::string> roles = {"balancer", "agent"};
+  TCLAP::ValuesConstraint<std::string> role_names(roles);
+  TCLAP::ValueArg<std::string> role("", "role", "What this process does", true,
+                                    "", &role_names, command);
+  TCLAP::ValueArg<std::string> config("", "config", "Settings file (INI)", true,
+                                      "", "FILE", command);
+  TCLAP::SwitchArg check("", "check", "Check the settings and exit", command);
+  command.setExceptionHandling(false);
+  command.parse(argc, argv);
+
+  const Role wanted =
+      role.getValue() == "balancer" ? Role::kBalancer : Role::kAgent;
+  const auto settings =
+      hawthornbank::transport::LoadSettings(config.getValue(), wanted);
+  if (check.getValue()) {
+    std::cout << config.getValue() << ": ok\n";
+    return 0;
+  }
+  hawthornbank::transport::InitLogging(settings.log_level, settings.log_layout);
+  return wanted == Role::kBalancer
+             ? hawthornbank::transport::RunBalancer(settings)
+             : hawthornbank::transport::RunAgent(settings);
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  try {
+    return Run(argc, argv);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "hawthornd: " << error.argId() << ": " << error.error()
+              << "\nTry: hawthornd --help\n";
+    return AnswerFor(ErrorKind::kInvalidSettings).exit_code;
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const Error& error) {
+    std::cerr << error.what() << '\n';
+    return AnswerFor(error.kind()).exit_code;
+  } catch (const std::exception& error) {
+    std::cerr << "hawthornd: " << error.what() << '\n';
+    return AnswerFor(ErrorKind::kInternal).exit_code;
+  }
+}
--- a/include/hawthornbank/membership_messages.h
+++ b/include/hawthornbank/membership_messages.h
@@ -101,6 +101,7 @@
   Endpoint agent;
   TargetState state = TargetState::kServing;
   std::uint16_t weight_percent = 100;
+  Incarnation incarnation{};
 
   auto operator==(const ViewTarget&) const -> bool = default;
 
@@ -108,6 +109,7 @@
   auto serialize(Archive& archive) -> void {
     archive(id, agent, state);
     wire::Varint(archive, weight_percent);
+    wire::Varint(archive, incarnation);
   }
 };
 
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -113,12 +113,14 @@
       HearOfSelf(membership, it);
       continue;
     }
-    if (detail::MergeBalancer(membership, it, now, out) == detail::Merge::kStale) {
+    if (detail::MergeBalancer(membership, it, now, out) ==
+        detail::Merge::kStale) {
       corrections.Add(membership, it);
     }
   }
   for (const auto& it : digest.targets) {
-    if (detail::MergeTarget(membership, it, now, out) == detail::Merge::kStale) {
+    if (detail::MergeTarget(membership, it, now, out) ==
+        detail::Merge::kStale) {
       corrections.Add(membership, it);
     }
   }
--- a/src/coordination/membership_view.cc
+++ b/src/coordination/membership_view.cc
@@ -49,6 +49,7 @@
     hash = Mix(hash, (std::uint64_t{it.agent.address} << 16U) | it.agent.port);
     hash = Mix(hash, static_cast<std::uint64_t>(it.state));
     hash = Mix(hash, it.weight_percent);
+    hash = Mix(hash, ToInteger(it.incarnation));
   }
   const double steps =
       std::round(kMeanStepsPerDoubling * std::log2(1 + view.mean_connections));
@@ -199,7 +200,8 @@
     view.targets.push_back(ViewTarget{.id = id,
                                       .agent = entry.record.agent,
                                       .state = state,
-                                      .weight_percent = load.weight_percent});
+                                      .weight_percent = load.weight_percent,
+                                      .incarnation = entry.record.incarnation});
     if (state == TargetState::kServing) {
       connections += load.connections;
       ++serving;
--- /dev/null
+++ b/src/protocol/message.cc
@@ -0,0 +1,133 @@
+#include "protocol/message.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank {
+namespace {
+
+// The digest is split around the magic number, which stands where a packet's
+// does, so that both kinds share one endpoint.
+constexpr std::size_t kMagicOffset = 8;
+constexpr std::uint8_t kMagic = 0x43;
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kDigestBytes = 16;
+constexpr std::size_t kHeaderBytes = kDigestBytes + 2;
+constexpr std::size_t kBodyOffset = kHeaderBytes;
+
+using DigestBytes = std::array<std::uint8_t, kDigestBytes>;
+
+static_assert(kDigestBytes >= crypto_generichash_BYTES_MIN);
+static_assert(sizeof(ControlKey) == crypto_generichash_KEYBYTES);
+
+auto ComputeDigest(ByteView body, const ControlKey& key) -> DigestBytes {
+  DigestBytes digest{};
+  crypto_generichash(digest.data(), digest.size(), body.data(), body.size(),
+                     key.data(), key.size());
+  return digest;
+}
+
+auto DigestOf(ByteView datagram) -> DigestBytes {
+  DigestBytes digest{};
+  const auto* const it = datagram.data();
+  std::copy_n(it, kMagicOffset, digest.begin());
+  std::copy_n(it + kMagicOffset + 2, kDigestBytes - kMagicOffset,
+              digest.begin() + kMagicOffset);
+  return digest;
+}
+
+auto DigestFits(ByteView datagram, const ControlKey& key) -> bool {
+  const auto expected = ComputeDigest(datagram.subspan(kBodyOffset), key);
+  const auto found = DigestOf(datagram);
+  return sodium_memcmp(expected.data(), found.data(), kDigestBytes) == 0;
+}
+
+auto ParseKey(const std::string& text) -> ControlKey {
+  ControlKey key{};
+  std::size_t size = 0;
+  const char* end = nullptr;
+  const bool parsed = sodium_hex2bin(key.data(), key.size(), text.data(),
+                                     text.size(), nullptr, &size, &end) == 0;
+  if (!parsed || size != key.size() || end != text.data() + text.size()) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "a key is not 64 hexadecimal digits");
+  }
+  return key;
+}
+
+auto DeriveTunnelKey(const ControlKey& key) -> TunnelKey {
+  static constexpr std::string_view kPurpose = "hawthornbank tunnel";
+  TunnelKey derived{};
+  crypto_generichash(derived.data(), derived.size(),
+                     reinterpret_cast<const std::uint8_t*>(kPurpose.data()),
+                     kPurpose.size(), key.data(), key.size());
+  return derived;
+}
+
+}  // namespace
+
+auto MakeKeyRing(const std::string& current, const std::string& previous)
+    -> KeyRing {
+  KeyRing keys{.control = ParseKey(current)};
+  keys.tunnel = DeriveTunnelKey(keys.control);
+  if (!previous.empty()) {
+    keys.previous_control = ParseKey(previous);
+    keys.previous_tunnel = DeriveTunnelKey(*keys.previous_control);
+  }
+  return keys;
+}
+
+auto IsControlMessage(ByteView datagram) -> bool {
+  return datagram.size() > kBodyOffset && datagram[kMagicOffset] == kMagic;
+}
+
+auto EncodeMessage(const Message& message, const KeyRing& keys) -> Bytes {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message);
+  }
+  const std::string body = stream.str();
+  Bytes buf(kBodyOffset + body.size());
+  std::copy(body.begin(), body.end(), buf.begin() + kBodyOffset);
+  const auto digest =
+      ComputeDigest(ByteView(buf).subspan(kBodyOffset), keys.control);
+  std::copy_n(digest.begin(), kMagicOffset, buf.begin());
+  buf[kMagicOffset] = kMagic;
+  buf[kMagicOffset + 1] = kVersion;
+  std::copy(digest.begin() + kMagicOffset, digest.end(),
+            buf.begin() + kMagicOffset + 2);
+  return buf;
+}
+
+auto DecodeMessage(ByteView datagram, const KeyRing& keys) -> Message {
+  if (!IsControlMessage(datagram) || datagram[kMagicOffset + 1] != kVersion) {
+    throw Error(ErrorKind::kMalformed, "not a control message");
+  }
+  const bool fits =
+      DigestFits(datagram, keys.control) ||
+      (keys.previous_control && DigestFits(datagram, *keys.previous_control));
+  if (!fits) {
+    throw Error(ErrorKind::kUnauthenticated, "the digest fits no key");
+  }
+  const ByteView body = datagram.subspan(kBodyOffset);
+  try {
+    std::istringstream stream(std::string(body.begin(), body.end()));
+    cereal::PortableBinaryInputArchive archive(stream);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception& error) {
+    throw Error(ErrorKind::kMalformed, error.what());
+  }
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/transport/balancer_daemon.cc
@@ -0,0 +1,268 @@
+#include <algorithm>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <variant>
+
+#include "hawthornbank/configuration.h"
+#include "hawthornbank/membership.h"
+#include "transport/clock.h"
+#include "transport/configuration_follower.h"
+#include "transport/control_channel.h"
+#include "transport/daemon.h"
+#include "transport/logging.h"
+#include "transport/packet_workers.h"
+#include "transport/status_server.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{100};
+/// Time that a leaving balancer goes on forwarding what the fabric still sends.
+constexpr std::chrono::milliseconds kLeaveTime{2000};
+
+auto MakeMembershipOptions(const Settings& settings) -> MembershipOptions {
+  return MembershipOptions{
+      .self = BalancerRecord{.id = HostId{HashName(settings.name)},
+                             .name = settings.name,
+                             .peer = settings.peer,
+                             .zone = settings.zone,
+                             .region = settings.region,
+                             .incarnation = MakeIncarnation()},
+      .seeds = settings.balancers,
+  };
+}
+
+auto MakeWorkerOptions(const Settings& settings) -> WorkerOptions {
+  const bool alone =
+      std::all_of(settings.balancers.begin(), settings.balancers.end(),
+                  [&settings](Endpoint it) { return it == settings.peer; });
+  return WorkerOptions{.packets = settings.packets,
+                       .workers = settings.workers,
+                       .cache_entries = settings.flow_cache_entries,
+                       .self = settings.peer,
+                       .alone = alone};
+}
+
+/// A balancer: membership and configuration on one thread, packets on others.
+class BalancerDaemon {
+ public:
+  explicit BalancerDaemon(const Settings& settings)
+      : settings_(settings),
+        keys_(MakeKeyRing(settings.key, settings.previous_key)),
+        random_(HashName(settings.name)),
+        membership_(
+            MakeMembership(MakeMembershipOptions(settings), MonotonicNow())),
+        workers_(MakeWorkerOptions(settings), keys_),
+        channel_(io_, settings.peer, keys_),
+        timer_(io_),
+        signals_(io_, SIGTERM, SIGINT) {}
+
+  auto Run() -> int {
+    channel_.Receive(
+        [this](Endpoint from, const Message& message) {
+          HandleMessage(from, message);
+        },
+        [](const TunnelPacket&) {});
+    const ConfigurationFollower follower(
+        io_, {.platform = settings_.platform, .region = settings_.region},
+        [this](const Configuration& next) { PutInForce(next); });
+    const StatusServer status(
+        io_, settings_.metrics,
+        {.status = [this]() { return StatusJson(); },
+         .metrics = [this]() { return CollectMetrics(); }});
+    WaitForSignal();
+    Tick();
+    Log(Layer::kCoordination, LogLevel::kInfo, "balancer_started",
+        {{"name", settings_.name}, {"zone", settings_.zone}});
+    io_.run();
+    return exit_code_;
+  }
+
+ private:
+  auto HandleMessage(Endpoint from, const Message& message) -> void {
+    const TimePoint now = MonotonicNow();
+    std::vector<MembershipAction> actions;
+    if (const auto* announce = std::get_if<Announce>(&message)) {
+      OnAnnounce(membership_, from, *announce, now, actions);
+    } else if (const auto* digest = std::get_if<Digest>(&message)) {
+      workers_.SetLastHeard(now);
+      OnDigest(membership_, from, *digest, now, actions);
+    } else if (const auto* hint = std::get_if<FlowHint>(&message)) {
+      OnFlowHint(workers_.cache(), hint->flow, hint->owner, now,
+                 workers_.counters());
+    }
+    Perform(actions);
+  }
+
+  auto Perform(const std::vector<MembershipAction>& actions) -> void {
+    bool changed = false;
+    for (const auto& action : actions) {
+      if (const auto* digest = std::get_if<SendDigest>(&action)) {
+        channel_.Send(digest->to, digest->digest);
+      } else if (const auto* ack = std::get_if<SendAnnounceAck>(&action)) {
+        channel_.Send(ack->to, ack->ack);
+      } else if (std::holds_alternative<TargetsChanged>(action)) {
+        changed = true;
+      } else if (const auto* count =
+                     std::get_if<CountMembershipEvent>(&action)) {
+        ++events_[MembershipEventName(count->event)];
+      }
+    }
+    if (changed) {
+      RebuildTable();
+    }
+  }
+
+  auto PutInForce(const Configuration& next) -> void {
+    workers_.SetLastHeard(MonotonicNow());
+    if (next.generation <= configuration_.generation) {
+      return;
+    }
+    configuration_ = next;
+    SetGeneration(membership_, next.generation);
+    Log(Layer::kCoordination, LogLevel::kInfo, "configuration_in_force",
+        {{"generation", std::to_string(ToInteger(next.generation))},
+         {"operation", next.operation}});
+    RebuildTable();
+    const auto& stopping = next.stopping;
+    if (std::find(stopping.begin(), stopping.end(), settings_.name) !=
+        stopping.end()) {
+      BeginStop("told by the configuration");
+    }
+  }
+
+  auto RebuildTable() -> void {
+    auto table = std::make_shared<RoutingTable>();
+    table->generation = configuration_.generation;
+    for (const auto& service : configuration_.services) {
+      RoutedService routed{.id = service.id, .transport = service.transport};
+      for (const auto& it : RoutableTargets(membership_, service.id)) {
+        const TimePoint joined = StartOf(it.incarnation);
+        routed.candidates.push_back(
+            Candidate{.id = it.id,
+                      .agent = it.agent,
+                      .weight_percent = it.load.weight_percent,
+                      .joined = joined});
+        table->live_agents.emplace(it.agent, joined);
+      }
+      table->services.emplace(ServiceAddress{.address = service.address,
+                                             .transport = service.transport},
+                              std::move(routed));
+    }
+    workers_.SetTable(std::move(table));
+  }
+
+  auto Tick() -> void {
+    std::vector<MembershipAction> actions;
+    OnMembershipTick(membership_, MonotonicNow(), random_, actions);
+    Perform(actions);
+    timer_.expires_after(kTickInterval);
+    timer_.async_wait([this](const asio::error_code& ec) {
+      if (!ec) {
+        Tick();
+      }
+    });
+  }
+
+  auto WaitForSignal() -> void {
+    signals_.async_wait([this](const asio::error_code& ec, int) {
+      if (ec) {
+        return;
+      }
+      if (stopping_) {
+        exit_code_ = kExitForced;
+        io_.stop();
+        return;
+      }
+      BeginStop("signal");
+      WaitForSignal();
+    });
+  }
+
+  auto BeginStop(const std::string& reason) -> void {
+    if (stopping_) {
+      return;
+    }
+    stopping_ = true;
+    Log(Layer::kCoordination, LogLevel::kInfo, "balancer_leaving",
+        {{"reason", reason}});
+    workers_.BeginLeave();
+    std::vector<MembershipAction> actions;
+    BeginLeave(membership_, actions);
+    Perform(actions);
+    auto timer = std::make_shared<asio::steady_timer>(io_, kLeaveTime);
+    timer->async_wait([this, timer](const asio::error_code&) { io_.stop(); });
+  }
+
+  auto StatusJson() -> std::string {
+    nlohmann::json targets = nlohmann::json::array();
+    for (const auto& service : configuration_.services) {
+      for (const auto& it : TargetsOf(membership_, service.id)) {
+        targets.push_back({{"name", it.name},
+                           {"service", service.name},
+                           {"zone", it.zone},
+                           {"state", static_cast<int>(it.state)},
+                           {"connections", it.load.connections},
+                           {"slots_busy", it.load.slots_busy}});
+      }
+    }
+    nlohmann::json balancers = nlohmann::json::array();
+    for (const auto& it : Balancers(membership_)) {
+      balancers.push_back({{"name", it.name},
+                           {"zone", it.zone},
+                           {"state", static_cast<int>(it.state)},
+                           {"generation", ToInteger(it.generation)}});
+    }
+    return nlohmann::json{{"role", "balancer"},
+                          {"name", settings_.name},
+                          {"zone", settings_.zone},
+                          {"generation", ToInteger(configuration_.generation)},
+                          {"confirmed", true},
+                          {"targets", targets},
+                          {"balancers", balancers},
+                          {"counters", CollectMetrics()}}
+        .dump();
+  }
+
+  auto CollectMetrics() -> Metrics {
+    Metrics metrics;
+    for (std::size_t n = 0; n < kCounterCount; ++n) {
+      metrics[std::string(kCounterNames[n])] = static_cast<double>(
+          Read(workers_.counters(), static_cast<Counter>(n)));
+    }
+    for (const auto& [name, count] : events_) {
+      metrics["membership_" + name] = static_cast<double>(count);
+    }
+    const auto& channel = channel_.counters();
+    metrics["control_bytes_sent"] = static_cast<double>(channel.bytes_sent);
+    metrics["control_bytes_received"] =
+        static_cast<double>(channel.bytes_received);
+    metrics["control_forged"] = static_cast<double>(channel.forged);
+    metrics["control_malformed"] = static_cast<double>(channel.malformed);
+    metrics["flow_cache_entries"] =
+        static_cast<double>(workers_.cache().Size());
+    return metrics;
+  }
+
+  Settings settings_;
+  KeyRing keys_;
+  Random random_;
+  asio::io_context io_;
+  Membership membership_;
+  Configuration configuration_;
+  PacketWorkers workers_;
+  ControlChannel channel_;
+  asio::steady_timer timer_;
+  asio::signal_set signals_;
+  std::map<std::string, std::uint64_t> events_;
+  bool stopping_ = false;
+  int exit_code_ = kExitStopped;
+};
+
+}  // namespace
+
+auto RunBalancer(const Settings& settings) -> int {
+  return BalancerDaemon(settings).Run();
+}
+
+}  // namespace hawthornbank::transport
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -27,14 +27,16 @@
       static_cast<std::uint64_t>(WallNow().time_since_epoch().count())};
 }
 
-/// Places the start of a process on this host's monotonic clock.
+/// Places the start of a process on this host's monotonic clock. The offset
+/// between the clocks is read once, so that the same start stays the same.
 /// @param incarnation The process's incarnation.
 /// @return When it started.
 inline auto StartOf(Incarnation incarnation) -> TimePoint {
-  const WallTime start{
-      std::chrono::milliseconds{static_cast<std::int64_t>(
-          ToInteger(incarnation))}};
-  return MonotonicNow() - (WallNow() - start);
+  static const Duration kOffset =
+      MonotonicNow().time_since_epoch() - WallNow().time_since_epoch();
+  const std::chrono::milliseconds start{
+      static_cast<std::int64_t>(ToInteger(incarnation))};
+  return TimePoint{start + kOffset};
 }
 
 }  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/control_channel.cc
@@ -0,0 +1,65 @@
+#include "transport/control_channel.h"
+
+#include <utility>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank::transport {
+
+ControlChannel::ControlChannel(asio::io_context& io,
+                               Endpoint local,
+                               const KeyRing& keys)
+    : keys_(keys),
+      tunnel_keys_{keys.tunnel},
+      socket_(io, local),
+      buf_(kMaxDatagramBytes + kMaxTunnelHeaderBytes) {
+  if (keys.previous_tunnel) {
+    tunnel_keys_.push_back(*keys.previous_tunnel);
+  }
+}
+
+auto ControlChannel::Receive(MessageHandler on_message, PacketHandler on_packet)
+    -> void {
+  on_message_ = std::move(on_message);
+  on_packet_ = std::move(on_packet);
+  socket_.Receive([this](Endpoint from, ByteView datagram) {
+    HandleDatagram(from, datagram);
+  });
+}
+
+auto ControlChannel::HandleDatagram(Endpoint from, ByteView datagram) -> void {
+  if (!IsControlMessage(datagram)) {
+    const auto packet = DecodeTunnel(datagram, tunnel_keys_);
+    if (packet) {
+      on_packet_(*packet);
+    } else {
+      ++counters_.forged;
+    }
+    return;
+  }
+  counters_.bytes_received += datagram.size();
+  try {
+    const Message message = DecodeMessage(datagram, keys_);
+    ++counters_.messages_received;
+    on_message_(from, message);
+  } catch (const Error& error) {
+    error.kind() == ErrorKind::kUnauthenticated ? ++counters_.forged
+                                                : ++counters_.malformed;
+  }
+}
+
+auto ControlChannel::Send(Endpoint to, const Message& message) -> void {
+  const Bytes datagram = EncodeMessage(message, keys_);
+  ++counters_.messages_sent;
+  counters_.bytes_sent += datagram.size();
+  socket_.Send(to, datagram);
+}
+
+auto ControlChannel::SendPacket(Endpoint to,
+                                const TunnelHeader& header,
+                                ByteView packet) -> void {
+  const std::size_t size = EncodeTunnel(header, packet, keys_.tunnel, buf_);
+  socket_.Send(to, ByteView(buf_).first(size));
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/control_channel.h
@@ -0,0 +1,75 @@
+#ifndef HAWTHORNBANK_SRC_TRANSPORT_CONTROL_CHANNEL_H_
+#define HAWTHORNBANK_SRC_TRANSPORT_CONTROL_CHANNEL_H_
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+
+#include "protocol/message.h"
+#include "transport/udp_socket.h"
+
+/// @file
+/// The UDP endpoint between processes: control messages and packets.
+namespace hawthornbank::transport {
+
+/// What a channel has carried and refused.
+struct ChannelCounters {
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t forged = 0;
+  std::uint64_t malformed = 0;
+};
+
+/// Sends and receives what processes of the system tell each other.
+class ControlChannel {
+ public:
+  using MessageHandler =
+      std::function<void(Endpoint from, const Message& message)>;
+  using PacketHandler = std::function<void(const TunnelPacket& packet)>;
+
+  /// Binds the endpoint.
+  /// @param io Where handlers run.
+  /// @param local The endpoint.
+  /// @param keys Keys of this process.
+  /// @throws Error kInvalidSettings when it can't be bound.
+  ControlChannel(asio::io_context& io, Endpoint local, const KeyRing& keys);
+
+  /// Starts receiving.
+  /// @param on_message Called for each authentic control message.
+  /// @param on_packet Called for each authentic packet.
+  auto Receive(MessageHandler on_message, PacketHandler on_packet) -> void;
+
+  /// Sends a control message.
+  /// @param to Receiver.
+  /// @param message The message.
+  auto Send(Endpoint to, const Message& message) -> void;
+
+  /// Sends a packet to an agent.
+  /// @param to Receiver.
+  /// @param header Its tunnel header.
+  /// @param packet The caller's packet.
+  auto SendPacket(Endpoint to, const TunnelHeader& header, ByteView packet)
+      -> void;
+
+  /// @return What was carried and refused.
+  [[nodiscard]] auto counters() const -> const ChannelCounters& {
+    return counters_;
+  }
+
+ private:
+  auto HandleDatagram(Endpoint from, ByteView datagram) -> void;
+
+  KeyRing keys_;
+  std::vector<TunnelKey> tunnel_keys_;
+  UdpSocket socket_;
+  MessageHandler on_message_;
+  PacketHandler on_packet_;
+  ChannelCounters counters_;
+  Bytes buf_;
+};
+
+}  // namespace hawthornbank::transport
+
+#endif  // HAWTHORNBANK_SRC_TRANSPORT_CONTROL_CHANNEL_H_
--- /dev/null
+++ b/src/transport/packet_workers.cc
@@ -0,0 +1,121 @@
+#include "transport/packet_workers.h"
+
+#include <array>
+
+#include "transport/clock.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+// The fabric's health check is one byte; so is its answer.
+constexpr std::uint8_t kHealthCheck = 0x00;
+constexpr std::uint8_t kReady = 'R';
+constexpr std::uint8_t kLeaving = 'D';
+
+}  // namespace
+
+struct PacketWorkers::Worker {
+  asio::io_context io;
+  std::unique_ptr<UdpSocket> socket;
+  std::thread thread;
+  std::shared_ptr<const RoutingTable> table;
+  std::uint64_t table_version = 0;
+  std::array<std::uint8_t, kMaxDatagramBytes + kMaxTunnelHeaderBytes> buf{};
+};
+
+PacketWorkers::PacketWorkers(WorkerOptions options, const KeyRing& keys)
+    : options_(options),
+      keys_(keys),
+      cache_(options.cache_entries),
+      table_(std::make_shared<const RoutingTable>()) {
+  for (std::uint32_t n = 0; n < options_.workers; ++n) {
+    auto worker = std::make_unique<Worker>();
+    worker->table = table_;
+    worker->socket =
+        n == 0 ? std::make_unique<UdpSocket>(worker->io, options_.packets)
+               : std::make_unique<UdpSocket>(worker->io, *workers_[0]->socket);
+    workers_.push_back(std::move(worker));
+  }
+  for (auto& it : workers_) {
+    Worker& worker = *it;
+    worker.socket->Receive([this, &worker](Endpoint from, ByteView datagram) {
+      HandleDatagram(worker, from, datagram);
+    });
+    worker.thread = std::thread([&worker]() { worker.io.run(); });
+  }
+}
+
+PacketWorkers::~PacketWorkers() {
+  for (auto& it : workers_) {
+    it->io.stop();
+  }
+  for (auto& it : workers_) {
+    it->thread.join();
+  }
+}
+
+auto PacketWorkers::SetTable(std::shared_ptr<const RoutingTable> table)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  table_ = std::move(table);
+  table_version_.fetch_add(1, std::memory_order_release);
+}
+
+auto PacketWorkers::SetLastHeard(TimePoint now) -> void {
+  last_heard_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+auto PacketWorkers::local() const -> Endpoint {
+  return workers_[0]->socket->local();
+}
+
+auto PacketWorkers::Snapshot(Worker& worker) -> const RoutingTable& {
+  const auto version = table_version_.load(std::memory_order_acquire);
+  if (version != worker.table_version) {
+    const std::lock_guard lock(mutex_);
+    worker.table = table_;
+    worker.table_version = version;
+  }
+  return *worker.table;
+}
+
+auto PacketWorkers::HandleDatagram(Worker& worker,
+                                   Endpoint from,
+                                   ByteView datagram) -> void {
+  if (datagram.size() == 1 && datagram[0] == kHealthCheck) {
+    const std::uint8_t answer = leaving_ ? kLeaving : kReady;
+    worker.socket->Send(from, ByteView(&answer, 1));
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  const BalancerContext context{
+      .self = options_.self,
+      .last_heard =
+          TimePoint{Duration{last_heard_.load(std::memory_order_relaxed)}},
+      .alone = options_.alone};
+  const PacketView packet = ParsePacket(datagram);
+  const RouteDecision decision =
+      RoutePacket(Snapshot(worker), cache_, context, packet, now, counters_);
+  switch (decision.verdict) {
+    case RouteVerdict::kForward: {
+      const std::size_t size =
+          EncodeTunnel(decision.header, packet.bytes, keys_.tunnel, worker.buf);
+      worker.socket->Send(decision.agent, ByteView(worker.buf).first(size));
+      break;
+    }
+    case RouteVerdict::kReset:
+    case RouteVerdict::kTooBig: {
+      const Bytes answer = decision.verdict == RouteVerdict::kReset
+                               ? BuildReset(packet)
+                               : BuildFragmentationNeeded(packet);
+      if (!answer.empty()) {
+        worker.socket->Send(from, answer);
+      }
+      break;
+    }
+    case RouteVerdict::kDrop:
+      break;
+  }
+}
+
+}  // namespace hawthornbank::transport
--- a/src/transport/status_server.cc
+++ b/src/transport/status_server.cc
@@ -68,19 +68,19 @@
     return;
   }
   auto& http = server_->http;
-  http.Get("/status", [&io, source](const httplib::Request&,
-                                    httplib::Response& response) {
-    const auto status = Ask(io, source.status);
-    status ? response.set_content(*status, "application/json")
-           : AnswerUnavailable(response);
-  });
-  http.Get("/metrics", [&io, source](const httplib::Request&,
-                                     httplib::Response& response) {
-    const auto metrics = Ask(io, source.metrics);
-    metrics ? response.set_content(FormatMetrics(*metrics),
-                                   "text/plain; version=0.0.4")
-            : AnswerUnavailable(response);
-  });
+  http.Get("/status",
+           [&io, source](const httplib::Request&, httplib::Response& response) {
+             const auto status = Ask(io, source.status);
+             status ? response.set_content(*status, "application/json")
+                    : AnswerUnavailable(response);
+           });
+  http.Get("/metrics",
+           [&io, source](const httplib::Request&, httplib::Response& response) {
+             const auto metrics = Ask(io, source.metrics);
+             metrics ? response.set_content(FormatMetrics(*metrics),
+                                            "text/plain; version=0.0.4")
+                     : AnswerUnavailable(response);
+           });
   http.Put(R"(/log/(\w+)/(\w+))", ChangeLogLevel);
   const auto address = ToString(Endpoint{.address = local.address});
   const auto host = address.substr(0, address.find(':'));
@@ -88,7 +88,8 @@
     throw Error(ErrorKind::kInvalidSettings,
                 "can't bind " + ToString(local) + " for metrics");
   }
-  server_->thread = std::thread([this]() { server_->http.listen_after_bind(); });
+  server_->thread =
+      std::thread([this]() { server_->http.listen_after_bind(); });
 }
 
 StatusServer::~StatusServer() {
--- a/src/transport/udp_socket.cc
+++ b/src/transport/udp_socket.cc
@@ -55,14 +55,13 @@
 }
 
 auto UdpSocket::ReceiveNext() -> void {
-  socket_.async_wait(asio::ip::udp::socket::wait_read,
-                     [this](const asio::error_code& ec) {
-                       if (ec == asio::error::operation_aborted ||
-                           !socket_.is_open()) {
-                         return;
-                       }
-                       Drain();
-                     });
+  socket_.async_wait(
+      asio::ip::udp::socket::wait_read, [this](const asio::error_code& ec) {
+        if (ec == asio::error::operation_aborted || !socket_.is_open()) {
+          return;
+        }
+        Drain();
+      });
 }
 
 auto UdpSocket::Drain() -> void {
