Mark the sender of a digest as ready, so that a fleet that starts at once gets ready

Without it no balancer of a fresh fleet ever became ready: each waited for a ready peer's confirmation. Header and behaviour are now fit to bind.

--- a/include/hawthornbank/membership.h
+++ b/include/hawthornbank/membership.h
@@ -147,7 +147,7 @@
   TimePoint health_changed{};
   std::uint32_t health = 0;  ///< 0 is well; each step stretches timeouts.
   double budget_bytes = 0;
-  bool received = false;      ///< A peer has been heard.
+  bool ready_peer = false;    ///< A peer that is ready has been heard.
   bool watches_stale = true;  ///< The balancers changed since last assigned.
   bool ready = false;
   std::uint8_t gossip_rounds = 3;  ///< Rounds that a change is sent in.
@@ -260,7 +260,7 @@
 /// Says whether this balancer knows enough to open flows.
 /// @param membership State.
 /// @return Whether a peer confirmed that nothing is missing, or that no peer
-///   has answered for so long that this balancer is the first.
+///   that is ready has been heard since the start, as when all start at once.
 auto IsReady(const Membership& membership) -> bool;
 
 }  // namespace hawthornbank
--- a/include/hawthornbank/membership_messages.h
+++ b/include/hawthornbank/membership_messages.h
@@ -182,6 +182,7 @@
   Incarnation incarnation{};
   std::uint64_t sequence = 0;
   bool probe = false;     ///< Asks for a heartbeat at once.
+  bool ready = false;     ///< The sender knows all that its peers know.
   bool complete = false;  ///< Answers a synchronisation: nothing is missing.
   std::uint32_t first_bucket = 0;
   std::vector<std::uint32_t> checksums;  ///< From first_bucket on.
@@ -194,7 +195,7 @@
     archive(sender);
     wire::Varint(archive, incarnation);
     wire::Varint(archive, sequence);
-    archive(probe, complete);
+    archive(probe, ready, complete);
     wire::Varint(archive, first_bucket);
     wire::List(archive, checksums);
     wire::List(archive, beacons);
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -12,7 +12,7 @@
 
 /// Seconds of budget that may be spent at once.
 constexpr double kReserveSeconds = 20;
-/// Time after which a balancer that no peer answered is the first.
+/// Time after which a balancer that hears no ready peer is the first.
 constexpr Duration kFirstBalancerDelay = std::chrono::milliseconds{1500};
 /// Most weight a target can claim, in percent.
 constexpr std::uint16_t kMaxWeight = 100;
@@ -113,12 +113,14 @@
       HearOfSelf(membership, it);
       continue;
     }
-    if (detail::MergeBalancer(membership, it, now, out) == detail::Merge::kStale) {
+    if (detail::MergeBalancer(membership, it, now, out) ==
+        detail::Merge::kStale) {
       corrections.Add(membership, it);
     }
   }
   for (const auto& it : digest.targets) {
-    if (detail::MergeTarget(membership, it, now, out) == detail::Merge::kStale) {
+    if (detail::MergeTarget(membership, it, now, out) ==
+        detail::Merge::kStale) {
       corrections.Add(membership, it);
     }
   }
@@ -266,16 +268,14 @@
     return;
   }
   membership.last_received = now;
-  membership.received = true;
+  membership.ready_peer = membership.ready_peer || digest.ready;
   for (const auto& it : digest.beacons) {
     detail::AdvanceBeacon(membership, it, now);
   }
   // Records first: the sender's own may be news at the head's sequence.
   MergeRecords(membership, from, digest, now, out);
   const bool ask = HearSender(membership, digest, now, out);
-  if (digest.complete) {
-    membership.ready = true;
-  }
+  membership.ready = membership.ready || (digest.complete && digest.ready);
   if (!digest.checksums.empty()) {
     detail::AnswerSync(membership, from, digest, out);
   }
@@ -296,7 +296,8 @@
   const double limit = options.budget_bytes_per_second;
   membership.budget_bytes = std::min(kReserveSeconds * limit,
                                      membership.budget_bytes + elapsed * limit);
-  if (!membership.received && now - membership.started > kFirstBalancerDelay) {
+  if (!membership.ready_peer &&
+      now - membership.started > kFirstBalancerDelay) {
     membership.ready = true;
   }
   if (membership.watches_stale) {
--- a/src/coordination/membership_gossip.cc
+++ b/src/coordination/membership_gossip.cc
@@ -260,7 +260,8 @@
 auto MakeDigest(const Membership& membership) -> Digest {
   return Digest{.sender = membership.self.id,
                 .incarnation = membership.self.incarnation,
-                .sequence = membership.self.sequence};
+                .sequence = membership.self.sequence,
+                .ready = membership.ready};
 }
 
 auto Send(Membership& membership, Endpoint to, Digest digest, Actions& out)
@@ -396,7 +397,7 @@
   if (request.checksums == sums) {
     if (request.probe) {
       Digest digest = MakeDigest(membership);
-      digest.complete = membership.ready;
+      digest.complete = true;
       Send(membership, to, std::move(digest), out);
     }
     return;
