Let a walk's own notes steer only packets that follow it

Cause: agents noted where a walk went and followed these notes during the walk itself, so packets circled between agents until the hop limit. Ruled out: dropping the notes, as duplicated openings would then be decided twice. Notes now count for a second and only for packets outside a walk; an owner's own word counts longer.

--- a/include/hawthornbank/agent.h
+++ b/include/hawthornbank/agent.h
@@ -51,6 +51,9 @@
 struct FlowPointer {
   Endpoint owner;
   TimePoint last_used{};
+  /// Whether the owner said so itself. Else it is where a walk went on, which
+  /// may still be under way or lost.
+  bool confirmed = false;
 };
 
 /// How busy the target is, as its request gate knows it.
--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -24,6 +24,24 @@
   out.push_back(AgentAction{.kind = Kind::kReset, .flow = flow});
 }
 
+auto TellHome(Agent& agent,
+              const FlowKey& key,
+              OwnedFlow& owned,
+              Endpoint home,
+              TimePoint now,
+              std::vector<AgentAction>& out) -> void {
+  owned.home = home;
+  owned.last_told = now;
+  if (home == agent.options.self || home.port == 0) {
+    return;
+  }
+  Count(agent.counters, Counter::kPointersSent);
+  out.push_back(AgentAction{.kind = Kind::kPointer,
+                            .flow = key,
+                            .to = home,
+                            .owner = agent.options.self});
+}
+
 auto HandleOwned(Agent& agent,
                  OwnedFlow& owned,
                  const FlowKey& key,
@@ -41,12 +59,34 @@
                               .to = header.balancer,
                               .owner = agent.options.self});
   }
+  // A home that had to look up the flow is told again.
+  if (header.phase == WalkPhase::kLookup) {
+    TellHome(agent, key, owned, header.walk[0], now, out);
+  }
   out.push_back(AgentAction{.kind = Kind::kDeliver, .flow = key});
   if (packet.kind == PacketKind::kReset) {
     EndFlow(agent, key, out);
   }
 }
 
+auto IsWalking(WalkPhase phase) -> bool {
+  return phase != WalkPhase::kNone && phase != WalkPhase::kHomeward;
+}
+
+// Whether a pointer tells a packet anything. A walk's own notes don't steer
+// it, and the home that asks is no answer to its own question.
+auto IsUsable(const FlowPointer& pointer,
+              const TunnelHeader& header,
+              TimePoint now) -> bool {
+  if (!pointer.confirmed) {
+    return !IsWalking(header.phase) &&
+           now - pointer.last_used < detail::kWalkTimeout;
+  }
+  return header.phase != WalkPhase::kAccept &&
+         (header.phase != WalkPhase::kLookup ||
+          pointer.owner != header.walk[0]);
+}
+
 // Follows a pointer; one to an agent that is gone ends the flow.
 auto HandlePointer(Agent& agent,
                    const FlowKey& key,
@@ -54,7 +94,7 @@
                    TimePoint now,
                    std::vector<AgentAction>& out) -> bool {
   const auto it = agent.pointers.find(key);
-  if (it == agent.pointers.end()) {
+  if (it == agent.pointers.end() || !IsUsable(it->second, header, now)) {
     return false;
   }
   if (!IsInView(agent, it->second.owner)) {
@@ -62,13 +102,9 @@
     AddReset(agent, key, Counter::kResetTargetLost, out);
     return true;
   }
-  // The home that asks is no answer to its own question.
-  const bool asks_itself =
-      header.phase == WalkPhase::kLookup && it->second.owner == header.walk[0];
-  if (asks_itself) {
-    return false;
+  if (it->second.confirmed) {
+    it->second.last_used = now;
   }
-  it->second.last_used = now;
   TunnelHeader onward = header;
   onward.phase = WalkPhase::kNone;
   onward.walk_size = 0;
@@ -76,24 +112,6 @@
   return true;
 }
 
-auto TellHome(Agent& agent,
-              const FlowKey& key,
-              OwnedFlow& owned,
-              Endpoint home,
-              TimePoint now,
-              std::vector<AgentAction>& out) -> void {
-  owned.home = home;
-  owned.last_told = now;
-  if (home == agent.options.self || home.port == 0) {
-    return;
-  }
-  Count(agent.counters, Counter::kPointersSent);
-  out.push_back(AgentAction{.kind = Kind::kPointer,
-                            .flow = key,
-                            .to = home,
-                            .owner = agent.options.self});
-}
-
 auto HomeOf(const Agent& agent, const FlowKey& key) -> Endpoint {
   const auto* const home = FirstCandidate(agent.view, HashFlow(key));
   return home == nullptr ? agent.options.self : home->agent;
@@ -161,9 +179,7 @@
     HandleOwned(agent, owned->second, key, header, packet, now, out);
     return;
   }
-  // A walk that has ended here overrides what was noted while it passed.
-  const bool walk_ended = header.phase == WalkPhase::kAccept;
-  if (!walk_ended && HandlePointer(agent, key, header, now, out)) {
+  if (HandlePointer(agent, key, header, now, out)) {
     return;
   }
   detail::HandleUnknownFlow(agent, key, header, packet, now, out);
@@ -198,7 +214,9 @@
                    Endpoint owner,
                    TimePoint now) -> void {
   Count(agent.counters, Counter::kPointersReceived);
-  detail::KeepPointer(agent, flow, owner, now);
+  detail::KeepPointer(
+      agent, flow,
+      FlowPointer{.owner = owner, .last_used = now, .confirmed = true});
 }
 
 auto SetServiceView(Agent& agent,
--- a/src/coordination/flow_walk.cc
+++ b/src/coordination/flow_walk.cc
@@ -70,6 +70,12 @@
   visit.out.push_back(AgentAction{.kind = Kind::kReset, .flow = visit.key});
 }
 
+// Later packets of the flow follow the walk while it is under way.
+auto NoteWalk(const Visit& visit, Endpoint next) -> void {
+  KeepPointer(visit.agent, visit.key,
+              FlowPointer{.owner = next, .last_used = visit.now});
+}
+
 auto PassTo(const Visit& visit, TunnelHeader header, std::uint8_t index)
     -> void {
   header.index = index;
@@ -130,7 +136,7 @@
   }
   const auto next = static_cast<std::uint8_t>(header.index + 1);
   if (next < header.walk_size) {
-    KeepPointer(visit.agent, visit.key, header.walk[next], visit.now);
+    NoteWalk(visit, header.walk[next]);
     header.phase = WalkPhase::kChoose;
     PassTo(visit, header, next);
     return;
@@ -139,7 +145,7 @@
     Accept(visit);
     return;
   }
-  KeepPointer(visit.agent, visit.key, header.walk[header.best], visit.now);
+  NoteWalk(visit, header.walk[header.best]);
   header.phase = WalkPhase::kAccept;
   PassTo(visit, header, header.best);
 }
@@ -182,7 +188,7 @@
   TunnelHeader header = visit.header;
   // Should the flow come here first next time, it must meet its home.
   if (MayOpenFlow(visit)) {
-    KeepPointer(visit.agent, visit.key, header.walk[0], visit.now);
+    NoteWalk(visit, header.walk[0]);
   }
   const auto next = static_cast<std::uint8_t>(header.index + 1);
   if (next < header.walk_size) {
@@ -215,8 +221,10 @@
     Pass(visit.agent, visit.key, home, header, visit.out);
     return;
   }
+  // A walk that didn't end may have found an owner all the same.
   const bool learning =
-      visit.now - agent.view_changed < agent.options.learning_time;
+      visit.now - agent.view_changed < agent.options.learning_time ||
+      agent.pointers.contains(visit.key);
   if (MayOpenFlow(visit) && !visit.header.established && !learning) {
     Decide(visit);
     return;
@@ -242,11 +250,9 @@
   out.push_back(action);
 }
 
-auto KeepPointer(Agent& agent,
-                 const FlowKey& key,
-                 Endpoint owner,
-                 TimePoint now) -> void {
-  if (agent.flows.contains(key) || owner == agent.options.self) {
+auto KeepPointer(Agent& agent, const FlowKey& key, const FlowPointer& pointer)
+    -> void {
+  if (agent.flows.contains(key) || pointer.owner == agent.options.self) {
     return;
   }
   auto& pointers = agent.pointers;
@@ -256,7 +262,7 @@
     pointers.erase(pointers.begin());
     Count(agent.counters, Counter::kPointersEvicted);
   }
-  pointers.insert_or_assign(key, FlowPointer{.owner = owner, .last_used = now});
+  pointers.insert_or_assign(key, pointer);
 }
 
 auto HandleUnknownFlow(Agent& agent,
--- a/src/coordination/flow_walk.h
+++ b/src/coordination/flow_walk.h
@@ -24,15 +24,15 @@
           const TunnelHeader& header,
           std::vector<AgentAction>& out) -> void;
 
+/// Time for which a walk is taken to be under way.
+inline constexpr Duration kWalkTimeout = std::chrono::seconds{1};
+
 /// Remembers where a flow went; the table is bounded.
 /// @param agent The agent.
 /// @param key The flow.
-/// @param owner Who owns it or decides on it.
-/// @param now The present instant.
-auto KeepPointer(Agent& agent,
-                 const FlowKey& key,
-                 Endpoint owner,
-                 TimePoint now) -> void;
+/// @param pointer Who owns it or decides on it.
+auto KeepPointer(Agent& agent, const FlowKey& key, const FlowPointer& pointer)
+    -> void;
 
 /// Handles a packet of a flow that is neither owned nor pointed to here.
 /// @param agent The agent.
