Acknowledge pointers, discount the mean's lag, doubt only flows that began

Causes: (1) a lost pointer left a new home to decide alone; the owner now repeats it until the home acknowledges. (2) The mean of connections lags by 1 to 2 s, so homes passed nearly every flow on while load grew; own growth since the report is added. (3) A flow whose opening was lost with its dead home was reset as if it had been established. Ruled out for (2): a larger slack, which moves max over mean towards its bound.

--- a/bench/common/routing_world.cc
+++ b/bench/common/routing_world.cc
@@ -185,7 +185,12 @@
 auto RoutingWorld::UpdateBalancer(BalancerHost& host,
                                   std::vector<Candidate> targets) -> void {
   auto table = std::make_shared<RoutingTable>();
+  table->departed_agents = host.table->departed_agents;
+  for (const auto& [agent, joined] : host.table->live_agents) {
+    table->departed_agents.emplace(agent, network_.now());
+  }
   for (const auto& it : targets) {
+    table->departed_agents.erase(it.agent);
     table->live_agents.emplace(it.agent, it.joined);
   }
   table->services.emplace(
@@ -365,7 +370,15 @@
         break;
       case AgentAction::Kind::kPointer:
         network_.Send(from, kFirstAgent + to, [this, to, it]() {
-          OnFlowPointer(*agents_[to].core, it.flow, it.owner, network_.now());
+          std::vector<AgentAction> answers;
+          OnFlowPointer(*agents_[to].core, it.flow, it.owner, network_.now(),
+                        answers);
+          Perform(to, answers, nullptr, {});
+        });
+        break;
+      case AgentAction::Kind::kPointerAck:
+        network_.Send(from, kFirstAgent + to, [this, to, target, it]() {
+          OnPointerAck(*agents_[to].core, it.flow, AgentEndpoint(target));
         });
         break;
       case AgentAction::Kind::kProbe:
@@ -457,7 +470,7 @@
                    : static_cast<double>(sum) / static_cast<double>(serving);
   network_.At(network_.now() + lag, [this, mean]() {
     for (auto& it : agents_) {
-      it.core->mean_connections = mean;
+      SetMeanConnections(*it.core, mean);
     }
   });
 }
--- a/include/hawthornbank/agent.h
+++ b/include/hawthornbank/agent.h
@@ -32,6 +32,7 @@
   Duration probe_interval = std::chrono::seconds{2};
   std::uint32_t probe_limit = 3;  ///< Unanswered probes that end a flow.
   Duration learning_time = std::chrono::seconds{6};  ///< After a change.
+  Duration pointer_retry = std::chrono::seconds{1};
   Duration pointer_refresh = std::chrono::minutes{3};
   std::size_t max_pointers = 20000;
   Duration drain_limit = std::chrono::hours{1};
@@ -43,7 +44,8 @@
   TimePoint last_from_caller{};
   TimePoint last_from_target{};
   TimePoint last_probe{};
-  TimePoint last_told{};  ///< When the home was last told.
+  TimePoint last_told{};    ///< When the home was last told.
+  bool home_knows = false;  ///< The home has acknowledged that.
   std::uint32_t probes = 0;
 };
 
@@ -69,7 +71,9 @@
   std::vector<Candidate> view;  ///< The service's targets, also this one.
   TimePoint view_changed{};     ///< When the targets last changed.
   std::uint16_t weight_percent = 100;
-  double mean_connections = 0;  ///< Over the service's targets.
+  double mean_connections = 0;       ///< Over the service's targets.
+  std::size_t connections_then = 0;  ///< Own ones at about that time.
+  std::size_t connections_last = 0;  ///< Own ones when last told the mean.
   TargetBusyness busyness;
   bool draining = false;
   TimePoint drain_started{};
@@ -81,13 +85,14 @@
 /// What the binding does for an agent.
 struct AgentAction {
   enum class Kind : std::uint8_t {
-    kDeliver,  ///< Hand the packet to the local target.
-    kPass,     ///< Send the packet with `header` to `to`.
-    kReset,    ///< Tell the caller that the flow is over.
-    kHint,     ///< Tell balancer `to` that `owner` has the flow.
-    kPointer,  ///< Tell agent `to` that `owner` has the flow.
-    kProbe,    ///< Ask both ends whether the flow is alive.
-    kClose,    ///< The flow ended: free its socket and its requests.
+    kDeliver,     ///< Hand the packet to the local target.
+    kPass,        ///< Send the packet with `header` to `to`.
+    kReset,       ///< Tell the caller that the flow is over.
+    kHint,        ///< Tell balancer `to` that `owner` has the flow.
+    kPointer,     ///< Tell agent `to` that `owner` has the flow.
+    kPointerAck,  ///< Tell owner `to` that its pointer has arrived.
+    kProbe,       ///< Ask both ends whether the flow is alive.
+    kClose,       ///< The flow ended: free its socket and its requests.
   };
   Kind kind = Kind::kDeliver;
   FlowKey flow;
@@ -132,10 +137,24 @@
 /// @param flow The flow.
 /// @param owner The owner's agent.
 /// @param now The present instant.
+/// @param out Receives the acknowledgement.
 auto OnFlowPointer(Agent& agent,
                    const FlowKey& flow,
                    Endpoint owner,
-                   TimePoint now) -> void;
+                   TimePoint now,
+                   std::vector<AgentAction>& out) -> void;
+
+/// Handles a home's acknowledgement of a pointer.
+/// @param agent The agent.
+/// @param flow The flow.
+/// @param home The agent that acknowledges.
+auto OnPointerAck(Agent& agent, const FlowKey& flow, Endpoint home) -> void;
+
+/// Takes the mean number of connections over the service's targets. It is a
+/// report and lags, so own growth since is added to it.
+/// @param agent The agent.
+/// @param mean Connections a target of full weight.
+auto SetMeanConnections(Agent& agent, double mean) -> void;
 
 /// Takes a new view of the service's targets and tells new homes of flows.
 /// @param agent The agent.
--- a/include/hawthornbank/flow_cache.h
+++ b/include/hawthornbank/flow_cache.h
@@ -24,7 +24,8 @@
 /// What the cache knows of a flow.
 struct CachedOwner {
   Endpoint agent;
-  TimePoint last_used{};  ///< Before this look-up; to about a millisecond.
+  TimePoint inserted{};   ///< To about a millisecond, as the next.
+  TimePoint last_used{};  ///< Before this look-up.
 };
 
 /// Cache of flow owners, shared by the workers of a balancer.
@@ -65,6 +66,7 @@
     std::uint16_t caller_port = 0;
     std::uint16_t owner_port = 0;  ///< 0: the entry is free.
     std::uint32_t last_used = 0;   ///< In ticks of 2^20 ns.
+    std::uint32_t inserted = 0;
     std::uint32_t transport = 0;
   };
   static_assert(sizeof(Entry) <= 64);
--- a/include/hawthornbank/routing.h
+++ b/include/hawthornbank/routing.h
@@ -30,6 +30,10 @@
 /// opens no flows, as its view may be out of date.
 inline constexpr Duration kIsolationTimeout = std::chrono::seconds{10};
 
+/// Longest time between the death of a target and the news of it. Packets sent
+/// to it meanwhile were lost, so a flow that opened then may never have begun.
+inline constexpr Duration kDetectionTime = std::chrono::seconds{6};
+
 /// One service as a balancer routes it.
 struct RoutedService {
   ServiceId id{};
@@ -60,6 +64,8 @@
       services;
   /// Agents that route, with the start of their present incarnation.
   std::unordered_map<Endpoint, TimePoint> live_agents;
+  /// Agents that no longer route, with the time of that news.
+  std::unordered_map<Endpoint, TimePoint> departed_agents;
 };
 
 /// What a balancer knows beside the table.
--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -32,6 +32,7 @@
               std::vector<AgentAction>& out) -> void {
   owned.home = home;
   owned.last_told = now;
+  owned.home_knows = home == agent.options.self;
   if (home == agent.options.self || home.port == 0) {
     return;
   }
@@ -98,7 +99,11 @@
     return false;
   }
   if (!IsInView(agent, it->second.owner)) {
+    const bool confirmed = it->second.confirmed;
     agent.pointers.erase(it);
+    if (!confirmed) {
+      return false;
+    }
     AddReset(agent, key, Counter::kResetTargetLost, out);
     return true;
   }
@@ -212,11 +217,27 @@
 auto OnFlowPointer(Agent& agent,
                    const FlowKey& flow,
                    Endpoint owner,
-                   TimePoint now) -> void {
+                   TimePoint now,
+                   std::vector<AgentAction>& out) -> void {
   Count(agent.counters, Counter::kPointersReceived);
   detail::KeepPointer(
       agent, flow,
       FlowPointer{.owner = owner, .last_used = now, .confirmed = true});
+  out.push_back(
+      AgentAction{.kind = Kind::kPointerAck, .flow = flow, .to = owner});
+}
+
+auto OnPointerAck(Agent& agent, const FlowKey& flow, Endpoint home) -> void {
+  const auto it = agent.flows.find(flow);
+  if (it != agent.flows.end() && it->second.home == home) {
+    it->second.home_knows = true;
+  }
+}
+
+auto SetMeanConnections(Agent& agent, double mean) -> void {
+  agent.mean_connections = mean;
+  agent.connections_then = agent.connections_last;
+  agent.connections_last = agent.flows.size();
 }
 
 auto SetServiceView(Agent& agent,
@@ -282,7 +303,9 @@
   for (auto it = agent.flows.begin(); it != agent.flows.end();) {
     if (KeepFlow(agent, it->first, it->second, now, out)) {
       // A home forgets pointers that nobody uses; a live flow's must stay.
-      if (now - it->second.last_told > agent.options.pointer_refresh) {
+      const Duration told = now - it->second.last_told;
+      if (told > agent.options.pointer_refresh ||
+          (!it->second.home_knows && told > agent.options.pointer_retry)) {
         TellHome(agent, it->first, it->second, HomeOf(agent, it->first), now,
                  out);
       }
--- a/src/coordination/flow_walk.cc
+++ b/src/coordination/flow_walk.cc
@@ -38,15 +38,22 @@
   return agent.draining || agent.flows.size() >= agent.options.max_connections;
 }
 
+// New flows spread evenly over the targets, so own growth since the report
+// tells how the mean has grown.
+auto MostConnections(const Agent& agent) -> double {
+  const double growth = static_cast<double>(agent.flows.size()) -
+                        static_cast<double>(agent.connections_then);
+  const double mean = agent.mean_connections + std::max(growth, 0.0);
+  return mean * agent.weight_percent / 100 * kConnectionSlack +
+         kConnectionSlackCount;
+}
+
 auto HasRoom(const Agent& agent) -> bool {
   const auto& busyness = agent.busyness;
   const bool has_slot =
       busyness.slots == 0 || busyness.slots_busy < busyness.slots;
-  const double most =
-      agent.mean_connections * agent.weight_percent / 100 * kConnectionSlack +
-      kConnectionSlackCount;
   return !RefusesAll(agent) && has_slot &&
-         static_cast<double>(agent.flows.size()) < most;
+         static_cast<double>(agent.flows.size()) < MostConnections(agent);
 }
 
 // Requests that wait or run count before connections do.
@@ -95,7 +102,8 @@
   agent.flows.emplace(visit.key, OwnedFlow{.home = home,
                                            .last_from_caller = visit.now,
                                            .last_from_target = visit.now,
-                                           .last_told = visit.now});
+                                           .last_told = visit.now,
+                                           .home_knows = home == self});
   Count(agent.counters, Counter::kFlowsAccepted);
   if (home != self) {
     Count(agent.counters, Counter::kPointersSent);
--- a/src/coordination/routing.cc
+++ b/src/coordination/routing.cc
@@ -33,6 +33,27 @@
   return home != nullptr ? home : FirstCandidate(service.candidates, flow_hash);
 }
 
+// Whether the owner is still the process that took the flow.
+auto IsUnchanged(const RoutingTable& table, const CachedOwner& owner) -> bool {
+  const auto it = table.live_agents.find(owner.agent);
+  return it != table.live_agents.end() && it->second <= owner.last_used;
+}
+
+// Whether a flow whose owner died or restarted had begun before: then whoever
+// is asked now must not take the packet for a new flow's.
+auto WasEstablished(const RoutingTable& table, const CachedOwner& owner)
+    -> bool {
+  TimePoint ended = TimePoint::max();
+  if (const auto it = table.live_agents.find(owner.agent);
+      it != table.live_agents.end()) {
+    ended = it->second;
+  } else if (const auto gone = table.departed_agents.find(owner.agent);
+             gone != table.departed_agents.end()) {
+    ended = gone->second;
+  }
+  return owner.inserted < ended - kDetectionTime;
+}
+
 auto MayOpenFlows(const BalancerContext& state, TimePoint now) -> bool {
   return state.alone || now - state.last_heard <= kIsolationTimeout;
 }
@@ -71,14 +92,13 @@
                     .transport = packet.transport};
   bool established = false;
   if (const auto owner = cache.Find(key, now)) {
-    const auto agent = table.live_agents.find(owner->agent);
-    if (agent != table.live_agents.end() && agent->second <= owner->last_used) {
+    if (IsUnchanged(table, *owner)) {
       Count(counters, Counter::kCacheHits);
       return Forward(table, state, service.id, owner->agent, counters);
     }
-    // The owner died or restarted: whoever is asked now must not take the
-    // packet for a new flow's.
-    established = true;
+    established =
+        packet.kind != PacketKind::kOpening && WasEstablished(table, *owner);
+    cache.Erase(key);
   }
   Count(counters, Counter::kCacheMisses);
   if (!established && MayOpen(packet) && !MayOpenFlows(state, now)) {
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -39,9 +39,24 @@
   }
 };
 
+/// Answers a FlowPointerNote to the owner.
+struct FlowPointerAck {
+  FlowKey flow;
+  Endpoint home;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(flow, home);
+  }
+};
+
 /// Every control message.
-using Message =
-    std::variant<Announce, AnnounceAck, Digest, FlowHint, FlowPointerNote>;
+using Message = std::variant<Announce,
+                             AnnounceAck,
+                             Digest,
+                             FlowHint,
+                             FlowPointerNote,
+                             FlowPointerAck>;
 
 /// Key of the control messages' digest; 256 bits.
 using ControlKey = std::array<std::uint8_t, 32>;
--- a/src/state/flow_cache.cc
+++ b/src/state/flow_cache.cc
@@ -40,10 +40,12 @@
   Entry* const first = &entries_[set * kWays];
   for (Entry* it = first; it != first + kWays; ++it) {
     if (Matches(*it, key)) {
-      const std::uint32_t age = ToTicks(now) - it->last_used;
-      it->last_used = ToTicks(now);
+      const std::uint32_t ticks = ToTicks(now);
+      const std::uint32_t age = ticks - it->last_used;
+      it->last_used = ticks;
       return CachedOwner{
           .agent = {.address = it->owner_address, .port = it->owner_port},
+          .inserted = now - kTick * (ticks - it->inserted),
           .last_used = now - kTick * age,
       };
     }
@@ -75,6 +77,7 @@
   }
   const bool evicted = place->owner_port != 0 && !Matches(*place, key);
   stripe.used += place->owner_port == 0 ? 1 : 0;
+  const std::uint32_t inserted = Matches(*place, key) ? place->inserted : ticks;
   *place = Entry{
       .service = ToInteger(key.service),
       .caller_address = key.caller.address,
@@ -82,6 +85,7 @@
       .caller_port = key.caller.port,
       .owner_port = owner.port,
       .last_used = ticks,
+      .inserted = inserted,
       .transport = static_cast<std::uint32_t>(key.transport),
   };
   return evicted;
--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -101,7 +101,11 @@
         PerformAnnouncer(actions);
       }
     } else if (const auto* note = std::get_if<FlowPointerNote>(&message)) {
-      OnFlowPointer(agent_, note->flow, note->owner, now);
+      std::vector<AgentAction> actions;
+      OnFlowPointer(agent_, note->flow, note->owner, now, actions);
+      PerformAgent(actions, nullptr, nullptr);
+    } else if (const auto* answer = std::get_if<FlowPointerAck>(&message)) {
+      OnPointerAck(agent_, answer->flow, answer->home);
     }
   }
 
@@ -131,7 +135,7 @@
                                      .weight_percent = it.weight_percent,
                                      .joined = StartOf(it.incarnation)});
     }
-    agent_.mean_connections = view.mean_connections;
+    SetMeanConnections(agent_, view.mean_connections);
     std::vector<AgentAction> actions;
     SetServiceView(agent_, std::move(candidates), MonotonicNow(), actions);
     PerformAgent(actions, nullptr, nullptr);
@@ -171,6 +175,10 @@
           channel_.Send(action.to, FlowPointerNote{.flow = action.flow,
                                                    .owner = action.owner});
           break;
+        case AgentAction::Kind::kPointerAck:
+          channel_.Send(action.to, FlowPointerAck{.flow = action.flow,
+                                                  .home = settings_.peer});
+          break;
         case AgentAction::Kind::kProbe:
           Probe(action.flow);
           break;
--- a/src/transport/balancer_daemon.cc
+++ b/src/transport/balancer_daemon.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds kTickInterval{100};
 /// Time that a leaving balancer goes on forwarding what the fabric still sends.
 constexpr std::chrono::milliseconds kLeaveTime{2000};
+/// Time for which a flow of an agent that is gone may still send packets.
+constexpr std::chrono::minutes kDepartureMemory{10};
 
 auto MakeMembershipOptions(const Settings& settings) -> MembershipOptions {
   return MembershipOptions{
@@ -134,6 +136,7 @@
   auto RebuildTable() -> void {
     auto table = std::make_shared<RoutingTable>();
     table->generation = configuration_.generation;
+    table->departed_agents = NoteDepartures();
     for (const auto& service : configuration_.services) {
       RoutedService routed{.id = service.id, .transport = service.transport};
       for (const auto& it : RoutableTargets(membership_, service.id)) {
@@ -144,14 +147,29 @@
                       .weight_percent = it.load.weight_percent,
                       .joined = joined});
         table->live_agents.emplace(it.agent, joined);
+        table->departed_agents.erase(it.agent);
       }
       table->services.emplace(ServiceAddress{.address = service.address,
                                              .transport = service.transport},
                               std::move(routed));
     }
+    table_ = table;
     workers_.SetTable(std::move(table));
   }
 
+  // Agents that route in the present table and may not in the next.
+  auto NoteDepartures() const -> std::unordered_map<Endpoint, TimePoint> {
+    const TimePoint now = MonotonicNow();
+    auto departed = table_->departed_agents;
+    std::erase_if(departed, [now](const auto& it) {
+      return now - it.second > kDepartureMemory;
+    });
+    for (const auto& [agent, joined] : table_->live_agents) {
+      departed.emplace(agent, now);
+    }
+    return departed;
+  }
+
   auto Tick() -> void {
     std::vector<MembershipAction> actions;
     OnMembershipTick(membership_, MonotonicNow(), random_, actions);
@@ -251,6 +269,8 @@
   Membership membership_;
   Configuration configuration_;
   PacketWorkers workers_;
+  std::shared_ptr<const RoutingTable> table_ =
+      std::make_shared<const RoutingTable>();
   ControlChannel channel_;
   asio::steady_timer timer_;
   asio::signal_set signals_;
