--- /dev/null
+++ b/src/transport/platform_client.h
@@ -0,0 +1,95 @@
+#ifndef HAWTHORNBANK_TRANSPORT_PLATFORM_CLIENT_H_
+#define HAWTHORNBANK_TRANSPORT_PLATFORM_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/types.h"
+
+/// @file
+/// Blocking client of the platform's object API, over HTTP.
+namespace hawthornbank::transport {
+
+/// An object of the platform.
+struct PlatformObject {
+  std::string kind;
+  std::string name;
+  std::uint64_t version = 0;  ///< Store-wide version of its last change.
+  std::string value;          ///< JSON text.
+};
+
+/// What a watch brought.
+struct WatchResult {
+  std::uint64_t version = 0;            ///< Where the next watch resumes.
+  bool gone = false;                    ///< Resuming is impossible: list again.
+  std::vector<PlatformObject> objects;  ///< Changed objects, oldest first.
+};
+
+/// How to reach the platform.
+struct PlatformClientOptions {
+  Endpoint address;
+  std::chrono::milliseconds timeout{2000};  ///< Of each step of a call.
+};
+
+/// Client of the object API. Safe for use by several threads: calls take
+/// turns on one connection, watches on another.
+class PlatformClient {
+ public:
+  /// @param options Address and timeout.
+  explicit PlatformClient(PlatformClientOptions options);
+  ~PlatformClient();
+  PlatformClient(const PlatformClient&) = delete;
+  auto operator=(const PlatformClient&) -> PlatformClient& = delete;
+
+  /// Reads an object.
+  /// @param kind Kind of the object.
+  /// @param name Name of the object.
+  /// @return The object, or nothing when it does not exist.
+  /// @throws Error kPlatformUnavailable when there is no answer.
+  auto Get(const std::string& kind, const std::string& name)
+      -> std::optional<PlatformObject>;
+
+  /// Reads all objects of a kind.
+  /// @param kind Kind of the objects.
+  /// @return The objects, in the order of their names.
+  /// @throws Error kPlatformUnavailable when there is no answer.
+  auto List(const std::string& kind) -> std::vector<PlatformObject>;
+
+  /// Writes an object if it still has the version given.
+  /// @param kind Kind of the object.
+  /// @param name Name of the object.
+  /// @param if_version Its present version; 0 creates it.
+  /// @param operation Identifies this write.
+  /// @param value JSON text, up to 1 MiB.
+  /// @return The new version.
+  /// @throws Error kConflict when the object has another version, kTooLarge,
+  ///     or kPlatformUnavailable, after which the outcome is unknown.
+  auto Put(const std::string& kind,
+           const std::string& name,
+           std::uint64_t if_version,
+           const std::string& operation,
+           const std::string& value) -> std::uint64_t;
+
+  /// Waits for changes of a kind.
+  /// @param kind Kind of the objects.
+  /// @param from Changes after this version count.
+  /// @param timeout How long the platform holds the call.
+  /// @return The changes; none after the timeout.
+  /// @throws Error kPlatformUnavailable when there is no answer.
+  auto Watch(const std::string& kind,
+             std::uint64_t from,
+             std::chrono::milliseconds timeout) -> WatchResult;
+
+ private:
+  struct Connections;
+  PlatformClientOptions options_;
+  std::unique_ptr<Connections> connections_;
+};
+
+}  // namespace hawthornbank::transport
+
+#endif  // HAWTHORNBANK_TRANSPORT_PLATFORM_CLIENT_H_
