--- /dev/null
+++ b/src/protocol/configuration_diff.cc
@@ -0,0 +1,171 @@
+#include "protocol/configuration_diff.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <map>
+#include <set>
+
+namespace hawthornbank {
+namespace {
+
+using Changes = std::vector<ConfigurationChange>;
+
+auto JoinZones(const std::vector<std::string>& zones) -> std::string {
+  std::string text;
+  for (const auto& it : zones) {
+    text += (text.empty() ? "" : ",") + it;
+  }
+  return text;
+}
+
+auto DiffFields(const Service* before, const Service* after, Changes& changes)
+    -> void {
+  const Service& named = after != nullptr ? *after : *before;
+  const auto old_fields =
+      before != nullptr ? ListFields(*before) : std::vector<ServiceField>{};
+  const auto new_fields =
+      after != nullptr ? ListFields(*after) : std::vector<ServiceField>{};
+  const auto& fields = after != nullptr ? new_fields : old_fields;
+  for (std::size_t n = 0; n < fields.size(); ++n) {
+    const std::string from = before != nullptr ? old_fields[n].value : "";
+    const std::string to = after != nullptr ? new_fields[n].value : "";
+    if (from != to) {
+      changes.push_back(ConfigurationChange{.subject = "service " + named.name,
+                                            .field = fields[n].name,
+                                            .before = from,
+                                            .after = to});
+    }
+  }
+}
+
+auto DiffServices(const Configuration& before,
+                  const Configuration& after,
+                  Changes& changes) -> void {
+  for (const auto& it : before.services) {
+    DiffFields(&it, FindService(after, it.name), changes);
+  }
+  for (const auto& it : after.services) {
+    if (FindService(before, it.name) == nullptr) {
+      DiffFields(nullptr, &it, changes);
+    }
+  }
+}
+
+/// Demand by subject and field, each sorted.
+using DemandText = std::map<std::pair<std::string, std::string>, std::string>;
+
+auto DescribeDemand(const Configuration& configuration) -> DemandText {
+  std::map<ServiceId, std::string> names;
+  for (const auto& it : configuration.services) {
+    names[it.id] = it.name;
+  }
+  DemandText text;
+  for (const auto& it : configuration.demand) {
+    const std::string field = "demand " + it.day + " " + FormatTime(it.start);
+    text[{"service " + names[it.service], field}] =
+        FormatRate(it.requests_per_second);
+  }
+  return text;
+}
+
+auto DiffDemand(const Configuration& before,
+                const Configuration& after,
+                Changes& changes) -> void {
+  const DemandText old_text = DescribeDemand(before);
+  const DemandText new_text = DescribeDemand(after);
+  DemandText keys = old_text;
+  keys.insert(new_text.begin(), new_text.end());
+  for (const auto& [key, unused] : keys) {
+    const auto from = old_text.find(key);
+    const auto to = new_text.find(key);
+    ConfigurationChange change{
+        .subject = key.first,
+        .field = key.second,
+        .before = from == old_text.end() ? "" : from->second,
+        .after = to == new_text.end() ? "" : to->second};
+    if (change.before != change.after) {
+      changes.push_back(std::move(change));
+    }
+  }
+}
+
+/// The lists of processes that are told to leave.
+auto DiffLeaving(const std::vector<std::string>& before,
+                 const std::vector<std::string>& after,
+                 const ConfigurationChange& words,
+                 Changes& changes) -> void {
+  const std::set<std::string> old_names(before.begin(), before.end());
+  const std::set<std::string> new_names(after.begin(), after.end());
+  std::set<std::string> names = old_names;
+  names.insert(new_names.begin(), new_names.end());
+  for (const auto& it : names) {
+    const bool was = old_names.contains(it);
+    const bool is = new_names.contains(it);
+    if (was != is) {
+      changes.push_back(
+          ConfigurationChange{.subject = words.subject + it,
+                              .field = words.field,
+                              .before = was ? words.after : words.before,
+                              .after = is ? words.after : words.before});
+    }
+  }
+}
+
+}  // namespace
+
+auto ListFields(const Service& service) -> std::vector<ServiceField> {
+  return {
+      {"transport", service.transport == Transport::kTcp ? "tcp" : "udp"},
+      {"address", ToString(service.address)},
+      {"zones", JoinZones(service.zones)},
+      {"slots", std::to_string(service.slots)},
+      {"connections", std::to_string(service.max_connections)},
+      {"targets", std::to_string(service.target_count)},
+      {"weight", std::to_string(service.weight)},
+      {"counts_double", service.non_idempotent_counts_double ? "yes" : "no"},
+      {"drain_limit_s", std::to_string(service.drain_limit.count())},
+  };
+}
+
+auto DiffConfigurations(const Configuration& before, const Configuration& after)
+    -> std::vector<ConfigurationChange> {
+  Changes changes;
+  DiffServices(before, after, changes);
+  DiffDemand(before, after, changes);
+  DiffLeaving(before.draining, after.draining,
+              {"target ", "state", "serving", "draining"}, changes);
+  DiffLeaving(before.stopping, after.stopping,
+              {"balancer ", "state", "serving", "stopping"}, changes);
+  return changes;
+}
+
+auto ToText(const ConfigurationChange& change) -> std::string {
+  const std::string place = change.subject + ": " + change.field + " ";
+  if (change.before.empty()) {
+    return "+ " + place + change.after;
+  }
+  if (change.after.empty()) {
+    return "- " + place + change.before;
+  }
+  return "~ " + place + change.before + " -> " + change.after;
+}
+
+auto FormatTime(std::chrono::minutes time) -> std::string {
+  constexpr std::int64_t kMinutesPerHour = 60;
+  constexpr std::int64_t kTwoDigits = 10;
+  const auto pad = [](std::int64_t n) {
+    return (n < kTwoDigits ? "0" : "") + std::to_string(n);
+  };
+  return pad(time.count() / kMinutesPerHour) + ":" +
+         pad(time.count() % kMinutesPerHour);
+}
+
+auto FormatRate(double rate) -> std::string {
+  std::array<char, 64> buf = {};
+  const auto [end, ec] =
+      std::to_chars(buf.data(), buf.data() + buf.size(), rate);
+  return ec == std::errc() ? std::string(buf.data(), end) : "?";
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/protocol/status_json.cc
@@ -0,0 +1,76 @@
+#include "protocol/status_json.h"
+
+#include <nlohmann/json.hpp>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank {
+namespace {
+
+using nlohmann::json;
+
+auto TargetFromJson(const json& value) -> TargetStatus {
+  return TargetStatus{
+      .name = value.at("name").get<std::string>(),
+      .service = value.at("service").get<std::string>(),
+      .state = value.at("state").get<std::string>(),
+      .connections = value.at("connections").get<std::uint64_t>(),
+      .slots_busy = value.at("slots_busy").get<std::uint64_t>(),
+  };
+}
+
+}  // namespace
+
+auto EncodeStatus(const ProcessStatus& status) -> std::string {
+  json targets = json::array();
+  for (const auto& it : status.targets) {
+    targets.push_back(json{{"name", it.name},
+                           {"service", it.service},
+                           {"state", it.state},
+                           {"connections", it.connections},
+                           {"slots_busy", it.slots_busy}});
+  }
+  json balancers = json::array();
+  for (const auto& it : status.balancers) {
+    balancers.push_back(
+        json{{"name", it.name}, {"generation", ToInteger(it.generation)}});
+  }
+  return json{{"role", status.role},
+              {"name", status.name},
+              {"zone", status.zone},
+              {"generation", ToInteger(status.generation)},
+              {"confirmed", status.confirmed},
+              {"targets", targets},
+              {"balancers", balancers},
+              {"counters", status.counters}}
+      .dump();
+}
+
+auto DecodeStatus(const std::string& text) -> ProcessStatus {
+  try {
+    const auto value = json::parse(text);
+    ProcessStatus status{
+        .role = value.at("role").get<std::string>(),
+        .name = value.at("name").get<std::string>(),
+        .zone = value.at("zone").get<std::string>(),
+        .generation = Generation{value.at("generation").get<std::uint64_t>()},
+        .confirmed = value.at("confirmed").get<bool>(),
+        .counters =
+            value.at("counters").get<std::map<std::string, std::uint64_t>>(),
+    };
+    for (const auto& it : value.at("targets")) {
+      status.targets.push_back(TargetFromJson(it));
+    }
+    for (const auto& it : value.at("balancers")) {
+      status.balancers.push_back(BalancerStatus{
+          .name = it.at("name").get<std::string>(),
+          .generation = Generation{it.at("generation").get<std::uint64_t>()},
+      });
+    }
+    return status;
+  } catch (const json::exception& error) {
+    throw Error(ErrorKind::kMalformed, std::string("status: ") + error.what());
+  }
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/protocol/status_json.h
@@ -0,0 +1,55 @@
+#ifndef HAWTHORNBANK_SRC_PROTOCOL_STATUS_JSON_H_
+#define HAWTHORNBANK_SRC_PROTOCOL_STATUS_JSON_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/types.h"
+
+/// @file
+/// What a process answers to GET /status, for operators and their tool.
+namespace hawthornbank {
+
+/// A target as a process knows it.
+struct TargetStatus {
+  std::string name;
+  std::string service;
+  std::string state;  ///< "serving", "suspect", "draining" or the like.
+  std::uint64_t connections = 0;
+  std::uint64_t slots_busy = 0;
+};
+
+/// A balancer as a process knows it.
+struct BalancerStatus {
+  std::string name;
+  Generation generation{};  ///< In force there, as far as known here.
+};
+
+/// State of one process and its view of the others.
+struct ProcessStatus {
+  std::string role;
+  std::string name;
+  std::string zone;
+  Generation generation{};  ///< In force here.
+  bool confirmed = false;   ///< The platform has confirmed it.
+  std::vector<TargetStatus> targets;
+  std::vector<BalancerStatus> balancers;  ///< Including this one.
+  std::map<std::string, std::uint64_t> counters;
+};
+
+/// Encodes a status.
+/// @param status What to encode.
+/// @return JSON text.
+auto EncodeStatus(const ProcessStatus& status) -> std::string;
+
+/// Decodes a status.
+/// @param text JSON text.
+/// @return The status.
+/// @throws Error kMalformed when a field is missing or has a wrong type.
+auto DecodeStatus(const std::string& text) -> ProcessStatus;
+
+}  // namespace hawthornbank
+
+#endif  // HAWTHORNBANK_SRC_PROTOCOL_STATUS_JSON_H_
--- a/src/transport/settings.cc
+++ b/src/transport/settings.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "hawthornbank/error.h"
+#include "protocol/name.h"
 #include "protocol/near_match.h"
 #include "transport/ini_lines.h"
 #include "transport/settings_values.h"
--- a/src/transport/settings_values.cc
+++ b/src/transport/settings_values.cc
@@ -26,23 +26,6 @@
 
 }  // namespace
 
-auto ReadName(const std::string& text) -> std::string {
-  constexpr std::size_t kMaxNameLength = 63;
-  if (text.empty()) {
-    Refuse("is empty");
-  }
-  const bool allowed = std::all_of(text.begin(), text.end(), [](char c) {
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
-           c == '.' || c == '_';
-  });
-  if (!allowed || text.size() > kMaxNameLength) {
-    Refuse("'" + text +
-           "' is not a name: letters, digits, '.', '-' and '_', at most " +
-           std::to_string(kMaxNameLength));
-  }
-  return text;
-}
-
 auto ReadNumber(const std::string& text, const NumberRange& range)
     -> std::uint32_t {
   std::uint64_t value = 0;
--- a/src/transport/settings_values.h
+++ b/src/transport/settings_values.h
@@ -19,12 +19,6 @@
   std::string unit;
 };
 
-/// Reads the name of a host, zone, region or service.
-/// @param text Letters, digits, '.', '-' and '_'; at most 63.
-/// @return The name.
-/// @throws Error kInvalidSettings when it is not such a name.
-auto ReadName(const std::string& text) -> std::string;
-
 /// Reads a whole number.
 /// @param text Decimal digits without a unit.
 /// @param range The limits, both allowed.
