Add stand-ins of the fabric and of a target

The fabric wraps each datagram of a caller in a whole IPv4 packet and sends it to a balancer chosen at random per packet; the target is a CoAP server with slots, boards and uploads that remembers which request it ran how often.

--- /dev/null
+++ b/standins/fabric.cc
@@ -0,0 +1,386 @@
+/// @file
+/// Stand-in of the network fabric: sprays each packet over the balancers.
+#include <tclap/CmdLine.h>
+
+#include <array>
+#include <asio.hpp>
+#include <chrono>
+#include <future>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/error.h"
+#include "hawthornbank/random.h"
+#include "hawthornbank/types.h"
+#include "ipv4.h"
+#include "stats_server.h"
+
+namespace hawthornbank::standins {
+namespace {
+
+using asio::ip::udp;
+using std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kHealthInterval{100};
+constexpr std::chrono::milliseconds kHealthTimeout{500};
+constexpr std::uint8_t kHealthProbe = 0x00;
+constexpr std::uint8_t kHealthReady = 'R';
+
+struct Options {
+  std::vector<Endpoint> services;
+  std::vector<Endpoint> balancers;
+  Endpoint return_address;
+  Endpoint stats;
+  std::uint64_t seed = 1;
+  double loss = 0;       ///< Share of packets dropped, either way.
+  double duplicate = 0;  ///< Share of packets sent twice, either way.
+  std::chrono::milliseconds delay{0};
+};
+
+using Buffer = std::array<std::uint8_t, kMaxIpv4Bytes>;
+
+/// A service's public address, bound by the fabric.
+struct ServicePort {
+  udp::socket socket;
+  Endpoint address;
+  udp::endpoint caller;
+  Buffer buffer{};
+};
+
+/// The path to one balancer. Its socket is connected, so that a refusal by the
+/// host is seen.
+struct BalancerPort {
+  udp::socket socket;
+  Endpoint address;
+  bool ready = false;
+  steady_clock::time_point last_answer;
+  std::uint64_t packets = 0;
+  std::uint64_t refused = 0;
+  Buffer buffer{};
+};
+
+struct Counters {
+  std::uint64_t from_callers = 0;
+  std::uint64_t to_callers = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t duplicated = 0;
+  std::uint64_t no_balancer = 0;
+  std::uint64_t unreachable = 0;
+  std::uint64_t other = 0;
+  std::uint64_t malformed = 0;
+  std::uint64_t unknown_service = 0;
+};
+
+struct Fabric {
+  Options options;
+  asio::io_context io;
+  Random random;
+  std::vector<std::unique_ptr<ServicePort>> services;
+  std::vector<std::unique_ptr<BalancerPort>> balancers;
+  udp::socket return_socket{io};
+  Buffer return_buffer{};
+  asio::steady_timer health_timer{io};
+  Counters counters;
+  std::map<Endpoint, std::uint64_t> unreachable_by_caller;
+};
+
+using Packet = std::shared_ptr<const std::vector<std::uint8_t>>;
+
+auto ToAsio(Endpoint endpoint) -> udp::endpoint {
+  return {asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+auto FromAsio(const udp::endpoint& endpoint) -> Endpoint {
+  return {.address = endpoint.address().to_v4().to_uint(),
+          .port = endpoint.port()};
+}
+
+auto MarkDown(BalancerPort& balancer) -> void {
+  balancer.ready = false;
+  ++balancer.refused;
+}
+
+/// Applies loss, duplication and delay to one packet.
+template <class Send>
+auto Carry(Fabric& fabric, Send send) -> void {
+  const bool lost = NextFraction(fabric.random) < fabric.options.loss;
+  const bool twice = NextFraction(fabric.random) < fabric.options.duplicate;
+  if (lost) {
+    ++fabric.counters.lost;
+    return;
+  }
+  fabric.counters.duplicated += twice ? 1 : 0;
+  for (int n = 0; n < (twice ? 2 : 1); ++n) {
+    if (fabric.options.delay.count() == 0) {
+      send();
+      continue;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(fabric.io);
+    timer->expires_after(fabric.options.delay);
+    timer->async_wait([timer, send](std::error_code) { send(); });
+  }
+}
+
+/// Sends a packet to a balancer chosen at random among those that are ready.
+auto Spray(Fabric& fabric, const Packet& packet) -> void {
+  std::vector<BalancerPort*> ready;
+  for (const auto& it : fabric.balancers) {
+    if (it->ready) {
+      ready.push_back(it.get());
+    }
+  }
+  if (ready.empty()) {
+    ++fabric.counters.no_balancer;
+    return;
+  }
+  auto& chosen =
+      *ready[fabric.random(static_cast<std::uint32_t>(ready.size()))];
+  std::error_code ec;
+  chosen.socket.send(asio::buffer(*packet), 0, ec);
+  ++chosen.packets;
+  if (ec) {
+    MarkDown(chosen);
+  }
+}
+
+auto ReceiveFromCallers(Fabric& fabric, ServicePort& service) -> void {
+  service.socket.async_receive_from(
+      asio::buffer(service.buffer), service.caller,
+      [&fabric, &service](std::error_code ec, std::size_t n) {
+        if (ec == asio::error::operation_aborted) {
+          return;
+        }
+        if (!ec) {
+          ++fabric.counters.from_callers;
+          const auto packet = std::make_shared<const std::vector<std::uint8_t>>(
+              BuildUdpPacket(FromAsio(service.caller), service.address,
+                             std::span(service.buffer).first(n)));
+          Carry(fabric, [&fabric, packet] { Spray(fabric, packet); });
+        }
+        ReceiveFromCallers(fabric, service);
+      });
+}
+
+auto ReceiveHealth(BalancerPort& balancer) -> void {
+  balancer.socket.async_receive(asio::buffer(balancer.buffer),
+                                [&balancer](std::error_code ec, std::size_t n) {
+                                  if (ec == asio::error::operation_aborted) {
+                                    return;
+                                  }
+                                  if (ec) {
+                                    MarkDown(balancer);
+                                  } else if (n == 1) {
+                                    balancer.ready =
+                                        balancer.buffer[0] == kHealthReady;
+                                    balancer.last_answer = steady_clock::now();
+                                  }
+                                  ReceiveHealth(balancer);
+                                });
+}
+
+auto ProbeHealth(Fabric& fabric) -> void {
+  const auto now = steady_clock::now();
+  for (const auto& it : fabric.balancers) {
+    if (now - it->last_answer > kHealthTimeout) {
+      it->ready = false;
+    }
+    std::error_code ec;
+    it->socket.send(asio::buffer(&kHealthProbe, 1), 0, ec);
+    if (ec) {
+      MarkDown(*it);
+    }
+  }
+  fabric.health_timer.expires_after(kHealthInterval);
+  fabric.health_timer.async_wait([&fabric](std::error_code ec) {
+    if (!ec) {
+      ProbeHealth(fabric);
+    }
+  });
+}
+
+auto FindServicePort(Fabric& fabric, Endpoint address) -> ServicePort* {
+  for (const auto& it : fabric.services) {
+    if (it->address == address) {
+      return it.get();
+    }
+  }
+  return nullptr;
+}
+
+/// Delivers a datagram from the service's own address.
+auto DeliverToCaller(Fabric& fabric, const ParsedPacket& parsed) -> void {
+  auto* const service = FindServicePort(fabric, parsed.service);
+  if (service == nullptr) {
+    ++fabric.counters.unknown_service;
+    return;
+  }
+  ++fabric.counters.to_callers;
+  const auto datagram = std::make_shared<const std::vector<std::uint8_t>>(
+      parsed.payload.begin(), parsed.payload.end());
+  const auto caller = ToAsio(parsed.caller);
+  Carry(fabric, [service, datagram, caller] {
+    std::error_code ec;
+    service->socket.send_to(asio::buffer(*datagram), caller, 0, ec);
+  });
+}
+
+auto HandleReturn(Fabric& fabric, std::span<const std::uint8_t> packet)
+    -> void {
+  const auto parsed = ParsePacket(packet);
+  switch (parsed.kind) {
+    case PacketKind::kUdp:
+      DeliverToCaller(fabric, parsed);
+      break;
+    case PacketKind::kUnreachable:
+      ++fabric.counters.unreachable;
+      ++fabric.unreachable_by_caller[parsed.caller];
+      break;
+    case PacketKind::kOther:
+      ++fabric.counters.other;
+      break;
+    case PacketKind::kMalformed:
+      ++fabric.counters.malformed;
+      break;
+  }
+}
+
+auto ReceiveReturns(Fabric& fabric) -> void {
+  fabric.return_socket.async_receive(
+      asio::buffer(fabric.return_buffer),
+      [&fabric](std::error_code ec, std::size_t n) {
+        if (ec == asio::error::operation_aborted) {
+          return;
+        }
+        if (!ec) {
+          HandleReturn(fabric, std::span(fabric.return_buffer).first(n));
+        }
+        ReceiveReturns(fabric);
+      });
+}
+
+auto Render(const Fabric& fabric) -> std::string {
+  using nlohmann::json;
+  const auto& counters = fabric.counters;
+  json balancers = json::array();
+  for (const auto& it : fabric.balancers) {
+    balancers.push_back({{"address", ToString(it->address)},
+                         {"ready", it->ready},
+                         {"packets", it->packets},
+                         {"refused", it->refused}});
+  }
+  json unreachable = json::object();
+  for (const auto& [caller, n] : fabric.unreachable_by_caller) {
+    unreachable[ToString(caller)] = n;
+  }
+  return json{{"from_callers", counters.from_callers},
+              {"to_callers", counters.to_callers},
+              {"lost", counters.lost},
+              {"duplicated", counters.duplicated},
+              {"no_balancer", counters.no_balancer},
+              {"unreachable", counters.unreachable},
+              {"other", counters.other},
+              {"malformed", counters.malformed},
+              {"unknown_service", counters.unknown_service},
+              {"balancers", balancers},
+              {"unreachable_by_caller", unreachable}}
+      .dump();
+}
+
+auto Open(Fabric& fabric) -> void {
+  for (const auto& address : fabric.options.services) {
+    fabric.services.push_back(std::make_unique<ServicePort>(
+        ServicePort{.socket = udp::socket(fabric.io, ToAsio(address)),
+                    .address = address}));
+    ReceiveFromCallers(fabric, *fabric.services.back());
+  }
+  for (const auto& address : fabric.options.balancers) {
+    fabric.balancers.push_back(std::make_unique<BalancerPort>(BalancerPort{
+        .socket = udp::socket(fabric.io, udp::v4()), .address = address}));
+    fabric.balancers.back()->socket.connect(ToAsio(address));
+    ReceiveHealth(*fabric.balancers.back());
+  }
+  fabric.return_socket.open(udp::v4());
+  fabric.return_socket.bind(ToAsio(fabric.options.return_address));
+  ReceiveReturns(fabric);
+  ProbeHealth(fabric);
+}
+
+/// Runs until a signal asks to stop.
+auto Run(const Options& options) -> void {
+  Fabric fabric{.options = options, .random = Random(options.seed)};
+  Open(fabric);
+  asio::signal_set signals(fabric.io, SIGINT, SIGTERM);
+  signals.async_wait([&fabric](std::error_code, int) { fabric.io.stop(); });
+  const StatsServer stats(options.stats, [&fabric] {
+    // The I/O thread renders, so that the counters need no lock.
+    auto task = std::make_shared<std::packaged_task<std::string()>>(
+        [&fabric] { return Render(fabric); });
+    auto text = task->get_future();
+    asio::post(fabric.io, [task] { (*task)(); });
+    constexpr std::chrono::seconds kRenderTimeout{1};
+    return text.wait_for(kRenderTimeout) == std::future_status::ready
+               ? text.get()
+               : std::string("{}");
+  });
+  fabric.io.run();
+}
+
+auto ParseEndpoints(const std::vector<std::string>& texts)
+    -> std::vector<Endpoint> {
+  std::vector<Endpoint> endpoints;
+  for (const auto& it : texts) {
+    endpoints.push_back(ParseEndpoint(it));
+  }
+  return endpoints;
+}
+
+auto ParseOptions(int argc, char** argv) -> Options {
+  const std::string kAddress = "127.0.0.1:PORT";
+  TCLAP::CmdLine line("Stand-in of the network fabric");
+  TCLAP::MultiArg<std::string> services(
+      "", "service", "public address of a service", true, kAddress, line);
+  TCLAP::MultiArg<std::string> balancers(
+      "", "balancer", "packet port of a balancer", true, kAddress, line);
+  TCLAP::ValueArg<std::string> back("", "return", "where agents send replies",
+                                    true, "", kAddress, line);
+  TCLAP::ValueArg<std::string> stats("", "stats", "where counters are served",
+                                     true, "", kAddress, line);
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of every choice", false,
+                                      1, "N", line);
+  TCLAP::ValueArg<double> loss("", "loss", "share of packets dropped", false, 0,
+                               "0..1", line);
+  TCLAP::ValueArg<double> duplicate(
+      "", "duplicate", "share of packets sent twice", false, 0, "0..1", line);
+  TCLAP::ValueArg<int> delay("", "delay-ms", "one-way delay", false, 0, "ms",
+                             line);
+  line.parse(argc, argv);
+  return Options{.services = ParseEndpoints(services.getValue()),
+                 .balancers = ParseEndpoints(balancers.getValue()),
+                 .return_address = ParseEndpoint(back.getValue()),
+                 .stats = ParseEndpoint(stats.getValue()),
+                 .seed = seed.getValue(),
+                 .loss = loss.getValue(),
+                 .duplicate = duplicate.getValue(),
+                 .delay = std::chrono::milliseconds(delay.getValue())};
+}
+
+}  // namespace
+}  // namespace hawthornbank::standins
+
+auto main(int argc, char** argv) -> int {
+  try {
+    hawthornbank::standins::Run(
+        hawthornbank::standins::ParseOptions(argc, argv));
+    return 0;
+  } catch (const hawthornbank::Error& error) {
+    std::cerr << "standin_fabric: " << error.what() << '\n';
+    return hawthornbank::AnswerFor(error.kind()).exit_code;
+  } catch (const std::exception& error) {
+    std::cerr << "standin_fabric: " << error.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/standins/target.cc
@@ -0,0 +1,369 @@
+/// @file
+/// Stand-in of a target: a CoAP server with slots, boards and uploads.
+#include <coap3/coap.h>
+#include <tclap/CmdLine.h>
+#include <xxhash.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hawthornbank/error.h"
+#include "hawthornbank/types.h"
+#include "stats_server.h"
+
+namespace hawthornbank::standins {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kNotificationInterval{500};
+constexpr milliseconds kPollInterval{5};
+
+struct Options {
+  Endpoint listen;
+  Endpoint stats;
+  std::string name;
+  std::string kind;  ///< Name of the service it belongs to.
+  std::uint32_t slots = 3;
+  milliseconds service_time{20};
+};
+
+/// A non-idempotent request that waits for a slot or runs.
+struct Work {
+  coap_session_t* session = nullptr;
+  std::vector<std::uint8_t> token;
+  std::string request_id;
+  steady_clock::time_point end;  ///< Meaningful while it runs.
+};
+
+/// Guarded by Target::mutex: the statistics thread reads it.
+struct Counters {
+  std::map<std::string, std::uint64_t> runs;  ///< By request identity.
+  std::uint64_t runs_total = 0;
+  std::uint64_t uploads = 0;
+  std::uint64_t upload_bytes = 0;
+  std::uint64_t board_reads = 0;
+  std::uint64_t wrong_service = 0;
+  std::uint64_t max_waiting = 0;
+  std::uint64_t busy = 0;
+};
+
+struct Target {
+  Options options;
+  std::deque<Work> waiting;
+  std::vector<Work> running;
+  std::uint64_t notification = 0;
+  steady_clock::time_point next_notification;
+  std::mutex mutex;
+  Counters counters;
+};
+
+/// Name and value of one "name=value" query.
+auto FindQuery(const coap_string_t* query, std::string_view name)
+    -> std::string {
+  if (query == nullptr) {
+    return {};
+  }
+  std::string_view rest(reinterpret_cast<const char*>(query->s), query->length);
+  while (!rest.empty()) {
+    const auto end = rest.find('&');
+    const auto item = rest.substr(0, end);
+    if (item.starts_with(name) && item.substr(name.size()).starts_with('=')) {
+      return std::string(item.substr(name.size() + 1));
+    }
+    rest = end == std::string_view::npos ? "" : rest.substr(end + 1);
+  }
+  return {};
+}
+
+auto TargetOf(coap_session_t* session) -> Target& {
+  return *static_cast<Target*>(
+      coap_get_app_data(coap_session_get_context(session)));
+}
+
+/// @return Whether the request was meant for this service, counting if not.
+auto CheckKind(Target& target, const coap_string_t* query) -> bool {
+  const auto kind = FindQuery(query, "kind");
+  if (kind.empty() || kind == target.options.kind) {
+    return true;
+  }
+  const std::lock_guard lock(target.mutex);
+  ++target.counters.wrong_service;
+  return false;
+}
+
+auto AddText(coap_pdu_t* pdu, const std::string& text) -> void {
+  coap_add_data(pdu, text.size(),
+                reinterpret_cast<const std::uint8_t*>(text.data()));
+}
+
+/// Answers a request that has run, as a separate response.
+auto Finish(const Target& target, const Work& work) -> void {
+  auto* const pdu = coap_pdu_init(COAP_MESSAGE_CON, COAP_RESPONSE_CODE_CHANGED,
+                                  coap_new_message_id(work.session),
+                                  coap_session_max_pdu_size(work.session));
+  if (pdu != nullptr) {
+    coap_add_token(pdu, work.token.size(), work.token.data());
+    AddText(pdu, target.options.name + " " + work.request_id);
+    coap_send(work.session, pdu);
+  }
+  coap_session_release(work.session);
+}
+
+/// Starts waiting work while slots are free, and ends what is due.
+auto AdvanceWork(Target& target) -> void {
+  const auto now = steady_clock::now();
+  std::vector<Work> still_running;
+  for (auto& it : target.running) {
+    if (it.end <= now) {
+      Finish(target, it);
+    } else {
+      still_running.push_back(std::move(it));
+    }
+  }
+  target.running = std::move(still_running);
+  while (!target.waiting.empty() &&
+         target.running.size() < target.options.slots) {
+    auto work = std::move(target.waiting.front());
+    target.waiting.pop_front();
+    work.end = now + target.options.service_time;
+    const std::lock_guard lock(target.mutex);
+    ++target.counters.runs[work.request_id];
+    ++target.counters.runs_total;
+    target.running.push_back(std::move(work));
+  }
+  const std::lock_guard lock(target.mutex);
+  target.counters.busy = target.running.size();
+  target.counters.max_waiting = std::max<std::uint64_t>(
+      target.counters.max_waiting, target.waiting.size());
+}
+
+/// @return Whether the same message of the same flow is already in hand.
+auto InHand(const Target& target, const Work& work) -> bool {
+  const auto same = [&work](const Work& it) {
+    return it.session == work.session && it.token == work.token;
+  };
+  return std::any_of(target.waiting.begin(), target.waiting.end(), same) ||
+         std::any_of(target.running.begin(), target.running.end(), same);
+}
+
+auto HandleWork(coap_resource_t* /*resource*/,
+                coap_session_t* session,
+                const coap_pdu_t* request,
+                const coap_string_t* query,
+                coap_pdu_t* response) -> void {
+  auto& target = TargetOf(session);
+  const auto token = coap_pdu_get_token(request);
+  Work work{.session = session,
+            .token = {token.s, token.s + token.length},
+            .request_id = FindQuery(query, "rid")};
+  if (!CheckKind(target, query)) {
+    coap_pdu_set_code(response, COAP_RESPONSE_CODE_FORBIDDEN);
+    return;
+  }
+  // A response without a code makes libcoap send an empty acknowledgement.
+  if (!InHand(target, work)) {
+    coap_session_reference(session);
+    target.waiting.push_back(std::move(work));
+    AdvanceWork(target);
+  }
+}
+
+auto HandleBoard(coap_resource_t* /*resource*/,
+                 coap_session_t* session,
+                 const coap_pdu_t* /*request*/,
+                 const coap_string_t* query,
+                 coap_pdu_t* response) -> void {
+  auto& target = TargetOf(session);
+  if (!CheckKind(target, query)) {
+    coap_pdu_set_code(response, COAP_RESPONSE_CODE_FORBIDDEN);
+    return;
+  }
+  {
+    const std::lock_guard lock(target.mutex);
+    ++target.counters.board_reads;
+  }
+  coap_pdu_set_code(response, COAP_RESPONSE_CODE_CONTENT);
+  AddText(response, target.options.kind + " " + target.options.name + " " +
+                        std::to_string(target.notification));
+}
+
+auto HandleUpload(coap_resource_t* /*resource*/,
+                  coap_session_t* session,
+                  const coap_pdu_t* request,
+                  const coap_string_t* query,
+                  coap_pdu_t* response) -> void {
+  auto& target = TargetOf(session);
+  if (!CheckKind(target, query)) {
+    coap_pdu_set_code(response, COAP_RESPONSE_CODE_FORBIDDEN);
+    return;
+  }
+  std::size_t length = 0;
+  std::size_t offset = 0;
+  std::size_t total = 0;
+  const std::uint8_t* data = nullptr;
+  coap_get_data_large(request, &length, &data, &offset, &total);
+  {
+    const std::lock_guard lock(target.mutex);
+    ++target.counters.uploads;
+    target.counters.upload_bytes += length;
+  }
+  coap_pdu_set_code(response, COAP_RESPONSE_CODE_CHANGED);
+  AddText(response, std::to_string(length) + " " +
+                        std::to_string(XXH3_64bits(data, length)));
+}
+
+auto HandleHealth(coap_resource_t* /*resource*/,
+                  coap_session_t* session,
+                  const coap_pdu_t* /*request*/,
+                  const coap_string_t* /*query*/,
+                  coap_pdu_t* response) -> void {
+  const auto& target = TargetOf(session);
+  coap_pdu_set_code(response, COAP_RESPONSE_CODE_CONTENT);
+  AddText(response, "ok " + std::to_string(target.running.size()) + "/" +
+                        std::to_string(target.options.slots));
+}
+
+auto AddResource(coap_context_t* context,
+                 const char* path,
+                 coap_request_t method,
+                 coap_method_handler_t handler) -> coap_resource_t* {
+  auto* const resource = coap_resource_init(coap_make_str_const(path), 0);
+  coap_register_request_handler(resource, method, handler);
+  coap_add_resource(context, resource);
+  return resource;
+}
+
+auto Listen(coap_context_t* context, Endpoint listen) -> void {
+  coap_address_t address;
+  coap_address_init(&address);
+  address.size = sizeof(address.addr.sin);
+  address.addr.sin.sin_family = AF_INET;
+  address.addr.sin.sin_addr.s_addr = htonl(listen.address);
+  address.addr.sin.sin_port = htons(listen.port);
+  if (coap_new_endpoint(context, &address, COAP_PROTO_UDP) == nullptr) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "can't listen on " + ToString(listen));
+  }
+}
+
+auto Render(Target& target) -> std::string {
+  const std::lock_guard lock(target.mutex);
+  const auto& counters = target.counters;
+  nlohmann::json doubled = nlohmann::json::object();
+  nlohmann::json request_ids = nlohmann::json::array();
+  for (const auto& [request_id, n] : counters.runs) {
+    request_ids.push_back(request_id);
+    if (n > 1 && !request_id.empty()) {
+      doubled[request_id] = n;
+    }
+  }
+  return nlohmann::json{{"name", target.options.name},
+                        {"kind", target.options.kind},
+                        {"runs", counters.runs_total},
+                        {"doubled", doubled},
+                        {"request_ids", request_ids},
+                        {"uploads", counters.uploads},
+                        {"upload_bytes", counters.upload_bytes},
+                        {"board_reads", counters.board_reads},
+                        {"wrong_service", counters.wrong_service},
+                        {"busy", counters.busy},
+                        {"max_waiting", counters.max_waiting}}
+      .dump();
+}
+
+std::atomic<bool> stop_requested = false;
+
+auto RequestStop(int /*signal*/) -> void {
+  stop_requested = true;
+}
+
+auto Run(const Options& options) -> void {
+  Target target{.options = options};
+  coap_startup();
+  const std::unique_ptr<coap_context_t, decltype(&coap_free_context)> context(
+      coap_new_context(nullptr), coap_free_context);
+  coap_set_app_data(context.get(), &target);
+  coap_context_set_block_mode(context.get(),
+                              COAP_BLOCK_USE_LIBCOAP | COAP_BLOCK_SINGLE_BODY);
+  Listen(context.get(), options.listen);
+  std::vector<coap_resource_t*> boards;
+  for (const auto* const path : {"board", "feed"}) {
+    boards.push_back(
+        AddResource(context.get(), path, COAP_REQUEST_GET, HandleBoard));
+    coap_resource_set_get_observable(boards.back(), 1);
+  }
+  AddResource(context.get(), "quote", COAP_REQUEST_POST, HandleWork);
+  AddResource(context.get(), "permit", COAP_REQUEST_POST, HandleWork);
+  AddResource(context.get(), "plan", COAP_REQUEST_PUT, HandleUpload);
+  AddResource(context.get(), "upload", COAP_REQUEST_PUT, HandleUpload);
+  AddResource(context.get(), "health", COAP_REQUEST_GET, HandleHealth);
+  const StatsServer stats(options.stats, [&target] { return Render(target); });
+  while (!stop_requested) {
+    coap_io_process(context.get(), kPollInterval.count());
+    AdvanceWork(target);
+    const auto now = steady_clock::now();
+    if (now < target.next_notification) {
+      continue;
+    }
+    target.next_notification = now + kNotificationInterval;
+    ++target.notification;
+    for (auto* const board : boards) {
+      coap_resource_notify_observers(board, nullptr);
+    }
+  }
+}
+
+auto ParseOptions(int argc, char** argv) -> Options {
+  const std::string kAddress = "127.0.0.1:PORT";
+  TCLAP::CmdLine line("Stand-in of a target");
+  TCLAP::ValueArg<std::string> listen("", "listen", "CoAP over UDP", true, "",
+                                      kAddress, line);
+  TCLAP::ValueArg<std::string> stats("", "stats", "where counters are served",
+                                     true, "", kAddress, line);
+  TCLAP::ValueArg<std::string> name("", "name", "name of the target", true, "",
+                                    "NAME", line);
+  TCLAP::ValueArg<std::string> kind("", "kind", "service it belongs to", true,
+                                    "", "SERVICE", line);
+  TCLAP::ValueArg<std::uint32_t> slots("", "slots", "requests run at once",
+                                       false, 3, "N", line);
+  TCLAP::ValueArg<int> service_time("", "service-ms", "time a request runs",
+                                    false, 20, "ms", line);
+  line.parse(argc, argv);
+  return Options{.listen = ParseEndpoint(listen.getValue()),
+                 .stats = ParseEndpoint(stats.getValue()),
+                 .name = name.getValue(),
+                 .kind = kind.getValue(),
+                 .slots = slots.getValue(),
+                 .service_time = milliseconds(service_time.getValue())};
+}
+
+}  // namespace
+}  // namespace hawthornbank::standins
+
+auto main(int argc, char** argv) -> int {
+  try {
+    std::signal(SIGTERM, hawthornbank::standins::RequestStop);
+    std::signal(SIGINT, hawthornbank::standins::RequestStop);
+    hawthornbank::standins::Run(
+        hawthornbank::standins::ParseOptions(argc, argv));
+    return 0;
+  } catch (const hawthornbank::Error& error) {
+    std::cerr << "standin_target: " << error.what() << '\n';
+    return hawthornbank::AnswerFor(error.kind()).exit_code;
+  } catch (const std::exception& error) {
+    std::cerr << "standin_target: " << error.what() << '\n';
+    return 1;
+  }
+}
