Add hawthornload, the callers of both workloads

Watches, non-idempotent requests and block-wise uploads over libcoap client sessions, each request followed to answered, refused, unknown or lost.

--- /dev/null
+++ b/apps/hawthornload/flow.cc
@@ -0,0 +1,174 @@
+#include "flow.h"
+
+#include <arpa/inet.h>
+
+#include <array>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank::load {
+namespace {
+
+// Shorter than the RFC's 2 s, so that packets lost with a balancer are sent
+// again well within a request's deadline.
+constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 0,
+                                            .fractional_part = 400};
+constexpr std::uint16_t kMaxRetransmit = 4;
+
+auto FindOption(const coap_pdu_t* pdu, coap_option_num_t number)
+    -> std::vector<std::uint8_t> {
+  coap_opt_iterator_t it;
+  const auto* const option = coap_check_option(pdu, number, &it);
+  if (option == nullptr) {
+    return {};
+  }
+  const auto* const value = coap_opt_value(option);
+  return {value, value + coap_opt_length(option)};
+}
+
+auto Decode(const coap_pdu_t* received) -> Reply {
+  const auto code = static_cast<unsigned>(coap_pdu_get_code(received));
+  const auto max_age = FindOption(received, COAP_OPTION_MAXAGE);
+  Reply reply{.code_class = static_cast<std::uint8_t>(code >> 5U),
+              .code_detail = static_cast<std::uint8_t>(code & 0x1FU),
+              .echo = FindOption(received, COAP_OPTION_ECHO),
+              .max_age = std::chrono::seconds(
+                  coap_decode_var_bytes8(max_age.data(), max_age.size()))};
+  std::size_t length = 0;
+  const std::uint8_t* data = nullptr;
+  if (coap_get_data(received, &length, &data) != 0) {
+    reply.payload.assign(data, data + length);
+  }
+  return reply;
+}
+
+auto OnResponse(coap_session_t* session,
+                const coap_pdu_t* /*sent*/,
+                const coap_pdu_t* received,
+                coap_mid_t /*mid*/) -> coap_response_t {
+  auto* const flow = static_cast<Flow*>(coap_session_get_app_data(session));
+  const auto token = coap_pdu_get_token(received);
+  const std::vector<std::uint8_t> bytes(token.s, token.s + token.length);
+  if (flow != nullptr && bytes == flow->token && flow->on_reply) {
+    flow->on_reply(Decode(received));
+  }
+  return COAP_RESPONSE_OK;
+}
+
+auto OnFailure(coap_session_t* session,
+               const coap_pdu_t* /*sent*/,
+               coap_nack_reason_t reason,
+               coap_mid_t /*mid*/) -> void {
+  auto* const flow = static_cast<Flow*>(coap_session_get_app_data(session));
+  if (flow != nullptr && !flow->token.empty() && flow->on_failure) {
+    flow->on_failure(reason == COAP_NACK_TOO_MANY_RETRIES
+                         ? FlowFailure::kNoAnswer
+                         : FlowFailure::kReset);
+  }
+}
+
+auto AddOption(coap_optlist_t** options,
+               std::uint16_t number,
+               std::size_t length,
+               const void* value) -> void {
+  coap_insert_optlist(
+      options, coap_new_optlist(number, length,
+                                static_cast<const std::uint8_t*>(value)));
+}
+
+auto AddOptions(coap_pdu_t* pdu, const Message& message) -> void {
+  coap_optlist_t* options = nullptr;
+  AddOption(&options, COAP_OPTION_URI_PATH, message.path.size(),
+            message.path.data());
+  for (const auto& it : message.queries) {
+    AddOption(&options, COAP_OPTION_URI_QUERY, it.size(), it.data());
+  }
+  if (message.observe) {
+    AddOption(&options, COAP_OPTION_OBSERVE, 0, nullptr);
+  }
+  if (!message.echo.empty()) {
+    AddOption(&options, COAP_OPTION_ECHO, message.echo.size(),
+              message.echo.data());
+  }
+  coap_add_optlist_pdu(pdu, &options);
+  coap_delete_optlist(options);
+}
+
+using Body = std::shared_ptr<const std::vector<std::uint8_t>>;
+
+auto ReleaseBody(coap_session_t* /*session*/, void* body) -> void {
+  delete static_cast<Body*>(body);
+}
+
+}  // namespace
+
+Flow::~Flow() {
+  coap_session_set_app_data(session, nullptr);
+  coap_session_release(session);
+}
+
+auto MakeContext() -> Context {
+  coap_startup();
+  Context context(coap_new_context(nullptr), coap_free_context);
+  if (!context) {
+    throw Error(ErrorKind::kInternal, "libcoap gave no context");
+  }
+  coap_context_set_block_mode(context.get(),
+                              COAP_BLOCK_USE_LIBCOAP | COAP_BLOCK_SINGLE_BODY);
+  coap_register_response_handler(context.get(), OnResponse);
+  coap_register_nack_handler(context.get(), OnFailure);
+  return context;
+}
+
+auto OpenFlow(coap_context_t* context, Endpoint server)
+    -> std::unique_ptr<Flow> {
+  coap_address_t address;
+  coap_address_init(&address);
+  address.size = sizeof(address.addr.sin);
+  address.addr.sin.sin_family = AF_INET;
+  address.addr.sin.sin_addr.s_addr = htonl(server.address);
+  address.addr.sin.sin_port = htons(server.port);
+  auto* const session =
+      coap_new_client_session(context, nullptr, &address, COAP_PROTO_UDP);
+  if (session == nullptr) {
+    throw Error(ErrorKind::kInternal,
+                "can't open a socket towards " + ToString(server));
+  }
+  coap_session_set_ack_timeout(session, kAckTimeout);
+  coap_session_set_max_retransmit(session, kMaxRetransmit);
+  auto flow = std::make_unique<Flow>();
+  flow->session = session;
+  coap_session_set_app_data(session, flow.get());
+  return flow;
+}
+
+auto Send(Flow& flow, const Message& message) -> void {
+  constexpr std::size_t kMaxTokenBytes = 8;
+  auto* const pdu =
+      coap_new_pdu(COAP_MESSAGE_CON, message.method, flow.session);
+  if (pdu == nullptr) {
+    throw Error(ErrorKind::kInternal, "libcoap gave no message");
+  }
+  std::array<std::uint8_t, kMaxTokenBytes> token{};
+  std::size_t length = token.size();
+  coap_session_new_token(flow.session, &length, token.data());
+  flow.token.assign(token.data(), token.data() + length);
+  ++flow.requests;
+  coap_add_token(pdu, length, token.data());
+  AddOptions(pdu, message);
+  if (message.body) {
+    coap_add_data_large_request(flow.session, pdu, message.body->size(),
+                                message.body->data(), ReleaseBody,
+                                new Body(message.body));
+  }
+  if (coap_send(flow.session, pdu) == COAP_INVALID_MID) {
+    throw Error(ErrorKind::kInternal, "libcoap refused to send");
+  }
+}
+
+auto CancelObserve(Flow& flow) -> void {
+  coap_binary_t token{.length = flow.token.size(), .s = flow.token.data()};
+  coap_cancel_observe(flow.session, &token, COAP_MESSAGE_NON);
+}
+
+}  // namespace hawthornbank::load
--- /dev/null
+++ b/apps/hawthornload/report.cc
@@ -0,0 +1,106 @@
+#include "report.h"
+
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+namespace hawthornbank::load {
+namespace {
+
+using nlohmann::json;
+
+constexpr double kMicrosecondsPerMillisecond = 1000;
+
+auto Milliseconds(std::chrono::microseconds value) -> double {
+  return static_cast<double>(value.count()) / kMicrosecondsPerMillisecond;
+}
+
+auto ToJson(const WatchCounters& counters) -> json {
+  return {{"opened", counters.opened},
+          {"broken", counters.broken},
+          {"refused", counters.refused},
+          {"notifications", counters.notifications},
+          {"gaps", counters.gaps},
+          {"moved", counters.moved},
+          {"wrong_service", counters.wrong_service}};
+}
+
+auto ToJson(const RequestCounters& counters) -> json {
+  const auto latency = Summarize(counters.latency);
+  return {{"started", counters.started},
+          {"answered", counters.answered},
+          {"refused", counters.refused},
+          {"unknown", counters.unknown},
+          {"lost", counters.lost},
+          {"crossed", counters.crossed},
+          {"retries", counters.retries},
+          {"echoes", counters.echoes},
+          {"codes", counters.codes},
+          {"answered_ids", counters.answered_ids},
+          {"refused_ids", counters.refused_ids},
+          {"latency_ms",
+           {{"median", Milliseconds(latency.median)},
+            {"p90", Milliseconds(latency.p90)},
+            {"p99", Milliseconds(latency.p99)},
+            {"max", Milliseconds(latency.max)}}}};
+}
+
+auto ToJson(const std::map<std::string, RequestCounters>& by_service) -> json {
+  json value = json::object();
+  for (const auto& [service, counters] : by_service) {
+    value[service] = ToJson(counters);
+  }
+  return value;
+}
+
+auto PrintRow(std::ostream& out,
+              const std::string& name,
+              const RequestCounters& counters) -> void {
+  constexpr int kNameWidth = 20;
+  constexpr int kWidth = 9;
+  const auto latency = Summarize(counters.latency);
+  out << std::left << std::setw(kNameWidth) << name << std::right;
+  for (const auto n :
+       {counters.started, counters.answered, counters.refused, counters.unknown,
+        counters.lost, counters.crossed, counters.retries, counters.echoes}) {
+    out << std::setw(kWidth) << n;
+  }
+  out << std::fixed << std::setprecision(1);
+  for (const auto value :
+       {latency.median, latency.p90, latency.p99, latency.max}) {
+    out << std::setw(kWidth) << Milliseconds(value);
+  }
+  out << '\n';
+}
+
+}  // namespace
+
+auto RenderReport(const Watches& watches, const Requests& requests)
+    -> std::string {
+  constexpr int kIndent = 1;
+  return json{{"watches", ToJson(watches.counters)},
+              {"requests", ToJson(requests.requests)},
+              {"uploads", ToJson(requests.uploads)}}
+      .dump(kIndent);
+}
+
+auto PrintSummary(std::ostream& out,
+                  const Watches& watches,
+                  const Requests& requests) -> void {
+  const auto& counters = watches.counters;
+  out << "watches: " << counters.opened << " opened, " << counters.broken
+      << " broken, " << counters.refused << " refused, "
+      << counters.notifications << " notifications, " << counters.gaps
+      << " missed, " << counters.moved << " moved, " << counters.wrong_service
+      << " from another service\n"
+      << "                      started answered  refused  unknown     lost  "
+         "crossed  retries   echoes   p50 ms   p90 ms   p99 ms   max ms\n";
+  for (const auto& [service, it] : requests.requests) {
+    PrintRow(out, service + " requests", it);
+  }
+  for (const auto& [service, it] : requests.uploads) {
+    PrintRow(out, service + " uploads", it);
+  }
+}
+
+}  // namespace hawthornbank::load
--- /dev/null
+++ b/apps/hawthornload/report.h
@@ -0,0 +1,29 @@
+#ifndef HAWTHORNBANK_APPS_HAWTHORNLOAD_REPORT_H_
+#define HAWTHORNBANK_APPS_HAWTHORNLOAD_REPORT_H_
+
+#include <iosfwd>
+#include <string>
+
+#include "requests.h"
+#include "watches.h"
+
+namespace hawthornbank::load {
+
+/// Renders every figure of a run.
+/// @param watches The watches.
+/// @param requests The requests and uploads.
+/// @return JSON text.
+auto RenderReport(const Watches& watches, const Requests& requests)
+    -> std::string;
+
+/// Prints a summary for people.
+/// @param out Where to print.
+/// @param watches The watches.
+/// @param requests The requests and uploads.
+auto PrintSummary(std::ostream& out,
+                  const Watches& watches,
+                  const Requests& requests) -> void;
+
+}  // namespace hawthornbank::load
+
+#endif  // HAWTHORNBANK_APPS_HAWTHORNLOAD_REPORT_H_
--- a/standins/fabric.cc
+++ b/standins/fabric.cc
@@ -7,10 +7,10 @@
 #include <chrono>
 #include <future>
 #include <iostream>
-#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "hawthornbank/error.h"
@@ -85,7 +85,7 @@
   Buffer return_buffer{};
   asio::steady_timer health_timer{io};
   Counters counters;
-  std::map<Endpoint, std::uint64_t> unreachable_by_caller;
+  std::unordered_map<Endpoint, std::uint64_t> unreachable_by_caller;
 };
 
 using Packet = std::shared_ptr<const std::vector<std::uint8_t>>;
@@ -332,6 +332,7 @@
 auto ParseEndpoints(const std::vector<std::string>& texts)
     -> std::vector<Endpoint> {
   std::vector<Endpoint> endpoints;
+  endpoints.reserve(texts.size());
   for (const auto& it : texts) {
     endpoints.push_back(ParseEndpoint(it));
   }
@@ -339,16 +340,16 @@
 }
 
 auto ParseOptions(int argc, char** argv) -> Options {
-  const std::string kAddress = "127.0.0.1:PORT";
+  const std::string address_form = "127.0.0.1:PORT";
   TCLAP::CmdLine line("Stand-in of the network fabric");
   TCLAP::MultiArg<std::string> services(
-      "", "service", "public address of a service", true, kAddress, line);
+      "", "service", "public address of a service", true, address_form, line);
   TCLAP::MultiArg<std::string> balancers(
-      "", "balancer", "packet port of a balancer", true, kAddress, line);
+      "", "balancer", "packet port of a balancer", true, address_form, line);
   TCLAP::ValueArg<std::string> back("", "return", "where agents send replies",
-                                    true, "", kAddress, line);
+                                    true, "", address_form, line);
   TCLAP::ValueArg<std::string> stats("", "stats", "where counters are served",
-                                     true, "", kAddress, line);
+                                     true, "", address_form, line);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of every choice", false,
                                       1, "N", line);
   TCLAP::ValueArg<double> loss("", "loss", "share of packets dropped", false, 0,
--- a/standins/ipv4.h
+++ b/standins/ipv4.h
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNBANK_STANDINS_IPV4_H_
 #define HAWTHORNBANK_STANDINS_IPV4_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -154,8 +155,9 @@
   constexpr std::uint16_t kDontFragment = 0x4000;
   constexpr std::uint8_t kTimeToLive = 64;
   const std::size_t udp_bytes = kUdpHeaderBytes + payload.size();
-  std::vector<std::uint8_t> packet(kIpv4HeaderBytes + kUdpHeaderBytes);
-  packet.insert(packet.end(), payload.begin(), payload.end());
+  std::vector<std::uint8_t> packet(kIpv4HeaderBytes + udp_bytes);
+  std::copy(payload.begin(), payload.end(),
+            packet.begin() + kIpv4HeaderBytes + kUdpHeaderBytes);
   packet[0] = kVersionAndLength;
   detail::Put16(packet, 2, static_cast<std::uint16_t>(packet.size()));
   detail::Put16(packet, 6, kDontFragment);
--- a/standins/target.cc
+++ b/standins/target.cc
@@ -326,12 +326,12 @@
 }
 
 auto ParseOptions(int argc, char** argv) -> Options {
-  const std::string kAddress = "127.0.0.1:PORT";
+  const std::string address_form = "127.0.0.1:PORT";
   TCLAP::CmdLine line("Stand-in of a target");
   TCLAP::ValueArg<std::string> listen("", "listen", "CoAP over UDP", true, "",
-                                      kAddress, line);
+                                      address_form, line);
   TCLAP::ValueArg<std::string> stats("", "stats", "where counters are served",
-                                     true, "", kAddress, line);
+                                     true, "", address_form, line);
   TCLAP::ValueArg<std::string> name("", "name", "name of the target", true, "",
                                     "NAME", line);
   TCLAP::ValueArg<std::string> kind("", "kind", "service it belongs to", true,
