--- /dev/null
+++ b/support/demo.sh
@@ -0,0 +1,294 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback as separate processes, changes it while
+# callers are busy, and says what they saw. Exits non-zero when an established
+# flow broke, a request was doubled or a packet reached another service.
+#
+# Usage: support/demo.sh [--keep DIRECTORY]
+#   --keep DIRECTORY  write settings, logs and reports there and keep them
+set -euo pipefail
+cd "$(dirname "$0")/.."
+ROOT=$PWD
+BIN=$ROOT/build/release
+SECONDS_OF_LOAD=${SECONDS_OF_LOAD:-26}
+ZONES=(depot-north civic-hall depot-south)
+KEY=$(printf '0123456789abcdef%.0s' 1 2 3 4)
+FITQUOTE_TARGETS=7
+PLANSTORE_TARGETS=3
+
+KEEP=
+if [ "${1:-}" = --keep ]; then
+  KEEP=$2
+  mkdir -p "$KEEP"
+fi
+
+declare -A PID=()
+
+# Ends what this script started, by process id: politely, then for good.
+cleanup() {
+  local name
+  for name in "${!PID[@]}"; do
+    kill "${PID[$name]}" 2>/dev/null || true
+  done
+  for name in "${!PID[@]}"; do
+    for _ in $(seq 30); do
+      kill -0 "${PID[$name]}" 2>/dev/null || break
+      sleep 0.1
+    done
+    kill -KILL "${PID[$name]}" 2>/dev/null || true
+    wait "${PID[$name]}" 2>/dev/null || true
+  done
+  if [ -z "$KEEP" ]; then
+    rm -rf "$DIR"
+  fi
+}
+
+say() {
+  printf '%5.1f s  %s\n' "$(elapsed)" "$*"
+}
+
+elapsed() {
+  python3 -c 'import sys, time; print(time.time() - float(sys.argv[1]))' "$T0"
+}
+
+# start NAME COMMAND...: runs it in the background, with a log of its own.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$DIR/$name.log" 2>&1 &
+  PID[$name]=$!
+}
+
+install_packages() {
+  [ "$(id -u)" = 0 ] || return 0
+  local missing
+  missing=$(xargs -n 1 -a support/packages.txt dpkg-query -W -f '${Status}\n' \
+    2>&1 | grep -vc 'install ok installed' || true)
+  [ "$missing" != 0 ] || return 0
+  export DEBIAN_FRONTEND=noninteractive
+  apt-get update -qq
+  xargs -a support/packages.txt apt-get install -y -qq \
+    --no-install-recommends >/dev/null
+}
+
+build() {
+  cmake --preset release >/dev/null
+  cmake --build --preset release | tail -n 1
+}
+
+PORTS=()
+next_port() {
+  PORT=127.0.0.1:${PORTS[0]}
+  PORTS=("${PORTS[@]:1}")
+}
+
+declare -A PACKETS PEER METRICS TARGET STATS
+pick_ports() {
+  local name
+  mapfile -t PORTS < <(python3 support/free_ports.py 80)
+  next_port && PLATFORM=$PORT
+  next_port && FITQUOTE=$PORT
+  next_port && PLANSTORE=$PORT
+  next_port && RETURN=$PORT
+  next_port && STATS[fabric]=$PORT
+  for name in "${ZONES[@]/#/entry-}"; do
+    next_port && PACKETS[$name]=$PORT
+    next_port && PEER[$name]=$PORT
+    next_port && METRICS[$name]=$PORT
+  done
+  for name in "${TARGETS[@]}"; do
+    next_port && TARGET[$name]=$PORT
+    next_port && STATS[$name]=$PORT
+    next_port && PEER[$name]=$PORT
+    next_port && METRICS[$name]=$PORT
+  done
+}
+
+write_balancer_settings() {
+  cat >"$DIR/entry-$1.ini" <<INI
+[host]
+name = entry-$1
+zone = $1
+region = main
+[listen]
+packets = ${PACKETS[entry-$1]}
+peer = ${PEER[entry-$1]}
+metrics = ${METRICS[entry-$1]}
+[platform]
+address = $PLATFORM
+[peers]
+balancers = $BALANCERS
+[key]
+current = $KEY
+[log]
+level = info
+layout = text
+INI
+}
+
+write_agent_settings() {
+  cat >"$DIR/$1.ini" <<INI
+[host]
+name = $1
+zone = $2
+region = main
+[listen]
+peer = ${PEER[$1]}
+metrics = ${METRICS[$1]}
+[platform]
+address = $PLATFORM
+[peers]
+balancers = $BALANCERS
+[key]
+current = $KEY
+[target]
+service = ${1%-*}
+address = ${TARGET[$1]}
+return = $RETURN
+[log]
+level = info
+layout = text
+INI
+}
+
+write_settings() {
+  local n zone
+  BALANCERS=${PEER[entry-depot-north]},${PEER[entry-civic-hall]}
+  BALANCERS+=,${PEER[entry-depot-south]}
+  for zone in "${ZONES[@]}"; do
+    write_balancer_settings "$zone"
+  done
+  for n in "${!TARGETS[@]}"; do
+    write_agent_settings "${TARGETS[$n]}" "${ZONES[$((n % ${#ZONES[@]}))]}"
+  done
+}
+
+ctl() {
+  "$BIN/apps/hawthornctl" "$@" --platform "$PLATFORM" --region main
+}
+
+start_balancer() {
+  start "entry-$1" "$BIN/apps/hawthornd" --role balancer \
+    --config "$DIR/entry-$1.ini"
+}
+
+start_everything() {
+  local name zone
+  start platform "$BIN/standins/standin_platform" --listen "$PLATFORM"
+  python3 support/demo_report.py wait-port "$PLATFORM"
+  python3 support/replace_addresses.py examples/trentmoor.csv \
+    "$DIR/sheet.csv" "fitquote=$FITQUOTE" "planstore=$PLANSTORE"
+  ctl sheet import "$DIR/sheet.csv"
+  for zone in "${ZONES[@]}"; do
+    start_balancer "$zone"
+  done
+  for name in "${TARGETS[@]}"; do
+    start "target-$name" "$BIN/standins/standin_target" --name "$name" \
+      --kind "${name%-*}" --listen "${TARGET[$name]}" \
+      --stats "${STATS[$name]}" --slots 3 --service-ms 20
+    start "agent-$name" "$BIN/apps/hawthornd" --role agent \
+      --config "$DIR/$name.ini"
+  done
+  start fabric "$BIN/standins/standin_fabric" --service "$FITQUOTE" \
+    --service "$PLANSTORE" --return "$RETURN" --stats "${STATS[fabric]}" \
+    --balancer "${PACKETS[entry-depot-north]}" \
+    --balancer "${PACKETS[entry-civic-hall]}" \
+    --balancer "${PACKETS[entry-depot-south]}"
+}
+
+load() {
+  "$BIN/apps/hawthornload" --service "fitquote=$FITQUOTE" \
+    --service "planstore=$PLANSTORE" "$@"
+}
+
+# Tries a short load until every kind of call is answered.
+wait_until_serving() {
+  local n
+  for n in $(seq 20); do
+    load --watches 3 --rate 10 --uploads 1 --seconds 1 --seed "$((1000 + n))" \
+      --report "$DIR/probe.json" >/dev/null
+    if python3 support/demo_report.py serving "$DIR/probe.json"; then
+      return 0
+    fi
+  done
+  echo "demo: the system doesn't serve; see the logs in $DIR" >&2
+  tail -n 3 "$DIR"/*.log >&2
+  return 1
+}
+
+# snapshot SUFFIX: writes what every process counts.
+snapshot() {
+  local name
+  python3 support/demo_report.py fetch "http://${STATS[fabric]}/stats" \
+    "$DIR/fabric$1.json"
+  for name in "${TARGETS[@]}"; do
+    python3 support/demo_report.py fetch "http://${STATS[$name]}/stats" \
+      "$DIR/target-$name$1.json"
+  done
+}
+
+fetch_daemons() {
+  local name
+  for name in "${TARGETS[@]}" "${ZONES[@]/#/entry-}"; do
+    python3 support/demo_report.py fetch "http://${METRICS[$name]}/status" \
+      "$DIR/daemon-$name.json" || true
+  done
+}
+
+at() {
+  sleep "$(python3 -c 'import sys, time
+print(max(0, float(sys.argv[1]) + float(sys.argv[2]) - time.time()))' "$T0" "$1")"
+}
+
+change_things() {
+  at 4
+  say "killing balancer entry-depot-south (SIGKILL)"
+  kill -KILL "${PID[entry-depot-south]}"
+  wait "${PID[entry-depot-south]}" 2>/dev/null || true
+  at 8
+  say "starting entry-depot-south again"
+  start_balancer depot-south
+  at 11
+  say "draining target fitquote-3"
+  ctl target drain fitquote-3
+  at 15
+  snapshot .drained
+  at 17
+  say "stopping balancer entry-civic-hall as planned (SIGTERM)"
+  kill -TERM "${PID[entry-civic-hall]}"
+  if ! wait "${PID[entry-civic-hall]}"; then
+    echo "demo: entry-civic-hall didn't stop gracefully" >&2
+    return 1
+  fi
+  unset "PID[entry-civic-hall]"
+  say "entry-civic-hall has stopped"
+}
+
+DIR=${KEEP:-$(mktemp -d)}
+TARGETS=()
+for n in $(seq "$FITQUOTE_TARGETS"); do TARGETS+=("fitquote-$n"); done
+for n in $(seq "$PLANSTORE_TARGETS"); do TARGETS+=("planstore-$n"); done
+trap cleanup EXIT
+trap 'exit 130' INT TERM
+
+install_packages
+build
+pick_ports
+write_settings
+T0=$(date +%s.%N)
+start_everything
+wait_until_serving
+say "serving; callers start"
+T0=$(date +%s.%N)
+snapshot .start
+load --watches 30 --rate 60 --uploads 20 --upload-bytes 65536 \
+  --seconds "$SECONDS_OF_LOAD" --seed 1 --report "$DIR/load.json" \
+  >"$DIR/load.log" 2>&1 &
+PID[load]=$!
+change_things
+wait "${PID[load]}"
+unset "PID[load]"
+say "callers are done"
+snapshot .end
+fetch_daemons
+cat "$DIR/load.log"
+python3 support/demo_report.py judge "$DIR"
