Add the typed request gate: ledger, limits, queue, health, retry budget

Decisions only; no wire protocol. A refusal of a request that carries a token is recorded, so that a late copy can't run after "not run" was said; a full ledger voids the tokens that are out instead of forgetting entries.

--- /dev/null
+++ b/src/coordination/request_gate.cc
@@ -0,0 +1,350 @@
+#include "hawthornbank/request_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/request_gate_state.h"
+
+namespace hawthornbank {
+namespace {
+
+using detail::Bump;
+using Phase = PendingRequest::Phase;
+
+constexpr std::chrono::seconds kIdleWake{1};
+constexpr std::chrono::milliseconds kRetryDelayMin{10};
+constexpr std::chrono::milliseconds kRetryDelaySpread{30};
+// Mean service times after which a request that is given up on counts
+// against the target.
+constexpr int kGiveUpFactor = 3;
+
+// Plans another try of a request that did not run or is idempotent.
+auto PlanRetry(RequestGateState& state,
+               RequestHandle handle,
+               GateCounter reason,
+               TimePoint now,
+               Random& random) -> bool {
+  auto& request = state.pending.at(handle);
+  const auto jitter = std::chrono::milliseconds{static_cast<std::int64_t>(
+      NextFraction(random) * static_cast<double>(kRetryDelaySpread.count()))};
+  const auto not_before = now + kRetryDelayMin + jitter;
+  if (not_before + state.health.service_time > request.deadline) {
+    Bump(state, GateCounter::kRetryRefusedDeadline);
+    return false;
+  }
+  if (IsDown(state.health) || !SpendRetry(state.budget)) {
+    Bump(state, GateCounter::kRetryRefusedBudget);
+    return false;
+  }
+  Bump(state, reason);
+  request.phase = Phase::kDelayed;
+  request.not_before = not_before;
+  --state.running;
+  return true;
+}
+
+auto Finish(RequestGateState& state,
+            RequestHandle handle,
+            const Answer& answer,
+            TimePoint now,
+            RequestActions& out) -> void {
+  const auto it = state.pending.find(handle);
+  const PendingRequest request = std::move(it->second);
+  state.pending.erase(it);
+  --state.running;
+  if (auto* entry = FindEntry(state.ledger, request.id)) {
+    entry->state = RequestState::kFinished;
+    entry->answer = answer;
+    entry->keep_until =
+        std::max(entry->keep_until, now + state.options.ledger_retention);
+  }
+  for (const auto waiter : request.waiters) {
+    state.waiters.erase(waiter);
+    Bump(state, GateCounter::kAnswered);
+    out.push_back({.kind = RequestAction::Kind::kAnswer,
+                   .waiter = waiter,
+                   .request = handle,
+                   .answer = answer});
+  }
+}
+
+// An answer to a request whose waiters were told that its outcome is unknown.
+auto KeepLateAnswer(RequestGateState& state,
+                    RequestHandle handle,
+                    Outcome outcome,
+                    const Answer& answer) -> void {
+  const bool ran =
+      outcome == Outcome::kSucceeded || outcome == Outcome::kFailed;
+  const auto it = state.given_up.find(handle);
+  auto* entry = it == state.given_up.end() || !ran
+                    ? nullptr
+                    : FindEntry(state.ledger, it->second);
+  if (entry == nullptr || entry->request != handle) {
+    Bump(state, GateCounter::kLateAnswerDropped);
+    return;
+  }
+  Bump(state, GateCounter::kLateAnswerKept);
+  entry->state = RequestState::kFinished;
+  entry->answer = answer;
+  state.given_up.erase(it);
+}
+
+auto OnShed(RequestGateState& state,
+            RequestHandle handle,
+            TimePoint now,
+            Random& random,
+            RequestActions& out) -> void {
+  RecordFailure(state.health);
+  if (!PlanRetry(state, handle, GateCounter::kRetriedTargetShed, now, random)) {
+    detail::EndNotRun(state, handle, ErrorKind::kOverloaded,
+                      GateCounter::kRefusedByTarget, random, out);
+  }
+}
+
+auto OnLost(RequestGateState& state,
+            RequestHandle handle,
+            TimePoint now,
+            Random& random,
+            RequestActions& out) -> void {
+  RecordFailure(state.health);
+  const bool idempotent = state.pending.at(handle).id.empty();
+  if (!idempotent ||
+      !PlanRetry(state, handle, GateCounter::kRetriedLost, now, random)) {
+    detail::EndUnknown(state, handle, GateCounter::kUnknownLost, now, random,
+                       out);
+  }
+}
+
+auto GiveUp(RequestGateState& state,
+            RequestHandle handle,
+            TimePoint now,
+            Random& random,
+            RequestActions& out) -> void {
+  const auto running = now - state.pending.at(handle).started;
+  if (running >= state.health.service_time * kGiveUpFactor) {
+    RecordFailure(state.health);
+  }
+  detail::EndUnknown(state, handle, GateCounter::kUnknownGaveUp, now, random,
+                     out);
+}
+
+// When a pending request needs attention by itself.
+auto DueAt(const RequestGateState& state, const PendingRequest& request)
+    -> TimePoint {
+  switch (request.phase) {
+    case Phase::kDelayed:
+      return request.not_before;
+    case Phase::kQueued:
+      return request.deadline - state.health.service_time;
+    case Phase::kRunning:
+      break;
+  }
+  return request.deadline;
+}
+
+auto ActOnDue(RequestGateState& state,
+              RequestHandle handle,
+              TimePoint now,
+              Random& random,
+              RequestActions& out) -> void {
+  auto& request = state.pending.at(handle);
+  switch (request.phase) {
+    case Phase::kDelayed:
+      request.phase = Phase::kQueued;
+      Push(state.queue, request.item);
+      break;
+    case Phase::kQueued:
+      detail::EndNotRun(state, handle, ErrorKind::kDeadlineExpired,
+                        GateCounter::kRefusedExpiredInQueue, random, out);
+      break;
+    case Phase::kRunning:
+      GiveUp(state, handle, now, random, out);
+      break;
+  }
+}
+
+auto CancelHandle(RequestGateState& state,
+                  RequestHandle handle,
+                  TimePoint now,
+                  Random& random,
+                  RequestActions& out) -> void {
+  if (state.pending.at(handle).phase == Phase::kRunning) {
+    detail::EndUnknown(state, handle, GateCounter::kCancelledRunning, now,
+                       random, out);
+  } else {
+    detail::EndNotRun(state, handle, ErrorKind::kCancelled,
+                      GateCounter::kCancelledQueued, random, out);
+  }
+}
+
+}  // namespace
+
+RequestGate::RequestGate() = default;
+RequestGate::RequestGate(RequestGate&&) noexcept = default;
+auto RequestGate::operator=(RequestGate&&) noexcept -> RequestGate& = default;
+RequestGate::~RequestGate() = default;
+
+auto MakeRequestGate(const RequestGateOptions& options) -> RequestGate {
+  RequestGate gate;
+  gate.state = std::make_unique<RequestGateState>();
+  auto& state = *gate.state;
+  state.options = options;
+  state.health.slots = options.slots;
+  state.health.service_time = options.initial_service_time;
+  state.health.probe_interval = options.probe_interval;
+  state.budget.share = options.retry_share;
+  state.budget.limit = options.retry_burst;
+  state.ledger.limit = options.ledger_entries;
+  // Before every instant, so that no token is void at the start.
+  state.last_issued = TimePoint::min();
+  state.void_through = TimePoint::min();
+  return gate;
+}
+
+auto OnOutcome(RequestGate& gate,
+               RequestHandle request,
+               Outcome outcome,
+               const Answer& answer,
+               TimePoint now,
+               Random& random,
+               RequestActions& out) -> void {
+  auto& state = *gate.state;
+  const auto it = state.pending.find(request);
+  if (it == state.pending.end() || it->second.phase != Phase::kRunning) {
+    KeepLateAnswer(state, request, outcome, answer);
+    return;
+  }
+  const auto service_time = now - it->second.started;
+  switch (outcome) {
+    case Outcome::kSucceeded:
+      Record(state.service_times, service_time);
+      RecordSuccess(state.health, service_time);
+      Finish(state, request, answer, now, out);
+      break;
+    case Outcome::kFailed:
+      RecordFailure(state.health);
+      Finish(state, request, answer, now, out);
+      break;
+    case Outcome::kShed:
+      OnShed(state, request, now, random, out);
+      break;
+    case Outcome::kLost:
+      OnLost(state, request, now, random, out);
+      break;
+  }
+  detail::Dispatch(state, now, random, out);
+}
+
+auto DropWaiter(RequestGate& gate,
+                WaiterId waiter,
+                TimePoint now,
+                Random& random,
+                RequestActions& out) -> void {
+  auto& state = *gate.state;
+  const auto it = state.waiters.find(waiter);
+  if (it == state.waiters.end()) {
+    return;
+  }
+  const auto handle = it->second;
+  state.waiters.erase(it);
+  auto& waiters = state.pending.at(handle).waiters;
+  std::erase(waiters, waiter);
+  if (waiters.empty()) {
+    CancelHandle(state, handle, now, random, out);
+    detail::Dispatch(state, now, random, out);
+  }
+}
+
+auto CancelRequest(RequestGate& gate,
+                   const std::string& id,
+                   TimePoint now,
+                   Random& random,
+                   RequestActions& out) -> bool {
+  auto& state = *gate.state;
+  const auto it = std::find_if(
+      state.pending.begin(), state.pending.end(),
+      [&](const auto& pending) { return pending.second.cancel_id == id; });
+  if (id.empty() || it == state.pending.end()) {
+    Bump(state, GateCounter::kRefusedUnknownRequest);
+    return false;
+  }
+  CancelHandle(state, it->first, now, random, out);
+  detail::Dispatch(state, now, random, out);
+  return true;
+}
+
+auto OnTick(RequestGate& gate,
+            TimePoint now,
+            Random& random,
+            RequestActions& out) -> TimePoint {
+  auto& state = *gate.state;
+  std::vector<RequestHandle> due;
+  for (const auto& [handle, request] : state.pending) {
+    if (DueAt(state, request) <= now) {
+      due.push_back(handle);
+    }
+  }
+  for (const auto handle : due) {
+    // An earlier step of this loop may have ended it.
+    if (state.pending.contains(handle)) {
+      ActOnDue(state, handle, now, random, out);
+    }
+  }
+  detail::Dispatch(state, now, random, out);
+  ForgetOldEntries(state.ledger, now);
+  auto next = now + kIdleWake;
+  for (const auto& [handle, request] : state.pending) {
+    next = std::min(next, DueAt(state, request));
+  }
+  return std::max(next, now);
+}
+
+auto BeginDrain(RequestGate& gate) -> void {
+  gate.state->draining = true;
+}
+
+auto Abort(RequestGate& gate,
+           TimePoint now,
+           Random& random,
+           RequestActions& out) -> void {
+  auto& state = *gate.state;
+  state.draining = true;
+  while (!state.pending.empty()) {
+    const auto [handle, request] = *state.pending.begin();
+    if (request.phase == Phase::kRunning) {
+      detail::EndUnknown(state, handle, GateCounter::kUnknownAborted, now,
+                         random, out);
+    } else {
+      detail::EndNotRun(state, handle, ErrorKind::kDraining,
+                        GateCounter::kRefusedDraining, random, out);
+    }
+  }
+}
+
+auto Load(const RequestGate& gate, TimePoint now) -> GateLoadReport {
+  const auto& state = *gate.state;
+  return {.slots_busy = state.running,
+          .slots_allowed = AllowedSlots(state.health, now),
+          .queued =
+              static_cast<std::uint32_t>(state.pending.size()) - state.running,
+          .draining = state.draining};
+}
+
+auto CounterValue(const RequestGate& gate, GateCounter counter)
+    -> std::uint64_t {
+  return gate.state->counters[static_cast<std::size_t>(counter)];
+}
+
+auto Count(RequestGate& gate, GateCounter counter) -> void {
+  Bump(*gate.state, counter);
+}
+
+auto ServiceTimes(const RequestGate& gate) -> LatencySummary {
+  return Summarize(gate.state->service_times);
+}
+
+auto QueueWaits(const RequestGate& gate) -> LatencySummary {
+  return Summarize(gate.state->queue_waits);
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/coordination/request_gate_state.cc
@@ -0,0 +1,187 @@
+#include "coordination/request_gate_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornbank::detail {
+namespace {
+
+constexpr std::size_t kGivenUpLimit = 1024;
+
+auto ComeBack(const RequestGateState& state, Random& random)
+    -> std::chrono::seconds {
+  const auto& options = state.options;
+  const auto spread = std::chrono::milliseconds{static_cast<std::int64_t>(
+      NextFraction(random) *
+      static_cast<double>(options.come_back_spread.count()))};
+  return std::chrono::ceil<std::chrono::seconds>(options.come_back_min +
+                                                 spread);
+}
+
+// Takes a request out of every table but the ledger.
+auto Forget(RequestGateState& state, RequestHandle handle) -> PendingRequest {
+  const auto it = state.pending.find(handle);
+  PendingRequest request = std::move(it->second);
+  state.pending.erase(it);
+  if (request.phase == PendingRequest::Phase::kRunning) {
+    --state.running;
+  }
+  if (request.phase == PendingRequest::Phase::kQueued) {
+    Remove(state.queue, request.item);
+  }
+  for (const auto waiter : request.waiters) {
+    state.waiters.erase(waiter);
+  }
+  return request;
+}
+
+auto RefuseAll(RequestGateState& state,
+               const PendingRequest& request,
+               ErrorKind error,
+               Random& random,
+               RequestActions& out) -> void {
+  for (const auto waiter : request.waiters) {
+    Refuse(state, waiter, error, random, out);
+  }
+}
+
+auto CanEndInTime(const RequestGateState& state,
+                  const PendingRequest& request,
+                  TimePoint now) -> bool {
+  if (now >= request.deadline) {
+    return false;
+  }
+  // An idle target is tried anyway: the estimate may be wrong.
+  return state.running == 0 ||
+         now + state.health.service_time <= request.deadline;
+}
+
+auto Start(RequestGateState& state,
+           RequestHandle handle,
+           TimePoint now,
+           Random& random,
+           RequestActions& out) -> void {
+  auto& request = state.pending.at(handle);
+  if (request.attempts == 0) {
+    OnFirstTry(state.budget);
+    Record(state.queue_waits, now - request.arrived);
+  }
+  ++request.attempts;
+  request.phase = PendingRequest::Phase::kRunning;
+  request.started = now;
+  ++state.running;
+  RecordStart(state.health, now, random);
+  Bump(state, GateCounter::kStarted);
+  out.push_back({.kind = RequestAction::Kind::kStart,
+                 .waiter = request.waiters.front(),
+                 .request = handle,
+                 .deadline = request.deadline});
+}
+
+auto RefuseQueued(RequestGateState& state,
+                  ErrorKind error,
+                  GateCounter reason,
+                  Random& random,
+                  RequestActions& out) -> void {
+  std::vector<RequestHandle> queued;
+  for (const auto& [handle, request] : state.pending) {
+    if (request.phase == PendingRequest::Phase::kQueued) {
+      queued.push_back(handle);
+    }
+  }
+  for (const auto handle : queued) {
+    EndNotRun(state, handle, error, reason, random, out);
+  }
+}
+
+}  // namespace
+
+auto Refuse(RequestGateState& state,
+            WaiterId waiter,
+            ErrorKind error,
+            Random& random,
+            RequestActions& out) -> void {
+  RequestAction action{
+      .kind = RequestAction::Kind::kRefuse, .waiter = waiter, .error = error};
+  if (AnswerFor(error).retryable) {
+    action.retry_after = ComeBack(state, random);
+  }
+  out.push_back(std::move(action));
+}
+
+auto EndNotRun(RequestGateState& state,
+               RequestHandle handle,
+               ErrorKind error,
+               GateCounter reason,
+               Random& random,
+               RequestActions& out) -> void {
+  const auto request = Forget(state, handle);
+  Bump(state, reason);
+  if (auto* entry = FindEntry(state.ledger, request.id)) {
+    entry->state = RequestState::kRefused;
+    entry->error = error;
+  }
+  RefuseAll(state, request, error, random, out);
+}
+
+auto EndUnknown(RequestGateState& state,
+                RequestHandle handle,
+                GateCounter reason,
+                TimePoint now,
+                Random& random,
+                RequestActions& out) -> void {
+  const auto request = Forget(state, handle);
+  Bump(state, reason);
+  out.push_back({.kind = RequestAction::Kind::kCancel, .request = handle});
+  if (auto* entry = FindEntry(state.ledger, request.id)) {
+    entry->state = RequestState::kUnknown;
+    entry->keep_until =
+        std::max(entry->keep_until, now + state.options.ledger_retention);
+  }
+  state.given_up.emplace(handle, request.id);
+  if (state.given_up.size() > kGivenUpLimit) {
+    state.given_up.erase(state.given_up.begin());
+  }
+  RefuseAll(state, request, ErrorKind::kOutcomeUnknown, random, out);
+}
+
+auto Dispatch(RequestGateState& state,
+              TimePoint now,
+              Random& random,
+              RequestActions& out) -> void {
+  while (state.running < AllowedSlots(state.health, now)) {
+    const auto item = Pop(state.queue);
+    if (!item) {
+      break;
+    }
+    const auto& request = state.pending.at(item->request);
+    if (CanEndInTime(state, request, now)) {
+      Start(state, item->request, now, random, out);
+    } else {
+      EndNotRun(state, item->request, ErrorKind::kDeadlineExpired,
+                GateCounter::kRefusedExpiredInQueue, random, out);
+    }
+  }
+  if (IsDown(state.health)) {
+    RefuseQueued(state, ErrorKind::kUnhealthy, GateCounter::kRefusedUnhealthy,
+                 random, out);
+  }
+}
+
+auto EstimateWait(const RequestGateState& state,
+                  std::uint64_t caller,
+                  TimePoint now) -> Duration {
+  const auto slots = std::max(1U, AllowedSlots(state.health, now));
+  if (state.running < slots && state.queue.size == 0) {
+    return Duration{0};
+  }
+  const auto ahead =
+      static_cast<Duration::rep>(CountAhead(state.queue, caller) + 1);
+  return state.health.service_time * ahead / slots;
+}
+
+auto TokenExpiry(const RequestToken& token) -> TimePoint {
+  return token.issued + token.validity;
+}
+
+}  // namespace hawthornbank::detail
--- /dev/null
+++ b/src/coordination/target_health.cc
@@ -0,0 +1,68 @@
+#include "coordination/target_health.h"
+
+#include <algorithm>
+
+namespace hawthornbank {
+namespace {
+
+constexpr double kFailureGain = 0.2;   // Weight of the newest answer.
+constexpr double kWeakFailure = 0.35;  // Half of the slots from here on.
+constexpr double kDownFailure = 0.6;   // Probes only from here on.
+constexpr std::uint32_t kSuccessesPerSlot = 4;  // Ramp-up of a cold target.
+constexpr int kServiceGainDivisor = 16;
+constexpr int kClipFactor = 4;   // Most that one sample moves the average.
+constexpr int kStallFactor = 8;  // Times the average service time.
+
+auto RampedSlots(const TargetHealth& health) -> std::uint32_t {
+  return std::min(health.slots, 1 + health.successes / kSuccessesPerSlot);
+}
+
+}  // namespace
+
+auto IsDown(const TargetHealth& health) -> bool {
+  return health.failure >= kDownFailure;
+}
+
+auto AllowedSlots(const TargetHealth& health, TimePoint now) -> std::uint32_t {
+  if (IsDown(health)) {
+    return now >= health.next_probe ? 1 : 0;
+  }
+  const auto ramped = RampedSlots(health);
+  if (health.failure >= kWeakFailure) {
+    return std::max(1U, ramped / 2);
+  }
+  return ramped;
+}
+
+auto RecordStart(TargetHealth& health, TimePoint now, Random& random) -> void {
+  const auto jitter = static_cast<Duration::rep>(
+      NextFraction(random) *
+      static_cast<double>(health.probe_interval.count()));
+  if (IsDown(health)) {
+    health.next_probe = now + health.probe_interval + Duration{jitter};
+  }
+}
+
+auto RecordSuccess(TargetHealth& health, Duration service_time) -> void {
+  if (IsStall(health, service_time)) {
+    RecordFailure(health);
+  } else {
+    health.failure *= 1 - kFailureGain;
+    health.successes =
+        std::min(health.successes + 1, health.slots * kSuccessesPerSlot);
+  }
+  const auto sample = std::min(service_time, health.service_time * kClipFactor);
+  health.service_time += (sample - health.service_time) / kServiceGainDivisor;
+}
+
+auto RecordFailure(TargetHealth& health) -> void {
+  health.failure += kFailureGain * (1 - health.failure);
+}
+
+auto IsStall(const TargetHealth& health, Duration running) -> bool {
+  constexpr std::chrono::milliseconds kShortestStall{100};
+  return running >
+         std::max<Duration>(health.service_time * kStallFactor, kShortestStall);
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/state/latency_distribution.cc
@@ -0,0 +1,34 @@
+#include "state/latency_distribution.h"
+
+namespace hawthornbank {
+namespace {
+
+auto FromSeconds(double seconds) -> Duration {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>{seconds});
+}
+
+}  // namespace
+
+auto Record(LatencyDistribution& distribution, Duration sample) -> void {
+  const double seconds = std::chrono::duration<double>{sample}.count();
+  distribution.median(seconds);
+  distribution.tail(seconds);
+}
+
+auto Summarize(const LatencyDistribution& distribution) -> LatencySummary {
+  namespace accumulators = boost::accumulators;
+  const auto count = accumulators::count(distribution.median);
+  if (count == 0) {
+    return {};
+  }
+  return {
+      .count = count,
+      .mean = FromSeconds(accumulators::mean(distribution.median)),
+      .p50 = FromSeconds(accumulators::p_square_quantile(distribution.median)),
+      .p99 = FromSeconds(accumulators::p_square_quantile(distribution.tail)),
+      .max = FromSeconds(accumulators::max(distribution.median)),
+  };
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/state/latency_distribution.h
@@ -0,0 +1,45 @@
+#ifndef HAWTHORNBANK_STATE_LATENCY_DISTRIBUTION_H_
+#define HAWTHORNBANK_STATE_LATENCY_DISTRIBUTION_H_
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include "hawthornbank/request_gate.h"
+#include "hawthornbank/types.h"
+
+/// @file
+/// Distribution of times in constant memory.
+namespace hawthornbank {
+
+/// Running count, mean, maximum and two quantiles, in seconds.
+struct LatencyDistribution {
+  using Median = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::mean,
+                                 boost::accumulators::tag::max,
+                                 boost::accumulators::tag::p_square_quantile>>;
+  using Tail = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+
+  Median median{boost::accumulators::quantile_probability = 0.5};
+  Tail tail{boost::accumulators::quantile_probability = 0.99};
+};
+
+/// Adds one sample.
+/// @param distribution Where to add.
+/// @param sample The time.
+auto Record(LatencyDistribution& distribution, Duration sample) -> void;
+
+/// @param distribution The distribution.
+/// @return Its summary; all zero while it is empty.
+auto Summarize(const LatencyDistribution& distribution) -> LatencySummary;
+
+}  // namespace hawthornbank
+
+#endif  // HAWTHORNBANK_STATE_LATENCY_DISTRIBUTION_H_
