--- a/include/hawthornbank/flow_key.h
+++ b/include/hawthornbank/flow_key.h
@@ -3,38 +3,52 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 
 #include "hawthornbank/types.h"
 
 /// @file
-/// Identity of a flow, the same at every host that sees its packets.
+/// Identity of a flow: one caller's conversation with one service.
 namespace hawthornbank {
 
-/// One caller's flow to one service address.
+/// Identity of a flow. The service is part of it, as addresses are reused.
 struct FlowKey {
   ServiceId service{};
   Endpoint caller;
-  Endpoint address;
+  Endpoint address;  ///< The service's address that the caller used.
   Transport transport = Transport::kUdp;
 
   auto operator<=>(const FlowKey&) const = default;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(service, caller, address, transport);
+  }
 };
 
+/// Hashes a flow for routing; every host computes the same value.
+/// @param key The flow.
+/// @return A well-mixed 64-bit hash.
+constexpr auto HashFlow(const FlowKey& key) -> std::uint64_t {
+  constexpr std::uint64_t kMix1 = 0xBF58476D1CE4E5B9ULL;
+  constexpr std::uint64_t kMix2 = 0x94D049BB133111EBULL;
+  std::uint64_t hash =
+      (std::uint64_t{key.caller.address} << 32U) ^
+      (std::uint64_t{key.caller.port} << 16U) ^
+      (std::uint64_t{ToInteger(key.service)} * 0x9E3779B97F4A7C15ULL);
+  hash = (hash ^ (hash >> 30U)) * kMix1;
+  hash = (hash ^ (hash >> 27U)) * kMix2;
+  return hash ^ (hash >> 31U);
+}
+
 }  // namespace hawthornbank
 
 template <>
 struct std::hash<hawthornbank::FlowKey> {
   auto operator()(const hawthornbank::FlowKey& key) const noexcept
       -> std::size_t {
-    constexpr std::size_t kMultiplier = 0x9E3779B97F4A7C15U;
-    std::size_t hash = std::hash<hawthornbank::Endpoint>{}(key.caller);
-    hash =
-        hash * kMultiplier ^ std::hash<hawthornbank::Endpoint>{}(key.address);
-    hash = hash * kMultiplier ^
-           static_cast<std::size_t>(hawthornbank::ToInteger(key.service));
-    return hash * kMultiplier ^
-           static_cast<std::size_t>(hawthornbank::ToInteger(key.transport));
+    return hawthornbank::HashFlow(key);
   }
 };
 
--- /dev/null
+++ b/src/protocol/coap_gate_request.cc
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <charconv>
+#include <string>
+
+#include "hawthornbank/error.h"
+#include "protocol/coap_gate_state.h"
+#include "protocol/echo_token.h"
+
+/// @file
+/// From a CoAP request message to the typed request.
+namespace hawthornbank::detail {
+namespace {
+
+constexpr std::string_view kIdKey = "rid";
+constexpr std::string_view kDeadlineKey = "deadline_ms";
+constexpr std::size_t kMaxIdBytes = 64;
+constexpr unsigned kBlockNumberShift = 4;
+
+auto ReadDeadline(const CoapGateOptions& options, const CoapMessage& message)
+    -> std::chrono::milliseconds {
+  const auto text = QueryValue(message, kDeadlineKey);
+  if (!text) {
+    return options.default_deadline;
+  }
+  std::uint32_t value = 0;
+  const auto* end = text->data() + text->size();
+  const auto result = std::from_chars(text->data(), end, value);
+  if (result.ec != std::errc{} || result.ptr != end) {
+    throw Error(ErrorKind::kMalformed, "deadline_ms is not a number");
+  }
+  return std::min(options.max_deadline, std::chrono::milliseconds{value});
+}
+
+auto BlockNumber(const CoapMessage& message, CoapOptionNumber number)
+    -> std::uint32_t {
+  const auto* option = FindOption(message, number);
+  return option == nullptr ? 0 : UintValue(*option) >> kBlockNumberShift;
+}
+
+// A part of a block-wise transfer is a request of its own.
+auto PartSuffix(const CoapMessage& message) -> std::string {
+  std::string suffix;
+  if (const auto n = BlockNumber(message, CoapOptionNumber::kBlock1); n > 0) {
+    suffix += "\n1:" + std::to_string(n);
+  }
+  if (const auto n = BlockNumber(message, CoapOptionNumber::kBlock2); n > 0) {
+    suffix += "\n2:" + std::to_string(n);
+  }
+  return suffix;
+}
+
+auto IsParameter(const CoapOption& option, std::string_view key) -> bool {
+  const std::string_view text{
+      reinterpret_cast<const char*>(option.value.data()), option.value.size()};
+  return option.number ==
+             static_cast<std::uint16_t>(CoapOptionNumber::kUriQuery) &&
+         text.size() > key.size() && text.starts_with(key) &&
+         text[key.size()] == '=';
+}
+
+// Hash of what is asked: the same for every repeat of a request.
+auto Fingerprint(const CoapMessage& message) -> std::uint64_t {
+  std::string text{static_cast<char>(message.code)};
+  for (const auto& option : message.options) {
+    const bool varies =
+        option.number == static_cast<std::uint16_t>(CoapOptionNumber::kEcho) ||
+        IsParameter(option, kDeadlineKey);
+    if (!varies) {
+      text += std::to_string(option.number) + ':' +
+              std::to_string(option.value.size()) + ':';
+      text.append(option.value.begin(), option.value.end());
+    }
+  }
+  text.append(message.payload.begin(), message.payload.end());
+  return HashName(text);
+}
+
+auto CountsDouble(const CoapGateOptions& options, const CoapMessage& message)
+    -> bool {
+  const auto* path = FindOption(message, CoapOptionNumber::kUriPath);
+  if (!options.counts_double || path == nullptr) {
+    return false;
+  }
+  const std::string text{path->value.begin(), path->value.end()};
+  return text.starts_with(options.double_path_prefix);
+}
+
+}  // namespace
+
+auto MakeRequest(const CoapGateOptions& options,
+                 const FlowKey& flow,
+                 const CoapMessage& message,
+                 WaiterId waiter,
+                 TimePoint now) -> Request {
+  const auto id = QueryValue(message, kIdKey).value_or("");
+  if (id.size() > kMaxIdBytes) {
+    throw Error(ErrorKind::kMalformed, "rid is too long");
+  }
+  const auto suffix = PartSuffix(message);
+  Request request{.waiter = waiter,
+                  .id = id.empty() ? "" : id + suffix,
+                  .fingerprint = Fingerprint(message),
+                  .caller = flow.caller.address,
+                  .deadline = now + ReadDeadline(options, message),
+                  .idempotent = message.code != kCoapPost,
+                  .counts_double = CountsDouble(options, message),
+                  .continuation = !suffix.empty()};
+  if (const auto* echo = FindOption(message, CoapOptionNumber::kEcho)) {
+    request.token = DecodeEchoToken(echo->value, id, options.token_keys);
+  }
+  return request;
+}
+
+}  // namespace hawthornbank::detail
