--- a/src/coordination/request_gate.cc
+++ b/src/coordination/request_gate.cc
@@ -94,7 +94,7 @@
             TimePoint now,
             Random& random,
             RequestActions& out) -> void {
-  RecordFailure(state.health);
+  RecordFailure(state.health, now);
   if (!PlanRetry(state, handle, GateCounter::kRetriedTargetShed, now, random)) {
     detail::EndNotRun(state, handle, ErrorKind::kOverloaded,
                       GateCounter::kRefusedByTarget, random, out);
@@ -106,7 +106,7 @@
             TimePoint now,
             Random& random,
             RequestActions& out) -> void {
-  RecordFailure(state.health);
+  RecordFailure(state.health, now);
   const bool idempotent = state.pending.at(handle).id.empty();
   if (!idempotent ||
       !PlanRetry(state, handle, GateCounter::kRetriedLost, now, random)) {
@@ -122,7 +122,7 @@
             RequestActions& out) -> void {
   const auto running = now - state.pending.at(handle).started;
   if (running >= state.health.service_time * kGiveUpFactor) {
-    RecordFailure(state.health);
+    RecordFailure(state.health, now);
   }
   detail::EndUnknown(state, handle, GateCounter::kUnknownGaveUp, now, random,
                      out);
@@ -218,11 +218,11 @@
   switch (outcome) {
     case Outcome::kSucceeded:
       Record(state.service_times, service_time);
-      RecordSuccess(state.health, service_time);
+      RecordSuccess(state.health, service_time, now);
       Finish(state, request, answer, now, out);
       break;
     case Outcome::kFailed:
-      RecordFailure(state.health);
+      RecordFailure(state.health, now);
       Finish(state, request, answer, now, out);
       break;
     case Outcome::kShed:
--- a/src/coordination/request_queue.cc
+++ b/src/coordination/request_queue.cc
@@ -27,6 +27,24 @@
   return std::nullopt;
 }
 
+auto LongestLine(const RequestQueue& queue) -> const RequestQueue::Line* {
+  const auto it = std::max_element(
+      queue.lines.begin(), queue.lines.end(), [](const auto& a, const auto& b) {
+        return a.second.items.size() < b.second.items.size();
+      });
+  return it == queue.lines.end() ? nullptr : &it->second;
+}
+
+// An ordinary request, of the longest line if that has one.
+auto FindOrdinary(const RequestQueue& queue, const RequestQueue::Line& longest)
+    -> std::optional<QueueItem> {
+  auto found = NewestOrdinary(longest);
+  for (auto it = queue.lines.begin(); !found && it != queue.lines.end(); ++it) {
+    found = NewestOrdinary(it->second);
+  }
+  return found;
+}
+
 }  // namespace
 
 auto Push(RequestQueue& queue, const QueueItem& item) -> void {
@@ -95,21 +113,14 @@
     -> std::optional<QueueItem> {
   const auto own = queue.lines.find(newcomer.caller);
   const auto mine = own == queue.lines.end() ? 0 : own->second.items.size();
-  const RequestQueue::Line* longest = nullptr;
-  std::optional<QueueItem> ordinary;
-  for (const auto& [caller, line] : queue.lines) {
-    if (longest == nullptr || line.items.size() > longest->items.size()) {
-      longest = &line;
-      ordinary = NewestOrdinary(line);
-    } else if (!ordinary) {
-      ordinary = NewestOrdinary(line);
-    }
-  }
+  const auto* longest = LongestLine(queue);
   if (longest == nullptr) {
     return std::nullopt;
   }
-  if (newcomer.counts_double && ordinary) {
-    return ordinary;
+  if (newcomer.counts_double) {
+    if (const auto ordinary = FindOrdinary(queue, *longest)) {
+      return ordinary;
+    }
   }
   if (longest->items.size() <= mine + 1) {
     return std::nullopt;
--- a/src/coordination/target_health.cc
+++ b/src/coordination/target_health.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr double kFailureGain = 0.2;   // Weight of the newest answer.
-constexpr double kWeakFailure = 0.35;  // Half of the slots from here on.
+constexpr double kWeakFailure = 0.45;  // Half of the slots from here on.
 constexpr double kDownFailure = 0.6;   // Probes only from here on.
 constexpr std::uint32_t kSuccessesPerSlot = 4;  // Ramp-up of a cold target.
 constexpr int kServiceGainDivisor = 16;
@@ -43,9 +43,10 @@
   }
 }
 
-auto RecordSuccess(TargetHealth& health, Duration service_time) -> void {
+auto RecordSuccess(TargetHealth& health, Duration service_time, TimePoint now)
+    -> void {
   if (IsStall(health, service_time)) {
-    RecordFailure(health);
+    RecordFailure(health, now);
   } else {
     health.failure *= 1 - kFailureGain;
     health.successes =
@@ -55,8 +56,12 @@
   health.service_time += (sample - health.service_time) / kServiceGainDivisor;
 }
 
-auto RecordFailure(TargetHealth& health) -> void {
+auto RecordFailure(TargetHealth& health, TimePoint now) -> void {
+  const bool was_down = IsDown(health);
   health.failure += kFailureGain * (1 - health.failure);
+  if (!was_down && IsDown(health)) {
+    health.next_probe = now + health.probe_interval;
+  }
 }
 
 auto IsStall(const TargetHealth& health, Duration running) -> bool {
--- a/src/coordination/target_health.h
+++ b/src/coordination/target_health.h
@@ -39,11 +39,14 @@
 /// Accounts for an answer in time.
 /// @param health The target's health.
 /// @param service_time From start to answer.
-auto RecordSuccess(TargetHealth& health, Duration service_time) -> void;
+/// @param now The present instant.
+auto RecordSuccess(TargetHealth& health, Duration service_time, TimePoint now)
+    -> void;
 
 /// Accounts for a failure, a refusal by the target or a stall.
 /// @param health The target's health.
-auto RecordFailure(TargetHealth& health) -> void;
+/// @param now The present instant.
+auto RecordFailure(TargetHealth& health, TimePoint now) -> void;
 
 /// @param health The target's health.
 /// @param running How long a request has been running.
--- a/src/protocol/coap_gate.cc
+++ b/src/protocol/coap_gate.cc
@@ -210,8 +210,10 @@
     RequestActions actions;
     DropWaiter(state.gate, waiter, now, random, actions);
     ApplyActions(state, actions, now, random, out);
+    // Stays, so that an answer that comes yet is kept for a repeat.
     state.waiters.erase(waiter);
-    flow.exchanges.erase(it);
+    it->waiting = false;
+    it->reply = EncodeCoap(detail::MakeEmpty(CoapType::kRst, message.id));
   }
 }
 
--- a/src/protocol/coap_gate_reply.cc
+++ b/src/protocol/coap_gate_reply.cc
@@ -154,8 +154,8 @@
   const bool started_it = exchange->handle == action.request;
   if (started_it) {
     NoteObservation(flow, *exchange, answer);
-    state.starters.erase(action.request);
   }
+  state.starters.erase(action.request);
   if (started_it && answer.type != CoapType::kAck) {
     // The target's own message: the caller's ACK goes back to it.
     reply.type = answer.type;
