--- /dev/null
+++ b/bench/common/request_scenario.h
@@ -0,0 +1,70 @@
+#ifndef HAWTHORNBANK_BENCH_COMMON_REQUEST_SCENARIO_H_
+#define HAWTHORNBANK_BENCH_COMMON_REQUEST_SCENARIO_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "common/request_target.h"
+#include "common/virtual_network.h"
+
+/// @file
+/// Callers that send requests to several targets in virtual time.
+namespace hawthornbank::bench {
+
+/// What the callers do and what the network does to them.
+struct RequestScenario {
+  std::uint64_t seed = 1;
+  GateKind gate = GateKind::kReal;
+  std::size_t targets = 7;
+  std::size_t callers = 60;
+  double load = 0.7;  ///< Offered requests over capacity.
+  std::chrono::milliseconds service_time{50};
+  std::chrono::milliseconds deadline{2000};
+  double booking_share = 0.7;  ///< Non-idempotent requests.
+  bool permits = false;        ///< Bookings are permit checks.
+  bool retry_without_budget = false;
+  Link link{.delay = std::chrono::milliseconds{3},
+            .jitter = std::chrono::milliseconds{1}};
+  double copy_share = 0;          ///< Datagrams that arrive again.
+  std::size_t copies = 1;         ///< How often those arrive again.
+  Duration copy_delay{0};         ///< Latest arrival of a copy.
+  double second_home_share = 0;   ///< Openings that reach two targets.
+  std::chrono::seconds start{5};  ///< Begin of the measured time.
+  std::chrono::seconds end{30};   ///< End of the measured time.
+  /// Plans faults before the run.
+  std::function<void(VirtualNetwork&,
+                     std::vector<std::unique_ptr<TargetHost>>&)>
+      faults;
+};
+
+/// What was seen.
+struct RequestResult {
+  std::uint64_t calls = 0;      ///< First tries, whole run.
+  std::uint64_t attempts = 0;   ///< First tries and retries, whole run.
+  std::uint64_t succeeded = 0;  ///< In the measured time.
+  std::uint64_t offered = 0;    ///< In the measured time.
+  std::uint64_t doubled = 0;    ///< Bookings that ran more than once.
+  std::uint64_t falsely_not_run = 0;
+  std::uint64_t answer_after_give_up = 0;
+  std::uint64_t wrong_answers = 0;  ///< Torn, or another request's.
+  std::uint64_t unknown = 0;        ///< Calls that ended in "unknown".
+  std::uint64_t unanswered = 0;     ///< Calls that nobody answered in time.
+  double shed_share = 0;            ///< Calls refused; permits count double.
+  double refusal_round_trips_p99 = 0;
+  double goodput_ratio = 0;  ///< Successes over capacity.
+  double served_ratio = 0;   ///< Successes over offered requests.
+  /// Successes over offered requests in each second of the run.
+  std::vector<double> served_by_second;
+};
+
+/// Runs a scenario to its end.
+/// @param scenario What happens.
+/// @return What was seen.
+auto RunScenario(const RequestScenario& scenario) -> RequestResult;
+
+}  // namespace hawthornbank::bench
+
+#endif  // HAWTHORNBANK_BENCH_COMMON_REQUEST_SCENARIO_H_
--- /dev/null
+++ b/bench/common/request_target.cc
@@ -0,0 +1,188 @@
+#include "common/request_target.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hawthornbank::bench {
+namespace {
+
+constexpr std::size_t kAnswerRepeats = 40;
+constexpr double kLongestService = 10;  // In mean service times.
+
+auto DrawServiceTime(TargetHost& target, Random& random) -> Duration {
+  const double factor =
+      std::min(kLongestService, -std::log(1 - NextFraction(random)));
+  return Duration{static_cast<Duration::rep>(
+      factor * static_cast<double>(target.service_time.count()))};
+}
+
+auto Apply(TargetHost& target, VirtualNetwork& net, GateActions actions)
+    -> void;
+
+auto PlanTick(TargetHost& target, VirtualNetwork& net) -> void {
+  GateActions actions;
+  const auto next = OnGateTick(target.gate, net.now(), net.random(), actions);
+  Apply(target, net, std::move(actions));
+  if (next >= target.wake && target.wake > net.now()) {
+    return;
+  }
+  target.wake = next;
+  net.AtHost(target.host, next, [&target, &net, life = target.life, next]() {
+    if (life == target.life && next == target.wake) {
+      target.wake = TimePoint::max();
+      PlanTick(target, net);
+    }
+  });
+}
+
+auto FinishWork(TargetHost& target, VirtualNetwork& net, std::uint64_t number)
+    -> void;
+
+auto StartWork(TargetHost& target, VirtualNetwork& net, TargetHost::Work work)
+    -> void {
+  const auto number = target.next_work++;
+  target.runs->push_back(
+      {.id = work.id, .target = target.host, .when = net.now()});
+  target.running.emplace(number, std::move(work));
+  net.AtHost(target.host, net.now() + DrawServiceTime(target, net.random()),
+             [&target, &net, number, life = target.life]() {
+               if (life == target.life) {
+                 FinishWork(target, net, number);
+               }
+             });
+}
+
+auto StartQueued(TargetHost& target, VirtualNetwork& net) -> void {
+  while (!target.queue.empty() &&
+         target.running.size() < target.options.gate.slots) {
+    auto work = std::move(target.queue.front());
+    target.queue.pop_front();
+    StartWork(target, net, std::move(work));
+  }
+}
+
+auto MakeAnswer(const CoapMessage& request) -> CoapMessage {
+  return {.type = CoapType::kAck,
+          .code = kCoapContent,
+          .id = request.id,
+          .token = request.token,
+          .payload = AnswerBody(request)};
+}
+
+auto FinishWork(TargetHost& target, VirtualNetwork& net, std::uint64_t number)
+    -> void {
+  const auto it = target.running.find(number);
+  if (it == target.running.end()) {
+    return;  // Cancelled.
+  }
+  const auto work = std::move(it->second);
+  target.running.erase(it);
+  const auto answer = MakeAnswer(work.request);
+  if (target.kind == GateKind::kReal) {
+    GateActions actions;
+    OnTargetDatagram(target.gate, work.flow, EncodeCoap(answer), net.now(),
+                     net.random(), actions);
+    Apply(target, net, std::move(actions));
+    PlanTick(target, net);
+    return;
+  }
+  target.answers[work.id] = answer;
+  target.send(work.flow, EncodeCoap(answer));
+  StartQueued(target, net);
+}
+
+auto CancelWork(TargetHost& target, const std::string& id) -> void {
+  std::erase_if(target.running,
+                [&](const auto& work) { return work.second.id == id; });
+}
+
+// The gate hands a datagram to the target.
+auto HandToTarget(TargetHost& target,
+                  VirtualNetwork& net,
+                  const FlowKey& flow,
+                  const std::vector<std::uint8_t>& bytes) -> void {
+  const auto request = DecodeCoap(bytes, kMaxDatagram);
+  if (const auto id = QueryValue(request, "cancel")) {
+    CancelWork(target, *id);
+    return;
+  }
+  if (!IsRequestCode(request.code)) {
+    return;
+  }
+  const auto id = QueryValue(request, "rid").value_or("");
+  StartWork(target, net, {.flow = flow, .request = request, .id = id});
+}
+
+auto Apply(TargetHost& target, VirtualNetwork& net, GateActions actions)
+    -> void {
+  for (auto& action : actions) {
+    if (action.kind == GateAction::Kind::kToCaller) {
+      target.send(action.flow, std::move(action.bytes));
+    } else {
+      HandToTarget(target, net, action.flow, action.bytes);
+    }
+  }
+}
+
+auto DeliverToBaseline(TargetHost& target,
+                       VirtualNetwork& net,
+                       const FlowKey& flow,
+                       const CoapMessage& request) -> void {
+  const auto id = QueryValue(request, "rid").value_or("");
+  if (target.kind == GateKind::kUnboundedQueue) {
+    if (const auto it = target.answers.find(id); it != target.answers.end()) {
+      auto answer = it->second;
+      answer.id = request.id;
+      answer.token = request.token;
+      target.send(flow, EncodeCoap(answer));
+      return;
+    }
+    if (!target.known.insert(id).second) {
+      return;
+    }
+  }
+  target.queue.push_back({.flow = flow, .request = request, .id = id});
+  StartQueued(target, net);
+}
+
+}  // namespace
+
+auto StartTarget(TargetHost& target, VirtualNetwork& net) -> void {
+  ++target.life;
+  target.running.clear();
+  target.queue.clear();
+  target.answers.clear();
+  target.known.clear();
+  target.wake = TimePoint::max();
+  target.options.gate.incarnation = Incarnation{target.life};
+  target.gate = MakeCoapGate(target.options);
+  if (target.kind == GateKind::kReal) {
+    PlanTick(target, net);
+  }
+}
+
+auto DeliverToTarget(TargetHost& target,
+                     VirtualNetwork& net,
+                     const FlowKey& flow,
+                     const std::vector<std::uint8_t>& bytes) -> void {
+  if (target.kind != GateKind::kReal) {
+    DeliverToBaseline(target, net, flow, DecodeCoap(bytes, kMaxDatagram));
+    return;
+  }
+  GateActions actions;
+  OnCallerDatagram(target.gate, flow, bytes, net.now(), net.random(), actions);
+  Apply(target, net, std::move(actions));
+  PlanTick(target, net);
+}
+
+auto AnswerBody(const CoapMessage& request) -> std::vector<std::uint8_t> {
+  const auto id = QueryValue(request, "rid").value_or("");
+  std::string text;
+  for (std::size_t n = 0; n < kAnswerRepeats; ++n) {
+    text += id + ';';
+  }
+  return {text.begin(), text.end()};
+}
+
+}  // namespace hawthornbank::bench
--- /dev/null
+++ b/bench/requests.cc
@@ -0,0 +1,221 @@
+/// @file
+/// Requests through real gates in virtual time, against baselines.
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/report.h"
+#include "common/request_scenario.h"
+
+namespace hawthornbank::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Targets = std::vector<std::unique_ptr<TargetHost>>;
+
+constexpr double kGoodputFloor = 0.95;
+constexpr double kRetriesBound = 1.10;
+constexpr double kRefusalRoundTripsBound = 1;
+constexpr std::uint64_t kSeeds = 3;
+
+struct Variant {
+  std::string name;
+  GateKind gate = GateKind::kReal;
+  bool retry_without_budget = false;
+
+  [[nodiscard]] auto IsBaseline() const -> bool {
+    return name != "hawthornbank";
+  }
+};
+
+struct Case {
+  std::string name;
+  RequestScenario scenario;
+};
+
+auto Variants() -> std::vector<Variant> {
+  return {
+      {.name = "hawthornbank"},
+      {.name = "baseline_no_gate", .gate = GateKind::kNone},
+      {.name = "baseline_unbounded_queue", .gate = GateKind::kUnboundedQueue},
+      {.name = "baseline_retry_by_all", .retry_without_budget = true}};
+}
+
+// Kills targets one after the other, then three at once.
+auto PlanRestarts(VirtualNetwork& net, Targets& targets) -> void {
+  const auto restart = [&net, &targets](std::size_t n, seconds at,
+                                        seconds down) {
+    auto& target = *targets[n];
+    net.At(TimePoint{at}, [&net, &target] { net.Kill(target.host); });
+    net.At(TimePoint{at + down}, [&net, &target] {
+      net.Revive(target.host);
+      StartTarget(target, net);
+    });
+  };
+  for (std::size_t n = 0; n < targets.size(); ++n) {
+    restart(n, seconds{6 + static_cast<int>(n)}, seconds{1});
+  }
+  for (std::size_t n = 0; n < 3; ++n) {
+    restart(n, seconds{16}, seconds{4});
+  }
+}
+
+// Freezes agent and target of a host and lets them go on.
+auto PlanPauses(VirtualNetwork& net, Targets& targets) -> void {
+  for (std::size_t n = 0; n < 3; ++n) {
+    auto& target = *targets[n];
+    const seconds at{8 + 5 * static_cast<int>(n)};
+    net.At(TimePoint{at}, [&net, &target] { net.Freeze(target.host); });
+    net.At(TimePoint{at + seconds{3}},
+           [&net, &target] { net.Thaw(target.host); });
+  }
+}
+
+auto Fitquote() -> RequestScenario {
+  return {.booking_share = 0.7,
+          .link = {.delay = milliseconds{3}, .jitter = milliseconds{1}}};
+}
+
+auto PlanCore() -> RequestScenario {
+  return {.service_time = milliseconds{80},
+          .deadline = milliseconds{3000},
+          .booking_share = 0.6,
+          .permits = true,
+          .link = {.delay = milliseconds{1}, .jitter = milliseconds{1}}};
+}
+
+auto Cases(RequestScenario base, const std::string& workload)
+    -> std::vector<Case> {
+  std::vector<Case> cases;
+  const auto add = [&](const std::string& name, auto change) {
+    auto scenario = base;
+    change(scenario);
+    cases.push_back({.name = name + "_" + workload, .scenario = scenario});
+  };
+  add("steady", [](RequestScenario&) {});
+  add("overload", [](RequestScenario& it) { it.load = 3; });
+  add("late_and_crossed", [](RequestScenario& it) {
+    it.link.jitter = milliseconds{600};
+    it.copy_share = 0.3;
+    it.copy_delay = seconds{3};
+    it.faults = PlanPauses;
+  });
+  add("lost_answers", [](RequestScenario& it) { it.link.loss = 0.2; });
+  add("target_restart", [](RequestScenario& it) {
+    it.load = 0.8;
+    it.faults = PlanRestarts;
+  });
+  add("duplicate_storm", [](RequestScenario& it) {
+    it.copy_share = 0.8;
+    it.copies = 3;
+    it.copy_delay = seconds{5};
+    it.second_home_share = 0.3;
+  });
+  return cases;
+}
+
+// Seconds from the loss of three targets until 95% are served again.
+auto TimeToGoodput(const RequestResult& result) -> double {
+  constexpr std::size_t kLost = 16;
+  for (auto n = kLost + 1; n < result.served_by_second.size(); ++n) {
+    const bool lasting = std::all_of(
+        result.served_by_second.begin() + static_cast<std::ptrdiff_t>(n),
+        result.served_by_second.end(),
+        [](double served) { return served >= kGoodputFloor; });
+    if (lasting) {
+      return static_cast<double>(n - kLost);
+    }
+  }
+  return static_cast<double>(result.served_by_second.size() - kLost);
+}
+
+struct Printer {
+  std::string name;
+  Variant variant;
+  std::uint64_t seed = 0;
+
+  auto Figure(const std::string& figure,
+              double value,
+              const std::string& unit,
+              std::optional<double> bound = {},
+              std::optional<double> floor = {}) const -> void {
+    Row row{.bench = "requests",
+            .name = name,
+            .variant = variant.name,
+            .figure = figure,
+            .value = value,
+            .unit = unit,
+            .seed = seed};
+    if (!variant.IsBaseline()) {
+      row.bound = bound;
+      row.floor = floor;
+    }
+    Print(row);
+  }
+};
+
+auto PrintResult(const Printer& printer, const RequestResult& result) -> void {
+  const auto& name = printer.name;
+  printer.Figure("doubled", static_cast<double>(result.doubled), "requests", 0);
+  printer.Figure("falsely_not_run", static_cast<double>(result.falsely_not_run),
+                 "requests", 0);
+  printer.Figure("answer_after_give_up",
+                 static_cast<double>(result.answer_after_give_up), "answers",
+                 0);
+  printer.Figure("wrong_answers", static_cast<double>(result.wrong_answers),
+                 "answers", 0);
+  printer.Figure(
+      "retries_ratio",
+      static_cast<double>(result.attempts) / static_cast<double>(result.calls),
+      "tries/request", kRetriesBound);
+  printer.Figure("shed", result.shed_share, "share");
+  printer.Figure("unknown", static_cast<double>(result.unknown), "requests");
+  printer.Figure("unanswered", static_cast<double>(result.unanswered),
+                 "requests");
+  if (name.starts_with("overload")) {
+    printer.Figure("goodput_ratio", result.goodput_ratio, "share", {},
+                   kGoodputFloor);
+    printer.Figure("refusal_round_trips_p99", result.refusal_round_trips_p99,
+                   "round trips", kRefusalRoundTripsBound);
+  } else {
+    printer.Figure("served_ratio", result.served_ratio, "share");
+  }
+  if (name.starts_with("target_restart")) {
+    printer.Figure("time_to_goodput", TimeToGoodput(result), "s");
+  }
+}
+
+auto RunCase(const Case& it) -> void {
+  for (const auto& variant : Variants()) {
+    const auto seeds = variant.IsBaseline() ? 1 : kSeeds;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+      auto scenario = it.scenario;
+      scenario.seed = seed;
+      scenario.gate = variant.gate;
+      scenario.retry_without_budget = variant.retry_without_budget;
+      PrintResult({.name = it.name, .variant = variant, .seed = seed},
+                  RunScenario(scenario));
+    }
+  }
+}
+
+auto RunAll(const std::string& wanted) -> void {
+  auto cases = Cases(Fitquote(), "fitquote");
+  const auto more = Cases(PlanCore(), "plan_core");
+  cases.insert(cases.end(), more.begin(), more.end());
+  for (const auto& it : cases) {
+    if (it.name.starts_with(wanted)) {
+      RunCase(it);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace hawthornbank::bench
+
+auto main(int argc, char** argv) -> int {
+  hawthornbank::bench::RunAll(argc > 1 ? argv[1] : "");
+  return hawthornbank::bench::ExitCode();
+}
