--- a/bench/common/routing_world.cc
+++ b/bench/common/routing_world.cc
@@ -5,6 +5,7 @@
 namespace hawthornbank::bench {
 namespace {
 
+constexpr Duration kTickInterval = std::chrono::milliseconds{500};
 constexpr std::uint64_t kFabric = 0;
 constexpr std::uint64_t kFirstBalancer = 1;
 constexpr std::uint64_t kFirstAgent = 1000;
@@ -73,6 +74,18 @@
   for (std::uint32_t n = 0; n < options_.balancers; ++n) {
     AddBalancer();
   }
+  TickAgents();
+}
+
+auto RoutingWorld::TickAgents() -> void {
+  for (std::uint32_t n = 0; n < agents_.size(); ++n) {
+    if (agents_[n].alive) {
+      std::vector<AgentAction> actions;
+      OnAgentTick(*agents_[n].core, network_.now(), actions);
+      Perform(n, actions, nullptr, {});
+    }
+  }
+  network_.At(network_.now() + kTickInterval, [this]() { TickAgents(); });
 }
 
 auto RoutingWorld::RandomDelay() -> Duration {
--- a/bench/common/routing_world.h
+++ b/bench/common/routing_world.h
@@ -154,6 +154,7 @@
       -> void;
   auto Listed() const -> std::vector<Candidate>;
   auto RandomDelay() -> Duration;
+  auto TickAgents() -> void;
 
   WorldOptions options_;
   VirtualNetwork network_;
