--- a/bench/common/routing_world.cc
+++ b/bench/common/routing_world.cc
@@ -365,6 +365,14 @@
         ++deliveries_;
         hops_ += header.hops > 0 ? 1 : 0;
         Deliver(target, it.flow);
+        // Targets answer what they get, and both ends answer probes.
+        OnTargetSent(*agents_[target].core, it.flow, network_.now());
+        break;
+      case AgentAction::Kind::kProbe:
+        network_.AtHost(
+            from, network_.now() + options_.link.delay, [this, target, it]() {
+              OnProbeAnswered(*agents_[target].core, it.flow, network_.now());
+            });
         break;
       case AgentAction::Kind::kPass:
         network_.Send(from, kFirstAgent + to, [this, to, it, packet]() {
@@ -394,7 +402,6 @@
           OnPointerAck(*agents_[to].core, it.flow, AgentEndpoint(target));
         });
         break;
-      case AgentAction::Kind::kProbe:
       case AgentAction::Kind::kClose:
         break;
     }
