Prove the agent's and the balancer's decisions under failure

The test of one-sided flows failed first: a caller that talks on reset the count of probes, so a flow whose target had lost track never ended. Probes now count until both ends have spoken lately.

--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -51,7 +51,6 @@
                  TimePoint now,
                  std::vector<AgentAction>& out) -> void {
   owned.last_from_caller = now;
-  owned.probes = 0;
   // A balancer that needed a hop is told, so that its next packet needs none.
   if (header.hops > 0 && header.balancer.port != 0) {
     Count(agent.counters, Counter::kHintsSent);
@@ -161,6 +160,7 @@
   if (now - last > agent.options.idle_timeout || IsOneSided(agent, owned)) {
     return ProbeSilentFlow(agent, key, owned, now, out);
   }
+  owned.probes = 0;
   return true;
 }
 
--- /dev/null
+++ b/test/routing_test.cc
@@ -0,0 +1,155 @@
+#include "hawthornbank/routing.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+
+namespace {
+
+const Endpoint kAddress{.address = 0x0A000001, .port = 5683};
+const Endpoint kCaller{.address = 0x0B000001, .port = 4000};
+const Endpoint kAgentA{.address = 0x0A010001, .port = 7000};
+const Endpoint kAgentB{.address = 0x0A010002, .port = 7000};
+const TimePoint kNow{std::chrono::seconds{1000}};
+
+auto MakeCandidate(std::uint64_t id, Endpoint agent) -> Candidate {
+  return Candidate{.id = TargetId{id}, .agent = agent};
+}
+
+auto MakeTable(ServiceId service, const std::vector<Candidate>& candidates)
+    -> RoutingTable {
+  RoutingTable table{.generation = Generation{3}};
+  for (const auto& it : candidates) {
+    table.live_agents.emplace(it.agent, it.joined);
+  }
+  table.services.emplace(
+      ServiceAddress{.address = kAddress, .transport = Transport::kUdp},
+      RoutedService{.id = service, .candidates = candidates});
+  return table;
+}
+
+}  // namespace
+
+TEST_GROUP(Routing) {
+  FlowCache cache{1000};
+  Counters counters;
+  BalancerContext context{.self = {.address = 9, .port = 9},
+                          .last_heard = kNow};
+  Bytes bytes = BuildUdpPacket(kCaller, kAddress, Bytes(8, 1));
+
+  auto Route(const RoutingTable& table, TimePoint now = kNow)->RouteDecision {
+    return RoutePacket(table, cache, context, ParsePacket(bytes), now,
+                       counters);
+  }
+};
+
+TEST(Routing, PacketCarriesServiceAndGeneration) {
+  const auto table = MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)});
+  const auto decision = Route(table);
+  CHECK(decision.verdict == RouteVerdict::kForward);
+  CHECK(decision.agent == kAgentA);
+  CHECK(decision.header.service == ServiceId{5});
+  CHECK(decision.header.generation == Generation{3});
+  CHECK(decision.header.balancer == context.self);
+}
+
+TEST(Routing, CachedFlowStaysWhenATargetJoins) {
+  const auto before = MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)});
+  CHECK(Route(before).agent == kAgentA);
+  for (std::uint64_t id = 2; id < 50; ++id) {
+    const auto after = MakeTable(
+        ServiceId{5}, {MakeCandidate(1, kAgentA), MakeCandidate(id, kAgentB)});
+    CHECK(Route(after).agent == kAgentA);
+  }
+}
+
+TEST(Routing, ReusedAddressDoesNotReuseTheCachedOwner) {
+  CHECK(Route(MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)})).agent ==
+        kAgentA);
+  // Another service takes over the address; its target is another one.
+  auto table = MakeTable(ServiceId{6}, {MakeCandidate(2, kAgentB)});
+  table.live_agents.emplace(kAgentA, TimePoint{});
+  const auto decision = Route(table);
+  CHECK(decision.agent == kAgentB);
+  CHECK(decision.header.service == ServiceId{6});
+}
+
+TEST(Routing, NewTargetIsNoHomeUntilAllCanKnowIt) {
+  auto young = MakeCandidate(2, kAgentB);
+  young.joined = kNow - std::chrono::seconds{1};
+  const auto table =
+      MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA), young});
+  for (std::uint16_t port = 1; port < 200; ++port) {
+    bytes = BuildUdpPacket({.address = 1, .port = port}, kAddress, {});
+    CHECK(Route(table).agent == kAgentA);
+  }
+}
+
+TEST(Routing, DeadOwnersFlowIsMarkedEstablished) {
+  Route(MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)}));
+  auto table = MakeTable(ServiceId{5}, {MakeCandidate(2, kAgentB)});
+  const auto later = kNow + std::chrono::minutes{1};
+  context.last_heard = later;
+  table.departed_agents.emplace(kAgentA, later);
+  const auto decision = Route(table, later);
+  CHECK(decision.agent == kAgentB);
+  CHECK(decision.header.established);
+  // Its successor's entry is an ordinary one again.
+  CHECK(!Route(table, later).header.established);
+}
+
+TEST(Routing, FlowOpenedWhileItsHomeWasDeadMayBegin) {
+  Route(MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)}));
+  auto table = MakeTable(ServiceId{5}, {MakeCandidate(2, kAgentB)});
+  const auto later = kNow + std::chrono::seconds{3};
+  table.departed_agents.emplace(kAgentA, later);
+  CHECK(!Route(table, later).header.established);
+}
+
+TEST(Routing, RestartedOwnerIsNotTrustedWithOldFlows) {
+  Route(MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)}));
+  auto restarted = MakeCandidate(1, kAgentA);
+  restarted.joined = kNow + std::chrono::seconds{20};
+  const auto later = kNow + std::chrono::seconds{30};
+  context.last_heard = later;
+  const auto decision = Route(MakeTable(ServiceId{5}, {restarted}), later);
+  CHECK(decision.header.established);
+}
+
+TEST(Routing, IsolatedBalancerOpensNothingButKeepsFlows) {
+  const auto table = MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)});
+  Route(table);
+  const auto later = kNow + std::chrono::seconds{60};
+  CHECK(Route(table, later).verdict == RouteVerdict::kForward);
+  bytes = BuildUdpPacket({.address = 1, .port = 2}, kAddress, {});
+  CHECK(Route(table, later).verdict == RouteVerdict::kDrop);
+  LONGS_EQUAL(1, Read(counters, Counter::kDropIsolated));
+}
+
+TEST(Routing, UnknownServiceIsAnsweredAndCounted) {
+  const auto table = MakeTable(ServiceId{5}, {});
+  bytes = BuildUdpPacket(kCaller, {.address = 3, .port = 4}, {});
+  CHECK(Route(table).verdict == RouteVerdict::kReset);
+  LONGS_EQUAL(1, Read(counters, Counter::kDropUnknownService));
+}
+
+TEST(Routing, MalformedAndFragmentsAreCounted) {
+  const auto table = MakeTable(ServiceId{5}, {MakeCandidate(1, kAgentA)});
+  bytes[6] = 0x20;
+  CHECK(Route(table).verdict == RouteVerdict::kTooBig);
+  bytes.resize(5);
+  CHECK(Route(table).verdict == RouteVerdict::kDrop);
+  LONGS_EQUAL(1, Read(counters, Counter::kDropFragment));
+  LONGS_EQUAL(1, Read(counters, Counter::kDropMalformed));
+}
+
+TEST(Routing, HintMovesTheCachedOwner) {
+  const auto table = MakeTable(
+      ServiceId{5}, {MakeCandidate(1, kAgentA), MakeCandidate(2, kAgentB)});
+  const auto first = Route(table).agent;
+  const auto other = first == kAgentA ? kAgentB : kAgentA;
+  const FlowKey key{
+      .service = ServiceId{5}, .caller = kCaller, .address = kAddress};
+  OnFlowHint(cache, key, other, kNow, counters);
+  CHECK(Route(table).agent == other);
+}
