Membership: doubt self when deaf or wrong, spread bulk changes sparingly, ring heartbeat

A balancer that no other watches heard no heartbeats, so it took zones for silent; the next one of its zone now always hears it.

--- a/bench/common/membership_fleet.cc
+++ b/bench/common/membership_fleet.cc
@@ -103,10 +103,12 @@
   if ((a < cut_) != (b < cut_)) {
     return Link{.loss = 1};
   }
+  const auto deaf = deaf_.find(to);
+  const double deafness = deaf == deaf_.end() ? 0 : deaf->second;
   const auto near = std::chrono::microseconds{300};
   return Link{.delay = a == b ? Duration{near} : options_.link_delay,
               .jitter = options_.jitter,
-              .loss = options_.loss};
+              .loss = std::max(options_.loss, deafness)};
 }
 
 auto MembershipFleet::StartBalancer(std::size_t n) -> void {
--- a/bench/common/membership_fleet.h
+++ b/bench/common/membership_fleet.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -66,8 +67,8 @@
   /// Loses every message between hosts of the two groups of zones.
   auto CutZonesFrom(std::size_t first_zone) -> void { cut_ = first_zone; }
   auto EndCut() -> void { cut_ = SIZE_MAX; }
-  /// Adds loss to everything.
-  auto SetLoss(double loss) -> void { options_.loss = loss; }
+  /// Loses a share of what a host is sent.
+  auto Deafen(std::uint64_t host, double loss) -> void { deaf_[host] = loss; }
 
   /// @return Whether a live balancer gives new flows to a target.
   [[nodiscard]] auto Routes(std::size_t balancer, std::size_t agent) const
@@ -121,6 +122,7 @@
   std::array<std::uint64_t, kMembershipEventCount> events_{};
   std::uint64_t changes_ = 0;
   std::size_t cut_ = SIZE_MAX;
+  std::map<std::uint64_t, double> deaf_;
 };
 
 }  // namespace hawthornbank::bench
--- a/include/hawthornbank/membership.h
+++ b/include/hawthornbank/membership.h
@@ -150,6 +150,7 @@
   bool ready_peer = false;    ///< A peer that is ready has been heard.
   bool watches_stale = true;  ///< The balancers changed since last assigned.
   bool ready = false;
+  bool in_step = false;            ///< A peer answered that nothing is missing.
   std::uint8_t gossip_rounds = 3;  ///< Rounds that a change is sent in.
   detail::MemberStatus self_status;
   std::vector<detail::RosterEntry> roster;  ///< Live balancers and self.
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -10,8 +10,8 @@
 
 using detail::Actions;
 
-/// Seconds of budget that may be spent at once.
-constexpr double kReserveSeconds = 20;
+/// Span over which the budget holds on average.
+constexpr double kReserveSeconds = 600;
 /// Time after which a balancer that hears no ready peer is the first.
 constexpr Duration kFirstBalancerDelay = std::chrono::milliseconds{1500};
 /// Most weight a target can claim, in percent.
@@ -46,6 +46,9 @@
   entry.record.sequence = digest.sequence;
   if (newer && held.state != BalancerState::kAlive) {
     detail::Count(MembershipEvent::kRefuted, out);
+    if (entry.status.watched) {
+      detail::NoteWrongSuspicion(membership, now);
+    }
     detail::ChangeBalancerState(membership, entry, BalancerState::kAlive, now);
   }
   return false;
@@ -187,6 +190,10 @@
 
 }  // namespace
 
+auto detail::BudgetReserve(const Membership& membership) -> double {
+  return kReserveSeconds * membership.options.budget_bytes_per_second;
+}
+
 auto detail::Count(MembershipEvent event, Actions& out) -> void {
   out.emplace_back(CountMembershipEvent{event});
 }
@@ -276,6 +283,7 @@
   MergeRecords(membership, from, digest, now, out);
   const bool ask = HearSender(membership, digest, now, out);
   membership.ready = membership.ready || (digest.complete && digest.ready);
+  membership.in_step = membership.in_step || digest.complete;
   if (!digest.checksums.empty()) {
     detail::AnswerSync(membership, from, digest, out);
   }
--- a/src/coordination/membership_gossip.cc
+++ b/src/coordination/membership_gossip.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "membership_internal.h"
@@ -15,8 +16,6 @@
 constexpr std::size_t kGatewayCount = 2;
 /// Share of the budget's reserve that load changes leave to changes of state.
 constexpr double kReservedShare = 0.5;
-/// Seconds of budget that may be spent at once.
-constexpr double kReserveSeconds = 20;
 
 /// Rank of a balancer for a duty of its zone or region.
 auto DutyScore(HostId id) -> std::uint64_t {
@@ -133,6 +132,27 @@
   }
 }
 
+/// The next balancer of a zone in the order of identity, so that each one
+/// hears at least one other; of the region when the zone has no second.
+auto AddSuccessor(const Membership& membership, std::vector<Endpoint>& peers)
+    -> void {
+  const auto& self = membership.roster.front();
+  const RosterEntry* best = nullptr;
+  const auto rank = [&self](const RosterEntry& it) {
+    // Identities after self come first, then those that wrap around.
+    return std::tuple(it.zone != self.zone, it.region != self.region,
+                      it.id < self.id, it.id);
+  };
+  for (const auto& it : membership.roster) {
+    if (it.id != self.id && (best == nullptr || rank(it) < rank(*best))) {
+      best = &it;
+    }
+  }
+  if (best != nullptr) {
+    peers.push_back(best->peer);
+  }
+}
+
 auto GossipPeers(const Membership& membership, Random& random)
     -> std::vector<Endpoint> {
   const auto zone = membership.roster.front().zone;
@@ -290,15 +310,17 @@
                                        PlaceHash(self.region))) {
     peers.push_back(it.peer);
   }
+  AddSuccessor(membership, peers);
   AddGateways(membership, random, peers);
+  std::sort(peers.begin(), peers.end());
+  peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
   for (const auto& it : peers) {
     Send(membership, it, digest, out);
   }
 }
 
 auto SendGossip(Membership& membership, Random& random, Actions& out) -> void {
-  const double limit = membership.options.budget_bytes_per_second;
-  const double reserve = limit * kReserveSeconds;
+  const double reserve = BudgetReserve(membership);
   const bool urgent_allowed = membership.budget_bytes > 0;
   const bool load_allowed = membership.budget_bytes > reserve * kReservedShare;
   Digest digest = MakeDigest(membership);
@@ -358,11 +380,16 @@
               Random& random,
               Actions& out) -> void {
   constexpr std::size_t kNewcomerFanout = 3;
-  if (membership.ready &&
-      now - membership.last_sync < membership.options.sync_interval) {
+  constexpr Duration kNewcomerInterval = std::chrono::milliseconds{200};
+  const auto& options = membership.options;
+  const auto interval = !membership.ready    ? kNewcomerInterval
+                        : membership.in_step ? options.sync_interval
+                                             : options.heartbeat_interval;
+  if (now - membership.last_sync < interval) {
     return;
   }
   membership.last_sync = now;
+  membership.in_step = false;
   std::vector<Endpoint> group =
       PeersWhere(membership, [](const RosterEntry&) { return true; });
   if (!membership.ready || group.empty()) {
@@ -395,11 +422,14 @@
   const auto first = request.first_bucket % kBucketCount;
   const auto sums = BucketChecksums(membership, first);
   if (request.checksums == sums) {
-    if (request.probe) {
-      Digest digest = MakeDigest(membership);
-      digest.complete = true;
-      Send(membership, to, std::move(digest), out);
-    }
+    Digest digest = MakeDigest(membership);
+    digest.complete = true;
+    Send(membership, to, std::move(digest), out);
+    return;
+  }
+  // Two that have just started have little to give each other.
+  if (request.probe && !membership.ready) {
+    Send(membership, to, MakeDigest(membership), out);
     return;
   }
   if (!request.probe && membership.budget_bytes <= 0) {
--- a/src/coordination/membership_internal.h
+++ b/src/coordination/membership_internal.h
@@ -83,8 +83,12 @@
 auto CheckOwnHealth(Membership& membership, TimePoint now, Actions& out)
     -> void;
 
-/// @return Whether a service has fewer serving targets than its floor, were
-///   another one to be taken away or not.
+/// @return Whether nothing at all is heard: the fault is likelier on this side.
+auto IsDeaf(const Membership& membership, TimePoint now) -> bool;
+/// Doubts self one step more after it suspected a member wrongly.
+auto NoteWrongSuspicion(Membership& membership, TimePoint now) -> void;
+
+/// @return Whether a service has fewer serving targets than its floor.
 auto IsBelowFloor(const Membership& membership, ServiceId service) -> bool;
 
 /// Notes a zone's life sign.
@@ -98,6 +102,8 @@
 /// Finds silent zones and marks their targets.
 auto CheckZones(Membership& membership, TimePoint now, Actions& out) -> void;
 
+/// @return Bytes that may be spent at once, after a time of quiet.
+auto BudgetReserve(const Membership& membership) -> double;
 /// @return A digest with the head filled in.
 auto MakeDigest(const Membership& membership) -> Digest;
 /// Sends a digest and takes it off the budget.
--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -10,6 +10,11 @@
 constexpr std::uint32_t kSignificantShare = 8;
 /// Change of connections that is worth spreading at least.
 constexpr std::uint32_t kSignificantConnections = 16;
+/// Changes at a time above which gossip sends each less often and leaves the
+/// rest to synchronisation, as after a start of everything.
+constexpr std::size_t kBulkChanges = 100;
+/// Gossip rounds of a change among many.
+constexpr std::uint8_t kBulkRounds = 1;
 /// Change of weight that is worth spreading, in percent points.
 constexpr std::uint32_t kSignificantWeight = 10;
 
@@ -118,6 +123,9 @@
     if (before.state >= TargetState::kSuspect &&
         record.state < TargetState::kSuspect) {
       Count(MembershipEvent::kRefuted, out);
+      if (entry.status.watched && !restarted) {
+        NoteWrongSuspicion(membership, now);
+      }
     }
   }
   const bool visible =
@@ -149,7 +157,8 @@
 
 auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
     -> void {
-  entry.status.rounds = membership.gossip_rounds;
+  const bool bulk = membership.hot_targets.size() > kBulkChanges;
+  entry.status.rounds = bulk ? kBulkRounds : membership.gossip_rounds;
   entry.status.urgent = entry.status.urgent || urgent;
   membership.hot_targets.insert(entry.record.id);
 }
--- a/src/coordination/membership_view.cc
+++ b/src/coordination/membership_view.cc
@@ -89,6 +89,11 @@
 auto CheckZones(Membership& membership, TimePoint now, Actions& out) -> void {
   const auto timeout =
       membership.options.zone_timeout * (1 + membership.health);
+  if (IsDeaf(membership, now)) {
+    for (auto& [id, it] : membership.zones) {
+      it.advanced = it.silent ? it.advanced : now;
+    }
+  }
   bool check_targets = false;
   for (auto& [id, it] : membership.zones) {
     const bool silent = now - it.advanced > timeout;
--- a/src/coordination/membership_watch.cc
+++ b/src/coordination/membership_watch.cc
@@ -12,6 +12,8 @@
 constexpr std::uint8_t kBaseRounds = 3;
 /// Most steps by which self-doubt stretches timeouts.
 constexpr std::uint32_t kMaxHealth = 3;
+/// Stretch of timeouts while nothing is heard; declares nobody in practice.
+constexpr std::uint32_t kDeafStretch = 1000;
 /// Lateness of a tick that makes a balancer doubt itself.
 constexpr Duration kLateTick = std::chrono::milliseconds{500};
 /// Time without lateness that takes one step of doubt away.
@@ -304,9 +306,6 @@
 }
 
 auto CheckWatches(Membership& membership, TimePoint now, Actions& out) -> void {
-  // Nothing at all is heard: the fault is likelier on this side.
-  const bool deaf =
-      now - membership.last_received > membership.options.probe_timeout;
   const bool doubt = AreMostSilent(membership, now);
   if (doubt &&
       now - membership.health_changed > membership.options.heartbeat_interval) {
@@ -314,7 +313,8 @@
     membership.health = std::max(membership.health, 1U);
     Count(MembershipEvent::kSelfDoubt, out);
   }
-  const std::uint32_t stretch = deaf ? 1000 : 1 + membership.health;
+  const std::uint32_t stretch =
+      IsDeaf(membership, now) ? kDeafStretch : 1 + membership.health;
   for (const auto id : membership.watched_targets) {
     const auto it = membership.targets.find(id);
     if (it != membership.targets.end() && IsPresent(it->second.record.state) &&
@@ -331,6 +331,17 @@
   }
 }
 
+auto IsDeaf(const Membership& membership, TimePoint now) -> bool {
+  return now - membership.last_received > membership.options.probe_timeout;
+}
+
+auto NoteWrongSuspicion(Membership& membership, TimePoint now) -> void {
+  if (now - membership.health_changed > membership.options.heartbeat_interval) {
+    membership.health = std::min(membership.health + 1, kMaxHealth);
+    membership.health_changed = now;
+  }
+}
+
 auto CheckOwnHealth(Membership& membership, TimePoint now, Actions& out)
     -> void {
   const Duration expected = membership.options.tick_interval;
--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -213,3 +213,175 @@
   RunUntil(fleet, 10s, [&] { return IsReady(fleet.balancer(0)); });
   CHECK(fleet.IsWhole());
 }
+
+TEST(MembershipFleet, TargetLostWithItsZoneWatchersIsStillFound) {
+  MembershipFleet fleet(FleetOptions{.balancers = 6, .agents = 12});
+  fleet.Run(20s);
+  CHECK(fleet.IsWhole());
+  fleet.KillBalancer(0);
+  fleet.KillBalancer(3);
+  fleet.KillAgent(0);
+  LONGS_EQUAL(0, fleet.zone_of_agent(0));
+  const auto took =
+      RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(0) == 0; });
+  CHECK(took <= 5s);
+}
+
+TEST(MembershipFleet, LossOfARackLeavesTheOthers) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  // Service 2 has the agents 1, 3, 5, 7 and 9.
+  fleet.KillAgent(1);
+  fleet.KillAgent(7);
+  const auto took = RunUntil(fleet, 20s, [&] {
+    return fleet.RoutingCount(1) + fleet.RoutingCount(7) == 0;
+  });
+  CHECK(took <= 5s);
+  LONGS_EQUAL(3, RoutableTargets(fleet.balancer(0), ServiceId{2}).size());
+}
+
+TEST(MembershipFleet, LossOfMostTargetsKeepsTheSuspects) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(20s);
+  for (const std::size_t n : {1U, 3U, 5U, 7U}) {
+    fleet.KillAgent(n);
+  }
+  for (int second = 0; second < 40; ++second) {
+    fleet.Run(1s);
+    CHECK(RoutableTargets(fleet.balancer(0), ServiceId{2}).size() >= 2);
+  }
+  CHECK(fleet.events(MembershipEvent::kHeldByFloor) > 0);
+  for (const std::size_t n : {1U, 3U, 5U, 7U}) {
+    fleet.StartAgent(n);
+  }
+  fleet.Run(5s);
+  CHECK(fleet.IsWhole());
+}
+
+TEST(MembershipFleet, RegionsPartAndMergeWithoutFlapping) {
+  MembershipFleet fleet(FleetOptions{.balancers = 8,
+                                     .agents = 16,
+                                     .zones = 4,
+                                     .zones_per_region = 2,
+                                     .jitter = 20ms,
+                                     .loss = 0.01});
+  fleet.Run(20s);
+  CHECK(fleet.IsWhole());
+  fleet.CutZonesFrom(2);
+  fleet.Run(15s);
+  for (int second = 0; second < 165; ++second) {
+    fleet.Run(1s);
+    for (std::size_t n = 0; n < 16; ++n) {
+      LONGS_EQUAL(4, fleet.RoutingCount(n));
+    }
+  }
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  fleet.EndCut();
+  CHECK(RunUntil(fleet, 20s, [&] { return fleet.IsWhole(); }) <= 10s);
+  for (int n = 0; n < 600; ++n) {
+    fleet.Run(100ms);
+    CHECK(fleet.IsWhole());
+  }
+}
+
+TEST(MembershipFleet, FrozenObserverDoubtsItself) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  fleet.network().Freeze(fleet.balancer_host(0));
+  fleet.Run(10s);
+  fleet.network().Thaw(fleet.balancer_host(0));
+  for (int n = 0; n < 2000; ++n) {
+    fleet.Run(10ms);
+    CHECK(fleet.IsWhole());
+  }
+  CHECK(fleet.events(MembershipEvent::kSelfDoubt) > 0);
+}
+
+TEST(MembershipFleet, DeafObserverTakesNothingAway) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  fleet.Deafen(fleet.balancer_host(0), 1);
+  for (int n = 0; n < 600; ++n) {
+    fleet.Run(100ms);
+    CHECK(fleet.IsWhole());
+  }
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+}
+
+TEST(MembershipFleet, HalfDeafObserverDeclaresNobodyDead) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    MembershipFleet fleet(
+        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
+    fleet.Run(20s);
+    fleet.Deafen(fleet.balancer_host(0), 0.5);
+    fleet.Run(5min);
+    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  }
+}
+
+TEST(MembershipFleet, SuspicionOfALiveTargetIsRefuted) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(20s);
+  // Balancer 0 loses everything but a heartbeat now and then, so it suspects.
+  fleet.Deafen(fleet.balancer_host(0), 0.9);
+  fleet.Run(30s);
+  fleet.Deafen(fleet.balancer_host(0), 0);
+  fleet.Run(5s);
+  CHECK(fleet.events(MembershipEvent::kSuspected) > 0);
+  CHECK(fleet.events(MembershipEvent::kRefuted) > 0);
+  CHECK(fleet.IsWhole());
+}
+
+TEST(MembershipFleet, RestartOfAllBalancersRecovers) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  for (std::size_t n = 0; n < 3; ++n) {
+    fleet.KillBalancer(n);
+    fleet.StartBalancer(n);
+  }
+  const auto took = RunUntil(fleet, 20s, [&] {
+    return IsReady(fleet.balancer(0)) && fleet.IsWhole();
+  });
+  CHECK(took <= 10s);
+}
+
+TEST(MembershipFleet, TrafficStaysInTheBudget) {
+  MembershipFleet fleet(FleetOptions{
+      .balancers = 20, .agents = 200, .jitter = 100ms, .loss = 0.05});
+  fleet.Run(30s);
+  fleet.ResetTraffic();
+  fleet.Run(60s);
+  for (std::size_t n = 0; n < 20; ++n) {
+    CHECK(fleet.balancer_traffic(n).bytes <= 60 * 3072);
+  }
+  for (std::size_t n = 0; n < 200; ++n) {
+    CHECK(fleet.agent_traffic(n).bytes <= 60 * 3072);
+  }
+}
+
+TEST(MembershipFleet, InsignificantLoadIsNotGossiped) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(20s);
+  const auto before = ViewOf(fleet.balancer(0), fleet.service_of(0)).version;
+  SetLoad(fleet.agent(0), TargetLoad{.connections = 2010, .slots = 3});
+  fleet.Run(5s);
+  for (std::size_t n = 0; n < 3; ++n) {
+    CHECK(fleet.balancer(n).hot_targets.empty());
+    CHECK(before == ViewOf(fleet.balancer(n), fleet.service_of(0)).version);
+  }
+  SetLoad(fleet.agent(0), TargetLoad{.connections = 3000, .slots = 3});
+  fleet.Run(5s);
+  for (std::size_t n = 0; n < 3; ++n) {
+    const auto view = ViewOf(fleet.balancer(n), fleet.service_of(0));
+    DOUBLES_EQUAL(2200, view.mean_connections, 1);
+  }
+}
+
+TEST(MembershipFleet, AgentsGetTheViewOfTheirService) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(10s);
+  LONGS_EQUAL(5, fleet.agent(2).view.targets.size());
+  fleet.KillAgent(0);
+  fleet.Run(6s);
+  LONGS_EQUAL(4, fleet.agent(2).view.targets.size());
+}
