--- a/include/hawthornbank/membership.h
+++ b/include/hawthornbank/membership.h
@@ -27,8 +27,8 @@
   std::vector<Endpoint> seeds;  ///< Peers to ask at start; may hold self.
   Duration tick_interval = std::chrono::milliseconds{100};
   Duration heartbeat_interval = std::chrono::seconds{1};
-  Duration probe_timeout = std::chrono::milliseconds{1300};
-  Duration probe_interval = std::chrono::milliseconds{400};
+  Duration probe_timeout = std::chrono::milliseconds{1200};
+  Duration probe_interval = std::chrono::milliseconds{250};
   Duration suspect_timeout = std::chrono::milliseconds{2500};
   Duration dead_timeout = std::chrono::milliseconds{1500};  ///< As suspect.
   Duration floor_hold = std::chrono::seconds{60};  ///< Suspects below floor.
@@ -144,6 +144,7 @@
   TimePoint last_heartbeat{};
   TimePoint last_sync{};
   TimePoint last_received{};
+  TimePoint last_assign{};  ///< Of watches.
   TimePoint health_changed{};
   std::uint32_t health = 0;  ///< 0 is well; each step stretches timeouts.
   double budget_bytes = 0;
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -235,6 +235,7 @@
   membership.budget_bytes = kReserveSeconds * options.budget_bytes_per_second;
   membership.last_heartbeat = now - options.heartbeat_interval;
   membership.last_sync = now - options.sync_interval;
+  membership.last_assign = now - options.heartbeat_interval;
   detail::RebuildRoster(membership);
   detail::MarkSelf(membership);
   return membership;
@@ -308,7 +309,9 @@
       now - membership.started > kFirstBalancerDelay) {
     membership.ready = true;
   }
-  if (membership.watches_stale) {
+  const bool assign_due =
+      now - membership.last_assign >= options.heartbeat_interval;
+  if (membership.watches_stale && assign_due) {
     detail::AssignWatches(membership, now);
   }
   if (now - membership.last_heartbeat >= options.heartbeat_interval) {
--- a/src/coordination/membership_gossip.cc
+++ b/src/coordination/membership_gossip.cc
@@ -177,11 +177,14 @@
       continue;
     }
     auto& entry = target->second;
-    const auto size = EncodedSize(entry.record);
-    if (entry.status.urgent != urgent || size > room) {
+    if (entry.status.urgent != urgent) {
       ++it;
       continue;
     }
+    const auto size = EncodedSize(entry.record);
+    if (size > room) {
+      return;
+    }
     room -= size;
     digest.targets.push_back(entry.record);
     if (--entry.status.rounds == 0) {
--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -92,6 +92,20 @@
   }
 }
 
+/// Takes a newer record of a target that self suspected as evidence.
+auto HearIndirectly(Membership& membership,
+                    TargetEntry& entry,
+                    std::uint64_t suspected_sequence,
+                    TimePoint now) -> void {
+  // One announce that was lost here alone is chance, more are a fault here.
+  constexpr std::uint64_t kMissedAnnounces = 2;
+  if (entry.record.sequence >= suspected_sequence + kMissedAnnounces) {
+    NoteWrongSuspicion(membership, now);
+  }
+  entry.status.heard =
+      std::max(entry.status.heard, now - membership.options.probe_timeout);
+}
+
 auto ReplaceTarget(Membership& membership,
                    TargetEntry& entry,
                    const TargetRecord& record,
@@ -124,7 +138,7 @@
         record.state < TargetState::kSuspect) {
       Count(MembershipEvent::kRefuted, out);
       if (entry.status.watched && !restarted) {
-        NoteWrongSuspicion(membership, now);
+        HearIndirectly(membership, entry, before.sequence, now);
       }
     }
   }
--- a/src/coordination/membership_watch.cc
+++ b/src/coordination/membership_watch.cc
@@ -200,11 +200,14 @@
 
 /// @return Whether more than half of the watched members are silent.
 auto AreMostSilent(const Membership& membership, TimePoint now) -> bool {
+  // Two probes have had their time by then, so chance losses count little.
+  const auto after =
+      membership.options.suspect_timeout - membership.options.probe_interval;
   std::size_t watched = 0;
   std::size_t silent = 0;
   const auto add = [&](const MemberStatus& status) {
     ++watched;
-    silent += now - status.heard > membership.options.probe_timeout ? 1 : 0;
+    silent += now - status.heard > after ? 1 : 0;
   };
   for (const auto id : membership.watched_targets) {
     const auto it = membership.targets.find(id);
@@ -291,6 +294,7 @@
 
 auto AssignWatches(Membership& membership, TimePoint now) -> void {
   membership.watches_stale = false;
+  membership.last_assign = now;
   membership.watched_targets.clear();
   membership.watched_balancers.clear();
   for (auto& [id, it] : membership.targets) {
