Spread the configuration by few watchers and peers, and update it once

Two balancers a zone watch the platform; the others gossip offers of 60 bytes and fetch what is newer in parts of a packet, as a difference from what they have where that is smaller. Agents report to a balancer chosen by hash and never call the platform. Reports roll up a tree over the sorted live balancers, so that its root says N of N or who lags.

A process never goes to an older generation: older values are refused; a read by a process with nothing in force is proved by a watch from its version before use, since a stale read has nothing to be compared with; the first offer is not believed until others had 300 ms to answer.

An update is read back by its operation in the changes since its base, also behind later changes, before the same conditional write is repeated. The loser of a race gets the winner's author, operation and changes.

Ruled out: one report a host to the root (37 KB/s there at 470 balancers); whole values for each change (80 KB with 410 services).

--- /dev/null
+++ b/test/configuration_store_test.cc
@@ -0,0 +1,267 @@
+#include "hawthornbank/configuration_store.h"
+
+#include "common/configuration_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+using bench::ConfigurationFixture;
+
+namespace {
+
+auto MakeValue(std::uint64_t generation, std::size_t services = 2)
+    -> std::string {
+  Configuration configuration{.generation = Generation{generation},
+                              .operation = "op-" + std::to_string(generation),
+                              .author = "ana"};
+  for (std::size_t n = 0; n < services; ++n) {
+    configuration.services.push_back(Service{
+        .id = ServiceId{static_cast<std::uint32_t>(n + 1)},
+        .name = "service-" + std::to_string(n),
+        .address = Endpoint{.address = 1, .port = 5683},
+        .weight = n == 0 ? static_cast<std::uint32_t>(generation) : 100});
+  }
+  return EncodeConfiguration(configuration);
+}
+
+/// One store with hand-made inputs.
+struct Single {
+  Random random{1};
+  TimePoint now{10s};
+  ConfigurationActions actions;
+  ConfigurationStore store =
+      MakeConfigurationStore({.self = HostId{1}, .zone = "a"},
+                             TimePoint{},
+                             random);
+
+  auto Offer(std::uint64_t from, std::uint64_t generation) -> void {
+    OnConfigurationMessage(store, HostId{from},
+                           ConfigurationOffer{Generation{generation}}, now,
+                           random, actions);
+  }
+  auto Platform(const PlatformAnswer& answer) -> void {
+    OnPlatformAnswer(store, answer, now, random, actions);
+  }
+  auto Read(std::uint64_t version, std::uint64_t generation) -> void {
+    Platform(
+        {.reached = true, .version = version, .value = MakeValue(generation)});
+  }
+  auto Tick() -> void {
+    actions.clear();
+    TickConfiguration(store, now, random, actions);
+  }
+  template <class Action>
+  auto Last() const -> const Action* {
+    const Action* found = nullptr;
+    for (const auto& it : actions) {
+      const auto* action = std::get_if<Action>(&it);
+      found = action != nullptr ? action : found;
+    }
+    return found;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(ConfigurationStore){};
+
+TEST(ConfigurationStore, SpreadsToEveryProcessOverLossyLinks) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    ConfigurationFixture fixture({.seed = seed});
+    fixture.RunFor(3s);
+    fixture.Write(MakeValue(1));
+    CHECK(fixture.RunUntilInForce(Generation{1}, 10s) < 3s);
+  }
+}
+
+TEST(ConfigurationStore, CountsEveryProcessOnce) {
+  ConfigurationFixture fixture({.loss = 0});
+  fixture.Write(MakeValue(1));
+  fixture.RunFor(4s);
+  const auto root = ToInteger(ReportRoot(fixture.nodes[0].store)) - 1;
+  const auto sum =
+      SumUpInForce(fixture.nodes[root].store, fixture.network.now());
+  LONGS_EQUAL(13, sum.hosts);
+  LONGS_EQUAL(13, sum.in_force);
+  LONGS_EQUAL(0, sum.lagging.size());
+}
+
+TEST(ConfigurationStore, NamesWhoLags) {
+  ConfigurationFixture fixture({.loss = 0});
+  fixture.Write(MakeValue(1));
+  fixture.RunFor(8s);
+  fixture.network.SetLinkRule([](std::uint64_t, std::uint64_t to) {
+    return bench::Link{.loss = to == 7 ? 1.0 : 0.0};
+  });
+  fixture.Write(MakeValue(2));
+  fixture.RunFor(4s);
+  const auto sum = SumUpInForce(fixture.nodes[0].store, fixture.network.now());
+  LONGS_EQUAL(13, sum.hosts);
+  LONGS_EQUAL(12, sum.in_force);
+  LONGS_EQUAL(1, sum.lagging.size());
+  CHECK(sum.lagging[0] == HostId{8});
+}
+
+TEST(ConfigurationStore, MovesLargeValuesInPartsOverLossyLinks) {
+  ConfigurationFixture fixture({.loss = 0.1});
+  const auto value = MakeValue(1, 410);
+  CHECK(value.size() > 80000);
+  fixture.Write(value);
+  CHECK(fixture.RunUntilInForce(Generation{1}, 30s) < 30s);
+  STRCMP_EQUAL(value.c_str(), fixture.nodes[12].store.value.c_str());
+  for (auto& node : fixture.nodes) {
+    node.bytes = 0;
+  }
+  fixture.Write(MakeValue(2, 410));
+  fixture.RunFor(10s);
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{2}));
+  // The difference is small, so a change moves a fraction of the value.
+  CHECK(fixture.nodes[12].bytes < value.size() / 4);
+}
+
+TEST(ConfigurationStore, RefusesOlderFromPlatformAndPeers) {
+  Single single;
+  single.Read(5, 5);
+  single.Platform({.reached = true, .version = 5});
+  CHECK(GenerationInForce(single.store) == Generation{5});
+  single.Read(4, 4);
+  CHECK(GenerationInForce(single.store) == Generation{5});
+  LONGS_EQUAL(1, single.store.counters.stale_refused);
+  single.actions.clear();
+  single.Offer(2, 4);
+  // The peer that is behind is told so, and nothing is fetched from it.
+  const auto* send = single.Last<SendConfiguration>();
+  CHECK(std::get<ConfigurationOffer>(send->message).generation ==
+        Generation{5});
+  CHECK(!single.store.transfer);
+}
+
+TEST(ConfigurationStore, NewcomerProvesAReadFreshBeforeUse) {
+  Single single;
+  single.Read(4, 4);
+  CHECK(!single.store.in_force);
+  single.Tick();
+  const auto* watch = single.Last<CallPlatformWatch>();
+  LONGS_EQUAL(4, watch->from);
+  LONGS_EQUAL(0, watch->timeout.count());
+  single.Read(5, 5);
+  CHECK(GenerationInForce(single.store) == Generation{5});
+}
+
+TEST(ConfigurationStore, NewcomerWaitsForTheBestOffer) {
+  Single single;
+  single.Offer(2, 4);
+  single.Offer(3, 5);
+  single.Tick();
+  CHECK(!single.store.transfer);
+  single.now += kJoinWindow;
+  single.Tick();
+  CHECK(single.store.transfer->from == HostId{3});
+  CHECK(single.store.transfer->generation == Generation{5});
+}
+
+TEST(ConfigurationStore, DropsCorruptParts) {
+  Single single;
+  single.Offer(2, 5);
+  single.now += kJoinWindow;
+  single.Tick();
+  const auto value = MakeValue(5, 1);
+  ConfigurationChunk chunk{.generation = Generation{5},
+                           .hash = HashName(value) + 1,
+                           .count = 1,
+                           .index = 0,
+                           .bytes = value};
+  OnConfigurationMessage(single.store, HostId{2}, chunk, single.now,
+                         single.random, single.actions);
+  CHECK(!single.store.in_force);
+  LONGS_EQUAL(1, single.store.counters.corrupt_transfers);
+}
+
+TEST(ConfigurationStore, BacksOffWithinTheBudget) {
+  Single single;
+  const auto end = single.now + 60s;
+  for (; single.now < end; single.now += 100ms) {
+    single.Tick();
+    if (single.Last<CallPlatformGet>() != nullptr) {
+      single.Platform({.reached = false});
+    }
+  }
+  const auto calls = single.store.counters.platform_calls;
+  CHECK(calls >= 6);
+  CHECK(calls <= 20);
+}
+
+TEST(ConfigurationStore, ReadsAgainWhenTheVersionIsGone) {
+  Single single;
+  single.Read(5, 5);
+  single.Platform({.reached = true, .version = 5});
+  single.Platform({.reached = true, .gone = true});
+  single.now += 2s;
+  single.Tick();
+  CHECK(single.Last<CallPlatformGet>() != nullptr);
+}
+
+TEST(ConfigurationStore, FewWatchersAZone) {
+  ConfigurationFixture fixture({.balancers = 60, .agents = 0, .zones = 6});
+  std::size_t watchers = 0;
+  for (const auto& node : fixture.nodes) {
+    watchers += IsWatcher(node.store) ? 1 : 0;
+  }
+  LONGS_EQUAL(6 * kWatchersPerZone, watchers);
+}
+
+TEST(ConfigurationStore, OutageKeepsWhatIsInForceAndNewcomersAreUnconfirmed) {
+  ConfigurationFixture fixture({});
+  fixture.Write(MakeValue(1));
+  fixture.RunFor(5s);
+  CHECK(IsConfirmed(fixture.nodes[12].store, fixture.network.now()));
+  fixture.platform.down = true;
+  fixture.RunFor(60s);
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{1}));
+  fixture.Restart(0);
+  fixture.Restart(12);
+  fixture.RunFor(4s);
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{1}));
+  CHECK(!IsConfirmed(fixture.nodes[0].store, fixture.network.now()));
+  CHECK(!IsConfirmed(fixture.nodes[12].store, fixture.network.now()));
+  fixture.platform.down = false;
+  fixture.RunFor(20s);
+  CHECK(IsConfirmed(fixture.nodes[12].store, fixture.network.now()));
+}
+
+TEST(ConfigurationStore, RestartOfEverythingWithAStaleReadDoesNotRevert) {
+  ConfigurationFixture fixture({});
+  for (const std::uint64_t n : {1, 2}) {
+    fixture.Write(MakeValue(n));
+    fixture.RunFor(5s);
+  }
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{2}));
+  for (std::size_t n = 0; n < fixture.nodes.size(); ++n) {
+    fixture.Restart(n);
+  }
+  fixture.platform.stale_reads = 3;
+  fixture.RunFor(10s);
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{2}));
+  LONGS_EQUAL(0, fixture.reverts);
+}
+
+TEST(ConfigurationStore, OutageBetweenWriteAndWatchDoesNotRevert) {
+  ConfigurationFixture fixture({});
+  fixture.Write(MakeValue(1));
+  fixture.RunFor(5s);
+  fixture.Write(MakeValue(2));
+  fixture.platform.down = true;
+  // The tool that wrote it hands it to one balancer.
+  auto& node = fixture.nodes[1];
+  ConfigurationActions actions;
+  OnAcceptedConfiguration(node.store, MakeValue(2), fixture.network.now(),
+                          node.random, actions);
+  fixture.RunFor(3s);
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{2}));
+  fixture.platform.down = false;
+  fixture.platform.stale_reads = 5;
+  fixture.RunFor(20s);
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{2}));
+  LONGS_EQUAL(0, fixture.reverts);
+}
--- /dev/null
+++ b/test/configuration_update_test.cc
@@ -0,0 +1,135 @@
+#include "hawthornbank/configuration_update.h"
+
+#include "common/configuration_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using bench::ConfigurationFixture;
+
+namespace {
+
+auto WeightUpdate(const std::string& author, std::uint32_t weight)
+    -> ConfigurationUpdate {
+  return ConfigurationUpdate{
+      .options = {.operation = author,
+                  .author = author,
+                  .edit = [weight](Configuration& configuration) {
+                    configuration.services.at(0).weight = weight;
+                  }}};
+}
+
+/// Runs an update from a step to its end.
+auto Finish(ConfigurationFixture& fixture,
+            ConfigurationUpdate& update,
+            UpdateStep step) -> UpdateDone {
+  for (int n = 0; n < 50; ++n) {
+    if (std::holds_alternative<UpdateRead>(step)) {
+      step = OnUpdateRead(update, fixture.Present());
+    } else if (const auto* write = std::get_if<UpdateWrite>(&step)) {
+      step = OnUpdateWritten(update, fixture.Put(*write));
+    } else if (const auto* back = std::get_if<UpdateReadBack>(&step)) {
+      step = OnUpdateReadBack(update, fixture.History(back->from));
+    } else {
+      return std::get<UpdateDone>(step);
+    }
+  }
+  FAIL("the update does not end");
+  return {};
+}
+
+}  // namespace
+
+TEST_GROUP(ConfigurationUpdate) {
+  ConfigurationFixture fixture{{}};
+  ConfigurationUpdate ana = WeightUpdate("ana", 50);
+  ConfigurationUpdate ben = WeightUpdate("ben", 70);
+
+  void setup() override {
+    fixture.Write(EncodeConfiguration(
+        {.generation = Generation{1},
+         .operation = "op-0",
+         .author = "eve",
+         .services = {Service{.id = ServiceId{1}, .name = "fitquote"}}}));
+  }
+};
+
+TEST(ConfigurationUpdate, RaisesTheGenerationByOne) {
+  const auto done = Finish(fixture, ana, UpdateRead{});
+  CHECK(done.outcome == UpdateOutcome::kAccepted);
+  const auto stored = DecodeConfiguration(fixture.platform.history[1].value);
+  CHECK(stored.generation == Generation{2});
+  STRCMP_EQUAL("ana", stored.author.c_str());
+  LONGS_EQUAL(50, stored.services[0].weight);
+}
+
+TEST(ConfigurationUpdate, LostAnswerIsReadBackNotRepeated) {
+  fixture.platform.lose_next_answer = true;
+  const auto done = Finish(fixture, ana, UpdateRead{});
+  CHECK(done.outcome == UpdateOutcome::kAccepted);
+  LONGS_EQUAL(2, fixture.platform.history.size());
+}
+
+TEST(ConfigurationUpdate, LostAnswerIsFoundBehindALaterChange) {
+  auto step = OnUpdateRead(ana, fixture.Present());
+  fixture.platform.lose_next_answer = true;
+  step = OnUpdateWritten(ana, fixture.Put(std::get<UpdateWrite>(step)));
+  Finish(fixture, ben, UpdateRead{});
+  const auto done = Finish(fixture, ana, step);
+  CHECK(done.outcome == UpdateOutcome::kAccepted);
+  LONGS_EQUAL(3, fixture.platform.history.size());
+}
+
+TEST(ConfigurationUpdate, LoserIsToldWhatWon) {
+  const auto step = OnUpdateRead(ana, fixture.Present());
+  Finish(fixture, ben, UpdateRead{});
+  const auto done = Finish(fixture, ana, step);
+  CHECK(done.outcome == UpdateOutcome::kConflict);
+  STRCMP_EQUAL("ben", done.configuration.author.c_str());
+  STRCMP_EQUAL("ben", done.configuration.operation.c_str());
+  LONGS_EQUAL(1, done.winner_changes.size());
+  STRCMP_EQUAL("service fitquote: weight 100 -> 70",
+               done.winner_changes[0].c_str());
+  LONGS_EQUAL(2, fixture.platform.history.size());
+}
+
+TEST(ConfigurationUpdate, RequestThatWasLostIsRepeated) {
+  const auto step = OnUpdateRead(ana, fixture.Present());
+  CHECK(std::holds_alternative<UpdateWrite>(step));
+  const auto done =
+      Finish(fixture, ana, OnUpdateWritten(ana, UpdateWritten::kUnknown));
+  CHECK(done.outcome == UpdateOutcome::kAccepted);
+  LONGS_EQUAL(2, fixture.platform.history.size());
+}
+
+TEST(ConfigurationUpdate, OutageEndsAsUnknown) {
+  const auto step = OnUpdateRead(ana, fixture.Present());
+  fixture.platform.down = true;
+  CHECK(Finish(fixture, ana, step).outcome == UpdateOutcome::kUnknown);
+}
+
+TEST(ConfigurationUpdate, HistoryThatIsGoneIsNotGuessed) {
+  OnUpdateRead(ana, fixture.Present());
+  OnUpdateWritten(ana, UpdateWritten::kUnknown);
+  const auto unknown =
+      OnUpdateReadBack(ana, UpdateHistory{.reached = true, .gone = true});
+  CHECK(std::get<UpdateDone>(unknown).outcome == UpdateOutcome::kUnknown);
+  OnUpdateRead(ben, fixture.Present());
+  OnUpdateWritten(ben, UpdateWritten::kConflict);
+  const auto lost =
+      OnUpdateReadBack(ben, UpdateHistory{.reached = true, .gone = true});
+  CHECK(std::get<UpdateDone>(lost).outcome == UpdateOutcome::kConflict);
+}
+
+TEST(ConfigurationUpdate, DescribesEveryKindOfChange) {
+  const Configuration before{
+      .services = {Service{.name = "a"}, Service{.name = "b"}}};
+  Configuration after = before;
+  after.services[1].name = std::string("c");
+  after.draining = {"a-1"};
+  const auto lines = DescribeChanges(before, after);
+  LONGS_EQUAL(3, lines.size());
+  STRCMP_EQUAL("service b: removed", lines[0].c_str());
+  STRCMP_EQUAL("service c: added", lines[1].c_str());
+  STRCMP_EQUAL("draining: added \"a-1\"", lines[2].c_str());
+}
