Add hawthornctl with sheet check, diff and import over one conditional update

An operator's change is read, edited and written once on the version read. A lost answer is looked up by operation id: in the object, then in the history of changes after the base version; where neither tells, it is said to be unknown. A lost race prints the winner's change. An agent reads the configuration from the platform, so its settings now require the address. Ruled out: repeating an unanswered write, which could apply it twice.

--- /dev/null
+++ b/apps/hawthornctl/arguments.cc
@@ -0,0 +1,173 @@
+#include "arguments.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "hawthornbank/error.h"
+#include "protocol/near_match.h"
+#include "transport/settings_values.h"
+
+namespace hawthornbank::hawthornctl {
+namespace {
+
+auto FromEnvironment(const char* name) -> std::string {
+  // Read before any thread starts.
+  const char* const value = std::getenv(name);
+  return value != nullptr ? value : "";
+}
+
+/// Adds the name of the argument to the reason why it is wrong.
+auto ReadAddress(const std::string& text, const std::string& argument)
+    -> Endpoint {
+  try {
+    return transport::ReadRemote(text);
+  } catch (const Error& error) {
+    throw Error(error.kind(), argument + ": " + error.what());
+  }
+}
+
+auto DefaultAuthor() -> std::string {
+  const std::string user = FromEnvironment("USER");
+  return user.empty() ? "unknown" : user;
+}
+
+/// @return The names of all options, for suggestions.
+auto OptionNames(TCLAP::CmdLine& command) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (auto* const it : command.getArgList()) {
+    names.push_back("--" + it->getName());
+  }
+  return names;
+}
+
+/// Refuses unknown options, which TCLAP would take for file names.
+auto CheckOptions(TCLAP::CmdLine& command, const Words& words) -> void {
+  const std::vector<std::string> known = OptionNames(command);
+  for (const auto& it : words) {
+    const std::string option = it.substr(0, it.find('='));
+    const bool is_option = option.size() > 2 && option.starts_with("--");
+    if (is_option &&
+        std::find(known.begin(), known.end(), option) == known.end()) {
+      throw Error(ErrorKind::kInvalidSettings,
+                  "unknown option '" + option + "'" +
+                      Suggestion(option, known) + "\nTry: " + words.front() +
+                      " --help");
+    }
+  }
+}
+
+/// @return Words as TCLAP's messages have them, without its wrapping.
+auto Reword(const std::string& text) -> std::string {
+  std::istringstream stream(text);
+  std::string result;
+  for (std::string word; stream >> word;) {
+    result += (result.empty() ? "" : " ") + word;
+  }
+  return result;
+}
+
+}  // namespace
+
+CommonArguments::CommonArguments(TCLAP::CmdLine& command)
+    : platform("",
+               "platform",
+               "Object API of the platform; else HAWTHORNCTL_PLATFORM",
+               false,
+               "",
+               "ADDRESS:PORT",
+               command),
+      region("", "region", "Region", false, "main", "NAME", command),
+      balancers("",
+                "balancer",
+                "HTTP endpoint of a balancer, may stand several times; else "
+                "HAWTHORNCTL_BALANCERS, a list with commas",
+                false,
+                "ADDRESS:PORT",
+                command),
+      json("", "json", "Answer as JSON", command) {}
+
+ChangeArguments::ChangeArguments(TCLAP::CmdLine& command)
+    : dry_run("", "dry-run", "Show the change without making it", command),
+      wait("", "wait", "Wait until it is in force everywhere", command),
+      wait_limit("",
+                 "wait-limit-s",
+                 "Longest wait in seconds",
+                 false,
+                 30,
+                 "SECONDS",
+                 command),
+      author("",
+             "author",
+             "Who makes the change; else USER",
+             false,
+             DefaultAuthor(),
+             "NAME",
+             command),
+      operation("",
+                "operation",
+                "Operation id of an earlier try, which is then not repeated",
+                false,
+                "",
+                "ID",
+                command) {}
+
+auto Parse(TCLAP::CmdLine& command, Words words) -> void {
+  command.setExceptionHandling(false);
+  const std::string name = words.front();
+  CheckOptions(command, words);
+  try {
+    command.parse(words);
+  } catch (const TCLAP::ArgException& error) {
+    throw Error(ErrorKind::kInvalidSettings,
+                Reword(error.argId() + " " + error.error()) + "\nTry: " + name +
+                    " --help");
+  }
+}
+
+auto PlatformAddress(const CommonArguments& arguments) -> Endpoint {
+  const std::string text = arguments.platform.isSet()
+                               ? arguments.platform.getValue()
+                               : FromEnvironment("HAWTHORNCTL_PLATFORM");
+  if (text.empty()) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "the platform's address is missing: give --platform "
+                "ADDRESS:PORT or set HAWTHORNCTL_PLATFORM");
+  }
+  return ReadAddress(text, "--platform");
+}
+
+auto BalancerAddresses(const CommonArguments& arguments)
+    -> std::vector<Endpoint> {
+  std::vector<Endpoint> endpoints;
+  for (const auto& it : arguments.balancers.getValue()) {
+    endpoints.push_back(ReadAddress(it, "--balancer"));
+  }
+  const std::string list = FromEnvironment("HAWTHORNCTL_BALANCERS");
+  if (endpoints.empty() && !list.empty()) {
+    endpoints = transport::ReadEndpoints(list);
+  }
+  if (endpoints.empty()) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "no balancer is given: give --balancer ADDRESS:PORT (its "
+                "listen.metrics) or set HAWTHORNCTL_BALANCERS");
+  }
+  return endpoints;
+}
+
+auto ReadFile(const std::string& path) -> std::string {
+  std::error_code ec;
+  const bool is_file = std::filesystem::is_regular_file(path, ec);
+  std::ifstream file(path, std::ios::binary);
+  if (!is_file || !file) {
+    throw Error(ErrorKind::kInvalidSettings,
+                path + ": there is no such file, or it can't be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace hawthornbank::hawthornctl
--- /dev/null
+++ b/apps/hawthornctl/in_force.cc
@@ -0,0 +1,132 @@
+#include "in_force.h"
+
+#include <httplib.h>
+
+#include <iomanip>
+#include <iostream>
+#include <optional>
+#include <thread>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank::hawthornctl {
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::chrono::seconds kCallTimeout{2};
+constexpr std::chrono::milliseconds kPollInterval{250};
+constexpr int kOk = 200;
+
+auto Join(const std::vector<std::string>& names) -> std::string {
+  std::string text;
+  for (const auto& it : names) {
+    text += (text.empty() ? "" : ", ") + it;
+  }
+  return text;
+}
+
+/// Asks once.
+/// @return Who lags, or nothing when no balancer answers.
+auto AskOnce(const std::vector<Endpoint>& balancers, Generation generation)
+    -> std::optional<InForce> {
+  try {
+    return CountInForce(FetchStatus(balancers), generation);
+  } catch (const Error&) {
+    return std::nullopt;
+  }
+}
+
+auto DescribeProgress(const std::optional<InForce>& in_force) -> std::string {
+  if (!in_force) {
+    return "no balancer answers";
+  }
+  const std::size_t done = in_force->total - in_force->lagging.size();
+  std::string text = "in force on " + std::to_string(done) + " of " +
+                     std::to_string(in_force->total);
+  if (!in_force->lagging.empty()) {
+    text += "; missing: " + Join(in_force->lagging);
+  }
+  return text;
+}
+
+}  // namespace
+
+auto FetchText(Endpoint balancer, const std::string& path) -> std::string {
+  const std::string text = ToString(balancer);
+  httplib::Client client(text.substr(0, text.find(':')), balancer.port);
+  client.set_connection_timeout(kCallTimeout);
+  client.set_read_timeout(kCallTimeout);
+  const auto result = client.Get(path);
+  if (!result || result->status != kOk) {
+    throw Error(ErrorKind::kFailed,
+                "balancer " + text + " does not answer: " +
+                    (result ? "HTTP status " + std::to_string(result->status)
+                            : httplib::to_string(result.error())));
+  }
+  return result->body;
+}
+
+auto FetchStatus(const std::vector<Endpoint>& balancers) -> ProcessStatus {
+  std::string failures;
+  for (const auto& it : balancers) {
+    try {
+      return DecodeStatus(FetchText(it, "/status"));
+    } catch (const Error& error) {
+      failures += (failures.empty() ? "" : "\n") + std::string(error.what());
+    }
+  }
+  throw Error(ErrorKind::kFailed, failures);
+}
+
+auto CountInForce(const ProcessStatus& status, Generation generation)
+    -> InForce {
+  InForce in_force;
+  bool includes_self = false;
+  const auto count = [&](const std::string& name, Generation reached) {
+    ++in_force.total;
+    if (reached < generation) {
+      in_force.lagging.push_back(name + " (generation " +
+                                 std::to_string(ToInteger(reached)) + ")");
+    }
+  };
+  for (const auto& it : status.balancers) {
+    const bool self = it.name == status.name;
+    includes_self = includes_self || self;
+    if (it.state != "dead" && it.state != "left") {
+      count(it.name, self ? status.generation : it.generation);
+    }
+  }
+  if (!includes_self) {
+    count(status.name, status.generation);
+  }
+  return in_force;
+}
+
+auto WaitUntilInForce(const std::vector<Endpoint>& balancers,
+                      Generation generation,
+                      std::chrono::seconds limit) -> int {
+  const auto start = SteadyClock::now();
+  std::string last;
+  while (true) {
+    const auto in_force = AskOnce(balancers, generation);
+    const std::chrono::duration<double> elapsed = SteadyClock::now() - start;
+    const std::string progress = DescribeProgress(in_force);
+    if (progress != last) {
+      std::cerr << std::fixed << std::setprecision(1) << elapsed.count()
+                << " s: " << progress << '\n';
+      last = progress;
+    }
+    if (in_force && in_force->lagging.empty()) {
+      return 0;
+    }
+    if (elapsed > limit) {
+      std::cerr << "hawthornctl: accepted, but not in force everywhere after "
+                << limit.count() << " s: " << progress << '\n';
+      return AnswerFor(ErrorKind::kDeadlineExpired).exit_code;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+}  // namespace hawthornbank::hawthornctl
--- /dev/null
+++ b/apps/hawthornctl/in_force.h
@@ -0,0 +1,55 @@
+#ifndef HAWTHORNBANK_APPS_HAWTHORNCTL_IN_FORCE_H_
+#define HAWTHORNBANK_APPS_HAWTHORNCTL_IN_FORCE_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/types.h"
+#include "protocol/status_json.h"
+
+/// @file
+/// What balancers say about themselves and each other.
+namespace hawthornbank::hawthornctl {
+
+/// Asks one balancer over HTTP.
+/// @param balancer Its listen.metrics endpoint.
+/// @param path "/status" or "/metrics".
+/// @return The body of the answer.
+/// @throws Error kFailed when it does not answer.
+auto FetchText(Endpoint balancer, const std::string& path) -> std::string;
+
+/// Asks balancers for their status; the first that answers is enough, as each
+/// knows the others.
+/// @param balancers Their listen.metrics endpoints.
+/// @return The status.
+/// @throws Error kFailed when none answers.
+auto FetchStatus(const std::vector<Endpoint>& balancers) -> ProcessStatus;
+
+/// Who has a generation in force.
+struct InForce {
+  std::size_t total = 0;
+  std::vector<std::string> lagging;  ///< "entry-3 (generation 4)".
+};
+
+/// Counts the balancers that have a generation in force. Those that are dead
+/// or have left don't count.
+/// @param status What one balancer knows.
+/// @param generation The generation asked for.
+/// @return How many there are, and who lags.
+auto CountInForce(const ProcessStatus& status, Generation generation)
+    -> InForce;
+
+/// Waits until a generation is in force everywhere, with progress on standard
+/// error.
+/// @param balancers Whom to ask.
+/// @param generation What to wait for.
+/// @param limit Longest wait.
+/// @return The exit code: 0, or that of an expired deadline.
+auto WaitUntilInForce(const std::vector<Endpoint>& balancers,
+                      Generation generation,
+                      std::chrono::seconds limit) -> int;
+
+}  // namespace hawthornbank::hawthornctl
+
+#endif  // HAWTHORNBANK_APPS_HAWTHORNCTL_IN_FORCE_H_
--- /dev/null
+++ b/apps/hawthornctl/main.cc
@@ -0,0 +1,110 @@
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <iostream>
+#include <string_view>
+
+#include "commands.h"
+#include "hawthornbank/error.h"
+#include "protocol/near_match.h"
+#include "transport/version.h"
+
+namespace {
+
+using hawthornbank::AnswerFor;
+using hawthornbank::Error;
+using hawthornbank::ErrorKind;
+using hawthornbank::Suggestion;
+using hawthornbank::hawthornctl::Words;
+
+/// A command, its words and what it does.
+struct Command {
+  std::string_view name;
+  std::string_view summary;
+  auto(*run)(Words words) -> int;
+};
+
+namespace ctl = hawthornbank::hawthornctl;
+
+constexpr auto kCommands = std::to_array<Command>({
+    {"sheet check", "check a sheet, naming all its faults", ctl::RunSheetCheck},
+    {"sheet diff", "show what a sheet would change", ctl::RunSheetDiff},
+    {"sheet import", "make a sheet the configuration", ctl::RunSheetImport},
+});
+
+auto PrintHelp(std::ostream& out) -> void {
+  constexpr int kNameWidth = 18;
+  out << "hawthornctl changes and shows what hawthornbank does.\n\n"
+         "Usage: hawthornctl COMMAND [OPTIONS]; hawthornctl COMMAND --help\n\n";
+  for (const auto& it : kCommands) {
+    out << "  " << std::left << std::setw(kNameWidth) << it.name << it.summary
+        << '\n';
+  }
+  out << "\nExample:\n  hawthornctl sheet import --platform 127.0.0.1:7400 "
+         "examples/trentmoor.csv\n\n"
+         "Exit codes: 0 done, 2 wrong input, 3 unknown name, 4 not in force "
+         "in time,\n5 no balancer answers, 6 outcome unknown, 7 another change "
+         "was first,\n8 the platform does not answer, 70 internal error.\n";
+}
+
+/// Finds the command that the first words name.
+/// @throws Error kInvalidSettings naming the near match.
+auto FindCommand(const Words& words) -> const Command& {
+  std::vector<std::string> names;
+  names.reserve(kCommands.size());
+  for (const auto& it : kCommands) {
+    names.emplace_back(it.name);
+  }
+  std::string wanted = words[0];
+  for (std::size_t n = 0; n < 2; ++n) {
+    const auto it = std::find(names.begin(), names.end(), wanted);
+    if (it != names.end()) {
+      return kCommands[static_cast<std::size_t>(it - names.begin())];
+    }
+    if (n == 0 && words.size() > 1) {
+      wanted += " " + words[1];
+    }
+  }
+  throw Error(ErrorKind::kInvalidSettings, "unknown command '" + wanted + "'" +
+                                               Suggestion(wanted, names) +
+                                               "\nTry: hawthornctl --help");
+}
+
+auto Run(Words words) -> int {
+  if (words.empty()) {
+    PrintHelp(std::cerr);
+    return AnswerFor(ErrorKind::kInvalidSettings).exit_code;
+  }
+  if (words[0] == "--help" || words[0] == "-h" || words[0] == "help") {
+    PrintHelp(std::cout);
+    return 0;
+  }
+  if (words[0] == "--version") {
+    std::cout << "hawthornctl " << hawthornbank::transport::Version() << '\n';
+    return 0;
+  }
+  const Command& command = FindCommand(words);
+  const auto used =
+      1 + std::count(command.name.begin(), command.name.end(), ' ');
+  words.erase(words.begin(), words.begin() + used);
+  words.insert(words.begin(), "hawthornctl " + std::string(command.name));
+  return command.run(std::move(words));
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  try {
+    return Run(Words(argv + 1, argv + argc));
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const Error& error) {
+    std::cerr << "hawthornctl: " << error.what() << '\n';
+    return AnswerFor(error.kind()).exit_code;
+  } catch (const std::exception& error) {
+    std::cerr << "hawthornctl: internal error: " << error.what() << '\n';
+    return AnswerFor(ErrorKind::kInternal).exit_code;
+  }
+}
--- /dev/null
+++ b/apps/hawthornctl/sheet_diff.cc
@@ -0,0 +1,37 @@
+#include <iostream>
+
+#include "arguments.h"
+#include "change.h"
+#include "protocol/configuration_diff.h"
+#include "protocol/sheet.h"
+#include "transport/version.h"
+
+namespace hawthornbank::hawthornctl {
+
+auto RunSheetDiff(Words words) -> int {
+  TCLAP::CmdLine command("Shows what importing a sheet would change.", ' ',
+                         transport::Version());
+  CommonArguments common(command);
+  TCLAP::UnlabeledValueArg<std::string> file("file", "The sheet (CSV)", true,
+                                             "", "FILE", command);
+  Parse(command, std::move(words));
+  const Sheet sheet = ParseSheet(ReadFile(file.getValue()), file.getValue());
+  const Configuration before = ReadAccepted(common);
+  // Shown even where an import would ask for consent.
+  SheetConsent all;
+  for (const auto& it : before.services) {
+    all.drop.push_back(it.name);
+    all.shrink.push_back(it.name);
+  }
+  const auto changes =
+      DiffConfigurations(before, ApplySheet(before, sheet, all));
+  for (const auto& it : changes) {
+    std::cout << ToText(it) << '\n';
+  }
+  if (changes.empty()) {
+    std::cout << "Nothing to change.\n";
+  }
+  return 0;
+}
+
+}  // namespace hawthornbank::hawthornctl
--- a/src/protocol/status_json.cc
+++ b/src/protocol/status_json.cc
@@ -1,5 +1,6 @@
 #include "protocol/status_json.h"
 
+#include <array>
 #include <nlohmann/json.hpp>
 
 #include "hawthornbank/error.h"
@@ -9,11 +10,32 @@
 
 using nlohmann::json;
 
+constexpr std::array<const char*, 5> kTargetStates = {
+    "serving", "draining", "suspect", "dead", "left"};
+constexpr std::array<const char*, 4> kBalancerStates = {"alive", "suspect",
+                                                        "dead", "left"};
+
+/// Reads a state that is a word, or the number that stands for one.
+template <std::size_t N>
+auto ReadState(const json& value, const std::array<const char*, N>& states)
+    -> std::string {
+  const auto it = value.find("state");
+  if (it == value.end()) {
+    return states[0];
+  }
+  if (it->is_string()) {
+    return it->get<std::string>();
+  }
+  const auto n = it->get<std::size_t>();
+  return n < N ? states[n] : "unknown";
+}
+
 auto TargetFromJson(const json& value) -> TargetStatus {
   return TargetStatus{
       .name = value.at("name").get<std::string>(),
       .service = value.at("service").get<std::string>(),
-      .state = value.at("state").get<std::string>(),
+      .zone = value.value("zone", ""),
+      .state = ReadState(value, kTargetStates),
       .connections = value.at("connections").get<std::uint64_t>(),
       .slots_busy = value.at("slots_busy").get<std::uint64_t>(),
   };
@@ -26,14 +48,17 @@
   for (const auto& it : status.targets) {
     targets.push_back(json{{"name", it.name},
                            {"service", it.service},
+                           {"zone", it.zone},
                            {"state", it.state},
                            {"connections", it.connections},
                            {"slots_busy", it.slots_busy}});
   }
   json balancers = json::array();
   for (const auto& it : status.balancers) {
-    balancers.push_back(
-        json{{"name", it.name}, {"generation", ToInteger(it.generation)}});
+    balancers.push_back(json{{"name", it.name},
+                             {"zone", it.zone},
+                             {"state", it.state},
+                             {"generation", ToInteger(it.generation)}});
   }
   return json{{"role", status.role},
               {"name", status.name},
@@ -64,6 +89,8 @@
     for (const auto& it : value.at("balancers")) {
       status.balancers.push_back(BalancerStatus{
           .name = it.at("name").get<std::string>(),
+          .zone = it.value("zone", ""),
+          .state = ReadState(it, kBalancerStates),
           .generation = Generation{it.at("generation").get<std::uint64_t>()},
       });
     }
--- a/src/protocol/status_json.h
+++ b/src/protocol/status_json.h
@@ -16,6 +16,7 @@
 struct TargetStatus {
   std::string name;
   std::string service;
+  std::string zone;
   std::string state;  ///< "serving", "suspect", "draining" or the like.
   std::uint64_t connections = 0;
   std::uint64_t slots_busy = 0;
@@ -24,6 +25,8 @@
 /// A balancer as a process knows it.
 struct BalancerStatus {
   std::string name;
+  std::string zone;
+  std::string state;        ///< "alive", "suspect", "dead" or "left".
   Generation generation{};  ///< In force there, as far as known here.
 };
 
--- a/src/transport/settings.cc
+++ b/src/transport/settings.cc
@@ -46,7 +46,7 @@
      [](auto& s, const auto& v) { s.peer = ParseEndpoint(v); }},
     {"listen", "metrics", kRequired, kOptional,
      [](auto& s, const auto& v) { s.metrics = ParseEndpoint(v); }},
-    {"platform", "address", kRequired, kOptional,
+    {"platform", "address", kRequired, kRequired,
      [](auto& s, const auto& v) { s.platform = ReadRemote(v); }},
     {"peers", "balancers", kOptional, kRequired,
      [](auto& s, const auto& v) { s.balancers = ReadEndpoints(v); }},
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -126,12 +126,12 @@
   const std::string text =
       std::string("[host]\nname = a\nzone = z\n[listen]\npeer=10.0.0.1:7\n") +
       "[peers]\nbalancers = 10.0.0.1:7\n[key]\ncurrent = " + kKey +
-      "\nprevious = " + kKey +
+      "\nprevious = " + kKey + "\n[platform]\naddress = 10.0.0.1:7" +
       "\n[target]\nservice = s\naddress = 10.0.0.1:8\nreturn = 10.0.0.1:8\n";
   STRCMP_EQUAL(
       "f.ini:7: peers.balancers: 10.0.0.1:7 is this agent's own listen.peer\n"
       "f.ini:10: key.previous: the same as key.current\n"
-      "f.ini:14: target.return: 10.0.0.1:8 is also target.address",
+      "f.ini:16: target.return: 10.0.0.1:8 is also target.address",
       FaultsOf(text, Role::kAgent).c_str());
 }
 
