--- a/bench/common/routing_world.cc
+++ b/bench/common/routing_world.cc
@@ -5,6 +5,7 @@
 namespace hawthornbank::bench {
 namespace {
 
+constexpr Duration kTickInterval = std::chrono::milliseconds{500};
 constexpr std::uint64_t kFabric = 0;
 constexpr std::uint64_t kFirstBalancer = 1;
 constexpr std::uint64_t kFirstAgent = 1000;
@@ -73,6 +74,18 @@
   for (std::uint32_t n = 0; n < options_.balancers; ++n) {
     AddBalancer();
   }
+  TickAgents();
+}
+
+auto RoutingWorld::TickAgents() -> void {
+  for (std::uint32_t n = 0; n < agents_.size(); ++n) {
+    if (agents_[n].alive) {
+      std::vector<AgentAction> actions;
+      OnAgentTick(*agents_[n].core, network_.now(), actions);
+      Perform(n, actions, nullptr, {});
+    }
+  }
+  network_.At(network_.now() + kTickInterval, [this]() { TickAgents(); });
 }
 
 auto RoutingWorld::RandomDelay() -> Duration {
@@ -185,7 +198,12 @@
 auto RoutingWorld::UpdateBalancer(BalancerHost& host,
                                   std::vector<Candidate> targets) -> void {
   auto table = std::make_shared<RoutingTable>();
+  table->departed_agents = host.table->departed_agents;
+  for (const auto& [agent, joined] : host.table->live_agents) {
+    table->departed_agents.emplace(agent, network_.now());
+  }
   for (const auto& it : targets) {
+    table->departed_agents.erase(it.agent);
     table->live_agents.emplace(it.agent, it.joined);
   }
   table->services.emplace(
@@ -347,6 +365,14 @@
         ++deliveries_;
         hops_ += header.hops > 0 ? 1 : 0;
         Deliver(target, it.flow);
+        // Targets answer what they get, and both ends answer probes.
+        OnTargetSent(*agents_[target].core, it.flow, network_.now());
+        break;
+      case AgentAction::Kind::kProbe:
+        network_.AtHost(
+            from, network_.now() + options_.link.delay, [this, target, it]() {
+              OnProbeAnswered(*agents_[target].core, it.flow, network_.now());
+            });
         break;
       case AgentAction::Kind::kPass:
         network_.Send(from, kFirstAgent + to, [this, to, it, packet]() {
@@ -365,10 +391,17 @@
         break;
       case AgentAction::Kind::kPointer:
         network_.Send(from, kFirstAgent + to, [this, to, it]() {
-          OnFlowPointer(*agents_[to].core, it.flow, it.owner, network_.now());
+          std::vector<AgentAction> answers;
+          OnFlowPointer(*agents_[to].core, it.flow, it.owner, network_.now(),
+                        answers);
+          Perform(to, answers, nullptr, {});
+        });
+        break;
+      case AgentAction::Kind::kPointerAck:
+        network_.Send(from, kFirstAgent + to, [this, to, target, it]() {
+          OnPointerAck(*agents_[to].core, it.flow, AgentEndpoint(target));
         });
         break;
-      case AgentAction::Kind::kProbe:
       case AgentAction::Kind::kClose:
         break;
     }
@@ -457,7 +490,7 @@
                    : static_cast<double>(sum) / static_cast<double>(serving);
   network_.At(network_.now() + lag, [this, mean]() {
     for (auto& it : agents_) {
-      it.core->mean_connections = mean;
+      SetMeanConnections(*it.core, mean);
     }
   });
 }
