--- a/apps/hawthornload/flow.cc
+++ b/apps/hawthornload/flow.cc
@@ -142,6 +142,12 @@
   return flow;
 }
 
+auto LocalEndpoint(const Flow& flow) -> Endpoint {
+  const auto* const local = coap_session_get_addr_local(flow.session);
+  return {.address = ntohl(local->addr.sin.sin_addr.s_addr),
+          .port = ntohs(local->addr.sin.sin_port)};
+}
+
 auto Send(Flow& flow, const Message& message) -> void {
   constexpr std::size_t kMaxTokenBytes = 8;
   auto* const pdu =
--- a/apps/hawthornload/flow.h
+++ b/apps/hawthornload/flow.h
@@ -66,6 +66,10 @@
 auto OpenFlow(coap_context_t* context, Endpoint server)
     -> std::unique_ptr<Flow>;
 
+/// @param flow An open flow.
+/// @return The caller's address and port.
+auto LocalEndpoint(const Flow& flow) -> Endpoint;
+
 /// Sends a request; earlier ones of the flow no longer get their callbacks.
 /// @param flow Where to send it.
 /// @param message The request.
--- a/apps/hawthornload/report.cc
+++ b/apps/hawthornload/report.cc
@@ -25,6 +25,15 @@
           {"wrong_service", counters.wrong_service}};
 }
 
+auto ToJson(const std::vector<Unsettled>& unsettled) -> json {
+  json value = json::array();
+  for (const auto& it : unsettled) {
+    value.push_back(
+        {{"id", it.id}, {"caller", it.caller}, {"start_ms", it.start.count()}});
+  }
+  return value;
+}
+
 auto ToJson(const RequestCounters& counters) -> json {
   const auto latency = Summarize(counters.latency);
   return {{"started", counters.started},
@@ -38,6 +47,7 @@
           {"codes", counters.codes},
           {"answered_ids", counters.answered_ids},
           {"refused_ids", counters.refused_ids},
+          {"unsettled", ToJson(counters.unsettled)},
           {"latency_ms",
            {{"median", Milliseconds(latency.median)},
             {"p90", Milliseconds(latency.p90)},
--- a/apps/hawthornload/requests.cc
+++ b/apps/hawthornload/requests.cc
@@ -88,10 +88,18 @@
   requests.active.push_back(std::move(request));
 }
 
-auto Count(RequestCounters& counters,
-           const Request& request,
-           Clock::time_point now) -> void {
+auto Count(Requests& requests, const Request& request, Clock::time_point now)
+    -> void {
+  auto& counters = CountersOf(requests, request);
   counters.retries += request.tries - 1;
+  if (request.outcome == Outcome::kUnknown ||
+      request.outcome == Outcome::kLost) {
+    counters.unsettled.push_back(
+        {.id = request.id,
+         .caller = ToString(LocalEndpoint(*request.flow)),
+         .start = std::chrono::duration_cast<std::chrono::milliseconds>(
+             request.start - requests.start)});
+  }
   switch (*request.outcome) {
     case Outcome::kAnswered:
       ++counters.answered;
@@ -225,7 +233,7 @@
       still_active.push_back(std::move(it));
       continue;
     }
-    Count(CountersOf(requests, *it), *it, now);
+    Count(requests, *it, now);
     RecycleFlow(requests, *it);
   }
   requests.active = std::move(still_active);
--- a/apps/hawthornload/requests.h
+++ b/apps/hawthornload/requests.h
@@ -43,6 +43,14 @@
   std::string last_code;  ///< Response code of the latest reply, "5.03".
 };
 
+/// A request that ended without a definite answer, for the search for its
+/// cause.
+struct Unsettled {
+  std::string id;
+  std::string caller;                  ///< Address of its last flow.
+  std::chrono::milliseconds start{0};  ///< Since the start of the run.
+};
+
 /// Figures over the requests or the uploads of one service.
 struct RequestCounters {
   std::uint64_t started = 0;
@@ -56,11 +64,13 @@
   std::map<std::string, std::uint64_t> codes;  ///< Of replies but 2.xx.
   std::vector<std::string> answered_ids;
   std::vector<std::string> refused_ids;
+  std::vector<Unsettled> unsettled;  ///< Unknown and lost ones.
   Latency latency;
 };
 
 /// Requests under way and the flows that wait for the next one.
 struct Requests {
+  Clock::time_point start = Clock::now();
   std::vector<std::unique_ptr<Request>> active;
   std::map<std::string, std::vector<std::unique_ptr<Flow>>> idle_flows;
   std::map<std::string, RequestCounters> requests;  ///< By service.
--- a/standins/target.cc
+++ b/standins/target.cc
@@ -172,6 +172,10 @@
     coap_pdu_set_code(response, COAP_RESPONSE_CODE_FORBIDDEN);
     return;
   }
+  // Shorter than the RFC's 2 s, as callers wait a few seconds at most.
+  constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 0,
+                                              .fractional_part = 400};
+  coap_session_set_ack_timeout(session, kAckTimeout);
   // A response without a code makes libcoap send an empty acknowledgement.
   if (!InHand(target, work)) {
     coap_session_reference(session);
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -215,23 +215,24 @@
   return 1
 }
 
-# snapshot SUFFIX: writes what every process counts.
+# snapshot SUFFIX: writes what fabric and targets count.
 snapshot() {
   local name
-  python3 support/demo_report.py fetch "http://${STATS[fabric]}/stats" \
-    "$DIR/fabric$1.json"
+  local pairs=("http://${STATS[fabric]}/stats" "$DIR/fabric$1.json")
   for name in "${TARGETS[@]}"; do
-    python3 support/demo_report.py fetch "http://${STATS[$name]}/stats" \
-      "$DIR/target-$name$1.json"
+    pairs+=("http://${STATS[$name]}/stats" "$DIR/target-$name$1.json")
   done
+  python3 support/demo_report.py fetch "${pairs[@]}"
 }
 
+# The balancer that was stopped doesn't answer.
 fetch_daemons() {
   local name
-  for name in "${TARGETS[@]}" "${ZONES[@]/#/entry-}"; do
-    python3 support/demo_report.py fetch "http://${METRICS[$name]}/status" \
-      "$DIR/daemon-$name.json" || true
+  local pairs=()
+  for name in "${TARGETS[@]}" entry-depot-north entry-depot-south; do
+    pairs+=("http://${METRICS[$name]}/status" "$DIR/daemon-$name.json")
   done
+  python3 support/demo_report.py fetch "${pairs[@]}"
 }
 
 at() {
@@ -278,8 +279,8 @@
 start_everything
 wait_until_serving
 say "serving; callers start"
-T0=$(date +%s.%N)
 snapshot .start
+T0=$(date +%s.%N)
 load --watches 30 --rate 60 --uploads 20 --upload-bytes 65536 \
   --seconds "$SECONDS_OF_LOAD" --seed 1 --report "$DIR/load.json" \
   >"$DIR/load.log" 2>&1 &
--- a/support/demo_report.py
+++ b/support/demo_report.py
@@ -2,7 +2,7 @@
 
 Usage:
   demo_report.py wait-port ADDRESS:PORT
-  demo_report.py fetch URL FILE
+  demo_report.py fetch URL FILE [URL FILE]...
   demo_report.py serving LOAD_REPORT
   demo_report.py judge DIRECTORY
 """
@@ -34,13 +34,17 @@
             time.sleep(0.05)
 
 
-def fetch(url, path):
-    try:
-        with urllib.request.urlopen(url, timeout=TIMEOUT_S) as answer:
-            pathlib.Path(path).write_bytes(answer.read())
-        return 0
-    except OSError:
-        return 1
+def fetch(*urls_and_paths):
+    """Saves what each URL answers; one that doesn't answer leaves no file."""
+    failed = 0
+    for url, path in zip(urls_and_paths[::2], urls_and_paths[1::2]):
+        try:
+            with urllib.request.urlopen(url, timeout=TIMEOUT_S) as answer:
+                pathlib.Path(path).write_bytes(answer.read())
+        except OSError:
+            print(f"demo: {url} doesn't answer", file=sys.stderr)
+            failed = 1
+    return failed
 
 
 def read(path):
