Let a target's next answer overtake an unacknowledged one

Cause: libcoap 4.3.1 as a client doesn't acknowledge a repeated separate response, and the target sent one confirmable message at a time, so one lost acknowledgement held back the flow's next answer past its deadline. Also, the library ignores acknowledgement timeouts under 1 s; 1 s is set now.

--- a/apps/hawthornload/flow.cc
+++ b/apps/hawthornload/flow.cc
@@ -9,10 +9,10 @@
 namespace hawthornbank::load {
 namespace {
 
-// Shorter than the RFC's 2 s, so that packets lost with a balancer are sent
-// again well within a request's deadline.
-constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 0,
-                                            .fractional_part = 400};
+// Half of the RFC's 2 s, so that packets lost with a balancer are sent again
+// well within a request's deadline; the library takes no less.
+constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 1,
+                                            .fractional_part = 0};
 constexpr std::uint16_t kMaxRetransmit = 4;
 
 auto FindOption(const coap_pdu_t* pdu, coap_option_num_t number)
--- a/standins/target.cc
+++ b/standins/target.cc
@@ -172,10 +172,15 @@
     coap_pdu_set_code(response, COAP_RESPONSE_CODE_FORBIDDEN);
     return;
   }
-  // Shorter than the RFC's 2 s, as callers wait a few seconds at most.
-  constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 0,
-                                              .fractional_part = 400};
+  // Half of the RFC's 2 s, as callers wait a few seconds at most; the library
+  // takes no less.
+  constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 1,
+                                              .fractional_part = 0};
   coap_session_set_ack_timeout(session, kAckTimeout);
+  // libcoap 4.3.1 as a client doesn't acknowledge a repeated response, so the
+  // next response of the flow must not wait for that acknowledgement.
+  constexpr std::uint16_t kOutstandingResponses = 8;
+  coap_session_set_nstart(session, kOutstandingResponses);
   // A response without a code makes libcoap send an empty acknowledgement.
   if (!InHand(target, work)) {
     coap_session_reference(session);
