--- a/apps/hawthornload/flow.cc
+++ b/apps/hawthornload/flow.cc
@@ -9,10 +9,10 @@
 namespace hawthornbank::load {
 namespace {
 
-// Shorter than the RFC's 2 s, so that packets lost with a balancer are sent
-// again well within a request's deadline.
-constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 0,
-                                            .fractional_part = 400};
+// Half of the RFC's 2 s, so that packets lost with a balancer are sent again
+// well within a request's deadline; the library takes no less.
+constexpr coap_fixed_point_t kAckTimeout = {.integer_part = 1,
+                                            .fractional_part = 0};
 constexpr std::uint16_t kMaxRetransmit = 4;
 
 auto FindOption(const coap_pdu_t* pdu, coap_option_num_t number)
@@ -142,6 +142,12 @@
   return flow;
 }
 
+auto LocalEndpoint(const Flow& flow) -> Endpoint {
+  const auto* const local = coap_session_get_addr_local(flow.session);
+  return {.address = ntohl(local->addr.sin.sin_addr.s_addr),
+          .port = ntohs(local->addr.sin.sin_port)};
+}
+
 auto Send(Flow& flow, const Message& message) -> void {
   constexpr std::size_t kMaxTokenBytes = 8;
   auto* const pdu =
