--- a/bench/common/request_scenario.cc
+++ b/bench/common/request_scenario.cc
@@ -210,6 +210,7 @@
   call.deadline = now + world.scenario.deadline;
   call.echo.clear();
   call.ended = false;
+  call.final_code = 0;
   ++world.result.attempts;
   SendMessage(world, call);
   world.net.At(call.deadline, [&world, &call, n = call.attempts.size()] {
@@ -356,7 +357,17 @@
   target->options.token_keys = {{1, 2, 3}};
   target->options.counts_double = world.scenario.permits;
   target->service_time = world.scenario.service_time;
+  target->options.pass_to_other_targets = true;
   target->runs = &world.runs;
+  target->pass = [&world, host = target->host](
+                     TargetId other, const FlowKey& flow,
+                     std::vector<std::uint8_t> bytes) {
+    auto* next = world.targets.at(ToInteger(other) - 1).get();
+    world.net.Send(host, next->host,
+                   [&world, next, flow, bytes = std::move(bytes)] {
+                     DeliverToTarget(*next, world.net, flow, bytes);
+                   });
+  };
   target->send = [&world, host = target->host](
                      const FlowKey& flow, std::vector<std::uint8_t> bytes) {
     const auto caller = kFirstCallerHost + (flow.caller.address & 0xFFFFU);
--- a/bench/common/request_target.h
+++ b/bench/common/request_target.h
@@ -55,6 +55,8 @@
   std::vector<Run>* runs = nullptr;
   /// Sends a datagram back over the network.
   std::function<void(const FlowKey&, std::vector<std::uint8_t>)> send;
+  /// Passes a caller's datagram on to the agent of another target.
+  std::function<void(TargetId, const FlowKey&, std::vector<std::uint8_t>)> pass;
 };
 
 /// Starts the host, or starts it again without memory.
--- a/include/hawthornbank/coap_gate.h
+++ b/include/hawthornbank/coap_gate.h
@@ -33,6 +33,9 @@
   std::uint32_t max_connections = 2000;  ///< Flows held at once.
   /// Keys of Echo tokens; the first issues, all are accepted. At least one.
   std::vector<std::array<std::uint8_t, 32>> token_keys;
+  /// Whether a request whose token names another target is handed on to the
+  /// agent there, instead of being answered with "unknown".
+  bool pass_to_other_targets = false;
   bool counts_double = false;  ///< Whether requests below the path count so.
   std::string double_path_prefix = "permit";
   std::chrono::milliseconds default_deadline{30000};
@@ -41,10 +44,15 @@
 
 /// A datagram to send.
 struct GateAction {
-  enum class Kind : std::uint8_t { kToCaller, kToTarget };
+  enum class Kind : std::uint8_t {
+    kToCaller,
+    kToTarget,
+    kToOtherTarget,  ///< As a caller's datagram to the gate of `target`.
+  };
   Kind kind{};
   FlowKey flow;
   std::vector<std::uint8_t> bytes;
+  TargetId target{};  ///< Of kToOtherTarget.
 };
 
 using GateActions = std::vector<GateAction>;
@@ -87,6 +95,19 @@
                       Random& random,
                       GateActions& out) -> void;
 
+/// Answers a datagram of kToOtherTarget that could not be handed on, because
+/// the other target is not known any more.
+/// @param gate The gate.
+/// @param flow The flow it came on.
+/// @param bytes The datagram.
+/// @param random Generator of this run.
+/// @param out Receives the datagrams to send.
+auto RefusePassed(CoapGate& gate,
+                  const FlowKey& flow,
+                  std::span<const std::uint8_t> bytes,
+                  Random& random,
+                  GateActions& out) -> void;
+
 /// Takes in a datagram of the target, from the socket of a flow.
 /// @param gate The gate.
 /// @param flow The flow whose socket it came on.
--- a/include/hawthornbank/request_gate.h
+++ b/include/hawthornbank/request_gate.h
@@ -84,6 +84,7 @@
   kKeptAnswer,
   kJoinedRunning,
   kDuplicateMessage,
+  kPassedToOtherTarget,
   kRefusedMalformed,
   kRefusedTooLarge,
   kRefusedDeadline,
--- a/src/coordination/request_gate_state.cc
+++ b/src/coordination/request_gate_state.cc
@@ -169,14 +169,14 @@
 }
 
 auto EstimateWait(const RequestGateState& state,
-                  std::uint64_t caller,
+                  const QueueItem& item,
                   TimePoint now) -> Duration {
   const auto slots = std::max(1U, AllowedSlots(state.health, now));
-  if (state.running < slots && state.queue.size == 0) {
+  if (state.running < slots && SizeOf(state.queue) == 0) {
     return Duration{0};
   }
   const auto ahead =
-      static_cast<Duration::rep>(CountAhead(state.queue, caller) + 1);
+      static_cast<Duration::rep>(CountAhead(state.queue, item) + 1);
   return state.health.service_time * ahead / slots;
 }
 
--- a/src/coordination/request_gate_state.h
+++ b/src/coordination/request_gate_state.h
@@ -87,9 +87,9 @@
               Random& random,
               RequestActions& out) -> void;
 
-/// @return Time that a new request of this caller would wait for a slot.
+/// @return Time that a new request would wait for a slot.
 auto EstimateWait(const RequestGateState& state,
-                  std::uint64_t caller,
+                  const QueueItem& item,
                   TimePoint now) -> Duration;
 
 /// @return The instant until which a token can start a request.
--- a/src/coordination/request_gate_submit.cc
+++ b/src/coordination/request_gate_submit.cc
@@ -30,7 +30,7 @@
 
 auto HasRoom(const RequestGateState& state, const QueueItem& item) -> bool {
   const auto limit = state.options.queue_limit;
-  return state.queue.size <
+  return SizeOf(state.queue) <
          (item.counts_double ? limit : limit * kOrdinaryPercent / 100);
 }
 
@@ -61,10 +61,10 @@
   if (!HasRoom(state, item) && !ChooseVictim(state.queue, item)) {
     return Refusal{ErrorKind::kOverloaded, GateCounter::kRefusedQueueFull};
   }
-  if (state.running == 0 && state.queue.size == 0) {
+  if (state.running == 0 && SizeOf(state.queue) == 0) {
     return std::nullopt;
   }
-  const auto end = now + detail::EstimateWait(state, request.caller, now) +
+  const auto end = now + detail::EstimateWait(state, item, now) +
                    state.health.service_time * kServiceReserve;
   if (end > request.deadline) {
     return Refusal{ErrorKind::kOverloaded, GateCounter::kRefusedWouldBeLate};
--- a/src/coordination/request_queue.cc
+++ b/src/coordination/request_queue.cc
@@ -5,129 +5,124 @@
 namespace hawthornbank {
 namespace {
 
-constexpr std::uint32_t kCreditPerTurn = 2;
+constexpr std::uint32_t kDoublesPerOrdinary = 2;
+// A caller is greedy when it holds more than this, and this many times what
+// the newcomer's caller holds. Nobody else loses a place in the queue.
+constexpr std::size_t kGreedyItems = 4;
+constexpr std::size_t kGreedyFactor = 3;
 
-auto CreditFor(const QueueItem& item) -> std::uint32_t {
-  return item.counts_double ? 1 : kCreditPerTurn;
+auto ClassOf(RequestQueue& queue, const QueueItem& item) -> QueueClass& {
+  return item.counts_double ? queue.double_ones : queue.ordinary;
 }
 
-auto RemoveLine(RequestQueue& queue, std::uint64_t caller) -> void {
-  queue.lines.erase(caller);
-  std::erase(queue.turns, caller);
+auto ClassOf(const RequestQueue& queue, const QueueItem& item)
+    -> const QueueClass& {
+  return item.counts_double ? queue.double_ones : queue.ordinary;
 }
 
-// The newest ordinary request of a line.
-auto NewestOrdinary(const RequestQueue::Line& line)
-    -> std::optional<QueueItem> {
-  for (auto it = line.items.rbegin(); it != line.items.rend(); ++it) {
-    if (!it->counts_double) {
-      return *it;
-    }
-  }
-  return std::nullopt;
+auto CountOf(const QueueClass& from, std::uint64_t caller) -> std::size_t {
+  const auto line = from.lines.find(caller);
+  return line == from.lines.end() ? 0 : line->second.size();
 }
 
-auto LongestLine(const RequestQueue& queue) -> const RequestQueue::Line* {
-  const auto it = std::max_element(
-      queue.lines.begin(), queue.lines.end(), [](const auto& a, const auto& b) {
-        return a.second.items.size() < b.second.items.size();
-      });
-  return it == queue.lines.end() ? nullptr : &it->second;
+auto PopFrom(QueueClass& from) -> QueueItem {
+  const auto caller = from.turns.front();
+  from.turns.pop_front();
+  const auto line = from.lines.find(caller);
+  const auto item = line->second.front();
+  line->second.pop_front();
+  --from.size;
+  if (line->second.empty()) {
+    from.lines.erase(line);
+  } else {
+    from.turns.push_back(caller);
+  }
+  return item;
 }
 
-// An ordinary request, of the longest line if that has one.
-auto FindOrdinary(const RequestQueue& queue, const RequestQueue::Line& longest)
-    -> std::optional<QueueItem> {
-  auto found = NewestOrdinary(longest);
-  for (auto it = queue.lines.begin(); !found && it != queue.lines.end(); ++it) {
-    found = NewestOrdinary(it->second);
-  }
-  return found;
+// The most requests of the class served before a new one of a caller: one of
+// every other line in each round, as lines may be refilled.
+auto CountAheadIn(const QueueClass& from, std::uint64_t caller) -> std::size_t {
+  const auto mine = CountOf(from, caller);
+  const auto others = from.lines.size() - (mine > 0 ? 1 : 0);
+  return mine + others * (mine + 1);
 }
 
 }  // namespace
 
+auto SizeOf(const RequestQueue& queue) -> std::size_t {
+  return queue.double_ones.size + queue.ordinary.size;
+}
+
 auto Push(RequestQueue& queue, const QueueItem& item) -> void {
-  auto& line = queue.lines[item.caller];
-  if (line.items.empty()) {
-    queue.turns.push_back(item.caller);
-    line.credit = kCreditPerTurn;
+  auto& to = ClassOf(queue, item);
+  auto& line = to.lines[item.caller];
+  if (line.empty()) {
+    to.turns.push_back(item.caller);
   }
-  line.items.push_back(item);
-  ++queue.size;
+  line.push_back(item);
+  ++to.size;
 }
 
 auto Pop(RequestQueue& queue) -> std::optional<QueueItem> {
-  if (queue.size == 0) {
+  if (SizeOf(queue) == 0) {
     return std::nullopt;
   }
-  while (true) {
-    const auto caller = queue.turns.front();
-    auto& line = queue.lines[caller];
-    const auto item = line.items.front();
-    if (line.credit < CreditFor(item)) {
-      line.credit = kCreditPerTurn;
-      queue.turns.pop_front();
-      queue.turns.push_back(caller);
-      continue;
-    }
-    line.credit -= CreditFor(item);
-    line.items.pop_front();
-    --queue.size;
-    if (line.items.empty()) {
-      RemoveLine(queue, caller);
-    }
-    return item;
+  const bool take_double =
+      queue.ordinary.size == 0 ||
+      (queue.double_ones.size > 0 && queue.doubles_taken < kDoublesPerOrdinary);
+  if (take_double) {
+    ++queue.doubles_taken;
+    return PopFrom(queue.double_ones);
   }
+  queue.doubles_taken = 0;
+  return PopFrom(queue.ordinary);
 }
 
 auto Remove(RequestQueue& queue, const QueueItem& item) -> bool {
-  const auto line = queue.lines.find(item.caller);
-  if (line == queue.lines.end()) {
+  auto& from = ClassOf(queue, item);
+  const auto line = from.lines.find(item.caller);
+  if (line == from.lines.end()) {
     return false;
   }
-  const auto removed = std::erase_if(
-      line->second.items,
-      [&](const QueueItem& it) { return it.request == item.request; });
-  queue.size -= removed;
-  if (line->second.items.empty()) {
-    RemoveLine(queue, item.caller);
+  const auto removed = std::erase_if(line->second, [&](const QueueItem& it) {
+    return it.request == item.request;
+  });
+  from.size -= removed;
+  if (line->second.empty()) {
+    from.lines.erase(line);
+    std::erase(from.turns, item.caller);
   }
   return removed != 0;
 }
 
-auto CountAhead(const RequestQueue& queue, std::uint64_t caller)
+auto CountAhead(const RequestQueue& queue, const QueueItem& item)
     -> std::size_t {
-  const auto own = queue.lines.find(caller);
-  const auto mine = own == queue.lines.end() ? 0 : own->second.items.size();
-  std::size_t ahead = mine;
-  for (const auto& [other, line] : queue.lines) {
-    if (other != caller) {
-      ahead += std::min(line.items.size(), mine + 1);
-    }
+  const auto ahead = CountAheadIn(ClassOf(queue, item), item.caller);
+  if (item.counts_double) {
+    return ahead +
+           std::min(queue.ordinary.size, 1 + ahead / kDoublesPerOrdinary);
   }
-  return ahead;
+  // More that count double may arrive while this one waits.
+  const bool contended = queue.double_ones.size > 0;
+  return contended ? ahead + kDoublesPerOrdinary * (ahead + 1) : ahead;
 }
 
 auto ChooseVictim(const RequestQueue& queue, const QueueItem& newcomer)
     -> std::optional<QueueItem> {
-  const auto own = queue.lines.find(newcomer.caller);
-  const auto mine = own == queue.lines.end() ? 0 : own->second.items.size();
-  const auto* longest = LongestLine(queue);
-  if (longest == nullptr) {
-    return std::nullopt;
-  }
-  if (newcomer.counts_double) {
-    if (const auto ordinary = FindOrdinary(queue, *longest)) {
-      return ordinary;
-    }
-  }
-  if (longest->items.size() <= mine + 1) {
+  const auto& from = ClassOf(queue, newcomer);
+  const auto longest = std::max_element(
+      from.lines.begin(), from.lines.end(), [](const auto& a, const auto& b) {
+        return a.second.size() < b.second.size();
+      });
+  const auto mine = CountOf(from, newcomer.caller);
+  const bool greedy =
+      longest != from.lines.end() &&
+      longest->second.size() > std::max(kGreedyItems, kGreedyFactor * mine);
+  if (!greedy) {
     return std::nullopt;
   }
-  const auto victim = longest->items.back();
-  const bool worth_more = victim.counts_double && !newcomer.counts_double;
-  return worth_more ? NewestOrdinary(*longest) : victim;
+  return longest->second.back();
 }
 
 }  // namespace hawthornbank
--- a/src/coordination/request_queue.h
+++ b/src/coordination/request_queue.h
@@ -20,18 +20,26 @@
   bool counts_double = false;
 };
 
-/// Deficit round robin over callers; a caller whose requests count double
-/// has two of them taken in its turn.
-struct RequestQueue {
-  struct Line {
-    std::deque<QueueItem> items;
-    std::uint32_t credit = 0;
-  };
-  std::map<std::uint64_t, Line> lines;  ///< By caller; none is empty.
-  std::deque<std::uint64_t> turns;      ///< Callers in the order of turns.
+/// Requests of one class; callers are served round robin.
+struct QueueClass {
+  std::map<std::uint64_t, std::deque<QueueItem>> lines;  ///< None is empty.
+  std::deque<std::uint64_t> turns;  ///< Callers in the order of turns.
   std::size_t size = 0;
 };
 
+/// Two classes: of those that count double, two are taken for each ordinary
+/// one. Requests admitted later never delay the only one of a caller beyond
+/// CountAhead.
+struct RequestQueue {
+  QueueClass double_ones;
+  QueueClass ordinary;
+  std::uint32_t doubles_taken = 0;  ///< Since the last ordinary one.
+};
+
+/// @param queue The queue.
+/// @return How many requests wait.
+auto SizeOf(const RequestQueue& queue) -> std::size_t;
+
 /// Adds a request behind those of its caller.
 /// @param queue The queue.
 /// @param item The request.
@@ -49,15 +57,17 @@
 auto Remove(RequestQueue& queue, const QueueItem& item) -> bool;
 
 /// @param queue The queue.
-/// @param caller A caller.
-/// @return How many requests would be served before a new one of this caller.
-auto CountAhead(const RequestQueue& queue, std::uint64_t caller) -> std::size_t;
+/// @param item A request that would be added.
+/// @return The most requests that are served before it, unless more callers
+///   join while its caller's other requests are served.
+auto CountAhead(const RequestQueue& queue, const QueueItem& item)
+    -> std::size_t;
 
 /// Chooses what a full queue gives up for a newcomer.
 /// @param queue The queue.
 /// @param newcomer The request that has no room.
-/// @return A request that is worth less or whose caller holds more; nothing
-///   when it is the newcomer that has to go.
+/// @return The newest request of a caller that holds far more; nothing when it
+///   is the newcomer that has to go.
 auto ChooseVictim(const RequestQueue& queue, const QueueItem& newcomer)
     -> std::optional<QueueItem>;
 
--- a/src/protocol/coap_gate.cc
+++ b/src/protocol/coap_gate.cc
@@ -144,6 +144,14 @@
   }
 }
 
+// Only the target that issued a token can know whether its request ran.
+auto BelongsElsewhere(const CoapGateState& state, const Request& request)
+    -> bool {
+  return state.options.pass_to_other_targets && !request.idempotent &&
+         request.token && request.token->authentic &&
+         request.token->target != state.options.gate.target;
+}
+
 auto SubmitMessage(CoapGateState& state,
                    const FlowKey& key,
                    Flow& flow,
@@ -154,6 +162,14 @@
   const WaiterId waiter{state.next_waiter++};
   const auto request =
       detail::MakeRequest(state.options, key, message, waiter, now);
+  if (BelongsElsewhere(state, request)) {
+    Count(state.gate, GateCounter::kPassedToOtherTarget);
+    out.push_back({.kind = GateAction::Kind::kToOtherTarget,
+                   .flow = key,
+                   .bytes = EncodeCoap(message),
+                   .target = request.token->target});
+    return;
+  }
   flow.exchanges.push_back(
       {.waiter = waiter, .request = message, .arrived = now});
   state.waiters.emplace(waiter, key);
@@ -279,6 +295,16 @@
   }
 }
 
+auto RefusePassed(CoapGate& gate,
+                  const FlowKey& flow,
+                  std::span<const std::uint8_t> bytes,
+                  Random& random,
+                  GateActions& out) -> void {
+  RefuseMessage(*gate.state, flow, DecodeCoap(bytes, kMaxCallerMessage),
+                ErrorKind::kOutcomeUnknown, GateCounter::kUnknownOtherTarget,
+                random, out);
+}
+
 auto OnGateTick(CoapGate& gate, TimePoint now, Random& random, GateActions& out)
     -> TimePoint {
   RequestActions actions;
--- a/src/state/request_counters.cc
+++ b/src/state/request_counters.cc
@@ -16,6 +16,7 @@
     "kept_answer",
     "joined_running",
     "duplicate_message",
+    "passed_to_other_target",
     "refused_malformed",
     "refused_too_large",
     "refused_deadline",
