--- a/bench/common/request_scenario.h
+++ b/bench/common/request_scenario.h
@@ -31,7 +31,7 @@
   double copy_share = 0;          ///< Datagrams that arrive again.
   std::size_t copies = 1;         ///< How often those arrive again.
   Duration copy_delay{0};         ///< Latest arrival of a copy.
-  double second_home_share = 0;   ///< Openings that reach two targets.
+  double second_home_share = 0;   ///< Bookings opened at two targets.
   std::chrono::seconds start{5};  ///< Begin of the measured time.
   std::chrono::seconds end{25};   ///< End of the measured time.
   /// Plans faults before the run.
@@ -54,6 +54,7 @@
   std::uint64_t unanswered = 0;     ///< Calls that nobody answered in time.
   double shed_share = 0;            ///< Calls refused; permits count double.
   double refusal_round_trips_p99 = 0;
+  double late_refusals = 0;  ///< Share of refusals over one round trip.
   double goodput_ratio = 0;  ///< Successes over capacity.
   double served_ratio = 0;   ///< Successes over offered requests.
   /// Successes over offered requests in each second of the run.
--- a/bench/requests.cc
+++ b/bench/requests.cc
@@ -179,6 +179,7 @@
                    kGoodputFloor);
     printer.Figure("refusal_round_trips_p99", result.refusal_round_trips_p99,
                    "round trips", kRefusalRoundTripsBound);
+    printer.Figure("late_refusals", result.late_refusals, "share");
   } else {
     printer.Figure("served_ratio", result.served_ratio, "share");
   }
--- a/src/coordination/request_gate_state.cc
+++ b/src/coordination/request_gate_state.cc
@@ -1,6 +1,7 @@
 #include "coordination/request_gate_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hawthornbank::detail {
@@ -175,9 +176,13 @@
   if (state.running < slots && SizeOf(state.queue) == 0) {
     return Duration{0};
   }
-  const auto ahead =
-      static_cast<Duration::rep>(CountAhead(state.queue, item) + 1);
-  return state.health.service_time * ahead / slots;
+  // With service times that vary as much as their mean, the time in which so
+  // many requests end has this deviation from its mean.
+  constexpr double kDeviations = 2;
+  const auto ahead = static_cast<double>(CountAhead(state.queue, item) + 1);
+  const double services = (ahead + kDeviations * std::sqrt(ahead)) / slots;
+  return Duration{static_cast<Duration::rep>(
+      static_cast<double>(state.health.service_time.count()) * services)};
 }
 
 auto TokenExpiry(const RequestToken& token) -> TimePoint {
--- a/src/coordination/request_gate_state.h
+++ b/src/coordination/request_gate_state.h
@@ -87,7 +87,7 @@
               Random& random,
               RequestActions& out) -> void;
 
-/// @return Time that a new request would wait for a slot.
+/// @return Time within which a new request almost surely gets a slot.
 auto EstimateWait(const RequestGateState& state,
                   const QueueItem& item,
                   TimePoint now) -> Duration;
--- a/src/coordination/request_queue.cc
+++ b/src/coordination/request_queue.cc
@@ -99,11 +99,11 @@
 auto CountAhead(const RequestQueue& queue, const QueueItem& item)
     -> std::size_t {
   const auto ahead = CountAheadIn(ClassOf(queue, item), item.caller);
+  // More of the other class may arrive while this one waits.
   if (item.counts_double) {
-    return ahead +
-           std::min(queue.ordinary.size, 1 + ahead / kDoublesPerOrdinary);
+    const bool contended = queue.ordinary.size > 0;
+    return contended ? ahead + 1 + ahead / kDoublesPerOrdinary : ahead;
   }
-  // More that count double may arrive while this one waits.
   const bool contended = queue.double_ones.size > 0;
   return contended ? ahead + kDoublesPerOrdinary * (ahead + 1) : ahead;
 }
--- a/src/coordination/target_health.cc
+++ b/src/coordination/target_health.cc
@@ -9,7 +9,7 @@
 constexpr double kWeakFailure = 0.45;  // Half of the slots from here on.
 constexpr double kDownFailure = 0.6;   // Probes only from here on.
 constexpr std::uint32_t kSuccessesPerSlot = 4;  // Ramp-up of a cold target.
-constexpr int kServiceGainDivisor = 16;
+constexpr std::uint64_t kServiceGainDivisor = 16;
 constexpr int kClipFactor = 4;   // Most that one sample moves the average.
 constexpr int kStallFactor = 8;  // Times the average service time.
 
@@ -53,7 +53,11 @@
         std::min(health.successes + 1, health.slots * kSuccessesPerSlot);
   }
   const auto sample = std::min(service_time, health.service_time * kClipFactor);
-  health.service_time += (sample - health.service_time) / kServiceGainDivisor;
+  ++health.samples;
+  // A plain mean at first, so that a cold target is soon known.
+  const auto divisor = std::min(health.samples, kServiceGainDivisor);
+  health.service_time +=
+      (sample - health.service_time) / static_cast<Duration::rep>(divisor);
 }
 
 auto RecordFailure(TargetHealth& health, TimePoint now) -> void {
--- a/src/coordination/target_health.h
+++ b/src/coordination/target_health.h
@@ -16,6 +16,7 @@
   std::uint32_t slots = 3;
   Duration service_time{std::chrono::milliseconds{50}};  ///< Moving average.
   Duration probe_interval{std::chrono::seconds{1}};
+  std::uint64_t samples = 0;    ///< Answers in `service_time`.
   std::uint32_t successes = 0;  ///< Since the start, up to full ramp-up.
   double failure = 0;           ///< Moving average of failures, 0 to 1.
   TimePoint next_probe{};       ///< When a target that is down gets one try.
--- /dev/null
+++ b/test/request_scenario_test.cc
@@ -0,0 +1,72 @@
+#include "common/request_scenario.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank::bench;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(RequestScenario) {
+  // Late copies of everything, and bookings that open at two targets.
+  RequestScenario storm{.seed = 11,
+                        .targets = 3,
+                        .callers = 20,
+                        .copy_share = 0.8,
+                        .copies = 3,
+                        .copy_delay = seconds{4},
+                        .second_home_share = 0.5,
+                        .start = seconds{1},
+                        .end = seconds{4}};
+  RequestScenario overload{.seed = 11,
+                           .targets = 2,
+                           .callers = 20,
+                           .load = 3,
+                           .start = seconds{3},
+                           .end = seconds{8}};
+};
+
+TEST(RequestScenario, StormDoublesNothing) {
+  const auto result = RunScenario(storm);
+  CHECK(result.calls > 200);
+  LONGS_EQUAL(0, result.doubled);
+  LONGS_EQUAL(0, result.falsely_not_run);
+  LONGS_EQUAL(0, result.wrong_answers);
+  LONGS_EQUAL(0, result.answer_after_give_up);
+  LONGS_EQUAL(0, result.unknown);
+}
+
+TEST(RequestScenario, StormDoublesBookingsOfBothBaselines) {
+  storm.gate = GateKind::kNone;
+  CHECK(RunScenario(storm).doubled > 0);
+  storm.gate = GateKind::kUnboundedQueue;
+  CHECK(RunScenario(storm).doubled > 0);
+}
+
+TEST(RequestScenario, OverloadKeepsGoodputWhereAnUnboundedQueueLosesIt) {
+  const auto result = RunScenario(overload);
+  CHECK(result.goodput_ratio >= 0.9);
+  CHECK(result.attempts <= result.calls * 11 / 10);
+  overload.gate = GateKind::kUnboundedQueue;
+  CHECK(RunScenario(overload).goodput_ratio < 0.5);
+}
+
+TEST(RequestScenario, RetriesByAllPassTheBudget) {
+  overload.retry_without_budget = true;
+  const auto result = RunScenario(overload);
+  CHECK(result.attempts > result.calls * 2);
+}
+
+TEST(RequestScenario, RestartsAndLossDoubleNothing) {
+  storm.link.loss = 0.2;
+  storm.faults = [](VirtualNetwork& net, auto& targets) {
+    for (int n = 0; n < 6; ++n) {
+      auto& target = *targets[static_cast<std::size_t>(n) % targets.size()];
+      net.At(hawthornbank::TimePoint{milliseconds{500 * n + 700}},
+             [&net, &target] { StartTarget(target, net); });
+    }
+  };
+  const auto result = RunScenario(storm);
+  LONGS_EQUAL(0, result.doubled);
+  LONGS_EQUAL(0, result.falsely_not_run);
+  CHECK(result.unknown > 0);
+}
