--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -32,11 +32,11 @@
 /// @param incarnation The process's incarnation.
 /// @return When it started.
 inline auto StartOf(Incarnation incarnation) -> TimePoint {
-  static const Duration kOffset =
+  static const Duration offset =
       MonotonicNow().time_since_epoch() - WallNow().time_since_epoch();
   const std::chrono::milliseconds start{
       static_cast<std::int64_t>(ToInteger(incarnation))};
-  return TimePoint{start + kOffset};
+  return TimePoint{start + offset};
 }
 
 }  // namespace hawthornbank::transport
--- a/src/transport/status_server.cc
+++ b/src/transport/status_server.cc
@@ -62,7 +62,7 @@
 
 StatusServer::StatusServer(asio::io_context& io,
                            Endpoint local,
-                           StatusSource source)
+                           const StatusSource& source)
     : server_(std::make_unique<Server>()) {
   if (local.port == 0) {
     return;
--- a/src/transport/status_server.h
+++ b/src/transport/status_server.h
@@ -30,7 +30,9 @@
   /// @param local Where to listen; port 0 serves nothing.
   /// @param source What to serve.
   /// @throws Error kInvalidSettings when the endpoint can't be bound.
-  StatusServer(asio::io_context& io, Endpoint local, StatusSource source);
+  StatusServer(asio::io_context& io,
+               Endpoint local,
+               const StatusSource& source);
   ~StatusServer();
   StatusServer(const StatusServer&) = delete;
   auto operator=(const StatusServer&) -> StatusServer& = delete;
