Put the request gate and the configuration's decisions behind the daemons

Agents gate every request: at most once by token, limits, deadlines; a request whose token names another target is handed to that target's agent. Balancers and agents learn the configuration by watchers and peers instead of polling the platform each.

--- a/include/hawthornbank/routing.h
+++ b/include/hawthornbank/routing.h
@@ -24,7 +24,7 @@
 
 /// Time for which a new target isn't asked first by balancers. It covers the
 /// time in which balancers can disagree about who is there.
-inline constexpr Duration kJoinWindow = std::chrono::seconds{3};
+inline constexpr Duration kTargetJoinWindow = std::chrono::seconds{3};
 
 /// Time without word from any peer or the platform after which a balancer
 /// opens no flows, as its view may be out of date.
--- a/include/hawthornbank/tunnel.h
+++ b/include/hawthornbank/tunnel.h
@@ -22,12 +22,13 @@
 
 /// Why an agent passes a packet on.
 enum class WalkPhase : std::uint8_t {
-  kNone,      ///< Straight from a balancer, or along a pointer.
-  kHomeward,  ///< Sent to the flow's home by an agent with a newer view.
-  kLookup,    ///< Looking for the owner of a flow the home doesn't know.
-  kDecide,    ///< Nobody knew the flow; the home decides.
-  kChoose,    ///< Looking for a target with room for a new flow.
-  kAccept,    ///< The walk ended: the receiver takes the flow.
+  kNone,        ///< Straight from a balancer, or along a pointer.
+  kHomeward,    ///< Sent to the flow's home by an agent with a newer view.
+  kLookup,      ///< Looking for the owner of a flow the home doesn't know.
+  kDecide,      ///< Nobody knew the flow; the home decides.
+  kChoose,      ///< Looking for a target with room for a new flow.
+  kAccept,      ///< The walk ended: the receiver takes the flow.
+  kHandedOver,  ///< One request, whose token names the receiver's target.
 };
 
 /// Fields that travel with each packet.
--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -179,6 +179,10 @@
                     .caller = packet.source,
                     .address = packet.destination,
                     .transport = packet.transport};
+  if (header.phase == WalkPhase::kHandedOver) {
+    out.push_back(AgentAction{.kind = Kind::kDeliver, .flow = key});
+    return;
+  }
   const auto owned = agent.flows.find(key);
   if (owned != agent.flows.end()) {
     HandleOwned(agent, owned->second, key, header, packet, now, out);
--- a/src/coordination/flow_walk.cc
+++ b/src/coordination/flow_walk.cc
@@ -212,7 +212,7 @@
 auto HomeFor(const Visit& visit) -> Endpoint {
   const auto& view = visit.agent.view;
   const std::uint64_t hash = HashFlow(visit.key);
-  const auto* home = FirstCandidate(view, hash, visit.now - kJoinWindow);
+  const auto* home = FirstCandidate(view, hash, visit.now - kTargetJoinWindow);
   if (home == nullptr) {
     home = FirstCandidate(view, hash);
   }
@@ -306,6 +306,8 @@
     case WalkPhase::kAccept:
       Accept(visit);
       break;
+    case WalkPhase::kHandedOver:
+      break;
   }
 }
 
--- a/src/coordination/routing.cc
+++ b/src/coordination/routing.cc
@@ -29,7 +29,7 @@
               std::uint64_t flow_hash,
               TimePoint now) -> const Candidate* {
   const auto* const home =
-      FirstCandidate(service.candidates, flow_hash, now - kJoinWindow);
+      FirstCandidate(service.candidates, flow_hash, now - kTargetJoinWindow);
   return home != nullptr ? home : FirstCandidate(service.candidates, flow_hash);
 }
 
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <variant>
 
+#include "hawthornbank/configuration_messages.h"
 #include "hawthornbank/flow_key.h"
 #include "hawthornbank/membership_messages.h"
 #include "hawthornbank/packet.h"
@@ -56,7 +57,8 @@
                              Digest,
                              FlowHint,
                              FlowPointerNote,
-                             FlowPointerAck>;
+                             FlowPointerAck,
+                             ConfigurationMessage>;
 
 /// Key of the control messages' digest; 256 bits.
 using ControlKey = std::array<std::uint8_t, 32>;
--- a/src/protocol/tunnel.cc
+++ b/src/protocol/tunnel.cc
@@ -87,7 +87,7 @@
   const std::uint8_t walk_size = it[23];
   const std::size_t head = kFixedBytes + walk_size * kEndpointBytes;
   if (it[0] != kMagic || it[1] != kVersion ||
-      phase > static_cast<std::uint8_t>(WalkPhase::kAccept) ||
+      phase > static_cast<std::uint8_t>(WalkPhase::kHandedOver) ||
       walk_size > kMaxWalk || head > datagram.size()) {
     return std::nullopt;
   }
--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -1,25 +1,23 @@
 #include <algorithm>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <unordered_map>
 #include <variant>
 
 #include "hawthornbank/agent.h"
 #include "hawthornbank/announcer.h"
 #include "hawthornbank/configuration.h"
 #include "transport/clock.h"
-#include "transport/configuration_follower.h"
+#include "transport/configuration_binding.h"
 #include "transport/control_channel.h"
 #include "transport/daemon.h"
 #include "transport/logging.h"
 #include "transport/status_server.h"
+#include "transport/target_link.h"
 
 namespace hawthornbank::transport {
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{100};
-/// CoAP ping (RFC 7252, 4.3): an empty confirmable message.
-constexpr std::array<std::uint8_t, 4> kCoapPing = {0x40, 0x00, 0x70, 0x01};
 
 /// An agent: everything runs on one thread.
 class AgentDaemon {
@@ -30,7 +28,21 @@
         channel_(io_,
                  settings.peer,
                  MakeKeyRing(settings.key, settings.previous_key)),
-        return_socket_(io_, Endpoint{.address = settings.peer.address}),
+        binding_(
+            io_,
+            {.self = settings.peer,
+             .role = ConfigurationRole::kAgent,
+             .zone = settings.zone,
+             .region = settings.region,
+             .platform = settings.platform},
+            [this](Endpoint to, const ConfigurationMessage& message) {
+              channel_.Send(to, message);
+            },
+            [this](const Configuration& next) { PutInForce(next); }),
+        link_(io_,
+              {.target = settings.target_address,
+               .return_path = settings.return_address},
+              MakeLinkHandlers()),
         timer_(io_),
         signals_(io_, SIGTERM, SIGINT) {}
 
@@ -40,9 +52,7 @@
           HandleMessage(from, message);
         },
         [this](const TunnelPacket& packet) { HandlePacket(packet); });
-    const ConfigurationFollower follower(
-        io_, {.platform = settings_.platform, .region = settings_.region},
-        [this](const Configuration& next) { PutInForce(next); });
+    SetConfigurationPeers(settings_.balancers);
     const StatusServer status(
         io_, settings_.metrics,
         {.status = [this]() { return StatusJson(); },
@@ -56,6 +66,34 @@
   }
 
  private:
+  auto MakeLinkHandlers() -> LinkHandlers {
+    return LinkHandlers{
+        .on_target_sent =
+            [this](const FlowKey& flow) {
+              OnTargetSent(agent_, flow, MonotonicNow());
+            },
+        .on_target_lost =
+            [this](const FlowKey& flow) { HandleTargetLost(flow); },
+        .hand_over =
+            [this](TargetId target, const FlowKey& flow, ByteView datagram) {
+              return HandOver(target, flow, datagram);
+            },
+    };
+  }
+
+  auto SetConfigurationPeers(const std::vector<Endpoint>& balancers) -> void {
+    std::vector<BalancerPeer> peers;
+    peers.reserve(balancers.size());
+    for (const auto& it : balancers) {
+      peers.push_back({.host = ToHostId(it)});
+    }
+    std::sort(peers.begin(), peers.end(),
+              [](const BalancerPeer& a, const BalancerPeer& b) {
+                return a.host < b.host;
+              });
+    binding_.SetPeers(std::move(peers));
+  }
+
   // The first configuration names the service's identity; until then the
   // agent has nothing to announce.
   auto PutInForce(const Configuration& next) -> void {
@@ -81,31 +119,57 @@
     agent_.options.self = settings_.peer;
     agent_.options.service = service.id;
     slots_ = service.slots;
+    const Incarnation incarnation = MakeIncarnation();
+    OpenGate(service, incarnation);
     announcer_ = MakeAnnouncer(AnnouncerOptions{
         .self = TargetRecord{.id = TargetId{HashName(settings_.name)},
                              .name = settings_.name,
                              .service = service.id,
                              .agent = settings_.peer,
                              .zone = settings_.zone,
-                             .incarnation = MakeIncarnation()},
+                             .incarnation = incarnation},
         .seeds = settings_.balancers,
     });
   }
 
+  auto OpenGate(const Service& service, Incarnation incarnation) -> void {
+    const KeyRing keys = MakeKeyRing(settings_.key, settings_.previous_key);
+    std::vector<ControlKey> token_keys = {keys.control};
+    if (keys.previous_control) {
+      token_keys.push_back(*keys.previous_control);
+    }
+    link_.OpenGate(CoapGateOptions{
+        .gate = {.target = TargetId{HashName(settings_.name)},
+                 .incarnation = incarnation,
+                 .slots = service.slots,
+                 .retry_share = settings_.retry_budget_percent / 100.0},
+        .max_connections = service.max_connections,
+        .token_keys = token_keys,
+        .pass_to_other_targets = true,
+        .counts_double = service.non_idempotent_counts_double,
+    });
+  }
+
   auto HandleMessage(Endpoint from, const Message& message) -> void {
     const TimePoint now = MonotonicNow();
     if (const auto* ack = std::get_if<AnnounceAck>(&message)) {
       if (announcer_) {
         std::vector<AnnouncerAction> actions;
+        if (!ack->watchers.empty()) {
+          SetConfigurationPeers(ack->watchers);
+        }
         OnAnnounceAck(*announcer_, from, *ack, now, actions);
         PerformAnnouncer(actions);
       }
     } else if (const auto* note = std::get_if<FlowPointerNote>(&message)) {
       std::vector<AgentAction> actions;
       OnFlowPointer(agent_, note->flow, note->owner, now, actions);
-      PerformAgent(actions, nullptr, nullptr);
+      PerformAgent(actions, nullptr);
     } else if (const auto* answer = std::get_if<FlowPointerAck>(&message)) {
       OnPointerAck(agent_, answer->flow, answer->home);
+    } else if (const auto* configuration =
+                   std::get_if<ConfigurationMessage>(&message)) {
+      binding_.HandleMessage(from, *configuration);
     }
   }
 
@@ -138,7 +202,7 @@
     SetMeanConnections(agent_, view.mean_connections);
     std::vector<AgentAction> actions;
     SetServiceView(agent_, std::move(candidates), MonotonicNow(), actions);
-    PerformAgent(actions, nullptr, nullptr);
+    PerformAgent(actions, nullptr);
   }
 
   auto HandlePacket(const TunnelPacket& tunnel) -> void {
@@ -149,13 +213,13 @@
       return;
     }
     std::vector<AgentAction> actions;
+    TakeLoad();
     OnTunnelPacket(agent_, tunnel.header, packet, MonotonicNow(), actions);
-    PerformAgent(actions, &packet, &tunnel.header);
+    PerformAgent(actions, &packet);
   }
 
   auto PerformAgent(const std::vector<AgentAction>& actions,
-                    const PacketView* packet,
-                    const TunnelHeader* header) -> void {
+                    const PacketView* packet) -> void {
     for (const auto& action : actions) {
       switch (action.kind) {
         case AgentAction::Kind::kDeliver:
@@ -180,14 +244,13 @@
                                                   .home = settings_.peer});
           break;
         case AgentAction::Kind::kProbe:
-          Probe(action.flow);
+          link_.Probe(action.flow);
           break;
         case AgentAction::Kind::kClose:
-          CloseSocket(action.flow);
+          link_.Close(action.flow);
           break;
       }
     }
-    static_cast<void>(header);
   }
 
   auto Deliver(const FlowKey& flow, const PacketView& packet) -> void {
@@ -197,40 +260,33 @@
       ++undelivered_;
       return;
     }
-    SocketOf(flow).Send(packet.payload);
-  }
-
-  auto SocketOf(const FlowKey& flow) -> UdpSocket& {
-    auto& socket = sockets_[flow];
-    if (!socket) {
-      socket = std::make_shared<UdpSocket>(
-          io_, Endpoint{.address = settings_.target_address.address});
-      socket->Connect(settings_.target_address);
-      socket->Receive(
-          [this, flow](Endpoint, ByteView datagram) {
-            OnTargetSent(agent_, flow, MonotonicNow());
-            return_socket_.Send(
-                settings_.return_address,
-                BuildUdpPacket(flow.address, flow.caller, datagram));
-          },
-          [this, flow](const asio::error_code& ec) {
-            HandleTargetError(flow, ec);
-          });
-    }
-    return *socket;
+    link_.Deliver(flow, packet.payload);
   }
 
-  // A refused connection means that the target lost the flow.
-  auto HandleTargetError(const FlowKey& flow, const asio::error_code& ec)
-      -> void {
-    if (ec != asio::error::connection_refused) {
-      return;
-    }
+  auto HandleTargetLost(const FlowKey& flow) -> void {
     Count(agent_.counters, Counter::kResetTargetLost);
     SendReset(flow, nullptr);
     std::vector<AgentAction> actions;
     EndFlow(agent_, flow, actions);
-    PerformAgent(actions, nullptr, nullptr);
+    PerformAgent(actions, nullptr);
+  }
+
+  // A request whose token names another target runs there or nowhere.
+  auto HandOver(TargetId target, const FlowKey& flow, ByteView datagram)
+      -> bool {
+    for (const auto& it : agent_.view) {
+      if (it.id == target) {
+        const TunnelHeader header{.service = flow.service,
+                                  .generation = generation_,
+                                  .phase = WalkPhase::kHandedOver,
+                                  .hops = 1};
+        channel_.SendPacket(
+            it.agent, header,
+            BuildUdpPacket(flow.caller, flow.address, datagram));
+        return true;
+      }
+    }
+    return false;
   }
 
   auto SendReset(const FlowKey& flow, const PacketView* packet) -> void {
@@ -242,45 +298,32 @@
       answer = BuildReset(ParsePacket(last));
     }
     if (!answer.empty()) {
-      return_socket_.Send(settings_.return_address, answer);
-    }
-  }
-
-  auto Probe(const FlowKey& flow) -> void {
-    if (flow.transport != Transport::kUdp) {
-      return;
+      link_.SendToCaller(answer);
     }
-    SocketOf(flow).Send(kCoapPing);
-    return_socket_.Send(settings_.return_address,
-                        BuildUdpPacket(flow.address, flow.caller, kCoapPing));
-  }
-
-  // The socket may be the one whose handler runs, so it is freed later.
-  auto CloseSocket(const FlowKey& flow) -> void {
-    const auto it = sockets_.find(flow);
-    if (it == sockets_.end()) {
-      return;
-    }
-    it->second->Close();
-    asio::post(io_, [socket = std::move(it->second)]() {});
-    sockets_.erase(it);
   }
 
   auto Tick() -> void {
     const TimePoint now = MonotonicNow();
+    binding_.Tick();
+    link_.Tick(now);
+    TakeLoad();
     std::vector<AgentAction> actions;
     OnAgentTick(agent_, now, actions);
-    PerformAgent(actions, nullptr, nullptr);
+    PerformAgent(actions, nullptr);
     if (announcer_) {
-      SetLoad(*announcer_,
-              TargetLoad{.connections =
-                             static_cast<std::uint32_t>(agent_.flows.size()),
-                         .slots = static_cast<std::uint16_t>(slots_)});
+      SetLoad(
+          *announcer_,
+          TargetLoad{
+              .connections = static_cast<std::uint32_t>(agent_.flows.size()),
+              .slots_busy =
+                  static_cast<std::uint16_t>(agent_.busyness.slots_busy),
+              .slots = static_cast<std::uint16_t>(slots_),
+              .queued = static_cast<std::uint16_t>(agent_.busyness.queued)});
       std::vector<AnnouncerAction> announcements;
       OnAnnouncerTick(*announcer_, now, random_, announcements);
       PerformAnnouncer(announcements);
     }
-    if (stopping_ && agent_.flows.empty()) {
+    if (stopping_ && agent_.flows.empty() && link_.IsDrained()) {
       Leave();
       return;
     }
@@ -292,6 +335,14 @@
     });
   }
 
+  // Every decision on a new flow sees the slots as they are now.
+  auto TakeLoad() -> void {
+    const GateLoadReport load = link_.Load();
+    agent_.busyness = {.slots = load.slots_allowed,
+                       .slots_busy = load.slots_busy,
+                       .queued = load.queued};
+  }
+
   auto StartDrain(const std::string& reason) -> void {
     if (agent_.draining) {
       return;
@@ -324,6 +375,7 @@
         return;
       }
       if (stopping_) {
+        link_.Abort();
         exit_code_ = kExitForced;
         io_.stop();
         return;
@@ -346,21 +398,23 @@
     });
     std::vector<AgentAction> actions;
     HandOverPointers(agent_, actions);
-    PerformAgent(actions, nullptr, nullptr);
+    PerformAgent(actions, nullptr);
     Log(Layer::kCoordination, LogLevel::kInfo, "agent_stopped",
         {{"target", settings_.name}});
     io_.stop();
   }
 
   auto StatusJson() -> std::string {
-    return nlohmann::json{{"role", "agent"},
-                          {"name", settings_.name},
-                          {"zone", settings_.zone},
-                          {"service", settings_.service},
-                          {"generation", ToInteger(generation_)},
-                          {"draining", agent_.draining},
-                          {"connections", agent_.flows.size()},
-                          {"counters", CollectMetrics()}}
+    return nlohmann::json{
+        {"role", "agent"},
+        {"name", settings_.name},
+        {"zone", settings_.zone},
+        {"service", settings_.service},
+        {"generation", ToInteger(generation_)},
+        {"draining", agent_.draining},
+        {"confirmed", IsConfirmed(binding_.store(), MonotonicNow())},
+        {"connections", agent_.flows.size()},
+        {"counters", CollectMetrics()}}
         .dump();
   }
 
@@ -378,6 +432,10 @@
     metrics["control_malformed"] = static_cast<double>(channel.malformed);
     metrics["flows"] = static_cast<double>(agent_.flows.size());
     metrics["pointers"] = static_cast<double>(agent_.pointers.size());
+    for (const auto& it : link_.Counters()) {
+      metrics["request_" + std::string(it.name)] =
+          static_cast<double>(it.value);
+    }
     metrics["undelivered"] = static_cast<double>(undelivered_);
     return metrics;
   }
@@ -387,9 +445,9 @@
   asio::io_context io_;
   Agent agent_;
   std::optional<Announcer> announcer_;
-  std::unordered_map<FlowKey, std::shared_ptr<UdpSocket>> sockets_;
   ControlChannel channel_;
-  UdpSocket return_socket_;
+  ConfigurationBinding binding_;
+  TargetLink link_;
   asio::steady_timer timer_;
   asio::signal_set signals_;
   Generation generation_{};
--- a/src/transport/balancer_daemon.cc
+++ b/src/transport/balancer_daemon.cc
@@ -6,7 +6,7 @@
 #include "hawthornbank/configuration.h"
 #include "hawthornbank/membership.h"
 #include "transport/clock.h"
-#include "transport/configuration_follower.h"
+#include "transport/configuration_binding.h"
 #include "transport/control_channel.h"
 #include "transport/daemon.h"
 #include "transport/logging.h"
@@ -56,6 +56,17 @@
             MakeMembership(MakeMembershipOptions(settings), MonotonicNow())),
         workers_(MakeWorkerOptions(settings), keys_),
         channel_(io_, settings.peer, keys_),
+        binding_(
+            io_,
+            {.self = settings.peer,
+             .role = ConfigurationRole::kBalancer,
+             .zone = settings.zone,
+             .region = settings.region,
+             .platform = settings.platform},
+            [this](Endpoint to, const ConfigurationMessage& message) {
+              channel_.Send(to, message);
+            },
+            [this](const Configuration& next) { PutInForce(next); }),
         timer_(io_),
         signals_(io_, SIGTERM, SIGINT) {}
 
@@ -65,9 +76,7 @@
           HandleMessage(from, message);
         },
         [](const TunnelPacket&) {});
-    const ConfigurationFollower follower(
-        io_, {.platform = settings_.platform, .region = settings_.region},
-        [this](const Configuration& next) { PutInForce(next); });
+
     const StatusServer status(
         io_, settings_.metrics,
         {.status = [this]() { return StatusJson(); },
@@ -92,6 +101,9 @@
     } else if (const auto* hint = std::get_if<FlowHint>(&message)) {
       OnFlowHint(workers_.cache(), hint->flow, hint->owner, now,
                  workers_.counters());
+    } else if (const auto* configuration =
+                   std::get_if<ConfigurationMessage>(&message)) {
+      binding_.HandleMessage(from, *configuration);
     }
     Perform(actions);
   }
@@ -116,7 +128,6 @@
   }
 
   auto PutInForce(const Configuration& next) -> void {
-    workers_.SetLastHeard(MonotonicNow());
     if (next.generation <= configuration_.generation) {
       return;
     }
@@ -174,6 +185,11 @@
     std::vector<MembershipAction> actions;
     OnMembershipTick(membership_, MonotonicNow(), random_, actions);
     Perform(actions);
+    binding_.SetPeers(LiveBalancers());
+    binding_.Tick();
+    if (IsConfirmed(binding_.store(), MonotonicNow())) {
+      workers_.SetLastHeard(MonotonicNow());
+    }
     timer_.expires_after(kTickInterval);
     timer_.async_wait([this](const asio::error_code& ec) {
       if (!ec) {
@@ -182,6 +198,21 @@
     });
   }
 
+  auto LiveBalancers() const -> std::vector<BalancerPeer> {
+    std::vector<BalancerPeer> live;
+    for (const auto& it : Balancers(membership_)) {
+      if (it.state == BalancerState::kAlive ||
+          it.state == BalancerState::kSuspect) {
+        live.push_back({.host = ToHostId(it.peer), .zone = it.zone});
+      }
+    }
+    std::sort(live.begin(), live.end(),
+              [](const BalancerPeer& a, const BalancerPeer& b) {
+                return a.host < b.host;
+              });
+    return live;
+  }
+
   auto WaitForSignal() -> void {
     signals_.async_wait([this](const asio::error_code& ec, int) {
       if (ec) {
@@ -231,17 +262,32 @@
                            {"state", static_cast<int>(it.state)},
                            {"generation", ToInteger(it.generation)}});
     }
-    return nlohmann::json{{"role", "balancer"},
-                          {"name", settings_.name},
-                          {"zone", settings_.zone},
-                          {"generation", ToInteger(configuration_.generation)},
-                          {"confirmed", true},
-                          {"targets", targets},
-                          {"balancers", balancers},
-                          {"counters", CollectMetrics()}}
+    return nlohmann::json{
+        {"role", "balancer"},
+        {"name", settings_.name},
+        {"zone", settings_.zone},
+        {"generation", ToInteger(configuration_.generation)},
+        {"confirmed", IsConfirmed(binding_.store(), MonotonicNow())},
+        {"in_force", InForceJson()},
+        {"targets", targets},
+        {"balancers", balancers},
+        {"counters", CollectMetrics()}}
         .dump();
   }
 
+  // Names each host that lags, where membership knows its name.
+  auto InForceJson() const -> nlohmann::json {
+    const auto sum = SumUpInForce(binding_.store(), MonotonicNow());
+    nlohmann::json lagging = nlohmann::json::array();
+    for (const auto& it : sum.lagging) {
+      lagging.push_back(ToString(ToEndpoint(it)));
+    }
+    return {{"hosts", sum.hosts},
+            {"in_force", sum.in_force},
+            {"newest", ToInteger(sum.generation)},
+            {"lagging", lagging}};
+  }
+
   auto CollectMetrics() -> Metrics {
     Metrics metrics;
     for (std::size_t n = 0; n < kCounterCount; ++n) {
@@ -257,6 +303,13 @@
         static_cast<double>(channel.bytes_received);
     metrics["control_forged"] = static_cast<double>(channel.forged);
     metrics["control_malformed"] = static_cast<double>(channel.malformed);
+    const auto& configuration = binding_.store().counters;
+    metrics["configuration_stale_refused"] =
+        static_cast<double>(configuration.stale_refused);
+    metrics["platform_calls"] =
+        static_cast<double>(configuration.platform_calls);
+    metrics["platform_failures"] =
+        static_cast<double>(configuration.platform_failures);
     metrics["flow_cache_entries"] =
         static_cast<double>(workers_.cache().Size());
     return metrics;
@@ -272,6 +325,7 @@
   std::shared_ptr<const RoutingTable> table_ =
       std::make_shared<const RoutingTable>();
   ControlChannel channel_;
+  ConfigurationBinding binding_;
   asio::steady_timer timer_;
   asio::signal_set signals_;
   std::map<std::string, std::uint64_t> events_;
--- /dev/null
+++ b/src/transport/configuration_binding.cc
@@ -0,0 +1,172 @@
+#include "transport/configuration_binding.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "hawthornbank/error.h"
+#include "transport/clock.h"
+#include "transport/logging.h"
+#include "transport/platform_client.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+constexpr auto kKind = "configuration";
+
+auto MakeStore(const BindingOptions& options, Random& random)
+    -> ConfigurationStore {
+  return MakeConfigurationStore({.self = ToHostId(options.self),
+                                 .role = options.role,
+                                 .zone = options.zone},
+                                MonotonicNow(), random);
+}
+
+}  // namespace
+
+auto ToHostId(Endpoint endpoint) -> HostId {
+  return HostId{(std::uint64_t{endpoint.address} << 16U) | endpoint.port};
+}
+
+auto ToEndpoint(HostId host) -> Endpoint {
+  const std::uint64_t number = ToInteger(host);
+  return Endpoint{.address = static_cast<std::uint32_t>(number >> 16U),
+                  .port = static_cast<std::uint16_t>(number)};
+}
+
+struct PlatformCaller::Shared {
+  asio::io_context& io;
+  std::string region;
+  PlatformClient client;
+  Handler handler;
+  std::mutex mutex;  // Guards call and stopped; a leaf lock.
+  std::condition_variable wake;
+  std::optional<Call> call;
+  bool stopped = false;
+};
+
+PlatformCaller::PlatformCaller(asio::io_context& io,
+                               const BindingOptions& options,
+                               Handler handler)
+    : shared_(
+          new Shared{.io = io,
+                     .region = options.region,
+                     .client = PlatformClient({.address = options.platform}),
+                     .handler = std::move(handler)}) {
+  std::thread([shared = shared_]() { Run(shared); }).detach();
+}
+
+PlatformCaller::~PlatformCaller() {
+  {
+    const std::lock_guard lock(shared_->mutex);
+    shared_->stopped = true;
+  }
+  shared_->wake.notify_one();
+}
+
+auto PlatformCaller::Begin(const Call& call) -> void {
+  {
+    const std::lock_guard lock(shared_->mutex);
+    shared_->call = call;
+  }
+  shared_->wake.notify_one();
+}
+
+auto PlatformCaller::Run(const std::shared_ptr<Shared>& shared) -> void {
+  std::unique_lock lock(shared->mutex);
+  while (true) {
+    shared->wake.wait(lock, [&shared]() {
+      return shared->stopped || shared->call.has_value();
+    });
+    if (shared->stopped) {
+      return;
+    }
+    const Call call = *std::exchange(shared->call, std::nullopt);
+    lock.unlock();
+    const auto answer = Perform(*shared, call);
+    lock.lock();
+    if (shared->stopped) {
+      return;
+    }
+    asio::post(shared->io, [shared, answer]() { shared->handler(answer); });
+  }
+}
+
+auto PlatformCaller::Perform(Shared& shared, const Call& call)
+    -> PlatformAnswer {
+  try {
+    if (const auto* watch = std::get_if<CallPlatformWatch>(&call)) {
+      const auto result =
+          shared.client.Watch(kKind, watch->from, watch->timeout);
+      PlatformAnswer answer{
+          .reached = true, .gone = result.gone, .version = result.version};
+      for (const auto& it : result.objects) {
+        if (it.name == shared.region) {
+          answer.value = it.value;
+        }
+      }
+      return answer;
+    }
+    const auto object = shared.client.Get(kKind, shared.region);
+    return object ? PlatformAnswer{.reached = true,
+                                   .version = object->version,
+                                   .value = object->value}
+                  : PlatformAnswer{.reached = true};
+  } catch (const Error& error) {
+    Log(Layer::kTransport, LogLevel::kWarn, "platform_call_failed",
+        {{"reason", error.what()}});
+    return {};
+  }
+}
+
+ConfigurationBinding::ConfigurationBinding(asio::io_context& io,
+                                           BindingOptions options,
+                                           SendHandler send,
+                                           ForceHandler put_in_force)
+    : random_(ToInteger(MakeIncarnation()) ^ ToInteger(ToHostId(options.self))),
+      store_(MakeStore(options, random_)),
+      send_(std::move(send)),
+      put_in_force_(std::move(put_in_force)),
+      caller_(io, options, [this](const PlatformAnswer& answer) {
+        ConfigurationActions actions;
+        OnPlatformAnswer(store_, answer, MonotonicNow(), random_, actions);
+        Perform(actions);
+      }) {}
+
+auto ConfigurationBinding::Tick() -> void {
+  ConfigurationActions actions;
+  TickConfiguration(store_, MonotonicNow(), random_, actions);
+  Perform(actions);
+}
+
+auto ConfigurationBinding::HandleMessage(Endpoint from,
+                                         const ConfigurationMessage& message)
+    -> void {
+  ConfigurationActions actions;
+  OnConfigurationMessage(store_, ToHostId(from), message, MonotonicNow(),
+                         random_, actions);
+  Perform(actions);
+}
+
+auto ConfigurationBinding::SetPeers(std::vector<BalancerPeer> balancers)
+    -> void {
+  SetBalancers(store_, std::move(balancers));
+}
+
+auto ConfigurationBinding::Perform(ConfigurationActions& actions) -> void {
+  for (const auto& action : actions) {
+    if (const auto* send = std::get_if<SendConfiguration>(&action)) {
+      send_(ToEndpoint(send->to), send->message);
+    } else if (const auto* force = std::get_if<ConfigurationInForce>(&action)) {
+      put_in_force_(*force->configuration);
+    } else if (const auto* watch = std::get_if<CallPlatformWatch>(&action)) {
+      caller_.Begin(*watch);
+    } else if (const auto* get = std::get_if<CallPlatformGet>(&action)) {
+      caller_.Begin(*get);
+    }
+  }
+}
+
+}  // namespace hawthornbank::transport
