Membership tests: doubt, wrong suspicion, correction of stale accusations

Three guarantees had no such test (watcher outside the zone, doubt when most are silent, doubt after a wrong suspicion); they have now.

--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -150,6 +150,81 @@
   LONGS_EQUAL(0, TargetsOf(membership, ServiceId{1}).size());
 }
 
+TEST_GROUP(MembershipDoubt) {
+  Membership membership = Alone();
+  Random random{1};
+  std::vector<MembershipAction> out;
+  std::uint64_t sequence = 0;
+
+  /// Runs with some targets announcing each second.
+  auto Run(Duration from, Duration to, const std::vector<std::string>& names)
+      ->void {
+    for (auto now = from; now < to; now += 100ms) {
+      if (now % 1s == 0s) {
+        ++sequence;
+        for (const auto& it : names) {
+          OnAnnounce(membership, {},
+                     Announce{.target = Target(it, 1, sequence)},
+                     TimePoint{now}, out);
+        }
+      }
+      OnMembershipTick(membership, TimePoint{now}, random, out);
+    }
+  }
+};
+
+TEST(MembershipDoubt, OneSilentTargetIsSuspectedSoon) {
+  Run(0s, 10s, {"a", "b", "c", "d", "e", "f"});
+  Run(10s, 11400ms, {"a", "b", "c", "d", "e"});
+  LONGS_EQUAL(6, RoutableTargets(membership, ServiceId{1}).size());
+  Run(11400ms, 12s, {"a", "b", "c", "d", "e"});
+  LONGS_EQUAL(5, RoutableTargets(membership, ServiceId{1}).size());
+}
+
+TEST(MembershipDoubt, MostSilentAtOnceAreSuspectedLate) {
+  Run(0s, 10s, {"a", "b", "c", "d", "e", "f"});
+  Run(10s, 13500ms, {"a", "b"});
+  LONGS_EQUAL(6, RoutableTargets(membership, ServiceId{1}).size());
+  CHECK(CountOf(out, MembershipEvent::kSelfDoubt) > 0);
+  Run(14s, 20s, {"a", "b"});
+  LONGS_EQUAL(2, RoutableTargets(membership, ServiceId{1}).size());
+}
+
+TEST(MembershipDoubt, WrongSuspicionStretchesTheNext) {
+  const std::vector<std::string> others = {"a", "b", "c"};
+  Run(0s, 10s, {"a", "b", "c", "d"});
+  Run(10s, 13s, others);
+  LONGS_EQUAL(1, CountOf(out, MembershipEvent::kSuspected));
+  // Another watcher has heard it since; here it stays unheard.
+  OnDigest(membership, {},
+           Digest{.sender = HostId{2}, .targets = {Target("d", 1, 13)}},
+           TimePoint{13s}, out);
+  Run(13s, 16s, others);
+  LONGS_EQUAL(1, CountOf(out, MembershipEvent::kSuspected));
+  LONGS_EQUAL(4, RoutableTargets(membership, ServiceId{1}).size());
+}
+
+TEST(MembershipRules, StaleAccusationIsCorrected) {
+  auto membership = Alone();
+  std::vector<MembershipAction> out;
+  OnAnnounce(membership, {}, Announce{.target = Target("t", 1, 10)},
+             TimePoint{1s}, out);
+  auto accused = Target("t", 1, 9);
+  accused.state = TargetState::kSuspect;
+  out.clear();
+  const Endpoint from{.address = 9, .port = 9};
+  OnDigest(membership, from, Digest{.sender = HostId{2}, .targets = {accused}},
+           TimePoint{1s}, out);
+  bool corrected = false;
+  for (const auto& it : out) {
+    const auto* send = std::get_if<SendDigest>(&it);
+    corrected = corrected || (send != nullptr && send->to == from &&
+                              send->digest.targets.size() == 1 &&
+                              send->digest.targets[0].sequence == 10);
+  }
+  CHECK(corrected);
+}
+
 TEST_GROUP(MembershipFleet){};
 
 TEST(MembershipFleet, EverybodyLearnsOfEverybody) {
@@ -215,11 +290,12 @@
 }
 
 TEST(MembershipFleet, TargetLostWithItsZoneWatchersIsStillFound) {
-  MembershipFleet fleet(FleetOptions{.balancers = 6, .agents = 12});
+  MembershipFleet fleet(FleetOptions{.balancers = 9, .agents = 12});
   fleet.Run(20s);
   CHECK(fleet.IsWhole());
   fleet.KillBalancer(0);
   fleet.KillBalancer(3);
+  fleet.KillBalancer(6);
   fleet.KillAgent(0);
   LONGS_EQUAL(0, fleet.zone_of_agent(0));
   const auto took =
