--- a/include/hawthornbank/membership_messages.h
+++ b/include/hawthornbank/membership_messages.h
@@ -184,6 +184,8 @@
   bool probe = false;     ///< Asks for a heartbeat at once.
   bool ready = false;     ///< The sender knows all that its peers know.
   bool complete = false;  ///< Answers a synchronisation: nothing is missing.
+  bool targets_complete = false;       ///< Answers it: no target is missing.
+  std::uint32_t targets_checksum = 0;  ///< Of all targets, with checksums.
   std::uint32_t first_bucket = 0;
   std::vector<std::uint32_t> checksums;  ///< From first_bucket on.
   std::vector<ZoneBeacon> beacons;
@@ -195,7 +197,8 @@
     archive(sender);
     wire::Varint(archive, incarnation);
     wire::Varint(archive, sequence);
-    archive(probe, ready, complete);
+    archive(probe, ready, complete, targets_complete);
+    wire::Varint(archive, targets_checksum);
     wire::Varint(archive, first_bucket);
     wire::List(archive, checksums);
     wire::List(archive, beacons);
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -283,7 +283,8 @@
   // Records first: the sender's own may be news at the head's sequence.
   MergeRecords(membership, from, digest, now, out);
   const bool ask = HearSender(membership, digest, now, out);
-  membership.ready = membership.ready || (digest.complete && digest.ready);
+  membership.ready =
+      membership.ready || (digest.targets_complete && digest.ready);
   membership.in_step = membership.in_step || digest.complete;
   if (!digest.checksums.empty()) {
     detail::AnswerSync(membership, from, digest, out);
--- a/src/coordination/membership_gossip.cc
+++ b/src/coordination/membership_gossip.cc
@@ -226,6 +226,20 @@
   return static_cast<std::uint32_t>(x >> 32U);
 }
 
+auto ChecksumOf(const TargetRecord& record) -> std::uint32_t {
+  return ChecksumOf(ToInteger(record.id), record.incarnation,
+                    static_cast<std::uint64_t>(record.state));
+}
+
+/// @return Checksum of all targets that are present.
+auto TargetsChecksum(const Membership& membership) -> std::uint32_t {
+  std::uint32_t sum = 0;
+  for (const auto& [id, it] : membership.targets) {
+    sum += IsPresent(it.record.state) ? ChecksumOf(it.record) : 0;
+  }
+  return sum;
+}
+
 auto BucketOf(std::uint64_t id) -> std::uint32_t {
   return static_cast<std::uint32_t>((id * 0x9E3779B97F4A7C15U) >> 57U);
 }
@@ -358,9 +372,7 @@
   };
   for (const auto& [id, it] : membership.targets) {
     if (IsPresent(it.record.state)) {
-      const auto content = static_cast<std::uint64_t>(it.record.state);
-      add(ToInteger(id),
-          ChecksumOf(ToInteger(id), it.record.incarnation, content));
+      add(ToInteger(id), ChecksumOf(it.record));
     }
   }
   const auto add_balancer = [&](const BalancerRecord& record) {
@@ -409,6 +421,7 @@
     digest.probe = !membership.ready;
     digest.first_bucket =
         static_cast<std::uint32_t>(Draw(random, kBucketCount));
+    digest.targets_checksum = TargetsChecksum(membership);
     digest.checksums = BucketChecksums(membership, digest.first_bucket);
     if (!membership.ready) {
       digest.balancers.push_back(membership.self);
@@ -424,10 +437,14 @@
   constexpr std::size_t kMaxAnswerDigests = 16;
   const auto first = request.first_bucket % kBucketCount;
   const auto sums = BucketChecksums(membership, first);
-  if (request.checksums == sums) {
-    Digest digest = MakeDigest(membership);
-    digest.complete = true;
-    Send(membership, to, std::move(digest), out);
+  Digest verdict = MakeDigest(membership);
+  verdict.complete = request.checksums == sums;
+  verdict.targets_complete =
+      request.targets_checksum == TargetsChecksum(membership);
+  if (verdict.complete || (request.probe && verdict.targets_complete)) {
+    Send(membership, to, verdict, out);
+  }
+  if (verdict.complete) {
     return;
   }
   // Two that have just started have little to give each other.
--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -159,6 +159,18 @@
   }
 }
 
+/// Takes a generation apart from the rest of a record: heartbeats advance
+/// the sequence without it, and in one incarnation it only grows.
+auto TakeGeneration(Membership& membership,
+                    BalancerEntry& entry,
+                    const BalancerRecord& record) -> void {
+  if (record.incarnation == entry.record.incarnation &&
+      record.generation > entry.record.generation) {
+    entry.record.generation = record.generation;
+    MarkBalancer(membership, entry);
+  }
+}
+
 }  // namespace
 
 auto IsPresent(BalancerState state) -> bool {
@@ -250,6 +262,7 @@
     return Merge::kAdopted;
   }
   auto& entry = it->second;
+  TakeGeneration(membership, entry, record);
   if (Age(record) == Age(entry.record)) {
     return Merge::kSame;
   }
@@ -264,10 +277,12 @@
   }
   const BalancerRecord before = entry.record;
   entry.record = record;
+  if (record.incarnation == before.incarnation) {
+    entry.record.generation = std::max(record.generation, before.generation);
+  }
   const bool moved = record.peer != before.peer || record.zone != before.zone;
   if (record.state != before.state ||
-      record.incarnation != before.incarnation ||
-      record.generation != before.generation || moved) {
+      record.incarnation != before.incarnation || moved) {
     entry.status.changed = now;
     MarkBalancer(membership, entry);
   }
