Add the other commands of hawthornctl and the daily plan

service list, show and set; target list, drain and undrain; balancer list, stop and resume; plan show; status; metrics.

--- a/apps/hawthornctl/arguments.cc
+++ b/apps/hawthornctl/arguments.cc
@@ -29,6 +29,11 @@
   }
 }
 
+auto PlatformText(const CommonArguments& arguments) -> std::string {
+  return arguments.platform.isSet() ? arguments.platform.getValue()
+                                    : FromEnvironment("HAWTHORNCTL_PLATFORM");
+}
+
 auto DefaultAuthor() -> std::string {
   const std::string user = FromEnvironment("USER");
   return user.empty() ? "unknown" : user;
@@ -127,10 +132,12 @@
   }
 }
 
+auto HasPlatform(const CommonArguments& arguments) -> bool {
+  return !PlatformText(arguments).empty();
+}
+
 auto PlatformAddress(const CommonArguments& arguments) -> Endpoint {
-  const std::string text = arguments.platform.isSet()
-                               ? arguments.platform.getValue()
-                               : FromEnvironment("HAWTHORNCTL_PLATFORM");
+  const std::string text = PlatformText(arguments);
   if (text.empty()) {
     throw Error(ErrorKind::kInvalidSettings,
                 "the platform's address is missing: give --platform "
--- a/apps/hawthornctl/arguments.h
+++ b/apps/hawthornctl/arguments.h
@@ -42,6 +42,10 @@
 /// @throws Error kInvalidSettings naming the argument and the near match.
 auto Parse(TCLAP::CmdLine& command, Words words) -> void;
 
+/// @param arguments Parsed arguments.
+/// @return Whether the platform's address is given.
+auto HasPlatform(const CommonArguments& arguments) -> bool;
+
 /// @param arguments Parsed arguments.
 /// @return Address of the platform, from the option or HAWTHORNCTL_PLATFORM.
 /// @throws Error kInvalidSettings when it is missing or wrong.
--- /dev/null
+++ b/apps/hawthornctl/balancer_list.cc
@@ -0,0 +1,23 @@
+#include "arguments.h"
+#include "in_force.h"
+#include "table.h"
+#include "transport/version.h"
+
+namespace hawthornbank::hawthornctl {
+
+auto RunBalancerList(Words words) -> int {
+  TCLAP::CmdLine command("Lists the balancers that a balancer knows.", ' ',
+                         transport::Version());
+  CommonArguments common(command);
+  Parse(command, std::move(words));
+  const ProcessStatus status = FetchStatus(BalancerAddresses(common));
+  Table table = {{"balancer", "zone", "state", "generation"}};
+  for (const auto& it : status.balancers) {
+    table.push_back(
+        {it.name, it.zone, it.state, std::to_string(ToInteger(it.generation))});
+  }
+  PrintTable(table, common.json.getValue());
+  return 0;
+}
+
+}  // namespace hawthornbank::hawthornctl
--- /dev/null
+++ b/apps/hawthornctl/balancer_stop.cc
@@ -0,0 +1,26 @@
+#include "arguments.h"
+#include "change.h"
+#include "in_force.h"
+#include "names.h"
+#include "transport/version.h"
+
+namespace hawthornbank::hawthornctl {
+
+auto RunBalancerStop(Words words) -> int {
+  TCLAP::CmdLine command("Tells balancers to leave gracefully.", ' ',
+                         transport::Version());
+  CommonArguments common(command);
+  ChangeArguments change(command);
+  TCLAP::UnlabeledMultiArg<std::string> names("names", "Names of the balancers",
+                                              true, "NAME", command);
+  Parse(command, std::move(words));
+  RequireNames("balancer", names.getValue(),
+               BalancerNames(FetchStatus(BalancerAddresses(common))));
+  return MakeChange(common, change, [&](const Configuration& before) {
+    Configuration after = before;
+    AddNames(after.stopping, names.getValue());
+    return after;
+  });
+}
+
+}  // namespace hawthornbank::hawthornctl
--- a/apps/hawthornctl/in_force.cc
+++ b/apps/hawthornctl/in_force.cc
@@ -79,6 +79,23 @@
   throw Error(ErrorKind::kFailed, failures);
 }
 
+auto TargetNames(const ProcessStatus& status) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  names.reserve(status.targets.size());
+  for (const auto& it : status.targets) {
+    names.push_back(it.name);
+  }
+  return names;
+}
+
+auto BalancerNames(const ProcessStatus& status) -> std::vector<std::string> {
+  std::vector<std::string> names = {status.name};
+  for (const auto& it : status.balancers) {
+    names.push_back(it.name);
+  }
+  return names;
+}
+
 auto CountInForce(const ProcessStatus& status, Generation generation)
     -> InForce {
   InForce in_force;
@@ -93,7 +110,7 @@
   for (const auto& it : status.balancers) {
     const bool self = it.name == status.name;
     includes_self = includes_self || self;
-    if (it.state != "dead" && it.state != "left") {
+    if (self || (it.state != "dead" && it.state != "left")) {
       count(it.name, self ? status.generation : it.generation);
     }
   }
--- a/apps/hawthornctl/in_force.h
+++ b/apps/hawthornctl/in_force.h
@@ -26,6 +26,14 @@
 /// @throws Error kFailed when none answers.
 auto FetchStatus(const std::vector<Endpoint>& balancers) -> ProcessStatus;
 
+/// @param status What one balancer knows.
+/// @return The names of all targets.
+auto TargetNames(const ProcessStatus& status) -> std::vector<std::string>;
+
+/// @param status What one balancer knows.
+/// @return The names of all balancers.
+auto BalancerNames(const ProcessStatus& status) -> std::vector<std::string>;
+
 /// Who has a generation in force.
 struct InForce {
   std::size_t total = 0;
--- a/apps/hawthornctl/main.cc
+++ b/apps/hawthornctl/main.cc
@@ -32,6 +32,18 @@
     {"sheet check", "check a sheet, naming all its faults", ctl::RunSheetCheck},
     {"sheet diff", "show what a sheet would change", ctl::RunSheetDiff},
     {"sheet import", "make a sheet the configuration", ctl::RunSheetImport},
+    {"service list", "list the services", ctl::RunServiceList},
+    {"service show", "show one service", ctl::RunServiceShow},
+    {"service set", "change fields of a service", ctl::RunServiceSet},
+    {"target list", "list the targets", ctl::RunTargetList},
+    {"target drain", "give targets no new work", ctl::RunTargetDrain},
+    {"target undrain", "give them work again", ctl::RunTargetUndrain},
+    {"balancer list", "list the balancers", ctl::RunBalancerList},
+    {"balancer stop", "stop balancers gracefully", ctl::RunBalancerStop},
+    {"balancer resume", "let them serve again", ctl::RunBalancerResume},
+    {"plan show", "show the day's demand and targets", ctl::RunPlanShow},
+    {"status", "say what is in force and who lags", ctl::RunStatus},
+    {"metrics", "print the metrics of balancers", ctl::RunMetrics},
 });
 
 auto PrintHelp(std::ostream& out) -> void {
--- /dev/null
+++ b/apps/hawthornctl/service_list.cc
@@ -0,0 +1,28 @@
+#include "arguments.h"
+#include "change.h"
+#include "protocol/configuration_diff.h"
+#include "table.h"
+#include "transport/version.h"
+
+namespace hawthornbank::hawthornctl {
+
+auto RunServiceList(Words words) -> int {
+  TCLAP::CmdLine command("Lists the services of the configuration.", ' ',
+                         transport::Version());
+  CommonArguments common(command);
+  Parse(command, std::move(words));
+  Table table = {{"service"}};
+  for (const auto& field : ListFields(Service{})) {
+    table[0].push_back(field.name);
+  }
+  for (const auto& it : ReadAccepted(common).services) {
+    table.push_back({it.name});
+    for (const auto& field : ListFields(it)) {
+      table.back().push_back(field.value);
+    }
+  }
+  PrintTable(table, common.json.getValue());
+  return 0;
+}
+
+}  // namespace hawthornbank::hawthornctl
--- /dev/null
+++ b/apps/hawthornctl/service_show.cc
@@ -0,0 +1,34 @@
+#include "arguments.h"
+#include "change.h"
+#include "names.h"
+#include "protocol/configuration_diff.h"
+#include "table.h"
+#include "transport/version.h"
+
+namespace hawthornbank::hawthornctl {
+
+auto RunServiceShow(Words words) -> int {
+  TCLAP::CmdLine command("Shows one service and its demand.", ' ',
+                         transport::Version());
+  CommonArguments common(command);
+  TCLAP::UnlabeledValueArg<std::string> name("service", "Its name", true, "",
+                                             "SERVICE", command);
+  Parse(command, std::move(words));
+  const Configuration configuration = ReadAccepted(common);
+  const Service& service = RequireService(configuration, name.getValue());
+  Table table = {{"field", "value"}, {"service", service.name}};
+  table.push_back({"id", std::to_string(ToInteger(service.id))});
+  for (const auto& it : ListFields(service)) {
+    table.push_back({it.name, it.value});
+  }
+  for (const auto& it : configuration.demand) {
+    if (it.service == service.id) {
+      table.push_back({"demand " + it.day + " " + FormatTime(it.start),
+                       FormatRate(it.requests_per_second)});
+    }
+  }
+  PrintTable(table, common.json.getValue());
+  return 0;
+}
+
+}  // namespace hawthornbank::hawthornctl
--- /dev/null
+++ b/apps/hawthornctl/table.h
@@ -0,0 +1,21 @@
+#ifndef HAWTHORNBANK_APPS_HAWTHORNCTL_TABLE_H_
+#define HAWTHORNBANK_APPS_HAWTHORNCTL_TABLE_H_
+
+#include <string>
+#include <vector>
+
+/// @file
+/// Tables for people, and the same cells as JSON for programs.
+namespace hawthornbank::hawthornctl {
+
+/// A table: the first row holds the names of the columns.
+using Table = std::vector<std::vector<std::string>>;
+
+/// Prints a table with aligned columns, or an array of JSON objects.
+/// @param table The table.
+/// @param json Whether to print JSON.
+auto PrintTable(const Table& table, bool json) -> void;
+
+}  // namespace hawthornbank::hawthornctl
+
+#endif  // HAWTHORNBANK_APPS_HAWTHORNCTL_TABLE_H_
--- /dev/null
+++ b/apps/hawthornctl/target_list.cc
@@ -0,0 +1,25 @@
+#include "arguments.h"
+#include "in_force.h"
+#include "table.h"
+#include "transport/version.h"
+
+namespace hawthornbank::hawthornctl {
+
+auto RunTargetList(Words words) -> int {
+  TCLAP::CmdLine command("Lists the targets that a balancer knows.", ' ',
+                         transport::Version());
+  CommonArguments common(command);
+  Parse(command, std::move(words));
+  const ProcessStatus status = FetchStatus(BalancerAddresses(common));
+  Table table = {
+      {"target", "service", "zone", "state", "connections", "slots_busy"}};
+  for (const auto& it : status.targets) {
+    table.push_back({it.name, it.service, it.zone, it.state,
+                     std::to_string(it.connections),
+                     std::to_string(it.slots_busy)});
+  }
+  PrintTable(table, common.json.getValue());
+  return 0;
+}
+
+}  // namespace hawthornbank::hawthornctl
--- a/src/protocol/sheet.cc
+++ b/src/protocol/sheet.cc
@@ -330,4 +330,33 @@
   return reading.sheet;
 }
 
+auto ListServiceColumns() -> std::vector<std::string> {
+  std::vector<std::string> names;
+  names.reserve(kColumns.size());
+  for (const auto& it : kColumns) {
+    if (it.apply != nullptr) {
+      names.emplace_back(it.name);
+    }
+  }
+  return names;
+}
+
+auto SetServiceColumn(Service& service,
+                      const std::string& column,
+                      const std::string& cell) -> void {
+  for (const auto& it : kColumns) {
+    if (it.apply == nullptr || it.name != column) {
+      continue;
+    }
+    try {
+      it.apply(service, cell);
+      return;
+    } catch (const Error& error) {
+      throw Error(error.kind(), column + ": " + error.what());
+    }
+  }
+  throw Error(ErrorKind::kInvalidSettings,
+              column + ": there is no such column");
+}
+
 }  // namespace hawthornbank
--- a/src/protocol/sheet.h
+++ b/src/protocol/sheet.h
@@ -38,6 +38,18 @@
 ///         "file: row 3, column D (address): why".
 auto ParseSheet(const std::string& text, const std::string& file) -> Sheet;
 
+/// @return The columns that hold fields of a service.
+auto ListServiceColumns() -> std::vector<std::string>;
+
+/// Sets a field of a service as the cell of a column would.
+/// @param service The service.
+/// @param column Name of the column.
+/// @param cell The value, as in a sheet.
+/// @throws Error kInvalidSettings "column: why" when either is wrong.
+auto SetServiceColumn(Service& service,
+                      const std::string& column,
+                      const std::string& cell) -> void;
+
 /// What the operator confirmed by naming services.
 struct SheetConsent {
   std::vector<std::string> drop;    ///< May go, or change their address.
