--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -24,6 +24,25 @@
   out.push_back(AgentAction{.kind = Kind::kReset, .flow = flow});
 }
 
+auto TellHome(Agent& agent,
+              const FlowKey& key,
+              OwnedFlow& owned,
+              Endpoint home,
+              TimePoint now,
+              std::vector<AgentAction>& out) -> void {
+  owned.home = home;
+  owned.last_told = now;
+  owned.home_knows = home == agent.options.self;
+  if (home == agent.options.self || home.port == 0) {
+    return;
+  }
+  Count(agent.counters, Counter::kPointersSent);
+  out.push_back(AgentAction{.kind = Kind::kPointer,
+                            .flow = key,
+                            .to = home,
+                            .owner = agent.options.self});
+}
+
 auto HandleOwned(Agent& agent,
                  OwnedFlow& owned,
                  const FlowKey& key,
@@ -32,7 +51,6 @@
                  TimePoint now,
                  std::vector<AgentAction>& out) -> void {
   owned.last_from_caller = now;
-  owned.probes = 0;
   // A balancer that needed a hop is told, so that its next packet needs none.
   if (header.hops > 0 && header.balancer.port != 0) {
     Count(agent.counters, Counter::kHintsSent);
@@ -41,12 +59,34 @@
                               .to = header.balancer,
                               .owner = agent.options.self});
   }
+  // A home that had to look up the flow is told again.
+  if (header.phase == WalkPhase::kLookup) {
+    TellHome(agent, key, owned, header.walk[0], now, out);
+  }
   out.push_back(AgentAction{.kind = Kind::kDeliver, .flow = key});
   if (packet.kind == PacketKind::kReset) {
     EndFlow(agent, key, out);
   }
 }
 
+auto IsWalking(WalkPhase phase) -> bool {
+  return phase != WalkPhase::kNone && phase != WalkPhase::kHomeward;
+}
+
+// Whether a pointer tells a packet anything. A walk's own notes don't steer
+// it, and the home that asks is no answer to its own question.
+auto IsUsable(const FlowPointer& pointer,
+              const TunnelHeader& header,
+              TimePoint now) -> bool {
+  if (!pointer.confirmed) {
+    return !IsWalking(header.phase) &&
+           now - pointer.last_used < detail::kWalkTimeout;
+  }
+  return header.phase != WalkPhase::kAccept &&
+         (header.phase != WalkPhase::kLookup ||
+          pointer.owner != header.walk[0]);
+}
+
 // Follows a pointer; one to an agent that is gone ends the flow.
 auto HandlePointer(Agent& agent,
                    const FlowKey& key,
@@ -54,21 +94,21 @@
                    TimePoint now,
                    std::vector<AgentAction>& out) -> bool {
   const auto it = agent.pointers.find(key);
-  if (it == agent.pointers.end()) {
+  if (it == agent.pointers.end() || !IsUsable(it->second, header, now)) {
     return false;
   }
   if (!IsInView(agent, it->second.owner)) {
+    const bool confirmed = it->second.confirmed;
     agent.pointers.erase(it);
+    if (!confirmed) {
+      return false;
+    }
     AddReset(agent, key, Counter::kResetTargetLost, out);
     return true;
   }
-  // The home that asks is no answer to its own question.
-  const bool asks_itself =
-      header.phase == WalkPhase::kLookup && it->second.owner == header.walk[0];
-  if (asks_itself) {
-    return false;
+  if (it->second.confirmed) {
+    it->second.last_used = now;
   }
-  it->second.last_used = now;
   TunnelHeader onward = header;
   onward.phase = WalkPhase::kNone;
   onward.walk_size = 0;
@@ -76,24 +116,6 @@
   return true;
 }
 
-auto TellHome(Agent& agent,
-              const FlowKey& key,
-              OwnedFlow& owned,
-              Endpoint home,
-              TimePoint now,
-              std::vector<AgentAction>& out) -> void {
-  owned.home = home;
-  owned.last_told = now;
-  if (home == agent.options.self || home.port == 0) {
-    return;
-  }
-  Count(agent.counters, Counter::kPointersSent);
-  out.push_back(AgentAction{.kind = Kind::kPointer,
-                            .flow = key,
-                            .to = home,
-                            .owner = agent.options.self});
-}
-
 auto HomeOf(const Agent& agent, const FlowKey& key) -> Endpoint {
   const auto* const home = FirstCandidate(agent.view, HashFlow(key));
   return home == nullptr ? agent.options.self : home->agent;
@@ -138,6 +160,7 @@
   if (now - last > agent.options.idle_timeout || IsOneSided(agent, owned)) {
     return ProbeSilentFlow(agent, key, owned, now, out);
   }
+  owned.probes = 0;
   return true;
 }
 
@@ -161,9 +184,7 @@
     HandleOwned(agent, owned->second, key, header, packet, now, out);
     return;
   }
-  // A walk that has ended here overrides what was noted while it passed.
-  const bool walk_ended = header.phase == WalkPhase::kAccept;
-  if (!walk_ended && HandlePointer(agent, key, header, now, out)) {
+  if (HandlePointer(agent, key, header, now, out)) {
     return;
   }
   detail::HandleUnknownFlow(agent, key, header, packet, now, out);
@@ -196,9 +217,27 @@
 auto OnFlowPointer(Agent& agent,
                    const FlowKey& flow,
                    Endpoint owner,
-                   TimePoint now) -> void {
+                   TimePoint now,
+                   std::vector<AgentAction>& out) -> void {
   Count(agent.counters, Counter::kPointersReceived);
-  detail::KeepPointer(agent, flow, owner, now);
+  detail::KeepPointer(
+      agent, flow,
+      FlowPointer{.owner = owner, .last_used = now, .confirmed = true});
+  out.push_back(
+      AgentAction{.kind = Kind::kPointerAck, .flow = flow, .to = owner});
+}
+
+auto OnPointerAck(Agent& agent, const FlowKey& flow, Endpoint home) -> void {
+  const auto it = agent.flows.find(flow);
+  if (it != agent.flows.end() && it->second.home == home) {
+    it->second.home_knows = true;
+  }
+}
+
+auto SetMeanConnections(Agent& agent, double mean) -> void {
+  agent.mean_connections = mean;
+  agent.connections_then = agent.connections_last;
+  agent.connections_last = agent.flows.size();
 }
 
 auto SetServiceView(Agent& agent,
@@ -264,7 +303,9 @@
   for (auto it = agent.flows.begin(); it != agent.flows.end();) {
     if (KeepFlow(agent, it->first, it->second, now, out)) {
       // A home forgets pointers that nobody uses; a live flow's must stay.
-      if (now - it->second.last_told > agent.options.pointer_refresh) {
+      const Duration told = now - it->second.last_told;
+      if (told > agent.options.pointer_refresh ||
+          (!it->second.home_knows && told > agent.options.pointer_retry)) {
         TellHome(agent, it->first, it->second, HomeOf(agent, it->first), now,
                  out);
       }
--- a/src/coordination/flow_walk.cc
+++ b/src/coordination/flow_walk.cc
@@ -38,15 +38,22 @@
   return agent.draining || agent.flows.size() >= agent.options.max_connections;
 }
 
+// New flows spread evenly over the targets, so own growth since the report
+// tells how the mean has grown.
+auto MostConnections(const Agent& agent) -> double {
+  const double growth = static_cast<double>(agent.flows.size()) -
+                        static_cast<double>(agent.connections_then);
+  const double mean = agent.mean_connections + std::max(growth, 0.0);
+  return mean * agent.weight_percent / 100 * kConnectionSlack +
+         kConnectionSlackCount;
+}
+
 auto HasRoom(const Agent& agent) -> bool {
   const auto& busyness = agent.busyness;
   const bool has_slot =
       busyness.slots == 0 || busyness.slots_busy < busyness.slots;
-  const double most =
-      agent.mean_connections * agent.weight_percent / 100 * kConnectionSlack +
-      kConnectionSlackCount;
   return !RefusesAll(agent) && has_slot &&
-         static_cast<double>(agent.flows.size()) < most;
+         static_cast<double>(agent.flows.size()) < MostConnections(agent);
 }
 
 // Requests that wait or run count before connections do.
@@ -70,6 +77,12 @@
   visit.out.push_back(AgentAction{.kind = Kind::kReset, .flow = visit.key});
 }
 
+// Later packets of the flow follow the walk while it is under way.
+auto NoteWalk(const Visit& visit, Endpoint next) -> void {
+  KeepPointer(visit.agent, visit.key,
+              FlowPointer{.owner = next, .last_used = visit.now});
+}
+
 auto PassTo(const Visit& visit, TunnelHeader header, std::uint8_t index)
     -> void {
   header.index = index;
@@ -89,7 +102,8 @@
   agent.flows.emplace(visit.key, OwnedFlow{.home = home,
                                            .last_from_caller = visit.now,
                                            .last_from_target = visit.now,
-                                           .last_told = visit.now});
+                                           .last_told = visit.now,
+                                           .home_knows = home == self});
   Count(agent.counters, Counter::kFlowsAccepted);
   if (home != self) {
     Count(agent.counters, Counter::kPointersSent);
@@ -130,7 +144,7 @@
   }
   const auto next = static_cast<std::uint8_t>(header.index + 1);
   if (next < header.walk_size) {
-    KeepPointer(visit.agent, visit.key, header.walk[next], visit.now);
+    NoteWalk(visit, header.walk[next]);
     header.phase = WalkPhase::kChoose;
     PassTo(visit, header, next);
     return;
@@ -139,7 +153,7 @@
     Accept(visit);
     return;
   }
-  KeepPointer(visit.agent, visit.key, header.walk[header.best], visit.now);
+  NoteWalk(visit, header.walk[header.best]);
   header.phase = WalkPhase::kAccept;
   PassTo(visit, header, header.best);
 }
@@ -182,7 +196,7 @@
   TunnelHeader header = visit.header;
   // Should the flow come here first next time, it must meet its home.
   if (MayOpenFlow(visit)) {
-    KeepPointer(visit.agent, visit.key, header.walk[0], visit.now);
+    NoteWalk(visit, header.walk[0]);
   }
   const auto next = static_cast<std::uint8_t>(header.index + 1);
   if (next < header.walk_size) {
@@ -215,8 +229,10 @@
     Pass(visit.agent, visit.key, home, header, visit.out);
     return;
   }
+  // A walk that didn't end may have found an owner all the same.
   const bool learning =
-      visit.now - agent.view_changed < agent.options.learning_time;
+      visit.now - agent.view_changed < agent.options.learning_time ||
+      agent.pointers.contains(visit.key);
   if (MayOpenFlow(visit) && !visit.header.established && !learning) {
     Decide(visit);
     return;
@@ -242,11 +258,9 @@
   out.push_back(action);
 }
 
-auto KeepPointer(Agent& agent,
-                 const FlowKey& key,
-                 Endpoint owner,
-                 TimePoint now) -> void {
-  if (agent.flows.contains(key) || owner == agent.options.self) {
+auto KeepPointer(Agent& agent, const FlowKey& key, const FlowPointer& pointer)
+    -> void {
+  if (agent.flows.contains(key) || pointer.owner == agent.options.self) {
     return;
   }
   auto& pointers = agent.pointers;
@@ -256,7 +270,7 @@
     pointers.erase(pointers.begin());
     Count(agent.counters, Counter::kPointersEvicted);
   }
-  pointers.insert_or_assign(key, FlowPointer{.owner = owner, .last_used = now});
+  pointers.insert_or_assign(key, pointer);
 }
 
 auto HandleUnknownFlow(Agent& agent,
