--- a/src/transport/balancer_daemon.cc
+++ b/src/transport/balancer_daemon.cc
@@ -190,6 +190,9 @@
     if (IsConfirmed(binding_.store(), MonotonicNow())) {
       workers_.SetLastHeard(MonotonicNow());
     }
+    // A newcomer that the fabric used at once would refuse every flow.
+    workers_.SetReady(!stopping_ && IsReady(membership_) &&
+                      configuration_.generation != Generation{});
     timer_.expires_after(kTickInterval);
     timer_.async_wait([this](const asio::error_code& ec) {
       if (!ec) {
@@ -235,7 +238,7 @@
     stopping_ = true;
     Log(Layer::kCoordination, LogLevel::kInfo, "balancer_leaving",
         {{"reason", reason}});
-    workers_.BeginLeave();
+    workers_.SetReady(false);
     std::vector<MembershipAction> actions;
     BeginLeave(membership_, actions);
     Perform(actions);
--- a/src/transport/packet_workers.cc
+++ b/src/transport/packet_workers.cc
@@ -10,7 +10,7 @@
 // The fabric's health check is one byte; so is its answer.
 constexpr std::uint8_t kHealthCheck = 0x00;
 constexpr std::uint8_t kReady = 'R';
-constexpr std::uint8_t kLeaving = 'D';
+constexpr std::uint8_t kNotReady = 'D';
 
 }  // namespace
 
@@ -83,7 +83,7 @@
                                    Endpoint from,
                                    ByteView datagram) -> void {
   if (datagram.size() == 1 && datagram[0] == kHealthCheck) {
-    const std::uint8_t answer = leaving_ ? kLeaving : kReady;
+    const std::uint8_t answer = ready_ ? kReady : kNotReady;
     worker.socket->Send(from, ByteView(&answer, 1));
     return;
   }
--- a/src/transport/packet_workers.h
+++ b/src/transport/packet_workers.h
@@ -48,8 +48,9 @@
   /// @param now The present instant.
   auto SetLastHeard(TimePoint now) -> void;
 
-  /// Tells the fabric to send nothing new.
-  auto BeginLeave() -> void { leaving_ = true; }
+  /// Tells the fabric whether to send packets here. It begins with false.
+  /// @param ready Whether this balancer knows services and targets.
+  auto SetReady(bool ready) -> void { ready_ = ready; }
 
   /// @return The shared flow cache.
   auto cache() -> FlowCache& { return cache_; }
@@ -68,7 +69,7 @@
   KeyRing keys_;
   FlowCache cache_;
   Counters counters_;
-  std::atomic<bool> leaving_{false};
+  std::atomic<bool> ready_{false};
   std::atomic<TimePoint::rep> last_heard_{0};
   std::mutex mutex_;
   std::shared_ptr<const RoutingTable> table_;
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -275,6 +275,7 @@
 build
 pick_ports
 write_settings
+export HAWTHORNCTL_BALANCERS=${METRICS[entry-depot-north]},${METRICS[entry-civic-hall]},${METRICS[entry-depot-south]}
 T0=$(date +%s.%N)
 start_everything
 wait_until_serving
