--- a/src/coordination/membership_internal.h
+++ b/src/coordination/membership_internal.h
@@ -104,6 +104,13 @@
 
 /// @return Bytes that may be spent at once, after a time of quiet.
 auto BudgetReserve(const Membership& membership) -> double;
+/// @return A random index below count.
+auto Draw(Random& random, std::size_t count) -> std::size_t;
+/// Adds count random endpoints out of a group.
+auto AddRandom(std::vector<Endpoint> group,
+               std::size_t count,
+               Random& random,
+               std::vector<Endpoint>& peers) -> void;
 /// @return A digest with the head filled in.
 auto MakeDigest(const Membership& membership) -> Digest;
 /// Sends a digest and takes it off the budget.
--- /dev/null
+++ b/test/membership_fleet_test.cc
@@ -0,0 +1,286 @@
+#include "common/membership_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+using bench::FleetOptions;
+using bench::MembershipFleet;
+
+namespace {
+
+/// Runs until a condition holds.
+/// @return How long that took, or the limit.
+template <class Condition>
+auto RunUntil(MembershipFleet& fleet, Duration limit, Condition condition)
+    -> Duration {
+  const auto begin = fleet.now();
+  while (!condition() && fleet.now() - begin < limit) {
+    fleet.Run(10ms);
+  }
+  return fleet.now() - begin;
+}
+
+}  // namespace
+
+TEST_GROUP(MembershipFleet){};
+
+TEST(MembershipFleet, EverybodyLearnsOfEverybody) {
+  MembershipFleet fleet(FleetOptions{});
+  const auto took = RunUntil(fleet, 10s, [&] { return fleet.IsWhole(); });
+  CHECK(took <= 4s);
+  LONGS_EQUAL(3, Balancers(fleet.balancer(0)).size());
+}
+
+TEST(MembershipFleet, CrashedTargetGetsNoNewFlowAfterFiveSeconds) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    MembershipFleet fleet(
+        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
+    fleet.Run(20s);
+    CHECK(fleet.IsWhole());
+    fleet.KillAgent(4);
+    const auto took =
+        RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+    CHECK(took <= 5s);
+  }
+}
+
+TEST(MembershipFleet, DrainingTargetGetsNoNewFlowAfterThreeSeconds) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    MembershipFleet fleet(
+        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
+    fleet.Run(20s);
+    fleet.Drain(4);
+    const auto took =
+        RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+    CHECK(took <= 3s);
+  }
+}
+
+TEST(MembershipFleet, NoFalseDeathInAnHourOfLossAndJitter) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(1h);
+  CHECK(fleet.IsWhole());
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+}
+
+TEST(MembershipFleet, NewcomerServesWithinTwoSeconds) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  fleet.KillBalancer(0);
+  fleet.Run(20s);
+  fleet.StartBalancer(0);
+  const auto took = RunUntil(fleet, 10s, [&] {
+    return IsReady(fleet.balancer(0)) && fleet.IsWhole();
+  });
+  CHECK(took <= 2s);
+}
+
+TEST(MembershipFleet, NewcomerIsNotReadyBeforeItKnowsAll) {
+  MembershipFleet fleet(FleetOptions{.balancers = 6, .agents = 600});
+  fleet.Run(30s);
+  CHECK(fleet.IsWhole());
+  fleet.KillBalancer(4);
+  fleet.Run(20s);
+  fleet.StartBalancer(4);
+  CHECK(!IsReady(fleet.balancer(4)));
+  const auto took =
+      RunUntil(fleet, 10s, [&] { return IsReady(fleet.balancer(4)); });
+  CHECK(took <= 2s);
+  CHECK(fleet.IsWhole());
+}
+
+TEST(MembershipFleet, EverybodyLearnsTheGenerationsInForce) {
+  MembershipFleet fleet(FleetOptions{
+      .balancers = 60, .agents = 60, .jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  for (std::size_t n = 0; n < 60; ++n) {
+    fleet.SetGeneration(n, Generation{2});
+  }
+  const auto all_know = [&] {
+    for (std::size_t n = 0; n < 60; ++n) {
+      for (const auto& it : Balancers(fleet.balancer(n))) {
+        if (it.generation != Generation{2}) {
+          return false;
+        }
+      }
+    }
+    return true;
+  };
+  CHECK(RunUntil(fleet, 30s, all_know) <= 14s);
+}
+
+TEST(MembershipFleet, TargetLostWithItsZoneWatchersIsStillFound) {
+  MembershipFleet fleet(FleetOptions{.balancers = 9, .agents = 12});
+  fleet.Run(20s);
+  CHECK(fleet.IsWhole());
+  fleet.KillBalancer(0);
+  fleet.KillBalancer(3);
+  fleet.KillBalancer(6);
+  fleet.KillAgent(0);
+  LONGS_EQUAL(0, fleet.zone_of_agent(0));
+  const auto took =
+      RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(0) == 0; });
+  CHECK(took <= 5s);
+}
+
+TEST(MembershipFleet, LossOfARackLeavesTheOthers) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  // Service 2 has the agents 1, 3, 5, 7 and 9.
+  fleet.KillAgent(1);
+  fleet.KillAgent(7);
+  const auto took = RunUntil(fleet, 20s, [&] {
+    return fleet.RoutingCount(1) + fleet.RoutingCount(7) == 0;
+  });
+  CHECK(took <= 5s);
+  LONGS_EQUAL(3, RoutableTargets(fleet.balancer(0), ServiceId{2}).size());
+}
+
+TEST(MembershipFleet, LossOfMostTargetsKeepsTheSuspects) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(20s);
+  for (const std::size_t n : {1U, 3U, 5U, 7U}) {
+    fleet.KillAgent(n);
+  }
+  for (int second = 0; second < 40; ++second) {
+    fleet.Run(1s);
+    CHECK(RoutableTargets(fleet.balancer(0), ServiceId{2}).size() >= 2);
+  }
+  CHECK(fleet.events(MembershipEvent::kHeldByFloor) > 0);
+  for (const std::size_t n : {1U, 3U, 5U, 7U}) {
+    fleet.StartAgent(n);
+  }
+  fleet.Run(5s);
+  CHECK(fleet.IsWhole());
+}
+
+TEST(MembershipFleet, RegionsPartAndMergeWithoutFlapping) {
+  MembershipFleet fleet(FleetOptions{.balancers = 8,
+                                     .agents = 16,
+                                     .zones = 4,
+                                     .zones_per_region = 2,
+                                     .jitter = 20ms,
+                                     .loss = 0.01});
+  fleet.Run(20s);
+  CHECK(fleet.IsWhole());
+  fleet.CutZonesFrom(2);
+  fleet.Run(15s);
+  for (int second = 0; second < 165; ++second) {
+    fleet.Run(1s);
+    for (std::size_t n = 0; n < 16; ++n) {
+      LONGS_EQUAL(4, fleet.RoutingCount(n));
+    }
+  }
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  fleet.EndCut();
+  CHECK(RunUntil(fleet, 20s, [&] { return fleet.IsWhole(); }) <= 10s);
+  for (int n = 0; n < 600; ++n) {
+    fleet.Run(100ms);
+    CHECK(fleet.IsWhole());
+  }
+}
+
+TEST(MembershipFleet, FrozenObserverDoubtsItself) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  fleet.network().Freeze(fleet.balancer_host(0));
+  fleet.Run(10s);
+  fleet.network().Thaw(fleet.balancer_host(0));
+  for (int n = 0; n < 2000; ++n) {
+    fleet.Run(10ms);
+    CHECK(fleet.IsWhole());
+  }
+  CHECK(fleet.events(MembershipEvent::kSelfDoubt) > 0);
+}
+
+TEST(MembershipFleet, DeafObserverTakesNothingAway) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  fleet.Deafen(fleet.balancer_host(0), 1);
+  for (int n = 0; n < 600; ++n) {
+    fleet.Run(100ms);
+    CHECK(fleet.IsWhole());
+  }
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+}
+
+TEST(MembershipFleet, HalfDeafObserverDeclaresNobodyDead) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    MembershipFleet fleet(
+        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
+    fleet.Run(20s);
+    fleet.Deafen(fleet.balancer_host(0), 0.5);
+    fleet.Run(5min);
+    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  }
+}
+
+TEST(MembershipFleet, SuspicionOfALiveTargetIsRefuted) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(20s);
+  // Balancer 0 loses everything but a heartbeat now and then, so it suspects.
+  fleet.Deafen(fleet.balancer_host(0), 0.9);
+  fleet.Run(30s);
+  fleet.Deafen(fleet.balancer_host(0), 0);
+  fleet.Run(5s);
+  CHECK(fleet.events(MembershipEvent::kSuspected) > 0);
+  CHECK(fleet.events(MembershipEvent::kRefuted) > 0);
+  CHECK(fleet.IsWhole());
+}
+
+TEST(MembershipFleet, RestartOfAllBalancersRecovers) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  for (std::size_t n = 0; n < 3; ++n) {
+    fleet.KillBalancer(n);
+    fleet.StartBalancer(n);
+  }
+  const auto took = RunUntil(fleet, 20s, [&] {
+    return IsReady(fleet.balancer(0)) && fleet.IsWhole();
+  });
+  CHECK(took <= 10s);
+}
+
+TEST(MembershipFleet, TrafficStaysInTheBudget) {
+  MembershipFleet fleet(FleetOptions{
+      .balancers = 20, .agents = 200, .jitter = 100ms, .loss = 0.05});
+  fleet.Run(30s);
+  fleet.ResetTraffic();
+  fleet.Run(60s);
+  for (std::size_t n = 0; n < 20; ++n) {
+    CHECK(fleet.balancer_traffic(n).bytes <= 60 * 3072);
+  }
+  for (std::size_t n = 0; n < 200; ++n) {
+    CHECK(fleet.agent_traffic(n).bytes <= 60 * 3072);
+  }
+}
+
+TEST(MembershipFleet, InsignificantLoadIsNotGossiped) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(20s);
+  const auto before = ViewOf(fleet.balancer(0), fleet.service_of(0)).version;
+  SetLoad(fleet.agent(0), TargetLoad{.connections = 2010, .slots = 3});
+  for (int step = 0; step < 100; ++step) {
+    fleet.Run(50ms);
+    CHECK(fleet.balancer(0).hot_targets.empty());
+  }
+  for (std::size_t n = 0; n < 3; ++n) {
+    CHECK(before == ViewOf(fleet.balancer(n), fleet.service_of(0)).version);
+  }
+  SetLoad(fleet.agent(0), TargetLoad{.connections = 3000, .slots = 3});
+  fleet.Run(5s);
+  for (std::size_t n = 0; n < 3; ++n) {
+    const auto view = ViewOf(fleet.balancer(n), fleet.service_of(0));
+    DOUBLES_EQUAL(2200, view.mean_connections, 1);
+  }
+}
+
+TEST(MembershipFleet, AgentsGetTheViewOfTheirService) {
+  MembershipFleet fleet(FleetOptions{});
+  fleet.Run(10s);
+  LONGS_EQUAL(5, fleet.agent(2).view.targets.size());
+  fleet.KillAgent(0);
+  fleet.Run(6s);
+  LONGS_EQUAL(4, fleet.agent(2).view.targets.size());
+}
