Measure the spread of configuration changes in virtual time

Cases change, race, lost_answer, platform_down and restart_all at today's size (3 balancers, 10 agents) and at full size (_full: 470 and 4,700), 5% loss and 20 ms of jitter, beside a baseline in which every process polls.

The difference to send is worked out once a generation, the duties once a list of balancers.

--- /dev/null
+++ b/bench/configuration.cc
@@ -0,0 +1,363 @@
+#include <algorithm>
+#include <string>
+
+#include "common/configuration_fixture.h"
+#include "common/report.h"
+
+/// @file
+/// Spread and safety of configuration changes, in virtual time.
+namespace {
+
+using hawthornbank::Configuration;
+using hawthornbank::ConfigurationUpdate;
+using hawthornbank::Duration;
+using hawthornbank::EncodeConfiguration;
+using hawthornbank::Endpoint;
+using hawthornbank::Generation;
+using hawthornbank::OnUpdateRead;
+using hawthornbank::OnUpdateReadBack;
+using hawthornbank::OnUpdateWritten;
+using hawthornbank::Random;
+using hawthornbank::Service;
+using hawthornbank::ServiceId;
+using hawthornbank::ToInteger;
+using hawthornbank::UpdateDone;
+using hawthornbank::UpdateOutcome;
+using hawthornbank::UpdateRead;
+using hawthornbank::UpdateReadBack;
+using hawthornbank::UpdateStep;
+using hawthornbank::UpdateWrite;
+using hawthornbank::bench::ConfigurationFixture;
+using hawthornbank::bench::ConfigurationFixtureOptions;
+using hawthornbank::bench::Print;
+using hawthornbank::bench::Row;
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kSeed = 1;
+/// Bounds of the targets.
+constexpr double kBytesBound = 3072;
+constexpr double kReadsBound = 1000;
+constexpr double kWritesBound = 100;
+
+/// Time between changes: 380 a day.
+constexpr Duration kChangeInterval = 227s;
+
+/// How many processes, and how soon a change has to be in force there.
+struct Size {
+  std::string suffix;  ///< Of the case's name.
+  ConfigurationFixtureOptions options;
+  std::size_t services;      ///< In the case "change".
+  std::size_t few_services;  ///< In the others, to save the machine's time.
+  double bound_s;
+  Duration quiet;  ///< After a change, in the other cases.
+  Duration outage;
+};
+
+auto Sizes() -> std::vector<Size> {
+  return {{.suffix = "",
+           .options = {.balancers = 3, .agents = 10, .zones = 3},
+           .services = 4,
+           .few_services = 4,
+           .bound_s = 3,
+           .quiet = 30s,
+           .outage = 1h},
+          {.suffix = "_full",
+           .options = {.balancers = 470, .agents = 4700, .zones = 6},
+           .services = 410,
+           .few_services = 10,
+           .bound_s = 14,
+           .quiet = 5s,
+           .outage = 40s}};
+}
+
+auto Seconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+auto FirstConfiguration(std::size_t services) -> Configuration {
+  Configuration configuration{.generation = Generation{1},
+                              .operation = "first"};
+  for (std::size_t n = 0; n < services; ++n) {
+    configuration.services.push_back(Service{
+        .id = ServiceId{static_cast<std::uint32_t>(n + 1)},
+        .name = "service-" + std::to_string(n),
+        .address =
+            Endpoint{.address = 0x0A000001U + static_cast<std::uint32_t>(n),
+                     .port = 5683},
+        .zones = {"zone-0", "zone-1", "zone-2"}});
+  }
+  return configuration;
+}
+
+/// One size, one case: the fixture, and what is measured over all of it.
+struct Scenario {
+  Scenario(const Size& size_of, std::string case_name)
+      : size(size_of),
+        name(std::move(case_name) + size_of.suffix),
+        fixture(size_of.options) {
+    const auto services =
+        name.starts_with("change") ? size.services : size.few_services;
+    fixture.Write(EncodeConfiguration(FirstConfiguration(services)));
+    fixture.RunUntilInForce(Generation{1}, 60s);
+    fixture.RunFor(5s);
+    ResetRates();
+  }
+
+  auto ResetRates() -> void {
+    start = fixture.network.now();
+    fixture.platform.reads.clear();
+    fixture.platform.writes.clear();
+    for (auto& node : fixture.nodes) {
+      node.bytes = 0;
+    }
+  }
+
+  auto InForce(std::uint64_t generation) -> void {
+    const auto taken = fixture.RunUntilInForce(Generation{generation}, 60s);
+    longest = std::max(longest, Seconds(taken));
+  }
+
+  auto Print(const std::string& figure,
+             double value,
+             std::optional<double> bound,
+             const std::string& unit) const -> void {
+    ::Print(Row{.bench = "configuration",
+                .name = name,
+                .figure = figure,
+                .value = value,
+                .bound = bound,
+                .unit = unit,
+                .seed = kSeed});
+  }
+
+  auto Report(std::uint64_t lost_accepts) const -> void {
+    const auto passed = Seconds(fixture.network.now() - start);
+    double most = 0;
+    for (const auto& node : fixture.nodes) {
+      most = std::max(most, static_cast<double>(node.bytes) / passed);
+    }
+    const auto peak = [](const auto& by_second) {
+      double highest = 0;
+      for (const auto& [second, n] : by_second) {
+        highest = std::max(highest, static_cast<double>(n));
+      }
+      return highest;
+    };
+    const double not_in_force = static_cast<double>(
+        fixture.CountAlive() - fixture.CountInForce(Newest()));
+    Print("time_in_force_p100", longest, size.bound_s, "s");
+    Print("not_in_force", not_in_force, 0, "processes");
+    Print("reverts", static_cast<double>(fixture.reverts), 0, "processes");
+    Print("lost_accepts", static_cast<double>(lost_accepts), 0, "changes");
+    // The bound is for the rate of changes of an ordinary day.
+    if (name.starts_with("change")) {
+      Print("bytes_per_second_max", most, kBytesBound, "B/s");
+    } else {
+      Print("bytes_per_second_max_in_burst", most, std::nullopt, "B/s");
+    }
+    Print("platform_reads_peak", peak(fixture.platform.reads), kReadsBound,
+          "calls/s");
+    Print("platform_writes_peak", peak(fixture.platform.writes), kWritesBound,
+          "calls/s");
+  }
+
+  [[nodiscard]] auto Newest() const -> Generation {
+    return Generation{fixture.platform.history.size()};
+  }
+
+  Size size;
+  std::string name;
+  ConfigurationFixture fixture;
+  hawthornbank::TimePoint start;
+  double longest = 0;
+};
+
+auto MakeUpdate(const std::string& operation, std::uint32_t weight)
+    -> ConfigurationUpdate {
+  return ConfigurationUpdate{
+      .options = {.operation = operation,
+                  .author = operation,
+                  .edit = [weight](Configuration& configuration) {
+                    configuration.services.at(0).weight = weight;
+                  }}};
+}
+
+/// Makes one platform call of an update.
+auto Advance(ConfigurationFixture& fixture,
+             ConfigurationUpdate& update,
+             const UpdateStep& step) -> UpdateStep {
+  if (std::holds_alternative<UpdateRead>(step)) {
+    return OnUpdateRead(update, fixture.Present());
+  }
+  if (const auto* write = std::get_if<UpdateWrite>(&step)) {
+    return OnUpdateWritten(update, fixture.Put(*write));
+  }
+  if (const auto* back = std::get_if<UpdateReadBack>(&step)) {
+    return OnUpdateReadBack(update, fixture.History(back->from));
+  }
+  return step;
+}
+
+auto IsDone(const UpdateStep& step) -> bool {
+  return std::holds_alternative<UpdateDone>(step);
+}
+
+auto Finish(ConfigurationFixture& fixture,
+            ConfigurationUpdate& update,
+            UpdateStep step = UpdateRead{}) -> UpdateDone {
+  while (!IsDone(step)) {
+    step = Advance(fixture, update, step);
+  }
+  return std::get<UpdateDone>(step);
+}
+
+/// Counts writes whose author was told something else than what is stored.
+auto WronglyTold(const ConfigurationFixture& fixture,
+                 const std::string& operation,
+                 UpdateOutcome outcome) -> std::uint64_t {
+  const auto& history = fixture.platform.history;
+  const auto stored =
+      std::count_if(history.begin(), history.end(), [&](const auto& it) {
+        return hawthornbank::DecodeConfiguration(it.value).operation ==
+               operation;
+      });
+  const std::int64_t expected = outcome == UpdateOutcome::kAccepted ? 1 : 0;
+  return stored == expected ? 0 : 1;
+}
+
+auto RunChange(const Size& size) -> void {
+  Scenario scenario(size, "change");
+  auto update = MakeUpdate("change", 7);
+  const auto done = Finish(scenario.fixture, update);
+  scenario.InForce(2);
+  scenario.fixture.RunFor(kChangeInterval);
+  scenario.Report(WronglyTold(scenario.fixture, "change", done.outcome));
+}
+
+auto RunRace(const Size& size) -> void {
+  Scenario scenario(size, "race");
+  auto& fixture = scenario.fixture;
+  std::uint64_t lost = 0;
+  Random random(kSeed);
+  for (std::uint32_t round = 0; round < 12; ++round) {
+    const auto before = fixture.platform.history.size();
+    std::vector<ConfigurationUpdate> updates;
+    std::vector<UpdateStep> steps(3, UpdateRead{});
+    for (std::uint32_t n = 0; n < 3; ++n) {
+      updates.push_back(MakeUpdate(
+          "race-" + std::to_string(round) + "-" + std::to_string(n), n));
+    }
+    fixture.platform.lose_next_answer = round % 3 == 0;
+    while (!std::all_of(steps.begin(), steps.end(), IsDone)) {
+      const auto n = random(3);
+      steps[n] = Advance(fixture, updates[n], steps[n]);
+    }
+    for (std::size_t n = 0; n < updates.size(); ++n) {
+      lost += WronglyTold(fixture, updates[n].options.operation,
+                          std::get<UpdateDone>(steps[n]).outcome);
+    }
+    lost += fixture.platform.history.size() == before ? 1 : 0;
+    scenario.InForce(ToInteger(scenario.Newest()));
+  }
+  fixture.RunFor(size.quiet);
+  scenario.Report(lost);
+}
+
+auto RunLostAnswer(const Size& size) -> void {
+  Scenario scenario(size, "lost_answer");
+  std::uint64_t lost = 0;
+  for (std::uint32_t n = 0; n < 3; ++n) {
+    scenario.fixture.platform.lose_next_answer = true;
+    const auto operation = "lost-" + std::to_string(n);
+    auto update = MakeUpdate(operation, n + 1);
+    const auto done = Finish(scenario.fixture, update);
+    lost += WronglyTold(scenario.fixture, operation, done.outcome);
+    lost += done.outcome == UpdateOutcome::kAccepted ? 0 : 1;
+    scenario.InForce(ToInteger(scenario.Newest()));
+    scenario.fixture.RunFor(size.quiet);
+  }
+  scenario.Report(lost);
+}
+
+/// An outage that begins between a write and its watch; processes start
+/// meanwhile, and the first reads after it are stale.
+auto RunPlatformDown(const Size& size) -> void {
+  Scenario scenario(size, "platform_down");
+  auto& fixture = scenario.fixture;
+  auto update = MakeUpdate("before-outage", 7);
+  const auto done = Finish(fixture, update);
+  fixture.platform.down = true;
+  auto& node = fixture.nodes[1];
+  hawthornbank::ConfigurationActions actions;
+  // What the balancer sends at once is left out: gossip has to do.
+  hawthornbank::OnAcceptedConfiguration(
+      node.store, done.value, fixture.network.now(), node.random, actions);
+  scenario.InForce(2);
+  fixture.RunFor(size.outage / 2);
+  fixture.Restart(0);
+  fixture.Restart(size.options.balancers);
+  scenario.InForce(2);
+  fixture.RunFor(size.outage / 2);
+  fixture.platform.stale_reads = 20;
+  fixture.platform.down = false;
+  fixture.RunFor(20s);
+  scenario.Report(WronglyTold(fixture, "before-outage", done.outcome));
+}
+
+auto RunRestartAll(const Size& size) -> void {
+  Scenario scenario(size, "restart_all");
+  auto& fixture = scenario.fixture;
+  auto update = MakeUpdate("before-restart", 7);
+  const auto done = Finish(fixture, update);
+  scenario.InForce(2);
+  for (std::size_t n = 0; n < fixture.nodes.size(); ++n) {
+    fixture.Restart(n);
+  }
+  fixture.platform.stale_reads = 5;
+  scenario.InForce(2);
+  fixture.RunFor(size.quiet);
+  scenario.Report(WronglyTold(fixture, "before-restart", done.outcome));
+}
+
+/// Every process reads the object once a second.
+auto PrintBaseline(const Size& size) -> void {
+  const auto processes = size.options.balancers + size.options.agents;
+  const auto value_bytes =
+      EncodeConfiguration(FirstConfiguration(size.services)).size();
+  Random random(kSeed);
+  double longest = 0;
+  for (std::size_t n = 0; n < processes; ++n) {
+    longest = std::max(longest, hawthornbank::NextFraction(random));
+  }
+  const auto print = [&size](const std::string& figure, double value,
+                             const std::string& unit) {
+    Print(Row{.bench = "configuration",
+              .name = "change" + size.suffix,
+              .variant = "baseline_poll",
+              .figure = figure,
+              .value = value,
+              .unit = unit,
+              .seed = kSeed});
+  };
+  print("time_in_force_p100", longest, "s");
+  print("bytes_per_second_max", static_cast<double>(value_bytes), "B/s");
+  print("platform_reads_peak", static_cast<double>(processes), "calls/s");
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  const std::string wanted = argc > 1 ? argv[1] : "";
+  const std::vector<std::pair<std::string, void (*)(const Size&)>> cases = {
+      {"change", RunChange},          {"race", RunRace},
+      {"lost_answer", RunLostAnswer}, {"platform_down", RunPlatformDown},
+      {"restart_all", RunRestartAll}, {"change", PrintBaseline}};
+  for (const auto& size : Sizes()) {
+    for (const auto& [name, run] : cases) {
+      if (wanted.empty() || wanted == name + size.suffix) {
+        run(size);
+      }
+    }
+  }
+  return hawthornbank::bench::ExitCode();
+}
--- a/include/hawthornbank/configuration_store.h
+++ b/include/hawthornbank/configuration_store.h
@@ -131,8 +131,9 @@
 struct ConfigurationStore {
   ConfigurationStoreOptions options;
   std::shared_ptr<const Configuration> in_force;
-  std::string value;                          ///< Of what is in force.
-  std::map<Generation, std::string> earlier;  ///< Bases of differences.
+  std::string value;                              ///< Of what is in force.
+  std::map<Generation, std::string> earlier;      ///< Bases of differences.
+  std::map<Generation, std::string> differences;  ///< Ready to send, by base.
   std::optional<TimePoint> last_confirmed;
   std::vector<BalancerPeer> balancers;  ///< Live, by identity.
   std::optional<ConfigurationTransfer> transfer;
@@ -144,8 +145,10 @@
   TimePoint started;
   TimePoint next_gossip;
   TimePoint next_report;
-  TimePoint last_answer;          ///< Of the balancer reported to.
-  std::size_t report_choice = 0;  ///< Which of the chosen balancers.
+  TimePoint last_answer;               ///< Of the balancer reported to.
+  std::vector<HostId> report_choices;  ///< Balancers to report to, best first.
+  std::size_t report_choice = 0;       ///< Which of them.
+  bool watcher = false;                ///< Of the platform, for its zone.
   ConfigurationCounters counters;
 };
 
--- a/src/coordination/configuration_internal.h
+++ b/src/coordination/configuration_internal.h
@@ -23,6 +23,10 @@
 auto MakeOffer(const ConfigurationStore& store, TimePoint now)
     -> ConfigurationOffer;
 
+/// Works out from the live balancers whether this process watches the
+/// platform, and to whom it reports.
+auto ChooseDuties(ConfigurationStore& store) -> void;
+
 /// Calls the platform if this process should and may.
 auto TickPlatform(ConfigurationStore& store,
                   TimePoint now,
--- a/src/coordination/configuration_platform.cc
+++ b/src/coordination/configuration_platform.cc
@@ -147,19 +147,7 @@
 }
 
 auto IsWatcher(const ConfigurationStore& store) -> bool {
-  const auto& self = store.options;
-  if (self.role == ConfigurationRole::kAgent) {
-    return false;
-  }
-  const auto rank = [&self](HostId host) {
-    return HashName(self.zone + "/" + std::to_string(ToInteger(host)));
-  };
-  const auto ours = rank(self.self);
-  const auto better = std::count_if(
-      store.balancers.begin(), store.balancers.end(), [&](const auto& peer) {
-        return peer.zone == self.zone && rank(peer.host) > ours;
-      });
-  return static_cast<std::size_t>(better) < kWatchersPerZone;
+  return store.watcher;
 }
 
 }  // namespace hawthornbank
--- a/src/coordination/configuration_rollup.cc
+++ b/src/coordination/configuration_rollup.cc
@@ -8,33 +8,54 @@
 namespace hawthornbank {
 namespace {
 
-/// Mean interval of reports.
+/// Mean interval at which balancers report to their parent.
 constexpr std::chrono::milliseconds kReportInterval{1000};
+/// Mean interval at which agents report; one with nothing asks more often.
+constexpr std::chrono::milliseconds kAgentReportInterval{4000};
 /// Silence after which a report no longer counts.
-constexpr std::chrono::seconds kReportLifetime{5};
+constexpr std::chrono::seconds kReportLifetime{15};
 /// Silence after which an agent reports to its next balancer.
-constexpr std::chrono::milliseconds kBalancerTimeout{3500};
+constexpr std::chrono::milliseconds kBalancerTimeout{9000};
 /// Balancers that an agent chooses from.
 constexpr std::size_t kReportChoices = 3;
 /// Children of a balancer in the tree of reports: three levels hold 585.
 constexpr std::size_t kTreeFanIn = 8;
 
-/// @return The balancer that counts an agent, chosen by rendezvous hash.
-auto ChosenBalancer(const ConfigurationStore& store) -> HostId {
+/// @return Whether this process is among its zone's first by rendezvous hash.
+auto ChooseWatcher(const ConfigurationStore& store) -> bool {
+  const auto& self = store.options;
+  if (self.role == ConfigurationRole::kAgent) {
+    return false;
+  }
+  const auto rank = [&self](HostId host) {
+    return HashName(self.zone + "/" + std::to_string(ToInteger(host)));
+  };
+  const auto ours = rank(self.self);
+  const auto better = std::count_if(
+      store.balancers.begin(), store.balancers.end(), [&](const auto& peer) {
+        return peer.zone == self.zone && rank(peer.host) > ours;
+      });
+  return static_cast<std::size_t>(better) < kWatchersPerZone;
+}
+
+/// @return The balancers that may count an agent, by rendezvous hash.
+auto ChooseReportTargets(const ConfigurationStore& store)
+    -> std::vector<HostId> {
   std::vector<std::pair<std::uint64_t, HostId>> ranks;
   for (const auto& it : store.balancers) {
     const auto name = std::to_string(ToInteger(store.options.self)) + "/" +
                       std::to_string(ToInteger(it.host));
     ranks.emplace_back(HashName(name), it.host);
   }
-  const auto choices = std::min(ranks.size(), kReportChoices);
-  if (choices == 0) {
-    return HostId{};
-  }
+  const auto count = std::min(ranks.size(), kReportChoices);
   std::partial_sort(ranks.begin(),
-                    ranks.begin() + static_cast<std::ptrdiff_t>(choices),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(count),
                     ranks.end(), std::greater<>());
-  return ranks[store.report_choice % choices].second;
+  std::vector<HostId> targets;
+  for (std::size_t n = 0; n < count; ++n) {
+    targets.push_back(ranks[n].second);
+  }
+  return targets;
 }
 
 /// @return The parent in the tree over the sorted live balancers, or 0.
@@ -67,14 +88,22 @@
 
 namespace detail {
 
+auto ChooseDuties(ConfigurationStore& store) -> void {
+  store.watcher = ChooseWatcher(store);
+  if (store.options.role == ConfigurationRole::kAgent) {
+    store.report_choices = ChooseReportTargets(store);
+  }
+}
+
 auto ReportToBalancer(const ConfigurationStore& store,
                       ReportKind kind,
                       TimePoint now,
                       ConfigurationActions& actions) -> void {
-  const auto balancer = ChosenBalancer(store);
-  if (balancer == HostId{}) {
+  const auto& choices = store.report_choices;
+  if (choices.empty()) {
     return;
   }
+  const auto balancer = choices[store.report_choice % choices.size()];
   auto offer = MakeOffer(store, now);
   offer.report = kind;
   actions.push_back(
@@ -88,7 +117,10 @@
   if (now < store.next_report) {
     return;
   }
-  store.next_report = now + WithJitter(kReportInterval, random);
+  const bool slow = store.options.role == ConfigurationRole::kAgent &&
+                    store.in_force != nullptr;
+  store.next_report =
+      now + WithJitter(slow ? kAgentReportInterval : kReportInterval, random);
   if (store.options.role == ConfigurationRole::kAgent) {
     if (now - store.last_answer > kBalancerTimeout) {
       ReportToBalancer(store, ReportKind::kLeaves, now, actions);
--- a/src/coordination/configuration_store.cc
+++ b/src/coordination/configuration_store.cc
@@ -182,6 +182,11 @@
     return;
   }
   store.next_gossip = now + detail::WithJitter(kGossipInterval, random);
+  for (const auto& [host, report] : store.reports) {
+    if (report.ack.generation < GenerationInForce(store)) {
+      SendOffer(store, host, now, actions);
+    }
+  }
   const bool newcomer = store.in_force == nullptr;
   OfferToRandomPeers(store, newcomer ? kFanout : 1, now, random, actions);
 }
@@ -200,6 +205,7 @@
   if (store.in_force == nullptr) {
     return;
   }
+  store.differences.clear();
   store.earlier[GenerationInForce(store)] = std::move(store.value);
   if (store.earlier.size() > kEarlierKept) {
     store.earlier.erase(store.earlier.begin());
@@ -258,8 +264,9 @@
   }
   KeepEarlier(store);
   store.in_force = decoded;
-  // One spelling everywhere, so that differences and hashes agree.
-  store.value = nlohmann::json::parse(value).dump();
+  // One spelling everywhere, so that differences and hashes agree; what peers
+  // send has it already.
+  store.value = confirmed ? nlohmann::json::parse(value).dump() : value;
   if (store.transfer && store.transfer->generation <= decoded->generation) {
     store.transfer.reset();
   }
@@ -284,6 +291,7 @@
   store.platform.next_call =
       now + detail::WithJitter(kStartSpread, random) - kStartSpread / 2;
   store.platform.tokens_at = now;
+  detail::ChooseDuties(store);
   return store;
 }
 
@@ -292,6 +300,7 @@
   std::sort(balancers.begin(), balancers.end(),
             [](const auto& a, const auto& b) { return a.host < b.host; });
   store.balancers = std::move(balancers);
+  detail::ChooseDuties(store);
 }
 
 auto TickConfiguration(ConfigurationStore& store,
--- a/src/coordination/configuration_transfer.cc
+++ b/src/coordination/configuration_transfer.cc
@@ -27,13 +27,25 @@
   std::string bytes;
 };
 
-auto MakePayload(const ConfigurationStore& store, Generation base) -> Payload {
+/// @return The difference from an earlier value; worked out once, since many
+///     peers ask for the same.
+auto DifferenceFrom(ConfigurationStore& store,
+                    Generation base,
+                    const std::string& earlier) -> const std::string& {
+  auto it = store.differences.find(base);
+  if (it == store.differences.end()) {
+    auto patch = json::diff(json::parse(earlier), json::parse(store.value));
+    it = store.differences.emplace(base, patch.dump()).first;
+  }
+  return it->second;
+}
+
+auto MakePayload(ConfigurationStore& store, Generation base) -> Payload {
   const auto it = store.earlier.find(base);
   if (it != store.earlier.end()) {
-    auto patch =
-        json::diff(json::parse(it->second), json::parse(store.value)).dump();
-    if (patch.size() < store.value.size()) {
-      return Payload{.base = base, .bytes = std::move(patch)};
+    const auto& difference = DifferenceFrom(store, base, it->second);
+    if (difference.size() < store.value.size()) {
+      return Payload{.base = base, .bytes = difference};
     }
   }
   return Payload{.base = {}, .bytes = store.value};
@@ -130,7 +142,7 @@
   AskForMissing(store, actions);
 }
 
-auto ServeFetch(const ConfigurationStore& store,
+auto ServeFetch(ConfigurationStore& store,
                 HostId from,
                 const ConfigurationFetch& fetch,
                 ConfigurationActions& actions) -> void {
--- a/src/coordination/configuration_transfer.h
+++ b/src/coordination/configuration_transfer.h
@@ -23,7 +23,7 @@
                     ConfigurationActions& actions) -> void;
 
 /// Sends the parts that a peer asks for.
-auto ServeFetch(const ConfigurationStore& store,
+auto ServeFetch(ConfigurationStore& store,
                 HostId from,
                 const ConfigurationFetch& fetch,
                 ConfigurationActions& actions) -> void;
