--- /dev/null
+++ b/support/hawthornctl-completion.bash
@@ -0,0 +1,48 @@
+# Completes hawthornctl in bash:  source support/hawthornctl-completion.bash
+# Names come from the tool itself, by HAWTHORNCTL_PLATFORM and
+# HAWTHORNCTL_BALANCERS; without them only words and files are completed.
+
+_hawthornctl_names() {
+  # The first column of a table, without its header.
+  timeout 2 hawthornctl "$@" 2>/dev/null | awk 'NR > 1 { print $1 }'
+}
+
+_hawthornctl() {
+  local word=${COMP_WORDS[COMP_CWORD]}
+  local group=${COMP_WORDS[1]:-}
+  local verb=${COMP_WORDS[2]:-}
+  local words=""
+  COMPREPLY=()
+  if [ "$COMP_CWORD" -eq 1 ]; then
+    words="sheet service target balancer plan status metrics --help --version"
+  elif [ "$COMP_CWORD" -eq 2 ]; then
+    case $group in
+      sheet) words="check diff import" ;;
+      service) words="list show set" ;;
+      target) words="list drain undrain" ;;
+      balancer) words="list stop resume" ;;
+      plan) words="show" ;;
+    esac
+  elif [[ $word == --* ]]; then
+    words="--platform --region --balancer --json --help"
+    case "$group $verb" in
+      "sheet import" | "service set" | target*drain | balancer*)
+        words+=" --dry-run --wait --wait-limit-s --author --operation" ;;
+      "plan show") words+=" --date" ;;
+    esac
+    case "$group $verb" in
+      "sheet import" | "service set") words+=" --allow-drop --allow-shrink" ;;
+    esac
+  else
+    case "$group $verb" in
+      sheet*) mapfile -t COMPREPLY < <(compgen -f -- "$word") && return ;;
+      "service show" | "service set" | "plan show")
+        words=$(_hawthornctl_names service list) ;;
+      target*drain) words=$(_hawthornctl_names target list) ;;
+      balancer*) words=$(_hawthornctl_names balancer list) ;;
+    esac
+  fi
+  mapfile -t COMPREPLY < <(compgen -W "$words" -- "$word")
+}
+
+complete -F _hawthornctl hawthornctl
