--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -10,6 +10,11 @@
 constexpr std::uint32_t kSignificantShare = 8;
 /// Change of connections that is worth spreading at least.
 constexpr std::uint32_t kSignificantConnections = 16;
+/// Changes at a time above which gossip sends each less often and leaves the
+/// rest to synchronisation, as after a start of everything.
+constexpr std::size_t kBulkChanges = 40;
+/// Gossip rounds of a change among many.
+constexpr std::uint8_t kBulkRounds = 1;
 /// Change of weight that is worth spreading, in percent points.
 constexpr std::uint32_t kSignificantWeight = 10;
 
@@ -87,6 +92,20 @@
   }
 }
 
+/// Takes a newer record of a target that self suspected as evidence.
+auto HearIndirectly(Membership& membership,
+                    TargetEntry& entry,
+                    std::uint64_t suspected_sequence,
+                    TimePoint now) -> void {
+  // One announce that was lost here alone is chance, more are a fault here.
+  constexpr std::uint64_t kMissedAnnounces = 2;
+  if (entry.record.sequence >= suspected_sequence + kMissedAnnounces) {
+    NoteWrongSuspicion(membership, now);
+  }
+  entry.status.heard =
+      std::max(entry.status.heard, now - membership.options.probe_timeout);
+}
+
 auto ReplaceTarget(Membership& membership,
                    TargetEntry& entry,
                    const TargetRecord& record,
@@ -118,6 +137,9 @@
     if (before.state >= TargetState::kSuspect &&
         record.state < TargetState::kSuspect) {
       Count(MembershipEvent::kRefuted, out);
+      if (entry.status.watched && !restarted) {
+        HearIndirectly(membership, entry, before.sequence, now);
+      }
     }
   }
   const bool visible =
@@ -137,6 +159,18 @@
   }
 }
 
+/// Takes a generation apart from the rest of a record: heartbeats advance
+/// the sequence without it, and in one incarnation it only grows.
+auto TakeGeneration(Membership& membership,
+                    BalancerEntry& entry,
+                    const BalancerRecord& record) -> void {
+  if (record.incarnation == entry.record.incarnation &&
+      record.generation > entry.record.generation) {
+    entry.record.generation = record.generation;
+    MarkBalancer(membership, entry);
+  }
+}
+
 }  // namespace
 
 auto IsPresent(BalancerState state) -> bool {
@@ -149,14 +183,15 @@
 
 auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
     -> void {
-  entry.status.rounds = membership.gossip_rounds;
+  const bool bulk = membership.hot_targets.size() > kBulkChanges;
+  entry.status.rounds = bulk ? kBulkRounds : membership.gossip_rounds;
   entry.status.urgent = entry.status.urgent || urgent;
   membership.hot_targets.insert(entry.record.id);
 }
 
 auto MarkBalancer(Membership& membership, BalancerEntry& entry) -> void {
-  entry.status.rounds = membership.gossip_rounds;
-  entry.status.urgent = true;
+  const bool bulk = membership.hot_balancers.size() > kBulkChanges;
+  entry.status.rounds = bulk ? kBulkRounds : membership.gossip_rounds;
   membership.hot_balancers.insert(entry.record.id);
 }
 
@@ -227,6 +262,7 @@
     return Merge::kAdopted;
   }
   auto& entry = it->second;
+  TakeGeneration(membership, entry, record);
   if (Age(record) == Age(entry.record)) {
     return Merge::kSame;
   }
@@ -241,10 +277,12 @@
   }
   const BalancerRecord before = entry.record;
   entry.record = record;
+  if (record.incarnation == before.incarnation) {
+    entry.record.generation = std::max(record.generation, before.generation);
+  }
   const bool moved = record.peer != before.peer || record.zone != before.zone;
   if (record.state != before.state ||
-      record.incarnation != before.incarnation ||
-      record.generation != before.generation || moved) {
+      record.incarnation != before.incarnation || moved) {
     entry.status.changed = now;
     MarkBalancer(membership, entry);
   }
--- a/src/coordination/request_gate_state.cc
+++ b/src/coordination/request_gate_state.cc
@@ -1,6 +1,7 @@
 #include "coordination/request_gate_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hawthornbank::detail {
@@ -169,15 +170,19 @@
 }
 
 auto EstimateWait(const RequestGateState& state,
-                  std::uint64_t caller,
+                  const QueueItem& item,
                   TimePoint now) -> Duration {
   const auto slots = std::max(1U, AllowedSlots(state.health, now));
-  if (state.running < slots && state.queue.size == 0) {
+  if (state.running < slots && SizeOf(state.queue) == 0) {
     return Duration{0};
   }
-  const auto ahead =
-      static_cast<Duration::rep>(CountAhead(state.queue, caller) + 1);
-  return state.health.service_time * ahead / slots;
+  // With service times that vary as much as their mean, the time in which so
+  // many requests end has this deviation from its mean.
+  constexpr double kDeviations = 2;
+  const auto ahead = static_cast<double>(CountAhead(state.queue, item) + 1);
+  const double services = (ahead + kDeviations * std::sqrt(ahead)) / slots;
+  return Duration{static_cast<Duration::rep>(
+      static_cast<double>(state.health.service_time.count()) * services)};
 }
 
 auto TokenExpiry(const RequestToken& token) -> TimePoint {
