--- a/apps/hawthornload/options.cc
+++ b/apps/hawthornload/options.cc
@@ -55,6 +55,14 @@
                 "--seconds and --deadline-ms must be above 0, --rate not "
                 "below 0");
   }
+  const bool has_rates = options.requests_per_second > 0 || options.uploads > 0;
+  if (!options.sheet.empty() && has_rates) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "--sheet sets the rates; leave out --rate and --uploads");
+  }
+  if (options.scale <= 0) {
+    throw Error(ErrorKind::kInvalidSettings, "--scale must be above 0");
+  }
 }
 
 }  // namespace
@@ -83,6 +91,13 @@
                                 false, 3000, "MS", line);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of arrivals", false, 1,
                                       "N", line);
+  TCLAP::ValueArg<std::string> sheet(
+      "", "sheet", "sheet whose day, compressed into the run, sets the rates",
+      false, "", "FILE", line);
+  TCLAP::ValueArg<std::string> day("", "day", "day of the sheet", false,
+                                   "daily", "YYYY-MM-DD", line);
+  TCLAP::ValueArg<double> scale("", "scale", "factor on the sheet's rates",
+                                false, 1, "X", line);
   TCLAP::ValueArg<std::string> report("", "report", "JSON report to write",
                                       false, "", "FILE", line);
   line.parse(argc, argv);
@@ -93,6 +108,9 @@
                       .duration = ToMilliseconds(seconds.getValue()),
                       .deadline = milliseconds(deadline.getValue()),
                       .seed = seed.getValue(),
+                      .sheet = sheet.getValue(),
+                      .day = day.getValue(),
+                      .scale = scale.getValue(),
                       .report = report.getValue()};
   for (const auto& it : services.getValue()) {
     options.services.push_back(ParseService(it));
--- a/apps/hawthornload/options.h
+++ b/apps/hawthornload/options.h
@@ -29,11 +29,14 @@
   std::vector<ServiceUnderLoad> services;
   std::uint32_t watches = 0;       ///< Boards and feeds held open.
   double requests_per_second = 0;  ///< Over all services.
-  std::uint32_t uploads = 0;       ///< Spread evenly over the run.
+  std::uint32_t uploads = 0;       ///< Expected number in the run.
   std::size_t upload_bytes = 0;
   std::chrono::milliseconds duration{0};
   std::chrono::milliseconds deadline{0};  ///< Of each request.
   std::uint64_t seed = 1;
+  std::string sheet;   ///< Path of a sheet whose day sets the rates, or empty.
+  std::string day;     ///< Day of the sheet; the run stands for its 24 hours.
+  double scale = 1;    ///< Factor on the sheet's rates.
   std::string report;  ///< Path of the JSON report, or empty.
 };
 
--- /dev/null
+++ b/apps/hawthornload/schedule.cc
@@ -0,0 +1,58 @@
+#include "schedule.h"
+
+#include <algorithm>
+
+namespace hawthornbank::load {
+namespace {
+
+constexpr std::chrono::minutes kDay{24 * 60};
+constexpr const char* kDaily = "daily";
+
+auto PointsOf(const Sheet& sheet,
+              const std::string& service,
+              const std::string& day) -> DayDemand {
+  DayDemand points;
+  for (const auto& it : sheet.demand) {
+    if (it.service == service && it.row.day == day) {
+      points.push_back(
+          {.start = it.row.start, .per_second = it.row.requests_per_second});
+    }
+  }
+  std::sort(points.begin(), points.end(),
+            [](const DemandPoint& left, const DemandPoint& right) {
+              return left.start < right.start;
+            });
+  return points;
+}
+
+}  // namespace
+
+auto DemandOfDay(const Sheet& sheet,
+                 const std::string& service,
+                 const std::string& day) -> DayDemand {
+  auto points = PointsOf(sheet, service, day);
+  return points.empty() ? PointsOf(sheet, service, kDaily) : points;
+}
+
+auto RateAt(const DayDemand& demand, std::chrono::minutes time) -> double {
+  if (demand.empty()) {
+    return 0;
+  }
+  double rate = demand.back().per_second;
+  for (const auto& it : demand) {
+    if (it.start > time) {
+      break;
+    }
+    rate = it.per_second;
+  }
+  return rate;
+}
+
+auto TimeOfDay(std::chrono::milliseconds elapsed,
+               std::chrono::milliseconds duration) -> std::chrono::minutes {
+  return std::chrono::minutes(kDay.count() * elapsed.count() /
+                              duration.count()) %
+         kDay;
+}
+
+}  // namespace hawthornbank::load
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -204,7 +204,7 @@
 wait_until_serving() {
   local n
   for n in $(seq 20); do
-    load --watches 3 --rate 10 --uploads 1 --seconds 1 --seed "$((1000 + n))" \
+    load --watches 3 --rate 10 --uploads 4 --seconds 1 --seed "$((1000 + n))" \
       --report "$DIR/probe.json" >/dev/null
     if python3 support/demo_report.py serving "$DIR/probe.json"; then
       return 0
--- a/support/demo_report.py
+++ b/support/demo_report.py
@@ -53,9 +53,11 @@
 
 def serving(path):
     report = read(path)
-    kinds = list(report["requests"].values()) + list(report["uploads"].values())
-    all_answered = all(kind["answered"] == kind["started"] > 0 for kind in kinds)
-    return 0 if all_answered and report["watches"]["opened"] >= 3 else 1
+    kinds = all_kinds(report)
+    all_answered = all(kind["answered"] == kind["started"] for kind in kinds)
+    tried = report["requests"] and report["uploads"]
+    watched = report["watches"]["opened"] > 0 == report["watches"]["broken"]
+    return 0 if all_answered and tried and watched else 1
 
 
 def read_targets(directory, suffix):
