--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -10,8 +10,8 @@
 
 using detail::Actions;
 
-/// Seconds of budget that may be spent at once.
-constexpr double kReserveSeconds = 20;
+/// Span over which the budget holds on average.
+constexpr double kReserveSeconds = 600;
 /// Time after which a balancer that hears no ready peer is the first.
 constexpr Duration kFirstBalancerDelay = std::chrono::milliseconds{1500};
 /// Most weight a target can claim, in percent.
@@ -46,6 +46,9 @@
   entry.record.sequence = digest.sequence;
   if (newer && held.state != BalancerState::kAlive) {
     detail::Count(MembershipEvent::kRefuted, out);
+    if (entry.status.watched) {
+      detail::NoteWrongSuspicion(membership, now);
+    }
     detail::ChangeBalancerState(membership, entry, BalancerState::kAlive, now);
   }
   return false;
@@ -187,6 +190,10 @@
 
 }  // namespace
 
+auto detail::BudgetReserve(const Membership& membership) -> double {
+  return kReserveSeconds * membership.options.budget_bytes_per_second;
+}
+
 auto detail::Count(MembershipEvent event, Actions& out) -> void {
   out.emplace_back(CountMembershipEvent{event});
 }
@@ -228,6 +235,7 @@
   membership.budget_bytes = kReserveSeconds * options.budget_bytes_per_second;
   membership.last_heartbeat = now - options.heartbeat_interval;
   membership.last_sync = now - options.sync_interval;
+  membership.last_assign = now - options.heartbeat_interval;
   detail::RebuildRoster(membership);
   detail::MarkSelf(membership);
   return membership;
@@ -275,7 +283,9 @@
   // Records first: the sender's own may be news at the head's sequence.
   MergeRecords(membership, from, digest, now, out);
   const bool ask = HearSender(membership, digest, now, out);
-  membership.ready = membership.ready || (digest.complete && digest.ready);
+  membership.ready =
+      membership.ready || (digest.targets_complete && digest.ready);
+  membership.in_step = membership.in_step || digest.complete;
   if (!digest.checksums.empty()) {
     detail::AnswerSync(membership, from, digest, out);
   }
@@ -300,7 +310,9 @@
       now - membership.started > kFirstBalancerDelay) {
     membership.ready = true;
   }
-  if (membership.watches_stale) {
+  const bool assign_due =
+      now - membership.last_assign >= options.heartbeat_interval;
+  if (membership.watches_stale && assign_due) {
     detail::AssignWatches(membership, now);
   }
   if (now - membership.last_heartbeat >= options.heartbeat_interval) {
