--- a/test/coap_gate_test.cc
+++ b/test/coap_gate_test.cc
@@ -199,6 +199,25 @@
   CheckError(Sent(0, To::kToCaller), ErrorKind::kOutcomeUnknown);
 }
 
+TEST(CoapGate, TokenOfAnotherTargetIsPassedOnOrUnknown) {
+  const auto booking = Booking("a");
+  options.gate.target = TargetId{8};
+  gate = MakeCoapGate(options);
+  FromCaller(flow, booking);
+  CheckError(Sent(0, To::kToCaller), ErrorKind::kOutcomeUnknown);
+  options.pass_to_other_targets = true;
+  gate = MakeCoapGate(options);
+  FromCaller(flow, booking);
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].target == TargetId{7});
+  CHECK(Sent(0, To::kToOtherTarget) == booking);
+  const auto passed = out[0].bytes;
+  out.clear();
+  RefusePassed(gate, flow, passed, random, out);
+  CheckError(Sent(0, To::kToCaller), ErrorKind::kOutcomeUnknown);
+  LONGS_EQUAL(0, Value("started"));
+}
+
 TEST(CoapGate, TokenIsBoundToItsRequest) {
   const auto booking = Booking("a");
   auto other = Make(kCoapPost, "quote", "b");
