--- a/support/check.sh
+++ b/support/check.sh
@@ -1,16 +1,87 @@
 #!/usr/bin/env bash
-# The README's test command: build, lint, unit tests, sanitizers, benchmarks.
+# The README's test command: format, lint, unit tests, sanitizers, fuzzing,
+# benchmark bounds in virtual time and the demo.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+LOGS=build/check
+JOBS=$(nproc)
+mkdir -p "$LOGS"
+
 build() {
-  cmake --preset "$1" >/dev/null
-  cmake --build --preset "$1" | tail -n 1
+  local preset=$1
+  shift
+  cmake --preset "$preset" >/dev/null
+  cmake --build --preset "$preset" "$@"
 }
-build release
-support/lint.sh
-ctest --test-dir build/release --output-on-failure -j "$(nproc)"
-build asan
-ctest --test-dir build/asan --output-on-failure -j "$(nproc)"
+
+# step NAME COMMAND...: runs a step, shows its log only when it fails.
+step() {
+  local name=$1
+  shift
+  if ! "$@" >"$LOGS/$name.log" 2>&1; then
+    echo "FAILED: $name"
+    tail -n 60 "$LOGS/$name.log"
+    return 1
+  fi
+  echo "ok: $name"
+}
+
+# Steps that KNOWN-RED.txt lists are run and shown, and don't fail the check.
+known_red() {
+  [ -f KNOWN-RED.txt ] && grep -q "^$1:" KNOWN-RED.txt
+}
+
+benches() {
+  local pids=() name failed=0
+  for name in routing requests membership configuration; do
+    "build/release/bench/bench_$name" >"$LOGS/bench_$name.jsonl" \
+      2>"$LOGS/bench_$name.err" &
+    pids+=("$!:$name")
+  done
+  build/release/bench/bench_routing_cost counts \
+    >"$LOGS/bench_routing_cost.jsonl" 2>"$LOGS/bench_routing_cost.err" &
+  pids+=("$!:routing_cost")
+  for it in "${pids[@]}"; do
+    name=${it#*:}
+    if wait "${it%%:*}"; then
+      echo "ok: bench $name, $(grep -c -e '"bound"' -e '"floor"' \
+        "$LOGS/bench_$name.jsonl") bounds kept"
+    elif known_red "bench_$name"; then
+      echo "known red: bench $name"
+      cat "$LOGS/bench_$name.err"
+    else
+      echo "FAILED: bench $name"
+      cat "$LOGS/bench_$name.err"
+      failed=1
+    fi
+  done
+  return "$failed"
+}
+
+# The library as others use it: installed, found and linked.
+embed() {
+  rm -rf build/embed build/prefix
+  cmake --install build/release --prefix "$PWD/build/prefix" &&
+    cmake -G Ninja -S examples/embed -B build/embed \
+      -DCMAKE_PREFIX_PATH="$PWD/build/prefix" &&
+    cmake --build build/embed &&
+    build/embed/embed
+}
+
+THREADED='^(packet_workers|logging|platform_client)_test$'
+
+step build build release -j "$JOBS"
+step lint support/lint.sh
+ctest --test-dir build/release --output-on-failure -j "$JOBS"
+step embed embed
+benches
+step build-asan build asan -j "$JOBS"
+ctest --test-dir build/asan --output-on-failure -j "$JOBS"
+step build-tsan build tsan -j "$JOBS" --target packet_workers_test \
+  logging_test platform_client_test
+ctest --test-dir build/tsan --output-on-failure -R "$THREADED"
+step demo support/demo.sh
+sed -n '/what callers saw/,$p' "$LOGS/demo.log"
 if [ -s KNOWN-RED.txt ]; then
   echo "known failures, passed over:"
   cat KNOWN-RED.txt
