Keep hints within a budget a second, so that balancers keep theirs

Hints grow with the balancers (3.74 a flow at 120, 20 packets a flow); 3 a second an agent are 30 a second a balancer at the size to design for, 2.2 KB/s.

--- a/include/hawthornbank/agent.h
+++ b/include/hawthornbank/agent.h
@@ -34,6 +34,8 @@
   Duration learning_time = std::chrono::seconds{6};  ///< After a change.
   Duration pointer_retry = std::chrono::seconds{1};
   Duration pointer_refresh = std::chrono::minutes{3};
+  double hints_per_second = 3;  ///< So that balancers keep their budget.
+  double hint_burst = 500;
   std::size_t max_pointers = 20000;
   Duration drain_limit = std::chrono::hours{1};
 };
@@ -79,6 +81,8 @@
   TimePoint drain_started{};
   std::unordered_map<FlowKey, OwnedFlow> flows;
   std::unordered_map<FlowKey, FlowPointer> pointers;
+  double hint_tokens = 0;
+  TimePoint hints_refilled{};
   Counters counters;
 };
 
--- a/include/hawthornbank/counters.h
+++ b/include/hawthornbank/counters.h
@@ -36,6 +36,7 @@
   kPacketsPassed,
   kLookups,
   kHintsSent,
+  kHintsWithheld,
   kHintsReceived,
   kPointersSent,
   kPointersReceived,
@@ -56,9 +57,9 @@
     "drop_unknown_icmp", "reset_target_lost",   "reset_unknown_flow",
     "reset_silent_flow", "refused_connections", "flows_accepted",
     "flows_passed",      "flows_ended",         "packets_passed",
-    "lookups",           "hints_sent",          "hints_received",
-    "pointers_sent",     "pointers_received",   "pointers_evicted",
-    "probes_sent",
+    "lookups",           "hints_sent",          "hints_withheld",
+    "hints_received",    "pointers_sent",       "pointers_received",
+    "pointers_evicted",  "probes_sent",
 };
 static_assert(!kCounterNames.back().empty());
 
--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -52,13 +52,7 @@
                  std::vector<AgentAction>& out) -> void {
   owned.last_from_caller = now;
   // A balancer that needed a hop is told, so that its next packet needs none.
-  if (header.hops > 0 && header.balancer.port != 0) {
-    Count(agent.counters, Counter::kHintsSent);
-    out.push_back(AgentAction{.kind = Kind::kHint,
-                              .flow = key,
-                              .to = header.balancer,
-                              .owner = agent.options.self});
-  }
+  detail::SendHint(agent, key, header, now, out);
   // A home that had to look up the flow is told again.
   if (header.phase == WalkPhase::kLookup) {
     TellHome(agent, key, owned, header.walk[0], now, out);
--- a/src/coordination/flow_walk.cc
+++ b/src/coordination/flow_walk.cc
@@ -110,13 +110,7 @@
     visit.out.push_back(AgentAction{
         .kind = Kind::kPointer, .flow = visit.key, .to = home, .owner = self});
   }
-  if (visit.header.hops > 0 && visit.header.balancer.port != 0) {
-    Count(agent.counters, Counter::kHintsSent);
-    visit.out.push_back(AgentAction{.kind = Kind::kHint,
-                                    .flow = visit.key,
-                                    .to = visit.header.balancer,
-                                    .owner = self});
-  }
+  SendHint(agent, visit.key, visit.header, visit.now, visit.out);
   visit.out.push_back(AgentAction{.kind = Kind::kDeliver, .flow = visit.key});
 }
 
@@ -258,6 +252,32 @@
   out.push_back(action);
 }
 
+auto SendHint(Agent& agent,
+              const FlowKey& key,
+              const TunnelHeader& header,
+              TimePoint now,
+              std::vector<AgentAction>& out) -> void {
+  if (header.hops == 0 || header.balancer.port == 0) {
+    return;
+  }
+  const std::chrono::duration<double> elapsed = now - agent.hints_refilled;
+  agent.hints_refilled = now;
+  agent.hint_tokens = std::min(
+      agent.options.hint_burst,
+      agent.hint_tokens + elapsed.count() * agent.options.hints_per_second);
+  // Without a hint the flow's next packet needs a hop again, no more.
+  if (agent.hint_tokens < 1) {
+    Count(agent.counters, Counter::kHintsWithheld);
+    return;
+  }
+  agent.hint_tokens -= 1;
+  Count(agent.counters, Counter::kHintsSent);
+  out.push_back(AgentAction{.kind = Kind::kHint,
+                            .flow = key,
+                            .to = header.balancer,
+                            .owner = agent.options.self});
+}
+
 auto KeepPointer(Agent& agent, const FlowKey& key, const FlowPointer& pointer)
     -> void {
   if (agent.flows.contains(key) || pointer.owner == agent.options.self) {
--- a/src/coordination/flow_walk.h
+++ b/src/coordination/flow_walk.h
@@ -24,6 +24,18 @@
           const TunnelHeader& header,
           std::vector<AgentAction>& out) -> void;
 
+/// Tells a balancer that this agent owns a flow, within the budget.
+/// @param agent The agent.
+/// @param key The flow.
+/// @param header Header of the packet that needed a hop.
+/// @param now The present instant.
+/// @param out Receives the action.
+auto SendHint(Agent& agent,
+              const FlowKey& key,
+              const TunnelHeader& header,
+              TimePoint now,
+              std::vector<AgentAction>& out) -> void;
+
 /// Time for which a walk is taken to be under way.
 inline constexpr Duration kWalkTimeout = std::chrono::seconds{1};
 
--- a/test/agent_test.cc
+++ b/test/agent_test.cc
@@ -338,6 +338,23 @@
   CHECK(agents[home].flows.contains(KeyOf(packet)));
 }
 
+TEST(Agent, HintsKeepTheirBudgetAndPacketsGoOn) {
+  const auto packet = UdpPacket(1);
+  const auto home = HomeOf(packet);
+  agents[home].draining = true;
+  for (auto& it : agents) {
+    it.options.hint_burst = 10;
+  }
+  for (int n = 0; n < 100; ++n) {
+    Send(home, packet);
+  }
+  LONGS_EQUAL(10, Seen(Kind::kHint));
+  LONGS_EQUAL(100, Seen(Kind::kDeliver));
+  now += std::chrono::seconds{1};
+  Send(home, packet);
+  LONGS_EQUAL(11, Seen(Kind::kHint));
+}
+
 TEST(Agent, ConnectionLimitRefusesWithAReset) {
   for (auto& it : agents) {
     it.options.max_connections = 2;
