--- a/support/demo.sh
+++ b/support/demo.sh
@@ -162,8 +162,18 @@
   done
 }
 
+balancer_endpoints() {
+  local endpoints=${METRICS[entry-depot-north]},${METRICS[entry-civic-hall]}
+  echo "$endpoints,${METRICS[entry-depot-south]}"
+}
+
 ctl() {
-  "$BIN/apps/hawthornctl" "$@" --platform "$PLATFORM" --region main
+  HAWTHORNCTL_BALANCERS=$(balancer_endpoints) \
+    "$BIN/apps/hawthornctl" "$@" --platform "$PLATFORM" --region main \
+    >>"$DIR/ctl.log" 2>&1 || {
+    tail -n 5 "$DIR/ctl.log" >&2
+    return 1
+  }
 }
 
 start_balancer() {
