--- a/test/request_gate_test.cc
+++ b/test/request_gate_test.cc
@@ -178,12 +178,14 @@
   WarmUp();
   const auto request = WithToken("a");
   const auto busy = FillSlots();
-  BeginDrain(gate);
-  CheckRefused(Send(request), ErrorKind::kDraining);
-  const auto started = Value(GateCounter::kStarted);
+  for (int n = 0; n < 6; ++n) {
+    SendPlain();
+  }
+  CheckRefused(Send(request), ErrorKind::kOverloaded);
   Outcomes(busy, Outcome::kSucceeded);
-  CheckRefused(Send(request), ErrorKind::kDraining);
-  LONGS_EQUAL(started, Value(GateCounter::kStarted));
+  // There is room in the queue again, but this token's try is over.
+  CheckRefused(Send(request), ErrorKind::kOverloaded);
+  LONGS_EQUAL(5, Load(gate, now).queued);
 }
 
 TEST(RequestGate, RefusedRequestRunsUnderANewToken) {
