--- a/src/coordination/candidates.cc
+++ b/src/coordination/candidates.cc
@@ -22,6 +22,17 @@
   return (static_cast<double>(hash >> 11U) + 0.5) * kScale;
 }
 
+using Ranked = std::pair<double, Endpoint>;
+
+auto ScoresHigher(const Ranked& a, const Ranked& b) -> bool {
+  if (a.first != b.first) {
+    return a.first > b.first;
+  }
+  return a.second.address != b.second.address
+             ? a.second.address < b.second.address
+             : a.second.port < b.second.port;
+}
+
 }  // namespace
 
 auto CandidateScore(const Candidate& candidate, std::uint64_t flow_hash)
@@ -59,15 +70,15 @@
 auto RankCandidates(std::span<const Candidate> candidates,
                     std::uint64_t flow_hash,
                     std::size_t count) -> std::vector<Endpoint> {
-  std::vector<std::pair<double, Endpoint>> ranked;
+  std::vector<Ranked> ranked;
   ranked.reserve(candidates.size());
   for (const auto& it : candidates) {
-    ranked.emplace_back(-CandidateScore(it, flow_hash), it.agent);
+    ranked.emplace_back(CandidateScore(it, flow_hash), it.agent);
   }
   const std::size_t kept = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(),
                     ranked.begin() + static_cast<std::ptrdiff_t>(kept),
-                    ranked.end());
+                    ranked.end(), ScoresHigher);
   std::vector<Endpoint> endpoints;
   endpoints.reserve(kept);
   for (std::size_t n = 0; n < kept; ++n) {
--- a/src/transport/target_link.cc
+++ b/src/transport/target_link.cc
@@ -1,5 +1,6 @@
 #include "transport/target_link.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -10,6 +11,8 @@
 
 /// CoAP ping (RFC 7252, 4.3): an empty confirmable message.
 constexpr std::array<std::uint8_t, 4> kCoapPing = {0x40, 0x00, 0x70, 0x01};
+constexpr Duration kShortestWait = std::chrono::milliseconds{1};
+constexpr Duration kLongestWait = std::chrono::seconds{1};
 /// Sockets of flows that were handed over here are freed after this.
 constexpr std::chrono::minutes kSocketIdleTime{15};
 
@@ -22,6 +25,7 @@
       options_(options),
       handlers_(std::move(handlers)),
       random_(ToInteger(MakeIncarnation())),
+      gate_timer_(io),
       return_socket_(io, Endpoint{.address = options.target.address}) {}
 
 auto TargetLink::OpenGate(const CoapGateOptions& options) -> void {
@@ -35,6 +39,7 @@
   GateActions actions;
   OnCallerDatagram(*gate_, flow, datagram, MonotonicNow(), random_, actions);
   Perform(actions);
+  TickGate(MonotonicNow());
 }
 
 auto TargetLink::HandleAnswer(const FlowKey& flow, ByteView datagram) -> void {
@@ -42,6 +47,7 @@
   GateActions actions;
   OnTargetDatagram(*gate_, flow, datagram, MonotonicNow(), random_, actions);
   Perform(actions);
+  TickGate(MonotonicNow());
 }
 
 // A refused connection means that the target lost the flow.
@@ -124,9 +130,7 @@
   if (!gate_) {
     return;
   }
-  GateActions actions;
-  OnGateTick(*gate_, now, random_, actions);
-  Perform(actions);
+  TickGate(now);
   std::vector<FlowKey> idle;
   for (const auto& [flow, entry] : sockets_) {
     if (now - entry.last_used > kSocketIdleTime) {
@@ -138,6 +142,20 @@
   }
 }
 
+// A deadline that passes is answered then, not at the next tick.
+auto TargetLink::TickGate(TimePoint now) -> void {
+  GateActions actions;
+  const TimePoint next = OnGateTick(*gate_, now, random_, actions);
+  Perform(actions);
+  gate_timer_.expires_after(
+      std::clamp(next - now, kShortestWait, kLongestWait));
+  gate_timer_.async_wait([this](const asio::error_code& ec) {
+    if (!ec) {
+      TickGate(MonotonicNow());
+    }
+  });
+}
+
 auto TargetLink::BeginDrain() -> void {
   if (gate_) {
     BeginGateDrain(*gate_);
--- a/src/transport/target_link.h
+++ b/src/transport/target_link.h
@@ -74,6 +74,7 @@
   auto HandleAnswer(const FlowKey& flow, ByteView datagram) -> void;
   auto HandleError(const FlowKey& flow, const asio::error_code& ec) -> void;
   auto Perform(GateActions& actions) -> void;
+  auto TickGate(TimePoint now) -> void;
   auto FreeSocket(const FlowKey& flow) -> void;
 
   asio::io_context& io_;
@@ -81,6 +82,7 @@
   LinkHandlers handlers_;
   Random random_;
   std::optional<CoapGate> gate_;
+  asio::steady_timer gate_timer_;
   UdpSocket return_socket_;
   std::unordered_map<FlowKey, FlowSocket> sockets_;
 };
