--- a/standins/target.cc
+++ b/standins/target.cc
@@ -292,6 +292,16 @@
       .dump();
 }
 
+// libcoap frees no session that work still holds.
+auto ReleaseWork(Target& target) -> void {
+  for (const auto& it : target.waiting) {
+    coap_session_release(it.session);
+  }
+  for (const auto& it : target.running) {
+    coap_session_release(it.session);
+  }
+}
+
 std::atomic<bool> stop_requested = false;
 
 auto RequestStop(int /*signal*/) -> void {
@@ -332,6 +342,7 @@
       coap_resource_notify_observers(board, nullptr);
     }
   }
+  ReleaseWork(target);
 }
 
 auto ParseOptions(int argc, char** argv) -> Options {
