--- /dev/null
+++ b/bench/workers.cc
@@ -0,0 +1,167 @@
+#include <algorithm>
+#include <asio.hpp>
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "common/report.h"
+#include "transport/clock.h"
+#include "transport/packet_workers.h"
+
+/// @file
+/// Packets a second through 1, 2 and 4 workers on loopback, as a ratio to a
+/// bare UDP relay in the same run.
+
+namespace hawthornbank::bench {
+namespace {
+
+using transport::FromAsio;
+using transport::PacketWorkers;
+using transport::ToAsio;
+using transport::UdpSocket;
+
+constexpr std::uint32_t kSenders = 4;
+constexpr std::uint32_t kWindow = 32;  ///< Packets under way per sender.
+constexpr std::chrono::milliseconds kRunTime{1500};
+constexpr std::chrono::milliseconds kLossTimeout{20};
+const Endpoint kLoopback{.address = 0x7F000001};
+const Endpoint kAddress{.address = 0x0A000001, .port = 5683};
+
+/// Sends windows of packets to a forwarder and counts those that arrive.
+auto CountPackets(Endpoint forwarder,
+                  asio::ip::udp::socket& sink,
+                  std::uint32_t sender) -> std::uint64_t {
+  asio::io_context io;
+  asio::ip::udp::socket source(io, ToAsio(kLoopback));
+  const timeval timeout{.tv_usec = kLossTimeout.count() * 1000};
+  ::setsockopt(sink.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout,
+               sizeof timeout);
+  std::array<std::uint8_t, 2048> buf{};
+  std::uint64_t arrived = 0;
+  const auto end = std::chrono::steady_clock::now() + kRunTime;
+  for (std::uint16_t port = 1; std::chrono::steady_clock::now() < end;) {
+    for (std::uint32_t n = 0; n < kWindow; ++n, ++port) {
+      const Endpoint caller{.address = 0x0B000000 + sender, .port = port};
+      source.send_to(
+          asio::buffer(BuildUdpPacket(caller, kAddress, Bytes(64, 1))),
+          ToAsio(forwarder));
+    }
+    for (std::uint32_t n = 0; n < kWindow; ++n) {
+      if (::recv(sink.native_handle(), buf.data(), buf.size(), 0) <= 0) {
+        break;
+      }
+      ++arrived;
+    }
+  }
+  return arrived;
+}
+
+/// Runs all senders against a forwarder that sends to the sinks.
+auto PacketsPerSecond(
+    const std::function<Endpoint(std::vector<Endpoint>)>& start) -> double {
+  asio::io_context io;
+  std::vector<asio::ip::udp::socket> sinks;
+  std::vector<Endpoint> endpoints;
+  for (std::uint32_t n = 0; n < kSenders; ++n) {
+    sinks.emplace_back(io, ToAsio(kLoopback));
+    endpoints.push_back(FromAsio(sinks.back().local_endpoint()));
+  }
+  const Endpoint forwarder = start(endpoints);
+  std::atomic<std::uint64_t> arrived{0};
+  std::vector<std::thread> threads;
+  for (std::uint32_t n = 0; n < kSenders; ++n) {
+    threads.emplace_back(
+        [&, n]() { arrived += CountPackets(forwarder, sinks[n], n); });
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+  return static_cast<double>(arrived) /
+         std::chrono::duration<double>(kRunTime).count();
+}
+
+/// The least that any forwarder does: receive, choose by port, send.
+auto MeasureRelay() -> double {
+  asio::io_context io;
+  UdpSocket socket(io, kLoopback);
+  std::thread thread;
+  const double rate = PacketsPerSecond([&](std::vector<Endpoint> sinks) {
+    socket.Receive([&socket, sinks](Endpoint, ByteView datagram) {
+      const auto view = ParsePacket(datagram);
+      socket.Send(sinks[view.source.address % kSenders], datagram);
+    });
+    thread = std::thread([&io]() { io.run(); });
+    return socket.local();
+  });
+  io.stop();
+  thread.join();
+  return rate;
+}
+
+auto MeasureWorkers(std::uint32_t count) -> double {
+  const auto keys = MakeKeyRing(std::string(64, 'a'), "");
+  PacketWorkers workers({.packets = kLoopback,
+                         .workers = count,
+                         .cache_entries = 500'000,
+                         .alone = true},
+                        keys);
+  return PacketsPerSecond([&workers](const std::vector<Endpoint>& sinks) {
+    auto table = std::make_shared<RoutingTable>();
+    RoutedService service{.id = ServiceId{1}};
+    for (std::uint32_t n = 0; n < kSenders; ++n) {
+      service.candidates.push_back({.id = TargetId{n + 1}, .agent = sinks[n]});
+      table->live_agents.emplace(sinks[n], TimePoint{});
+    }
+    table->services.emplace(
+        ServiceAddress{.address = kAddress, .transport = Transport::kUdp},
+        service);
+    // Each sender's flows are sent to its own sink, as the relay does.
+    for (std::uint32_t sender = 0; sender < kSenders; ++sender) {
+      for (std::uint32_t port = 0; port < 65536; ++port) {
+        const Endpoint caller{.address = 0x0B000000 + sender,
+                              .port = static_cast<std::uint16_t>(port)};
+        workers.cache().Insert(
+            FlowKey{
+                .service = ServiceId{1}, .caller = caller, .address = kAddress},
+            sinks[sender], transport::MonotonicNow());
+      }
+    }
+    workers.SetTable(std::move(table));
+    return workers.local();
+  });
+}
+
+auto PrintRate(const std::string& variant,
+               const std::string& figure,
+               double value,
+               const std::string& unit) -> void {
+  Print(Row{.bench = "workers",
+            .name = "loopback",
+            .variant = variant,
+            .figure = figure,
+            .value = value,
+            .unit = unit});
+}
+
+auto Run() -> int {
+  const double relay = MeasureRelay();
+  PrintRate("baseline_udp_relay", "packets_per_second", relay, "1/s");
+  for (const std::uint32_t count : {1, 2, 4}) {
+    const double rate = MeasureWorkers(count);
+    const std::string name = "workers_" + std::to_string(count);
+    PrintRate("hawthornbank", name + "_packets_per_second", rate, "1/s");
+    PrintRate("hawthornbank", name + "_over_relay", rate / relay, "ratio");
+  }
+  return ExitCode();
+}
+
+}  // namespace
+}  // namespace hawthornbank::bench
+
+auto main() -> int {
+  return hawthornbank::bench::Run();
+}
--- a/src/protocol/status_json.cc
+++ b/src/protocol/status_json.cc
@@ -43,6 +43,14 @@
 
 }  // namespace
 
+auto StateName(TargetState state) -> std::string {
+  return kTargetStates.at(static_cast<std::size_t>(state));
+}
+
+auto StateName(BalancerState state) -> std::string {
+  return kBalancerStates.at(static_cast<std::size_t>(state));
+}
+
 auto EncodeStatus(const ProcessStatus& status) -> std::string {
   json targets = json::array();
   for (const auto& it : status.targets) {
--- a/src/protocol/status_json.h
+++ b/src/protocol/status_json.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "hawthornbank/membership_messages.h"
 #include "hawthornbank/types.h"
 
 /// @file
@@ -42,6 +43,14 @@
   std::map<std::string, std::uint64_t> counters;
 };
 
+/// @param state State of a target.
+/// @return Its name in a status.
+auto StateName(TargetState state) -> std::string;
+
+/// @param state State of a balancer.
+/// @return Its name in a status.
+auto StateName(BalancerState state) -> std::string;
+
 /// Encodes a status.
 /// @param status What to encode.
 /// @return JSON text.
--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -1,11 +1,11 @@
 #include <algorithm>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <variant>
 
 #include "hawthornbank/agent.h"
 #include "hawthornbank/announcer.h"
 #include "hawthornbank/configuration.h"
+#include "protocol/status_json.h"
 #include "transport/clock.h"
 #include "transport/configuration_binding.h"
 #include "transport/control_channel.h"
@@ -405,17 +405,22 @@
   }
 
   auto StatusJson() -> std::string {
-    return nlohmann::json{
-        {"role", "agent"},
-        {"name", settings_.name},
-        {"zone", settings_.zone},
-        {"service", settings_.service},
-        {"generation", ToInteger(generation_)},
-        {"draining", agent_.draining},
-        {"confirmed", IsConfirmed(binding_.store(), MonotonicNow())},
-        {"connections", agent_.flows.size()},
-        {"counters", CollectMetrics()}}
-        .dump();
+    const TargetStatus self{
+        .name = settings_.name,
+        .service = settings_.service,
+        .zone = settings_.zone,
+        .state = StateName(agent_.draining ? TargetState::kDraining
+                                           : TargetState::kServing),
+        .connections = agent_.flows.size(),
+        .slots_busy = agent_.busyness.slots_busy};
+    return EncodeStatus(ProcessStatus{
+        .role = "agent",
+        .name = settings_.name,
+        .zone = settings_.zone,
+        .generation = generation_,
+        .confirmed = IsConfirmed(binding_.store(), MonotonicNow()),
+        .targets = {self},
+        .counters = ToCounters(CollectMetrics())});
   }
 
   auto CollectMetrics() -> Metrics {
--- a/src/transport/balancer_daemon.cc
+++ b/src/transport/balancer_daemon.cc
@@ -1,10 +1,10 @@
 #include <algorithm>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <variant>
 
 #include "hawthornbank/configuration.h"
 #include "hawthornbank/membership.h"
+#include "protocol/status_json.h"
 #include "transport/clock.h"
 #include "transport/configuration_binding.h"
 #include "transport/control_channel.h"
@@ -247,48 +247,30 @@
   }
 
   auto StatusJson() -> std::string {
-    nlohmann::json targets = nlohmann::json::array();
+    ProcessStatus status{
+        .role = "balancer",
+        .name = settings_.name,
+        .zone = settings_.zone,
+        .generation = configuration_.generation,
+        .confirmed = IsConfirmed(binding_.store(), MonotonicNow()),
+        .counters = ToCounters(CollectMetrics())};
     for (const auto& service : configuration_.services) {
       for (const auto& it : TargetsOf(membership_, service.id)) {
-        targets.push_back({{"name", it.name},
-                           {"service", service.name},
-                           {"zone", it.zone},
-                           {"state", static_cast<int>(it.state)},
-                           {"connections", it.load.connections},
-                           {"slots_busy", it.load.slots_busy}});
+        status.targets.push_back({.name = it.name,
+                                  .service = service.name,
+                                  .zone = it.zone,
+                                  .state = StateName(it.state),
+                                  .connections = it.load.connections,
+                                  .slots_busy = it.load.slots_busy});
       }
     }
-    nlohmann::json balancers = nlohmann::json::array();
     for (const auto& it : Balancers(membership_)) {
-      balancers.push_back({{"name", it.name},
-                           {"zone", it.zone},
-                           {"state", static_cast<int>(it.state)},
-                           {"generation", ToInteger(it.generation)}});
+      status.balancers.push_back({.name = it.name,
+                                  .zone = it.zone,
+                                  .state = StateName(it.state),
+                                  .generation = it.generation});
     }
-    return nlohmann::json{
-        {"role", "balancer"},
-        {"name", settings_.name},
-        {"zone", settings_.zone},
-        {"generation", ToInteger(configuration_.generation)},
-        {"confirmed", IsConfirmed(binding_.store(), MonotonicNow())},
-        {"in_force", InForceJson()},
-        {"targets", targets},
-        {"balancers", balancers},
-        {"counters", CollectMetrics()}}
-        .dump();
-  }
-
-  // Names each host that lags, where membership knows its name.
-  auto InForceJson() const -> nlohmann::json {
-    const auto sum = SumUpInForce(binding_.store(), MonotonicNow());
-    nlohmann::json lagging = nlohmann::json::array();
-    for (const auto& it : sum.lagging) {
-      lagging.push_back(ToString(ToEndpoint(it)));
-    }
-    return {{"hosts", sum.hosts},
-            {"in_force", sum.in_force},
-            {"newest", ToInteger(sum.generation)},
-            {"lagging", lagging}};
+    return EncodeStatus(status);
   }
 
   auto CollectMetrics() -> Metrics {
@@ -306,6 +288,9 @@
         static_cast<double>(channel.bytes_received);
     metrics["control_forged"] = static_cast<double>(channel.forged);
     metrics["control_malformed"] = static_cast<double>(channel.malformed);
+    const auto sum = SumUpInForce(binding_.store(), MonotonicNow());
+    metrics["configuration_hosts_below"] = sum.hosts;
+    metrics["configuration_hosts_in_force"] = sum.in_force;
     const auto& configuration = binding_.store().counters;
     metrics["configuration_stale_refused"] =
         static_cast<double>(configuration.stale_refused);
--- a/src/transport/status_server.cc
+++ b/src/transport/status_server.cc
@@ -55,6 +55,15 @@
 
 }  // namespace
 
+auto ToCounters(const Metrics& metrics)
+    -> std::map<std::string, std::uint64_t> {
+  std::map<std::string, std::uint64_t> counters;
+  for (const auto& [name, value] : metrics) {
+    counters[name] = static_cast<std::uint64_t>(value);
+  }
+  return counters;
+}
+
 struct StatusServer::Server {
   httplib::Server http;
   std::thread thread;
--- a/src/transport/status_server.h
+++ b/src/transport/status_server.h
@@ -16,6 +16,10 @@
 /// Values of a daemon by metric name.
 using Metrics = std::map<std::string, double>;
 
+/// @param metrics Metrics of a daemon.
+/// @return The same as whole numbers, for its status.
+auto ToCounters(const Metrics& metrics) -> std::map<std::string, std::uint64_t>;
+
 /// What the endpoint asks the daemon; called on the daemon's io_context.
 struct StatusSource {
   std::function<std::string()> status;  ///< JSON text.
