--- a/src/transport/configuration_binding.cc
+++ b/src/transport/configuration_binding.cc
@@ -122,7 +122,7 @@
 }
 
 ConfigurationBinding::ConfigurationBinding(asio::io_context& io,
-                                           BindingOptions options,
+                                           const BindingOptions& options,
                                            SendHandler send,
                                            ForceHandler put_in_force)
     : random_(ToInteger(MakeIncarnation()) ^ ToInteger(ToHostId(options.self))),
--- a/src/transport/configuration_binding.h
+++ b/src/transport/configuration_binding.h
@@ -78,7 +78,7 @@
   /// @param send Sends a message to a peer.
   /// @param put_in_force Called with each configuration in force.
   ConfigurationBinding(asio::io_context& io,
-                       BindingOptions options,
+                       const BindingOptions& options,
                        SendHandler send,
                        ForceHandler put_in_force);
 
