Keep draining and suspected targets in the table; share the daemons' loop

Cause: balancers routed by the list of targets that take new flows, so they took a draining target for gone, forgot where its flows were at each packet and had the next home look them up again. The table now holds every present target; a suspect ranks last. The test fails when the table is built from that list. A stopping agent also stays 3 s to pass on openings from balancers that missed the news.

--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -5,11 +5,13 @@
 #include "hawthornbank/agent.h"
 #include "hawthornbank/announcer.h"
 #include "hawthornbank/configuration.h"
+#include "hawthornbank/routing_table.h"
 #include "protocol/status_json.h"
 #include "transport/clock.h"
 #include "transport/configuration_binding.h"
 #include "transport/control_channel.h"
 #include "transport/daemon.h"
+#include "transport/daemon_loop.h"
 #include "transport/logging.h"
 #include "transport/status_server.h"
 #include "transport/target_link.h"
@@ -17,7 +19,8 @@
 namespace hawthornbank::transport {
 namespace {
 
-constexpr std::chrono::milliseconds kTickInterval{100};
+/// Least time between the news of a stop and the end of the process.
+constexpr std::chrono::seconds kLeaveGrace{3};
 
 /// An agent: everything runs on one thread.
 class AgentDaemon {
@@ -43,8 +46,14 @@
               {.target = settings.target_address,
                .return_path = settings.return_address},
               MakeLinkHandlers()),
-        timer_(io_),
-        signals_(io_, SIGTERM, SIGINT) {}
+        loop_(io_,
+              {.on_tick = [this]() { Tick(); },
+               .on_stop =
+                   [this](const std::string& reason) {
+                     stopping_ = true;
+                     StartDrain(reason);
+                   },
+               .on_force = [this]() { link_.Abort(); }}) {}
 
   auto Run() -> int {
     channel_.Receive(
@@ -57,12 +66,9 @@
         io_, settings_.metrics,
         {.status = [this]() { return StatusJson(); },
          .metrics = [this]() { return CollectMetrics(); }});
-    WaitForSignal();
-    Tick();
     Log(Layer::kCoordination, LogLevel::kInfo, "agent_started",
         {{"target", settings_.name}, {"service", settings_.service}});
-    io_.run();
-    return exit_code_;
+    return loop_.Run();
   }
 
  private:
@@ -182,26 +188,16 @@
       } else if (std::holds_alternative<Superseded>(action)) {
         Log(Layer::kCoordination, LogLevel::kError, "superseded",
             {{"target", settings_.name}});
-        exit_code_ = AnswerFor(ErrorKind::kFenced).exit_code;
-        io_.stop();
+        loop_.Exit(AnswerFor(ErrorKind::kFenced).exit_code);
       }
     }
   }
 
   auto TakeView(const ServiceView& view) -> void {
-    std::vector<Candidate> candidates;
-    for (const auto& it : view.targets) {
-      if (it.state == TargetState::kDead || it.state == TargetState::kLeft) {
-        continue;
-      }
-      candidates.push_back(Candidate{.id = it.id,
-                                     .agent = it.agent,
-                                     .weight_percent = it.weight_percent,
-                                     .joined = StartOf(it.incarnation)});
-    }
     SetMeanConnections(agent_, view.mean_connections);
     std::vector<AgentAction> actions;
-    SetServiceView(agent_, std::move(candidates), MonotonicNow(), actions);
+    SetServiceView(agent_, CandidatesOf(view, StartOf), MonotonicNow(),
+                   actions);
     PerformAgent(actions, nullptr);
   }
 
@@ -323,16 +319,9 @@
       OnAnnouncerTick(*announcer_, now, random_, announcements);
       PerformAnnouncer(announcements);
     }
-    if (stopping_ && agent_.flows.empty() && link_.IsDrained()) {
+    if (stopping_ && MayLeave(now)) {
       Leave();
-      return;
     }
-    timer_.expires_after(kTickInterval);
-    timer_.async_wait([this](const asio::error_code& ec) {
-      if (!ec) {
-        Tick();
-      }
-    });
   }
 
   // Every decision on a new flow sees the slots as they are now.
@@ -343,6 +332,13 @@
                        .queued = load.queued};
   }
 
+  // Balancers that missed the news still send openings here for a while, and
+  // these are passed on.
+  auto MayLeave(TimePoint now) const -> bool {
+    return agent_.flows.empty() && link_.IsDrained() &&
+           now - agent_.drain_started > kLeaveGrace;
+  }
+
   auto StartDrain(const std::string& reason) -> void {
     if (agent_.draining) {
       return;
@@ -369,23 +365,6 @@
     }
   }
 
-  auto WaitForSignal() -> void {
-    signals_.async_wait([this](const asio::error_code& ec, int) {
-      if (ec) {
-        return;
-      }
-      if (stopping_) {
-        link_.Abort();
-        exit_code_ = kExitForced;
-        io_.stop();
-        return;
-      }
-      stopping_ = true;
-      StartDrain("signal");
-      WaitForSignal();
-    });
-  }
-
   auto Leave() -> void {
     if (announcer_) {
       std::vector<AnnouncerAction> actions;
@@ -401,7 +380,7 @@
     PerformAgent(actions, nullptr);
     Log(Layer::kCoordination, LogLevel::kInfo, "agent_stopped",
         {{"target", settings_.name}});
-    io_.stop();
+    loop_.Exit(kExitStopped);
   }
 
   auto StatusJson() -> std::string {
@@ -425,16 +404,8 @@
 
   auto CollectMetrics() -> Metrics {
     Metrics metrics;
-    for (std::size_t n = 0; n < kCounterCount; ++n) {
-      metrics[std::string(kCounterNames[n])] =
-          static_cast<double>(Read(agent_.counters, static_cast<Counter>(n)));
-    }
-    const auto& channel = channel_.counters();
-    metrics["control_bytes_sent"] = static_cast<double>(channel.bytes_sent);
-    metrics["control_bytes_received"] =
-        static_cast<double>(channel.bytes_received);
-    metrics["control_forged"] = static_cast<double>(channel.forged);
-    metrics["control_malformed"] = static_cast<double>(channel.malformed);
+    AddCounters(agent_.counters, metrics);
+    AddCounters(channel_.counters(), metrics);
     metrics["flows"] = static_cast<double>(agent_.flows.size());
     metrics["pointers"] = static_cast<double>(agent_.pointers.size());
     for (const auto& it : link_.Counters()) {
@@ -453,13 +424,11 @@
   ControlChannel channel_;
   ConfigurationBinding binding_;
   TargetLink link_;
-  asio::steady_timer timer_;
-  asio::signal_set signals_;
+  DaemonLoop loop_;
   Generation generation_{};
   std::uint32_t slots_ = 0;
   std::uint64_t undelivered_ = 0;
   bool stopping_ = false;
-  int exit_code_ = kExitStopped;
 };
 
 }  // namespace
--- a/src/transport/balancer_daemon.cc
+++ b/src/transport/balancer_daemon.cc
@@ -4,11 +4,13 @@
 
 #include "hawthornbank/configuration.h"
 #include "hawthornbank/membership.h"
+#include "hawthornbank/routing_table.h"
 #include "protocol/status_json.h"
 #include "transport/clock.h"
 #include "transport/configuration_binding.h"
 #include "transport/control_channel.h"
 #include "transport/daemon.h"
+#include "transport/daemon_loop.h"
 #include "transport/logging.h"
 #include "transport/packet_workers.h"
 #include "transport/status_server.h"
@@ -16,11 +18,8 @@
 namespace hawthornbank::transport {
 namespace {
 
-constexpr std::chrono::milliseconds kTickInterval{100};
 /// Time that a leaving balancer goes on forwarding what the fabric still sends.
 constexpr std::chrono::milliseconds kLeaveTime{2000};
-/// Time for which a flow of an agent that is gone may still send packets.
-constexpr std::chrono::minutes kDepartureMemory{10};
 
 auto MakeMembershipOptions(const Settings& settings) -> MembershipOptions {
   return MembershipOptions{
@@ -67,8 +66,11 @@
               channel_.Send(to, message);
             },
             [this](const Configuration& next) { PutInForce(next); }),
-        timer_(io_),
-        signals_(io_, SIGTERM, SIGINT) {}
+        loop_(io_,
+              {.on_tick = [this]() { Tick(); },
+               .on_stop =
+                   [this](const std::string& reason) { BeginStop(reason); },
+               .on_force = []() {}}) {}
 
   auto Run() -> int {
     channel_.Receive(
@@ -81,12 +83,9 @@
         io_, settings_.metrics,
         {.status = [this]() { return StatusJson(); },
          .metrics = [this]() { return CollectMetrics(); }});
-    WaitForSignal();
-    Tick();
     Log(Layer::kCoordination, LogLevel::kInfo, "balancer_started",
         {{"name", settings_.name}, {"zone", settings_.zone}});
-    io_.run();
-    return exit_code_;
+    return loop_.Run();
   }
 
  private:
@@ -145,40 +144,9 @@
   }
 
   auto RebuildTable() -> void {
-    auto table = std::make_shared<RoutingTable>();
-    table->generation = configuration_.generation;
-    table->departed_agents = NoteDepartures();
-    for (const auto& service : configuration_.services) {
-      RoutedService routed{.id = service.id, .transport = service.transport};
-      for (const auto& it : RoutableTargets(membership_, service.id)) {
-        const TimePoint joined = StartOf(it.incarnation);
-        routed.candidates.push_back(
-            Candidate{.id = it.id,
-                      .agent = it.agent,
-                      .weight_percent = it.load.weight_percent,
-                      .joined = joined});
-        table->live_agents.emplace(it.agent, joined);
-        table->departed_agents.erase(it.agent);
-      }
-      table->services.emplace(ServiceAddress{.address = service.address,
-                                             .transport = service.transport},
-                              std::move(routed));
-    }
-    table_ = table;
-    workers_.SetTable(std::move(table));
-  }
-
-  // Agents that route in the present table and may not in the next.
-  auto NoteDepartures() const -> std::unordered_map<Endpoint, TimePoint> {
-    const TimePoint now = MonotonicNow();
-    auto departed = table_->departed_agents;
-    std::erase_if(departed, [now](const auto& it) {
-      return now - it.second > kDepartureMemory;
-    });
-    for (const auto& [agent, joined] : table_->live_agents) {
-      departed.emplace(agent, now);
-    }
-    return departed;
+    table_ = std::make_shared<const RoutingTable>(BuildRoutingTable(
+        configuration_, membership_, *table_, StartOf, MonotonicNow()));
+    workers_.SetTable(table_);
   }
 
   auto Tick() -> void {
@@ -193,12 +161,6 @@
     // A newcomer that the fabric used at once would refuse every flow.
     workers_.SetReady(!stopping_ && IsReady(membership_) &&
                       configuration_.generation != Generation{});
-    timer_.expires_after(kTickInterval);
-    timer_.async_wait([this](const asio::error_code& ec) {
-      if (!ec) {
-        Tick();
-      }
-    });
   }
 
   auto LiveBalancers() const -> std::vector<BalancerPeer> {
@@ -216,21 +178,6 @@
     return live;
   }
 
-  auto WaitForSignal() -> void {
-    signals_.async_wait([this](const asio::error_code& ec, int) {
-      if (ec) {
-        return;
-      }
-      if (stopping_) {
-        exit_code_ = kExitForced;
-        io_.stop();
-        return;
-      }
-      BeginStop("signal");
-      WaitForSignal();
-    });
-  }
-
   auto BeginStop(const std::string& reason) -> void {
     if (stopping_) {
       return;
@@ -243,7 +190,8 @@
     BeginLeave(membership_, actions);
     Perform(actions);
     auto timer = std::make_shared<asio::steady_timer>(io_, kLeaveTime);
-    timer->async_wait([this, timer](const asio::error_code&) { io_.stop(); });
+    timer->async_wait(
+        [this, timer](const asio::error_code&) { loop_.Exit(kExitStopped); });
   }
 
   auto StatusJson() -> std::string {
@@ -275,19 +223,11 @@
 
   auto CollectMetrics() -> Metrics {
     Metrics metrics;
-    for (std::size_t n = 0; n < kCounterCount; ++n) {
-      metrics[std::string(kCounterNames[n])] = static_cast<double>(
-          Read(workers_.counters(), static_cast<Counter>(n)));
-    }
+    AddCounters(workers_.counters(), metrics);
+    AddCounters(channel_.counters(), metrics);
     for (const auto& [name, count] : events_) {
       metrics["membership_" + name] = static_cast<double>(count);
     }
-    const auto& channel = channel_.counters();
-    metrics["control_bytes_sent"] = static_cast<double>(channel.bytes_sent);
-    metrics["control_bytes_received"] =
-        static_cast<double>(channel.bytes_received);
-    metrics["control_forged"] = static_cast<double>(channel.forged);
-    metrics["control_malformed"] = static_cast<double>(channel.malformed);
     const auto sum = SumUpInForce(binding_.store(), MonotonicNow());
     metrics["configuration_hosts_below"] = sum.hosts;
     metrics["configuration_hosts_in_force"] = sum.in_force;
@@ -314,11 +254,9 @@
       std::make_shared<const RoutingTable>();
   ControlChannel channel_;
   ConfigurationBinding binding_;
-  asio::steady_timer timer_;
-  asio::signal_set signals_;
+  DaemonLoop loop_;
   std::map<std::string, std::uint64_t> events_;
   bool stopping_ = false;
-  int exit_code_ = kExitStopped;
 };
 
 }  // namespace
--- /dev/null
+++ b/test/routing_table_test.cc
@@ -0,0 +1,114 @@
+#include "hawthornbank/routing_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+
+namespace {
+
+const TimePoint kStart{std::chrono::seconds{1000}};
+const ServiceId kService{1};
+const Endpoint kAddress{.address = 0x0A000001, .port = 5683};
+
+auto StartOf(Incarnation incarnation) -> TimePoint {
+  return TimePoint{std::chrono::milliseconds{
+      static_cast<std::int64_t>(ToInteger(incarnation))}};
+}
+
+auto TargetAt(std::uint16_t port) -> TargetRecord {
+  const std::string name = "fitquote-" + std::to_string(port);
+  return TargetRecord{.id = TargetId{HashName(name)},
+                      .name = name,
+                      .service = kService,
+                      .agent = {.address = 1, .port = port},
+                      .zone = "civic-hall",
+                      .incarnation = Incarnation{5},
+                      .sequence = 1};
+}
+
+}  // namespace
+
+TEST_GROUP(RoutingTable) {
+  const Configuration configuration{
+      .generation = Generation{4},
+      .services = {
+          Service{.id = kService, .name = "fitquote", .address = kAddress}}};
+  Membership membership =
+      MakeMembership({.self = {.id = HostId{1},
+                               .name = "entry",
+                               .peer = {.address = 9, .port = 9},
+                               .zone = "civic-hall",
+                               .region = "main",
+                               .incarnation = Incarnation{1}}},
+                     kStart);
+  std::vector<MembershipAction> actions;
+
+  auto Announced(TargetRecord target)->void {
+    OnAnnounce(membership, target.agent, Announce{.target = std::move(target)},
+               kStart, actions);
+  }
+
+  auto Build(const RoutingTable& previous = {}, TimePoint now = kStart)
+      ->RoutingTable {
+    return BuildRoutingTable(configuration, membership, previous, StartOf, now);
+  }
+
+  static auto Candidates(const RoutingTable& table)
+      ->const std::vector<Candidate>& {
+    return table.services.at({.address = kAddress}).candidates;
+  }
+};
+
+TEST(RoutingTable, HoldsServingTargets) {
+  Announced(TargetAt(1));
+  Announced(TargetAt(2));
+  const auto table = Build();
+  LONGS_EQUAL(4, ToInteger(table.generation));
+  LONGS_EQUAL(2, Candidates(table).size());
+  LONGS_EQUAL(2, table.live_agents.size());
+  CHECK(Candidates(table)[0].joined == StartOf(Incarnation{5}));
+}
+
+TEST(RoutingTable, DrainingTargetKeepsItsFlowsAndStaysAHome) {
+  Announced(TargetAt(1));
+  auto draining = TargetAt(2);
+  draining.state = TargetState::kDraining;
+  Announced(draining);
+  const auto table = Build();
+  CHECK(table.live_agents.contains(draining.agent));
+  for (const auto& it : Candidates(table)) {
+    LONGS_EQUAL(100, it.weight_percent);
+  }
+}
+
+TEST(RoutingTable, TargetThatLeftIsRememberedAsDeparted) {
+  Announced(TargetAt(1));
+  Announced(TargetAt(2));
+  const auto before = Build();
+  auto left = TargetAt(2);
+  left.state = TargetState::kLeft;
+  left.sequence = 2;
+  Announced(left);
+  const auto later = kStart + std::chrono::seconds{1};
+  const auto after = Build(before, later);
+  CHECK(!after.live_agents.contains(left.agent));
+  CHECK(after.departed_agents.at(left.agent) == later);
+  const auto much_later = Build(after, later + std::chrono::minutes{20});
+  CHECK(much_later.departed_agents.empty());
+}
+
+TEST(RoutingTable, SuspectKeepsItsFlowsAndIsNoHome) {
+  const ServiceView view{
+      .service = kService,
+      .targets = {{.id = TargetId{1}, .agent = {.address = 1, .port = 1}},
+                  {.id = TargetId{2},
+                   .agent = {.address = 1, .port = 2},
+                   .state = TargetState::kSuspect},
+                  {.id = TargetId{3},
+                   .agent = {.address = 1, .port = 3},
+                   .state = TargetState::kDead}}};
+  const auto candidates = CandidatesOf(view, StartOf);
+  LONGS_EQUAL(2, candidates.size());
+  LONGS_EQUAL(100, candidates[0].weight_percent);
+  LONGS_EQUAL(0, candidates[1].weight_percent);
+}
