--- a/bench/common/routing_world.cc
+++ b/bench/common/routing_world.cc
@@ -476,7 +476,7 @@
       }));
 }
 
-auto RoutingWorld::SpreadMeanConnections(Duration lag) -> void {
+auto RoutingWorld::SpreadMeanConnections(Duration lag, double factor) -> void {
   std::size_t sum = 0;
   std::size_t serving = 0;
   for (const auto& it : agents_) {
@@ -488,7 +488,7 @@
   const double mean =
       serving == 0 ? 0
                    : static_cast<double>(sum) / static_cast<double>(serving);
-  network_.At(network_.now() + lag, [this, mean]() {
+  network_.At(network_.now() + lag, [this, mean = mean * factor]() {
     for (auto& it : agents_) {
       SetMeanConnections(*it.core, mean);
     }
--- a/bench/common/routing_world.h
+++ b/bench/common/routing_world.h
@@ -115,7 +115,9 @@
     return wrong_service_;
   }
   /// Copies mean connections, as of the call, to every agent after a lag.
-  auto SpreadMeanConnections(Duration lag) -> void;
+  /// @param lag Age of the report on arrival.
+  /// @param factor By which the report is wrong.
+  auto SpreadMeanConnections(Duration lag, double factor = 1) -> void;
 
  private:
   struct BalancerHost {
--- a/bench/common/slot_model.cc
+++ b/bench/common/slot_model.cc
@@ -96,7 +96,10 @@
     const Duration wait = network_.now() - (start_ + jobs_[job].arrival);
     waits_[job] = static_cast<double>(wait.count()) /
                   static_cast<double>(kMeanService.count());
-    network_.At(network_.now() + jobs_[job].service,
+    const double factor = target == 0 ? options_.crowded_factor : 1;
+    const Duration service{static_cast<Duration::rep>(
+        static_cast<double>(jobs_[job].service.count()) * factor)};
+    network_.At(network_.now() + service,
                 [this, job, target]() { Finish(job, target); });
   }
 
@@ -180,8 +183,10 @@
   }
   const TimePoint end = start + jobs.back().arrival + kMeanService * 100;
   for (auto now = start; now < end; now += std::chrono::seconds{1}) {
-    network.At(now, [&world]() {
-      world.SpreadMeanConnections(std::chrono::seconds{1});
+    network.At(now, [&world, &network, &options]() {
+      const double error =
+          (2 * NextFraction(network.random()) - 1) * options.report_error;
+      world.SpreadMeanConnections(std::chrono::seconds{1}, 1 + error);
     });
   }
   network.RunUntil(end);
--- a/bench/common/slot_model.h
+++ b/bench/common/slot_model.h
@@ -13,6 +13,8 @@
   std::uint32_t slots = 3;
   double load = 0.7;  ///< Share of slot capacity in demand.
   std::uint32_t arrivals = 150'000;
+  double crowded_factor = 1;  ///< How much slower the first target serves.
+  double report_error = 0;    ///< Most by which a reported mean is off.
   std::uint64_t seed = 1;
 };
 
--- a/bench/routing.cc
+++ b/bench/routing.cc
@@ -169,45 +169,48 @@
 }
 
 struct SlotCase {
-  std::uint32_t targets;
-  double load;
-  double bound_over_oracle;  ///< 0: the bound is on the wait itself.
-  double bound_wait;
+  std::string name;
+  SlotModelOptions options;
+  std::optional<double> over_oracle;  ///< Bound where the oracle waits.
+  std::optional<double> wait;         ///< Bound where it doesn't.
 };
 
-auto RunSlotCases() -> void {
-  // Bounds are the issue's: over the oracle where it waits, else absolute.
-  for (const auto& it :
-       {SlotCase{7, 0.70, 1.25, 0}, SlotCase{7, 0.85, 1.25, 0},
-        SlotCase{460, 0.70, 0, 0.5}, SlotCase{460, 0.85, 0, 1.0}}) {
-    const std::string name = "steady_" + std::to_string(it.targets) + "_at_" +
-                             std::to_string(std::lround(it.load * 100));
-    const auto result = RunSlotModel({.targets = it.targets,
-                                      .slots = 3,
-                                      .load = it.load,
-                                      .arrivals = 150'000,
-                                      .seed = kSeed});
-    const auto print = [&name](const char* variant, const char* figure,
-                               double value, std::optional<double> bound) {
-      Print(Row{.bench = "routing",
-                .name = name,
-                .variant = variant,
-                .figure = figure,
-                .value = value,
-                .bound = bound,
-                .unit = "mean_service_times",
-                .seed = kSeed});
-    };
-    print("baseline_oracle", "slot_wait_p99", result.oracle_p99, std::nullopt);
-    print("baseline_plain_hash", "slot_wait_p99", result.hash_p99,
-          std::nullopt);
-    if (it.bound_over_oracle > 0) {
-      print("hawthornbank", "slot_wait_p99", result.own_p99, std::nullopt);
-      print("hawthornbank", "slot_wait_p99_over_oracle",
-            result.own_p99 / result.oracle_p99, it.bound_over_oracle);
-    } else {
-      print("hawthornbank", "slot_wait_p99", result.own_p99, it.bound_wait);
-    }
+auto SlotCases() -> std::vector<SlotCase> {
+  return {
+      {"steady_7_at_70", {.targets = 7, .load = 0.70}, 1.25, {}},
+      {"steady_7_at_85", {.targets = 7, .load = 0.85}, 1.25, {}},
+      {"steady_460_at_70", {.targets = 460, .load = 0.70}, {}, 0.5},
+      {"steady_460_at_85", {.targets = 460, .load = 0.85}, {}, 1.0},
+      {"crowded_7_at_70",
+       {.targets = 7, .load = 0.70, .crowded_factor = 3},
+       1.25,
+       {}},
+      {"lying_7_at_70",
+       {.targets = 7, .load = 0.70, .report_error = 0.5},
+       1.25,
+       {}},
+  };
+}
+
+auto RunSlotCase(const SlotCase& it) -> void {
+  const auto result = RunSlotModel(it.options);
+  const auto print = [&it](const char* variant, const char* figure,
+                           double value, std::optional<double> bound) {
+    Print(Row{.bench = "routing",
+              .name = it.name,
+              .variant = variant,
+              .figure = figure,
+              .value = value,
+              .bound = bound,
+              .unit = "mean_service_times",
+              .seed = it.options.seed});
+  };
+  print("baseline_oracle", "slot_wait_p99", result.oracle_p99, std::nullopt);
+  print("baseline_plain_hash", "slot_wait_p99", result.hash_p99, std::nullopt);
+  print("hawthornbank", "slot_wait_p99", result.own_p99, it.wait);
+  if (it.over_oracle) {
+    print("hawthornbank", "slot_wait_p99_over_oracle",
+          result.own_p99 / result.oracle_p99, it.over_oracle);
   }
 }
 
@@ -221,8 +224,10 @@
       RunCase(it, variant);
     }
   }
-  if (only.empty() || only == "slots") {
-    RunSlotCases();
+  for (const auto& it : SlotCases()) {
+    if (only.empty() || only == it.name) {
+      RunSlotCase(it);
+    }
   }
   return ExitCode();
 }
