--- a/test/fuzz_test.cc
+++ b/test/fuzz_test.cc
@@ -2,11 +2,15 @@
 #include <string>
 #include <vector>
 
+#include "hawthornbank/coap_gate.h"
+#include "hawthornbank/configuration.h"
 #include "hawthornbank/error.h"
 #include "hawthornbank/packet.h"
 #include "hawthornbank/random.h"
 #include "hawthornbank/tunnel.h"
 #include "protocol/message.h"
+#include "protocol/sheet.h"
+#include "protocol/status_json.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -110,3 +114,55 @@
     }
   });
 }
+
+// Texts come from the platform, from operators and from other processes.
+TEST(Fuzz, TextsAreRefusedWithAKind) {
+  const auto bytes_of = [](const std::string& text) {
+    return Bytes(text.begin(), text.end());
+  };
+  const Bytes configuration = bytes_of(EncodeConfiguration(
+      {.services = {{.name = "fitquote", .zones = {"civic-hall"}}},
+       .demand = {{.day = "daily"}}}));
+  const Bytes status = bytes_of(
+      EncodeStatus({.role = "balancer", .targets = {{.name = "fitquote-1"}}}));
+  const Bytes sheet = bytes_of(
+      "service,transport,address,zones,slots,connections,targets,07:30\n"
+      "fitquote,udp,127.0.0.1:5683,\"civic-hall\",3,2000,7,\"12,5\"\n");
+  RunAll({configuration, status, sheet}, [&](const Bytes& bytes) {
+    const std::string text(bytes.begin(), bytes.end());
+    for (const auto& decode : std::vector<std::function<void()>>{
+             [&text]() { DecodeConfiguration(text); },
+             [&text]() { DecodeStatus(text); },
+             [&text]() { ParseSheet(text, "sheet.csv"); }}) {
+      try {
+        decode();
+      } catch (const Error& error) {
+        CHECK(error.kind() == ErrorKind::kMalformed ||
+              error.kind() == ErrorKind::kInvalidSettings);
+      }
+    }
+  });
+}
+
+// A confirmable POST /quote?rid=a1 and a piggybacked 2.04 answer.
+TEST(Fuzz, GateTakesAnyDatagramFromEitherSide) {
+  const Bytes request = {0x42, 0x02, 0x12, 0x34, 0xAA, 0xBB, 0xB5,
+                         'q',  'u',  'o',  't',  'e',  0x46, 'r',
+                         'i',  'd',  '=',  'a',  '1',  0xFF, 'x'};
+  const Bytes answer = {0x62, 0x44, 0x12, 0x34, 0xAA, 0xBB, 0xFF, 'o', 'k'};
+  auto gate = MakeCoapGate({.token_keys = {{1, 2, 3}}});
+  const FlowKey flow{.service = ServiceId{1}, .caller = kCaller};
+  Random random(1);
+  GateActions actions;
+  TimePoint now{std::chrono::seconds{100}};
+  std::size_t answered = 0;
+  RunAll({request, answer}, [&](const Bytes& bytes) {
+    now += std::chrono::milliseconds{5};
+    actions.clear();
+    OnCallerDatagram(gate, flow, bytes, now, random, actions);
+    OnTargetDatagram(gate, flow, bytes, now, random, actions);
+    OnGateTick(gate, now, random, actions);
+    answered += actions.size();
+  });
+  CHECK(answered > 0);
+}
