--- a/standins/fabric.cc
+++ b/standins/fabric.cc
@@ -165,23 +165,6 @@
       });
 }
 
-auto ReceiveHealth(BalancerPort& balancer) -> void {
-  balancer.socket.async_receive(asio::buffer(balancer.buffer),
-                                [&balancer](std::error_code ec, std::size_t n) {
-                                  if (ec == asio::error::operation_aborted) {
-                                    return;
-                                  }
-                                  if (ec) {
-                                    MarkDown(balancer);
-                                  } else if (n == 1) {
-                                    balancer.ready =
-                                        balancer.buffer[0] == kHealthReady;
-                                    balancer.last_answer = steady_clock::now();
-                                  }
-                                  ReceiveHealth(balancer);
-                                });
-}
-
 auto ProbeHealth(Fabric& fabric) -> void {
   const auto now = steady_clock::now();
   for (const auto& it : fabric.balancers) {
@@ -248,6 +231,26 @@
   }
 }
 
+/// A balancer answers health checks, and callers whose flow is over.
+auto ReceiveFromBalancer(Fabric& fabric, BalancerPort& balancer) -> void {
+  balancer.socket.async_receive(
+      asio::buffer(balancer.buffer),
+      [&fabric, &balancer](std::error_code ec, std::size_t n) {
+        if (ec == asio::error::operation_aborted) {
+          return;
+        }
+        if (ec) {
+          MarkDown(balancer);
+        } else if (n == 1) {
+          balancer.ready = balancer.buffer[0] == kHealthReady;
+          balancer.last_answer = steady_clock::now();
+        } else {
+          HandleReturn(fabric, std::span(balancer.buffer).first(n));
+        }
+        ReceiveFromBalancer(fabric, balancer);
+      });
+}
+
 auto ReceiveReturns(Fabric& fabric) -> void {
   fabric.return_socket.async_receive(
       asio::buffer(fabric.return_buffer),
@@ -301,7 +304,7 @@
     fabric.balancers.push_back(std::make_unique<BalancerPort>(BalancerPort{
         .socket = udp::socket(fabric.io, udp::v4()), .address = address}));
     fabric.balancers.back()->socket.connect(ToAsio(address));
-    ReceiveHealth(*fabric.balancers.back());
+    ReceiveFromBalancer(fabric, *fabric.balancers.back());
   }
   fabric.return_socket.open(udp::v4());
   fabric.return_socket.bind(ToAsio(fabric.options.return_address));
