--- a/bench/workers.cc
+++ b/bench/workers.cc
@@ -62,7 +62,8 @@
 
 /// Runs all senders against a forwarder that sends to the sinks.
 auto PacketsPerSecond(
-    const std::function<Endpoint(std::vector<Endpoint>)>& start) -> double {
+    const std::function<Endpoint(const std::vector<Endpoint>&)>& start)
+    -> double {
   asio::io_context io;
   std::vector<asio::ip::udp::socket> sinks;
   std::vector<Endpoint> endpoints;
@@ -89,7 +90,7 @@
   asio::io_context io;
   UdpSocket socket(io, kLoopback);
   std::thread thread;
-  const double rate = PacketsPerSecond([&](std::vector<Endpoint> sinks) {
+  const double rate = PacketsPerSecond([&](const std::vector<Endpoint>& sinks) {
     socket.Receive([&socket, sinks](Endpoint, ByteView datagram) {
       const auto view = ParsePacket(datagram);
       socket.Send(sinks[view.source.address % kSenders], datagram);
