--- a/bench/common/slot_model.cc
+++ b/bench/common/slot_model.cc
@@ -15,6 +15,7 @@
 // Long against the links' delay, so that waits come from choices alone.
 constexpr Duration kMeanService = std::chrono::seconds{1};
 constexpr double kPercentile = 0.99;
+constexpr int kColdShare = 5;
 
 struct Job {
   Duration arrival{};
@@ -96,13 +97,20 @@
     const Duration wait = network_.now() - (start_ + jobs_[job].arrival);
     waits_[job] = static_cast<double>(wait.count()) /
                   static_cast<double>(kMeanService.count());
-    const double factor = target == 0 ? options_.crowded_factor : 1;
+    const double factor = IsSlow(target) ? options_.crowded_factor : 1;
     const Duration service{static_cast<Duration::rep>(
         static_cast<double>(jobs_[job].service.count()) * factor)};
     network_.At(network_.now() + service,
                 [this, job, target]() { Finish(job, target); });
   }
 
+  [[nodiscard]] auto IsSlow(std::uint32_t target) const -> bool {
+    const Duration period = options_.cold_period;
+    return target == 0 &&
+           (period == Duration{0} ||
+            (network_.now() - start_) % period < period / kColdShare);
+  }
+
   auto Finish(std::uint32_t job, std::uint32_t target) -> void {
     auto& queue = queues_[target];
     if (on_done) {
--- a/bench/common/slot_model.h
+++ b/bench/common/slot_model.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 
+#include "hawthornbank/types.h"
+
 /// @file
 /// Waits for a slot: one flow a request, exponential service, the real agents.
 namespace hawthornbank::bench {
@@ -14,7 +16,10 @@
   double load = 0.7;  ///< Share of slot capacity in demand.
   std::uint32_t arrivals = 150'000;
   double crowded_factor = 1;  ///< How much slower the first target serves.
-  double report_error = 0;    ///< Most by which a reported mean is off.
+  /// It is slow only for a fifth of this time, as after a cold start; 0:
+  /// always.
+  Duration cold_period{0};
+  double report_error = 0;  ///< Most by which a reported mean is off.
   std::uint64_t seed = 1;
 };
 
