--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -7,6 +7,7 @@
 #include "hawthornbank/configuration.h"
 #include "hawthornbank/routing_table.h"
 #include "protocol/status_json.h"
+#include "transport/agent_setup.h"
 #include "transport/clock.h"
 #include "transport/configuration_binding.h"
 #include "transport/control_channel.h"
@@ -126,34 +127,9 @@
     agent_.options.service = service.id;
     slots_ = service.slots;
     const Incarnation incarnation = MakeIncarnation();
-    OpenGate(service, incarnation);
-    announcer_ = MakeAnnouncer(AnnouncerOptions{
-        .self = TargetRecord{.id = TargetId{HashName(settings_.name)},
-                             .name = settings_.name,
-                             .service = service.id,
-                             .agent = settings_.peer,
-                             .zone = settings_.zone,
-                             .incarnation = incarnation},
-        .seeds = settings_.balancers,
-    });
-  }
-
-  auto OpenGate(const Service& service, Incarnation incarnation) -> void {
-    const KeyRing keys = MakeKeyRing(settings_.key, settings_.previous_key);
-    std::vector<ControlKey> token_keys = {keys.control};
-    if (keys.previous_control) {
-      token_keys.push_back(*keys.previous_control);
-    }
-    link_.OpenGate(CoapGateOptions{
-        .gate = {.target = TargetId{HashName(settings_.name)},
-                 .incarnation = incarnation,
-                 .slots = service.slots,
-                 .retry_share = settings_.retry_budget_percent / 100.0},
-        .max_connections = service.max_connections,
-        .token_keys = token_keys,
-        .pass_to_other_targets = true,
-        .counts_double = service.non_idempotent_counts_double,
-    });
+    link_.OpenGate(GateOptionsFor(settings_, service, incarnation));
+    announcer_ =
+        MakeAnnouncer(AnnouncerOptionsFor(settings_, service, incarnation));
   }
 
   auto HandleMessage(Endpoint from, const Message& message) -> void {
