Find a flow's home, and whether a packet may open one, in one place

Balancer and agent each had their own copy of both rules, and they must agree for duplicated openings to meet.

--- a/include/hawthornbank/candidates.h
+++ b/include/hawthornbank/candidates.h
@@ -15,6 +15,10 @@
 /// order of all others stays.
 namespace hawthornbank {
 
+/// Time for which a new target isn't asked first by balancers. It covers the
+/// time in which balancers can disagree about who is there.
+inline constexpr Duration kTargetJoinWindow = std::chrono::seconds{3};
+
 /// A target as the hash sees it.
 struct Candidate {
   TargetId id{};
@@ -41,6 +45,16 @@
                     std::uint64_t flow_hash,
                     TimePoint joined_by = TimePoint::max()) -> const Candidate*;
 
+/// Finds a flow's home. A new target is none until every balancer can know
+/// it; if all are new, the service itself is, and there is no older home.
+/// @param candidates Targets to choose from.
+/// @param flow_hash HashFlow of the flow.
+/// @param now The present instant.
+/// @return The home, or null when there is no target.
+auto FindHome(std::span<const Candidate> candidates,
+              std::uint64_t flow_hash,
+              TimePoint now) -> const Candidate*;
+
 /// Ranks the first targets for a flow.
 /// @param candidates Targets to choose from.
 /// @param flow_hash HashFlow of the flow.
--- a/include/hawthornbank/packet.h
+++ b/include/hawthornbank/packet.h
@@ -48,6 +48,14 @@
 /// @return The view; its kind is kMalformed when the packet isn't understood.
 auto ParsePacket(ByteView bytes) -> PacketView;
 
+/// @param packet A parsed packet.
+/// @return Whether it may be the first of its flow: a TCP SYN, or any UDP.
+constexpr auto MayOpenFlow(const PacketView& packet) -> bool {
+  return packet.kind == PacketKind::kOpening ||
+         (packet.transport == Transport::kUdp &&
+          packet.kind == PacketKind::kData);
+}
+
 /// Writes an IPv4 packet that carries one UDP datagram.
 /// @param source Sender.
 /// @param destination Receiver.
--- a/include/hawthornbank/routing.h
+++ b/include/hawthornbank/routing.h
@@ -22,10 +22,6 @@
 /// whichever balancers they come through.
 namespace hawthornbank {
 
-/// Time for which a new target isn't asked first by balancers. It covers the
-/// time in which balancers can disagree about who is there.
-inline constexpr Duration kTargetJoinWindow = std::chrono::seconds{3};
-
 /// Time without word from any peer or the platform after which a balancer
 /// opens no flows, as its view may be out of date.
 inline constexpr Duration kIsolationTimeout = std::chrono::seconds{10};
--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -1,7 +1,6 @@
 #include "hawthornbank/agent.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "coordination/flow_walk.h"
 
--- a/src/coordination/candidates.cc
+++ b/src/coordination/candidates.cc
@@ -67,6 +67,14 @@
   return first;
 }
 
+auto FindHome(std::span<const Candidate> candidates,
+              std::uint64_t flow_hash,
+              TimePoint now) -> const Candidate* {
+  const auto* const home =
+      FirstCandidate(candidates, flow_hash, now - kTargetJoinWindow);
+  return home != nullptr ? home : FirstCandidate(candidates, flow_hash);
+}
+
 auto RankCandidates(std::span<const Candidate> candidates,
                     std::uint64_t flow_hash,
                     std::size_t count) -> std::vector<Endpoint> {
--- a/src/coordination/flow_walk.cc
+++ b/src/coordination/flow_walk.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <limits>
 
-#include "hawthornbank/routing.h"
-
 namespace hawthornbank::detail {
 namespace {
 
@@ -27,13 +25,6 @@
   std::vector<AgentAction>& out;
 };
 
-auto MayOpenFlow(const Visit& visit) -> bool {
-  const auto& packet = visit.packet;
-  return packet.kind == PacketKind::kOpening ||
-         (packet.transport == Transport::kUdp &&
-          packet.kind == PacketKind::kData);
-}
-
 auto RefusesAll(const Agent& agent) -> bool {
   return agent.draining || agent.flows.size() >= agent.options.max_connections;
 }
@@ -168,7 +159,7 @@
     Count(visit.agent.counters, Counter::kDropUnknownIcmp);
     return;
   }
-  if (!MayOpenFlow(visit) || visit.header.established) {
+  if (!MayOpenFlow(visit.packet) || visit.header.established) {
     Refuse(visit, Counter::kResetUnknownFlow);
     return;
   }
@@ -189,7 +180,7 @@
 auto ContinueLookup(const Visit& visit) -> void {
   TunnelHeader header = visit.header;
   // Should the flow come here first next time, it must meet its home.
-  if (MayOpenFlow(visit)) {
+  if (MayOpenFlow(visit.packet)) {
     NoteWalk(visit, header.walk[0]);
   }
   const auto next = static_cast<std::uint8_t>(header.index + 1);
@@ -204,12 +195,8 @@
 // While a change is young, openings meet at the older home, so that balancers
 // that know the change and ones that don't ask in the same order.
 auto HomeFor(const Visit& visit) -> Endpoint {
-  const auto& view = visit.agent.view;
-  const std::uint64_t hash = HashFlow(visit.key);
-  const auto* home = FirstCandidate(view, hash, visit.now - kTargetJoinWindow);
-  if (home == nullptr) {
-    home = FirstCandidate(view, hash);
-  }
+  const auto* const home =
+      FindHome(visit.agent.view, HashFlow(visit.key), visit.now);
   return home == nullptr ? visit.agent.options.self : home->agent;
 }
 
@@ -227,7 +214,7 @@
   const bool learning =
       visit.now - agent.view_changed < agent.options.learning_time ||
       agent.pointers.contains(visit.key);
-  if (MayOpenFlow(visit) && !visit.header.established && !learning) {
+  if (MayOpenFlow(visit.packet) && !visit.header.established && !learning) {
     Decide(visit);
     return;
   }
--- a/src/coordination/routing.cc
+++ b/src/coordination/routing.cc
@@ -23,16 +23,6 @@
   };
 }
 
-// A new target is no flow's home until every balancer knows it; if all are
-// new, the service itself is, and there is no older home to ask.
-auto FindHome(const RoutedService& service,
-              std::uint64_t flow_hash,
-              TimePoint now) -> const Candidate* {
-  const auto* const home =
-      FirstCandidate(service.candidates, flow_hash, now - kTargetJoinWindow);
-  return home != nullptr ? home : FirstCandidate(service.candidates, flow_hash);
-}
-
 // Whether the owner is still the process that took the flow.
 auto IsUnchanged(const RoutingTable& table, const CachedOwner& owner) -> bool {
   const auto it = table.live_agents.find(owner.agent);
@@ -58,12 +48,6 @@
   return state.alone || now - state.last_heard <= kIsolationTimeout;
 }
 
-auto MayOpen(const PacketView& packet) -> bool {
-  return packet.kind == PacketKind::kOpening ||
-         (packet.transport == Transport::kUdp &&
-          packet.kind == PacketKind::kData);
-}
-
 }  // namespace
 
 auto RoutePacket(const RoutingTable& table,
@@ -101,10 +85,10 @@
     cache.Erase(key);
   }
   Count(counters, Counter::kCacheMisses);
-  if (!established && MayOpen(packet) && !MayOpenFlows(state, now)) {
+  if (!established && MayOpenFlow(packet) && !MayOpenFlows(state, now)) {
     return Drop(counters, Counter::kDropIsolated);
   }
-  const auto* const home = FindHome(service, HashFlow(key), now);
+  const auto* const home = FindHome(service.candidates, HashFlow(key), now);
   if (home == nullptr) {
     return Drop(counters, Counter::kDropNoTarget);
   }
