Tell the request gate of a drain, so that a leaving agent refuses and ends

Cause: TargetLink::BeginDrain was called by nothing. New flows were passed on, as they should be, but requests on flows opened before went on running, and an agent told to stop waited for a drain that never began: it didn't end by itself at all. The demo's callers reuse a flow for five requests, so it depended on which idle flow was taken whether any came late.

Now a drain begins and ends at the gate too. The spread's own test now provokes overload instead of a drain, the same bounds. [limits] drain_limit_s of an agent, so far read and not used, bounds its stop.

The demo gains 14 callers that keep a flow and send a request a second on it, and stops an agent as planned.

--- a/apps/hawthornload/arrivals.cc
+++ b/apps/hawthornload/arrivals.cc
@@ -12,6 +12,9 @@
 
 using std::chrono::milliseconds;
 
+/// Between two requests of a steady caller.
+constexpr std::chrono::seconds kSteadyInterval{1};
+
 /// @return Time to the next event of a Poisson process.
 auto NextGap(Random& random, double per_second) -> Clock::duration {
   const std::chrono::duration<double> gap(
@@ -85,7 +88,13 @@
 
 auto MakeArrivals(const LoadOptions& options, Clock::time_point start)
     -> Arrivals {
-  Arrivals arrivals{.random = Random(options.seed), .start = start};
+  Arrivals arrivals{
+      .random = Random(options.seed), .start = start, .next_steady = start};
+  for (const auto& it : options.services) {
+    if (!it.workload.request_path.empty()) {
+      arrivals.request_services.push_back(&it);
+    }
+  }
   if (options.sheet.empty()) {
     AddConstant(arrivals, options);
   } else {
@@ -114,21 +123,46 @@
   return due;
 }
 
+namespace {
+
+// Ends in a dot, so that no identity is the start of another.
+auto NextId(Arrivals& arrivals, const LoadOptions& options) -> std::string {
+  return std::to_string(options.seed) + "-" + std::to_string(arrivals.count++) +
+         ".";
+}
+
+auto StartSteadyCallers(Arrivals& arrivals,
+                        Requests& requests,
+                        coap_context_t* context,
+                        const LoadOptions& options,
+                        Clock::time_point now) -> void {
+  const auto& services = arrivals.request_services;
+  if (now < arrivals.next_steady || services.empty()) {
+    return;
+  }
+  arrivals.next_steady += kSteadyInterval;
+  for (std::uint32_t n = 0; n < options.steady_callers; ++n) {
+    StartRequest(requests, context, *services[n % services.size()],
+                 NextId(arrivals, options), options.deadline, n);
+  }
+}
+
+}  // namespace
+
 auto StartDue(Arrivals& arrivals,
               Requests& requests,
               coap_context_t* context,
               const LoadOptions& options,
               Clock::time_point now) -> void {
   for (const auto* const it : TakeDue(arrivals, options, now)) {
-    // Ends in a dot, so that no identity is the start of another.
-    const auto id = std::to_string(options.seed) + "-" +
-                    std::to_string(arrivals.count++) + ".";
+    const auto id = NextId(arrivals, options);
     if (it->upload) {
       StartUpload(requests, context, *it->service, id, options.upload_bytes);
     } else {
       StartRequest(requests, context, *it->service, id, options.deadline);
     }
   }
+  StartSteadyCallers(arrivals, requests, context, options, now);
 }
 
 }  // namespace hawthornbank::load
--- a/apps/hawthornload/arrivals.h
+++ b/apps/hawthornload/arrivals.h
@@ -28,6 +28,8 @@
   Random random;
   Clock::time_point start;
   std::vector<ArrivalStream> streams;
+  std::vector<const ServiceUnderLoad*> request_services;
+  Clock::time_point next_steady;  ///< When each steady caller sends again.
   std::uint64_t count = 0;
 };
 
--- a/apps/hawthornload/options.cc
+++ b/apps/hawthornload/options.cc
@@ -78,6 +78,9 @@
       "SERVICE=ADDRESS:PORT", line);
   TCLAP::ValueArg<std::uint32_t> watches("", "watches", "boards held open",
                                          false, 0, "N", line);
+  TCLAP::ValueArg<std::uint32_t> steady(
+      "", "steady-callers", "callers that keep a flow, a request a second each",
+      false, 0, "N", line);
   TCLAP::ValueArg<double> rate("", "rate", "requests a second, all services",
                                false, 0, "R", line);
   TCLAP::ValueArg<std::uint32_t> uploads("", "uploads", "uploads in the run",
@@ -102,6 +105,7 @@
                                       false, "", "FILE", line);
   line.parse(argc, argv);
   LoadOptions options{.watches = watches.getValue(),
+                      .steady_callers = steady.getValue(),
                       .requests_per_second = rate.getValue(),
                       .uploads = uploads.getValue(),
                       .upload_bytes = upload_bytes.getValue(),
--- a/apps/hawthornload/options.h
+++ b/apps/hawthornload/options.h
@@ -27,9 +27,10 @@
 /// Settings of a run, from the command line.
 struct LoadOptions {
   std::vector<ServiceUnderLoad> services;
-  std::uint32_t watches = 0;       ///< Boards and feeds held open.
-  double requests_per_second = 0;  ///< Over all services.
-  std::uint32_t uploads = 0;       ///< Expected number in the run.
+  std::uint32_t watches = 0;         ///< Boards and feeds held open.
+  std::uint32_t steady_callers = 0;  ///< Send each second on a flow they keep.
+  double requests_per_second = 0;    ///< Over all services.
+  std::uint32_t uploads = 0;         ///< Expected number in the run.
   std::size_t upload_bytes = 0;
   std::chrono::milliseconds duration{0};
   std::chrono::milliseconds deadline{0};  ///< Of each request.
--- a/apps/hawthornload/requests.cc
+++ b/apps/hawthornload/requests.cc
@@ -35,9 +35,21 @@
   return by_service[request.service->workload.service];
 }
 
+auto TakeSteadyFlow(Requests& requests,
+                    coap_context_t* context,
+                    const ServiceUnderLoad& service,
+                    std::uint32_t caller) -> std::unique_ptr<Flow> {
+  auto& kept = requests.steady_flows[caller];
+  return kept ? std::move(kept) : OpenFlow(context, service.address);
+}
+
 auto TakeFlow(Requests& requests,
               coap_context_t* context,
-              const ServiceUnderLoad& service) -> std::unique_ptr<Flow> {
+              const Request& request) -> std::unique_ptr<Flow> {
+  const auto& service = *request.service;
+  if (request.steady_caller) {
+    return TakeSteadyFlow(requests, context, service, *request.steady_caller);
+  }
   auto& idle = requests.idle_flows[service.workload.service];
   if (idle.empty()) {
     return OpenFlow(context, service.address);
@@ -66,7 +78,7 @@
 
 auto Try(Requests& requests, coap_context_t* context, Request& request)
     -> void {
-  request.flow = TakeFlow(requests, context, *request.service);
+  request.flow = TakeFlow(requests, context, request);
   ++request.tries;
   request.flow->on_reply = [&requests, &request](const Reply& reply) {
     if (!request.outcome && !request.retry_at) {
@@ -123,13 +135,19 @@
 
 /// Keeps the flow of an answered request for the next one.
 auto RecycleFlow(Requests& requests, Request& request) -> void {
-  if (request.outcome != Outcome::kAnswered || IsUpload(request) ||
-      request.flow->requests >= kRequestsPerFlow) {
+  if (request.outcome != Outcome::kAnswered || IsUpload(request)) {
     return;
   }
   request.flow->on_reply = nullptr;
   request.flow->on_failure = nullptr;
   request.flow->token.clear();
+  if (request.steady_caller) {
+    requests.steady_flows[*request.steady_caller] = std::move(request.flow);
+    return;
+  }
+  if (request.flow->requests >= kRequestsPerFlow) {
+    return;
+  }
   requests.idle_flows[request.service->workload.service].push_back(
       std::move(request.flow));
 }
@@ -181,11 +199,13 @@
                   coap_context_t* context,
                   const ServiceUnderLoad& service,
                   const std::string& id,
-                  std::chrono::milliseconds deadline) -> void {
+                  std::chrono::milliseconds deadline,
+                  std::optional<std::uint32_t> steady_caller) -> void {
   auto request = std::make_unique<Request>();
   const auto now = Clock::now();
   request->service = &service;
   request->id = id;
+  request->steady_caller = steady_caller;
   request->expected = " " + id;
   request->start = now;
   request->deadline = now + deadline;
--- a/apps/hawthornload/requests.h
+++ b/apps/hawthornload/requests.h
@@ -34,6 +34,7 @@
   Message message;
   std::string expected;  ///< The answer must contain it.
   std::unique_ptr<Flow> flow;
+  std::optional<std::uint32_t> steady_caller;  ///< Whose flow it keeps.
   Clock::time_point start;
   Clock::time_point deadline;
   std::optional<Clock::time_point> retry_at;
@@ -73,8 +74,9 @@
   Clock::time_point start = Clock::now();
   std::vector<std::unique_ptr<Request>> active;
   std::map<std::string, std::vector<std::unique_ptr<Flow>>> idle_flows;
-  std::map<std::string, RequestCounters> requests;  ///< By service.
-  std::map<std::string, RequestCounters> uploads;   ///< By service.
+  std::map<std::uint32_t, std::unique_ptr<Flow>> steady_flows;  ///< By caller.
+  std::map<std::string, RequestCounters> requests;              ///< By service.
+  std::map<std::string, RequestCounters> uploads;               ///< By service.
 };
 
 /// Decides what a reply means for its request. Sends nothing.
@@ -90,11 +92,13 @@
 /// @param service Service to ask.
 /// @param id Identity of the request, unique in the run.
 /// @param deadline Time from now in which it must be answered.
+/// @param steady_caller Caller whose kept flow to use, if it is one's.
 auto StartRequest(Requests& requests,
                   coap_context_t* context,
                   const ServiceUnderLoad& service,
                   const std::string& id,
-                  std::chrono::milliseconds deadline) -> void;
+                  std::chrono::milliseconds deadline,
+                  std::optional<std::uint32_t> steady_caller = {}) -> void;
 
 /// Starts an upload in parts.
 /// @param requests Where to keep it.
--- a/include/hawthornbank/coap_gate.h
+++ b/include/hawthornbank/coap_gate.h
@@ -148,6 +148,10 @@
 /// @param gate The gate.
 auto BeginGateDrain(CoapGate& gate) -> void;
 
+/// Takes new requests again.
+/// @param gate The gate.
+auto EndGateDrain(CoapGate& gate) -> void;
+
 /// @param gate The gate.
 /// @param now The present instant.
 /// @return Whether a draining gate has nothing left to answer.
--- a/include/hawthornbank/request_gate.h
+++ b/include/hawthornbank/request_gate.h
@@ -246,6 +246,10 @@
 /// @param gate The gate.
 auto BeginDrain(RequestGate& gate) -> void;
 
+/// Takes new work again.
+/// @param gate The gate.
+auto EndDrain(RequestGate& gate) -> void;
+
 /// Ends everything at once and tells each waiter what is known.
 /// @param gate The gate.
 /// @param now The present instant.
--- a/src/coordination/request_gate.cc
+++ b/src/coordination/request_gate.cc
@@ -303,6 +303,10 @@
   gate.state->draining = true;
 }
 
+auto EndDrain(RequestGate& gate) -> void {
+  gate.state->draining = false;
+}
+
 auto Abort(RequestGate& gate,
            TimePoint now,
            Random& random,
--- a/src/coordination/request_gate_state.cc
+++ b/src/coordination/request_gate_state.cc
@@ -9,8 +9,12 @@
 
 constexpr std::size_t kGivenUpLimit = 1024;
 
-auto ComeBack(const RequestGateState& state, Random& random)
+auto ComeBack(const RequestGateState& state, ErrorKind error, Random& random)
     -> std::chrono::seconds {
+  // Another target takes the request at once, over a new flow.
+  if (error == ErrorKind::kDraining) {
+    return std::chrono::seconds{0};
+  }
   const auto& options = state.options;
   const auto spread = std::chrono::milliseconds{static_cast<std::int64_t>(
       NextFraction(random) *
@@ -105,7 +109,7 @@
   RequestAction action{
       .kind = RequestAction::Kind::kRefuse, .waiter = waiter, .error = error};
   if (AnswerFor(error).retryable) {
-    action.retry_after = ComeBack(state, random);
+    action.retry_after = ComeBack(state, error, random);
   }
   out.push_back(std::move(action));
 }
--- a/src/protocol/coap_gate.cc
+++ b/src/protocol/coap_gate.cc
@@ -346,6 +346,10 @@
   BeginDrain(gate.state->gate);
 }
 
+auto EndGateDrain(CoapGate& gate) -> void {
+  EndDrain(gate.state->gate);
+}
+
 auto IsGateDrained(const CoapGate& gate, TimePoint now) -> bool {
   const auto load = Load(gate.state->gate, now);
   return load.draining && load.slots_busy == 0 && load.queued == 0;
--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -52,6 +52,7 @@
                .on_stop =
                    [this](const std::string& reason) {
                      stopping_ = true;
+                     LimitDrain();
                      StartDrain(reason);
                    },
                .on_force = [this]() { link_.Abort(); }}) {}
@@ -116,6 +117,7 @@
     }
     agent_.options.max_connections = service->max_connections;
     agent_.options.drain_limit = service->drain_limit;
+    LimitDrain();
     const auto& draining = next.draining;
     const bool leaves = std::find(draining.begin(), draining.end(),
                                   settings_.name) != draining.end();
@@ -315,6 +317,14 @@
            now - agent_.drain_started > kLeaveGrace;
   }
 
+  // A host that is told to stop may have less time than the service allows.
+  auto LimitDrain() -> void {
+    if (stopping_) {
+      agent_.options.drain_limit =
+          std::min<Duration>(agent_.options.drain_limit, settings_.drain_limit);
+    }
+  }
+
   auto StartDrain(const std::string& reason) -> void {
     if (agent_.draining) {
       return;
@@ -322,6 +332,7 @@
     Log(Layer::kCoordination, LogLevel::kInfo, "drain_started",
         {{"target", settings_.name}, {"reason", reason}});
     BeginDrain(agent_, MonotonicNow());
+    link_.BeginDrain();
     if (announcer_) {
       std::vector<AnnouncerAction> actions;
       BeginDrain(*announcer_, MonotonicNow(), actions);
@@ -333,7 +344,10 @@
     if (!agent_.draining || stopping_) {
       return;
     }
+    Log(Layer::kCoordination, LogLevel::kInfo, "drain_ended",
+        {{"target", settings_.name}});
     EndDrain(agent_);
+    link_.EndDrain();
     if (announcer_) {
       std::vector<AnnouncerAction> actions;
       CancelDrain(*announcer_, MonotonicNow(), actions);
--- a/src/transport/target_link.cc
+++ b/src/transport/target_link.cc
@@ -162,6 +162,12 @@
   }
 }
 
+auto TargetLink::EndDrain() -> void {
+  if (gate_) {
+    EndGateDrain(*gate_);
+  }
+}
+
 auto TargetLink::Abort() -> void {
   if (gate_) {
     GateActions actions;
--- a/src/transport/target_link.h
+++ b/src/transport/target_link.h
@@ -54,6 +54,8 @@
   auto Tick(TimePoint now) -> void;
   /// Refuses new requests from now on.
   auto BeginDrain() -> void;
+  /// Takes new requests again.
+  auto EndDrain() -> void;
   /// Ends every request at once, with a true answer to each.
   auto Abort() -> void;
 
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -147,6 +147,8 @@
 [log]
 level = info
 layout = text
+[limits]
+drain_limit_s = 3
 INI
 }
 
@@ -235,11 +237,12 @@
   python3 support/demo_report.py fetch "${pairs[@]}"
 }
 
-# The balancer that was stopped doesn't answer.
+# What was stopped doesn't answer.
 fetch_daemons() {
   local name
   local pairs=()
   for name in "${TARGETS[@]}" entry-depot-north entry-depot-south; do
+    [ "$name" != planstore-3 ] || continue
     pairs+=("http://${METRICS[$name]}/status" "$DIR/daemon-$name.json")
   done
   python3 support/demo_report.py fetch "${pairs[@]}"
@@ -250,6 +253,18 @@
 print(max(0, float(sys.argv[1]) + float(sys.argv[2]) - time.time()))' "$T0" "$1")"
 }
 
+# stop_as_planned NAME: a graceful stop ends by itself, with exit code 0.
+stop_as_planned() {
+  say "stopping $1 as planned (SIGTERM)"
+  kill -TERM "${PID[$1]}"
+  if ! wait "${PID[$1]}"; then
+    echo "demo: $1 didn't stop gracefully" >&2
+    return 1
+  fi
+  unset "PID[$1]"
+  say "$1 has stopped"
+}
+
 change_things() {
   at 4
   say "killing balancer entry-depot-south (SIGKILL)"
@@ -264,14 +279,9 @@
   at 15
   snapshot .drained
   at 17
-  say "stopping balancer entry-civic-hall as planned (SIGTERM)"
-  kill -TERM "${PID[entry-civic-hall]}"
-  if ! wait "${PID[entry-civic-hall]}"; then
-    echo "demo: entry-civic-hall didn't stop gracefully" >&2
-    return 1
-  fi
-  unset "PID[entry-civic-hall]"
-  say "entry-civic-hall has stopped"
+  stop_as_planned entry-civic-hall
+  at 20
+  stop_as_planned agent-planstore-3
 }
 
 DIR=${KEEP:-$(mktemp -d)}
@@ -292,7 +302,7 @@
 say "serving; callers start"
 snapshot .start
 T0=$(date +%s.%N)
-load --watches 30 --rate 60 --uploads 20 --upload-bytes 65536 \
+load --watches 30 --steady-callers 14 --rate 60 --uploads 20 --upload-bytes 65536 \
   --seconds "$SECONDS_OF_LOAD" --seed 1 --report "$DIR/load.json" \
   >"$DIR/load.log" 2>&1 &
 PID[load]=$!
--- a/test/coap_gate_test.cc
+++ b/test/coap_gate_test.cc
@@ -371,6 +371,15 @@
   CHECK(IsGateDrained(gate, now));
 }
 
+TEST(CoapGate, EndOfDrainTakesRequestsAgain) {
+  BeginGateDrain(gate);
+  CHECK(IsGateDrained(gate, now));
+  EndGateDrain(gate);
+  CHECK_FALSE(IsGateDrained(gate, now));
+  FromCaller(flow, Make(kCoapGet, "x", ""));
+  CHECK(Sent(0, To::kToTarget).code == kCoapGet);
+}
+
 TEST(CoapGate, TargetsRefusalIsRetriedThenPassedWithComeBack) {
   FromCaller(flow, Make(kCoapGet, "x", ""));
   auto shed = AnswerOf(Sent(0, To::kToTarget), "");
--- a/test/request_gate_test.cc
+++ b/test/request_gate_test.cc
@@ -327,6 +327,21 @@
   CHECK(out.back().kind == Kind::kStart);
 }
 
+TEST(RequestGate, DrainSendsCallersElsewhereAtOnce) {
+  WarmUp();
+  BeginDrain(gate);
+  LONGS_EQUAL(0, SendPlain().retry_after.count());
+}
+
+TEST(RequestGate, EndOfDrainTakesNewWorkAgain) {
+  WarmUp();
+  BeginDrain(gate);
+  CheckRefused(SendPlain(), ErrorKind::kDraining);
+  EndDrain(gate);
+  CHECK(SendPlain().kind == Kind::kStart);
+  CHECK_FALSE(Load(gate, now).draining);
+}
+
 TEST(RequestGate, AbortTellsEachWaiterTheTruth) {
   WarmUp();
   const auto running = WithToken("a");
@@ -380,10 +395,15 @@
 }
 
 TEST(RequestGate, ComeBackInstantsAreSpread) {
-  BeginDrain(gate);
+  WarmUp();
+  for (std::uint32_t n = 0; n < options.slots + options.queue_limit; ++n) {
+    SendPlain();
+  }
   int counts[6] = {};
   for (int n = 0; n < 1000; ++n) {
-    const auto after = SendPlain().retry_after.count();
+    const auto refused = SendPlain();
+    CheckRefused(refused, ErrorKind::kOverloaded);
+    const auto after = refused.retry_after.count();
     CHECK(after >= 1 && after <= 5);
     ++counts[after];
   }
