Let a second balancer tell an agent of a new generation

Cause, found while looking for late news of a drain: an agent heard of a change from the one balancer that it reports to. If that one had just died, the agent heard of it at its next report to another, which it chose after 9 s of silence. A target drained in that time went on taking flows.

Now two of eight reports go to a standby also, which offers what is new up to three times and doesn't count the agent. Silence of the counting balancer is judged by its own answers only.

--- a/bench/common/configuration_fixture.cc
+++ b/bench/common/configuration_fixture.cc
@@ -19,6 +19,8 @@
 constexpr std::uint64_t kDatagramBytes = 28 + 8 + 24 + 32;
 /// Time that membership needs to tell a new process of the balancers.
 constexpr milliseconds kMembershipDelay{1000};
+/// Until agents replace a balancer that no longer answers.
+constexpr milliseconds kLossNoticed{7000};
 
 auto SizeOf(const ConfigurationMessage& message) -> std::uint64_t {
   std::ostringstream stream;
@@ -93,6 +95,14 @@
 auto ConfigurationFixture::Kill(std::size_t n) -> void {
   nodes[n].alive = false;
   ++nodes[n].life;
+  if (std::exchange(last_loss_, network.now()) == network.now()) {
+    return;
+  }
+  network.At(network.now() + kLossNoticed, [this] {
+    for (auto& node : nodes) {
+      SetBalancers(node.store, LiveBalancers());
+    }
+  });
 }
 
 auto ConfigurationFixture::RunFor(Duration duration) -> void {
--- a/bench/common/configuration_fixture.h
+++ b/bench/common/configuration_fixture.h
@@ -94,6 +94,7 @@
 
   ConfigurationFixtureOptions options_;
   std::vector<BalancerPeer> all_balancers_;
+  TimePoint last_loss_;  ///< When a process was last killed.
 };
 
 }  // namespace hawthornbank::bench
--- a/bench/configuration.cc
+++ b/bench/configuration.cc
@@ -320,6 +320,32 @@
   scenario.Report(WronglyTold(fixture, "before-restart", done.outcome));
 }
 
+/// Changes made a second after balancers died: agents that reported to one of
+/// them have to hear of the change all the same.
+auto RunContactLost(const Size& size) -> void {
+  constexpr std::size_t kRounds = 3;
+  Scenario scenario(size, "contact_lost");
+  auto& fixture = scenario.fixture;
+  const auto dying = std::max<std::size_t>(size.options.balancers / 20, 1);
+  std::uint64_t lost = 0;
+  for (std::size_t round = 0; round < kRounds; ++round) {
+    for (std::size_t n = 0; n < dying; ++n) {
+      fixture.Kill(round * dying + n);
+    }
+    fixture.RunFor(1s);
+    const auto operation = "contact-" + std::to_string(round);
+    auto update = MakeUpdate(operation, static_cast<std::uint32_t>(round) + 1);
+    const auto done = Finish(fixture, update);
+    lost += WronglyTold(fixture, operation, done.outcome);
+    scenario.InForce(ToInteger(scenario.Newest()));
+    for (std::size_t n = 0; n < dying; ++n) {
+      fixture.Restart(round * dying + n);
+    }
+    fixture.RunFor(20s);
+  }
+  scenario.Report(lost);
+}
+
 /// Every process reads the object once a second.
 auto PrintBaseline(const Size& size) -> void {
   const auto processes = size.options.balancers + size.options.agents;
@@ -352,7 +378,8 @@
   const std::vector<std::pair<std::string, void (*)(const Size&)>> cases = {
       {"change", RunChange},          {"race", RunRace},
       {"lost_answer", RunLostAnswer}, {"platform_down", RunPlatformDown},
-      {"restart_all", RunRestartAll}, {"change", PrintBaseline}};
+      {"restart_all", RunRestartAll}, {"contact_lost", RunContactLost},
+      {"change", PrintBaseline}};
   for (const auto& size : Sizes()) {
     for (const auto& [name, run] : cases) {
       if (wanted.empty() || wanted == name + size.suffix) {
--- a/include/hawthornbank/configuration_messages.h
+++ b/include/hawthornbank/configuration_messages.h
@@ -18,6 +18,8 @@
   kNone,     ///< The sender is counted elsewhere.
   kReports,  ///< The sender is an agent; the receiver counts it.
   kLeaves,   ///< The sender is an agent that another balancer counts now.
+  kStandby,  ///< The sender is an agent that another balancer counts; the
+             ///< receiver tells it of new generations too.
 };
 
 /// Says which generation the sender has in force. Generation 0 asks.
--- a/include/hawthornbank/configuration_store.h
+++ b/include/hawthornbank/configuration_store.h
@@ -115,6 +115,7 @@
 struct ConfigurationReport {
   ConfigurationAck ack;
   TimePoint heard;
+  std::uint32_t unanswered = 0;  ///< Offers of this generation since then.
 };
 
 /// Counters for the operator.
@@ -142,9 +143,12 @@
   Generation best_offer{};
   ConfigurationPlatform platform;
   std::map<HostId, ConfigurationReport> reports;  ///< Agents and children.
+  std::map<HostId, ConfigurationReport>
+      standbys;  ///< Agents counted elsewhere.
   TimePoint started;
   TimePoint next_gossip;
   TimePoint next_report;
+  std::uint32_t reports_sent = 0;
   TimePoint last_answer;               ///< Of the balancer reported to.
   std::vector<HostId> report_choices;  ///< Balancers to report to, best first.
   std::size_t report_choice = 0;       ///< Which of them.
--- a/src/coordination/configuration_internal.h
+++ b/src/coordination/configuration_internal.h
@@ -39,12 +39,21 @@
                 Random& random,
                 ConfigurationActions& actions) -> void;
 
+/// @return The balancer that counts this agent, or 0.
+auto CountingBalancer(const ConfigurationStore& store) -> HostId;
+
 /// Sends an agent's report to the balancer that counts it.
 auto ReportToBalancer(const ConfigurationStore& store,
                       ReportKind kind,
                       TimePoint now,
                       ConfigurationActions& actions) -> void;
 
+/// Sends an agent's reports to the balancer that counts it and to the one
+/// that stands by.
+auto ReportToBoth(const ConfigurationStore& store,
+                  TimePoint now,
+                  ConfigurationActions& actions) -> void;
+
 /// Records an agent's report.
 auto TakeReport(ConfigurationStore& store,
                 HostId from,
--- a/src/coordination/configuration_rollup.cc
+++ b/src/coordination/configuration_rollup.cc
@@ -14,6 +14,12 @@
 constexpr std::chrono::milliseconds kAgentReportInterval{4000};
 /// Silence after which a report no longer counts.
 constexpr std::chrono::seconds kReportLifetime{15};
+/// Silence after which a standby forgets an agent.
+constexpr std::chrono::seconds kStandbyLifetime{90};
+/// Of a cycle of reports, the first ones go to the standby too; two, so that
+/// one may be lost.
+constexpr std::uint32_t kReportCycle = 8;
+constexpr std::uint32_t kStandbyReports = 2;
 /// Silence after which an agent reports to its next balancer.
 constexpr std::chrono::milliseconds kBalancerTimeout{9000};
 /// Balancers that an agent chooses from.
@@ -76,6 +82,22 @@
   std::erase_if(store.reports, [now](const auto& it) {
     return now - it.second.heard > kReportLifetime;
   });
+  std::erase_if(store.standbys, [now](const auto& it) {
+    return now - it.second.heard > kStandbyLifetime;
+  });
+}
+
+auto SendReport(const ConfigurationStore& store,
+                HostId to,
+                ReportKind kind,
+                TimePoint now,
+                ConfigurationActions& actions) -> void {
+  if (to == HostId{}) {
+    return;
+  }
+  auto offer = detail::MakeOffer(store, now);
+  offer.report = kind;
+  actions.push_back(SendConfiguration{.to = to, .message = std::move(offer)});
 }
 
 auto NameLaggard(ConfigurationAck& sum, HostId host) -> void {
@@ -91,23 +113,36 @@
 auto ChooseDuties(ConfigurationStore& store) -> void {
   store.watcher = ChooseWatcher(store);
   if (store.options.role == ConfigurationRole::kAgent) {
-    store.report_choices = ChooseReportTargets(store);
+    auto choices = ChooseReportTargets(store);
+    if (choices != store.report_choices) {
+      store.report_choices = std::move(choices);
+      store.reports_sent = 0;
+    }
   }
 }
 
+auto CountingBalancer(const ConfigurationStore& store) -> HostId {
+  const auto& choices = store.report_choices;
+  return choices.empty() ? HostId{}
+                         : choices[store.report_choice % choices.size()];
+}
+
 auto ReportToBalancer(const ConfigurationStore& store,
                       ReportKind kind,
                       TimePoint now,
                       ConfigurationActions& actions) -> void {
+  SendReport(store, CountingBalancer(store), kind, now, actions);
+}
+
+auto ReportToBoth(const ConfigurationStore& store,
+                  TimePoint now,
+                  ConfigurationActions& actions) -> void {
+  ReportToBalancer(store, ReportKind::kReports, now, actions);
   const auto& choices = store.report_choices;
-  if (choices.empty()) {
-    return;
+  if (choices.size() > 1) {
+    const auto standby = choices[(store.report_choice + 1) % choices.size()];
+    SendReport(store, standby, ReportKind::kStandby, now, actions);
   }
-  const auto balancer = choices[store.report_choice % choices.size()];
-  auto offer = MakeOffer(store, now);
-  offer.report = kind;
-  actions.push_back(
-      SendConfiguration{.to = balancer, .message = std::move(offer)});
 }
 
 auto TickReport(ConfigurationStore& store,
@@ -126,8 +161,13 @@
       ReportToBalancer(store, ReportKind::kLeaves, now, actions);
       store.last_answer = now;
       ++store.report_choice;
+      store.reports_sent = 0;
+    }
+    if (store.reports_sent++ % kReportCycle < kStandbyReports) {
+      ReportToBoth(store, now, actions);
+    } else {
+      ReportToBalancer(store, ReportKind::kReports, now, actions);
     }
-    ReportToBalancer(store, ReportKind::kReports, now, actions);
     return;
   }
   DropOldReports(store, now);
--- a/src/coordination/configuration_store.cc
+++ b/src/coordination/configuration_store.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kGossipInterval{500};
 /// Peers that are told at once of a new generation.
 constexpr std::size_t kFanout = 4;
+/// Offers to an agent that another balancer counts, until it is heard again.
+constexpr std::uint32_t kMaxStandbyOffers = 3;
 /// Earlier values kept as bases of differences.
 constexpr std::size_t kEarlierKept = 4;
 
@@ -40,18 +42,38 @@
   }
 }
 
-auto TellPeers(const ConfigurationStore& store,
+/// Offers what is in force to each process below that has not said to have it.
+auto OfferToLaggards(ConfigurationStore& store,
+                     TimePoint now,
+                     ConfigurationActions& actions) -> void {
+  const auto ours = GenerationInForce(store);
+  for (const auto& [host, report] : store.reports) {
+    if (report.ack.generation < ours) {
+      SendOffer(store, host, now, actions);
+    }
+  }
+  for (auto& [host, report] : store.standbys) {
+    // It may report to another balancer by now.
+    if (report.ack.generation < ours && report.unanswered < kMaxStandbyOffers) {
+      ++report.unanswered;
+      SendOffer(store, host, now, actions);
+    }
+  }
+}
+
+auto TellPeers(ConfigurationStore& store,
                TimePoint now,
                Random& random,
                ConfigurationActions& actions) -> void {
   if (store.options.role == ConfigurationRole::kAgent) {
-    detail::ReportToBalancer(store, ReportKind::kReports, now, actions);
+    detail::ReportToBoth(store, now, actions);
     return;
   }
   OfferToRandomPeers(store, kFanout, now, random, actions);
-  for (const auto& [host, report] : store.reports) {
-    SendOffer(store, host, now, actions);
+  for (auto& [host, report] : store.standbys) {
+    report.unanswered = 0;
   }
+  OfferToLaggards(store, now, actions);
 }
 
 /// Notes that the platform stood behind what is in force some time ago.
@@ -84,16 +106,18 @@
                 HostId from,
                 const ConfigurationOffer& offer,
                 TimePoint now) -> void {
+  store.reports.erase(from);
+  store.standbys.erase(from);
   if (offer.report == ReportKind::kLeaves) {
-    store.reports.erase(from);
     return;
   }
-  detail::TakeReport(store, from,
-                     ConfigurationAck{.generation = offer.generation,
-                                      .hosts = 1,
-                                      .in_force = 1,
-                                      .lagging = {}},
-                     now);
+  auto& below =
+      offer.report == ReportKind::kStandby ? store.standbys : store.reports;
+  below[from] = ConfigurationReport{.ack = {.generation = offer.generation,
+                                            .hosts = 1,
+                                            .in_force = 1,
+                                            .lagging = {}},
+                                    .heard = now};
 }
 
 auto OnMessage(ConfigurationStore& store,
@@ -103,10 +127,10 @@
                Random& /*random*/,
                ConfigurationActions& actions) -> void {
   const auto ours = GenerationInForce(store);
-  if (offer.report == ReportKind::kNone) {
-    store.last_answer = now;
-  } else {
+  if (offer.report != ReportKind::kNone) {
     CountAgent(store, from, offer, now);
+  } else if (from == detail::CountingBalancer(store)) {
+    store.last_answer = now;
   }
   NoteConfirmation(store, offer, now);
   if (offer.generation < ours || offer.report == ReportKind::kReports) {
@@ -182,11 +206,7 @@
     return;
   }
   store.next_gossip = now + detail::WithJitter(kGossipInterval, random);
-  for (const auto& [host, report] : store.reports) {
-    if (report.ack.generation < GenerationInForce(store)) {
-      SendOffer(store, host, now, actions);
-    }
-  }
+  OfferToLaggards(store, now, actions);
   const bool newcomer = store.in_force == nullptr;
   OfferToRandomPeers(store, newcomer ? kFanout : 1, now, random, actions);
 }
--- a/test/configuration_store_test.cc
+++ b/test/configuration_store_test.cc
@@ -87,6 +87,21 @@
   LONGS_EQUAL(0, sum.lagging.size());
 }
 
+TEST(ConfigurationStore, AgentHearsOfAChangeThoughItsBalancerDied) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6}) {
+    for (std::size_t dead = 0; dead < 3; ++dead) {
+      ConfigurationFixture fixture({.seed = seed});
+      fixture.Write(MakeValue(1));
+      fixture.RunUntilInForce(Generation{1}, 60s);
+      fixture.RunFor(10s);
+      fixture.Kill(dead);
+      fixture.RunFor(1s);
+      fixture.Write(MakeValue(2));
+      CHECK(fixture.RunUntilInForce(Generation{2}, 30s) < 3s);
+    }
+  }
+}
+
 TEST(ConfigurationStore, NamesWhoLags) {
   ConfigurationFixture fixture({.loss = 0});
   fixture.Write(MakeValue(1));
