Execute the daily plan under a lease

The plan was computed and shown, but nobody acted on it. A core module now runs at every balancer: the holder of the lease "plan" rests and returns targets by one conditional update of the configuration (new fields resting and plan_epoch, absent in older objects), apart from operators' drains.

Returns are at once, for the plan, for present load (which wins upward) and for crashes. Targets rest in steps of a quarter, 5 minutes apart, after a surplus of 5 minutes and none short for 30. A resting target's flows have no limit; a drain by an operator later counts from its own start. An agent refuses the plan's part of a configuration with an older epoch.

A new holder first writes its epoch. Without that, a write of a holder that was paused after its last check took effect two hours late in the test, as nothing else had changed the object's version.

Ruled out: resting for the shortest time alone. Resting every minute, as each act is a generation for all balancers.

--- /dev/null
+++ b/bench/common/plan_world.cc
@@ -0,0 +1,416 @@
+#include "common/plan_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hawthornbank::bench {
+namespace {
+
+using std::chrono::minutes;
+using namespace std::chrono_literals;
+
+constexpr ServiceId kService{1};
+constexpr Duration kBalancerTick = 500ms;
+constexpr Duration kCall = 5ms;
+constexpr Duration kSpread = 2s;  ///< Until an update is in force.
+constexpr Duration kLook = 5s;
+constexpr Duration kFlowTick = 10s;
+constexpr std::uint32_t kLooksPerMinute = 12;
+/// One flow in this many has a request in flight.
+constexpr std::size_t kFlowsPerRequest = 10;
+/// One flow in this many is a watch or a feed.
+constexpr std::uint32_t kFlowsPerLong = 50;
+/// Mean lives of flows, in ticks.
+constexpr double kShortLife = 60;
+constexpr double kLongLife = 1440;
+constexpr double kHeadroom = 1.2;
+
+auto FirstConfiguration(const std::vector<DemandRow>& rows) -> Configuration {
+  return Configuration{.generation = Generation{1},
+                       .operation = "first",
+                       .services = {Service{.id = kService,
+                                            .name = "fitquote",
+                                            .zones = {"a", "b", "c"},
+                                            .slots = kPlanSlots,
+                                            .max_connections = kPlanConnections,
+                                            .target_count = kPlanTargets}},
+                       .demand = rows,
+                       .last_service_id = 1};
+}
+
+auto KeyOf(std::uint32_t flow) -> FlowKey {
+  return FlowKey{.service = kService,
+                 .caller = {.address = 0x0B000000U + flow, .port = 7000}};
+}
+
+}  // namespace
+
+PlanWorld::PlanWorld(PlanWorldOptions options)
+    : network(options.seed), options_(std::move(options)) {
+  for (std::size_t n = 0; n < targets.size(); ++n) {
+    auto& target = targets[n];
+    target.name = "fitquote-" + std::to_string(n + 1);
+    target.follower.self = target.name;
+    target.agent.options = {.service = kService,
+                            .max_connections = kPlanConnections,
+                            .drain_limit = 1h};
+    // Serving for long.
+    target.serves_since = TimePoint{} - options_.cold_time;
+  }
+  Store(EncodeConfiguration(FirstConfiguration(options_.rows)));
+  for (std::size_t n = 0; n < options_.balancers; ++n) {
+    auto settings = options_.executor;
+    settings.self = "entry-" + std::to_string(n);
+    Random random(options_.seed, n);
+    balancers.push_back(
+        {.executor = MakePlanExecutor(settings, {}, random), .random = random});
+  }
+  AddFlows(Demand() * kFlowsPerRate);
+  for (std::size_t n = 0; n < balancers.size(); ++n) {
+    TickBalancer(n);
+  }
+  TickFlows();
+  Look();
+}
+
+auto PlanWorld::RunFor(Duration duration) -> void {
+  network.RunUntil(network.now() + duration);
+}
+
+auto PlanWorld::Freeze(std::size_t balancer) -> void {
+  balancers[balancer].frozen = true;
+  network.Freeze(balancer);
+}
+
+auto PlanWorld::Thaw(std::size_t balancer) -> void {
+  balancers[balancer].frozen = false;
+  network.Thaw(balancer);
+}
+
+auto PlanWorld::Edit(const std::function<void(Configuration&)>& edit) -> void {
+  auto configuration = Stored();
+  edit(configuration);
+  configuration.generation =
+      Generation{ToInteger(configuration.generation) + 1};
+  configuration.operation =
+      "operator-" + std::to_string(ToInteger(configuration.generation));
+  configuration.author = "operator";
+  Store(EncodeConfiguration(configuration));
+}
+
+auto PlanWorld::Crash(std::size_t target) -> void {
+  targets[target].up = false;
+  targets[target].agent.flows.clear();
+}
+
+auto PlanWorld::Holder() const -> std::optional<std::size_t> {
+  for (std::size_t n = 0; n < balancers.size(); ++n) {
+    const auto& it = balancers[n];
+    if (!it.frozen && HoldsPlan(it.executor, network.now())) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
+auto PlanWorld::Stored() const -> Configuration {
+  return DecodeConfiguration(history_.back().value);
+}
+
+auto PlanWorld::Serving() const -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::count_if(
+      targets.begin(), targets.end(),
+      [](const Target& it) { return it.up && !it.agent.draining; }));
+}
+
+auto PlanWorld::Sum(std::uint64_t PlanCounters::*counter) const
+    -> std::uint64_t {
+  std::uint64_t sum = 0;
+  for (const auto& it : balancers) {
+    sum += it.executor.counters.*counter;
+  }
+  return sum;
+}
+
+auto PlanWorld::TickBalancer(std::size_t n) -> void {
+  auto& balancer = balancers[n];
+  PlanActions actions;
+  TickPlan(balancer.executor, in_force_, ViewAt(n), network.now(),
+           balancer.random, actions);
+  Perform(n, actions);
+  network.AtHost(n, network.now() + kBalancerTick,
+                 [this, n] { TickBalancer(n); });
+}
+
+auto PlanWorld::Perform(std::size_t n, const PlanActions& actions) -> void {
+  for (const auto& action : actions) {
+    if (std::holds_alternative<LeaseRead>(action)) {
+      ReadLease(n);
+    } else if (const auto* lease = std::get_if<LeaseWrite>(&action)) {
+      WriteLease(n, *lease);
+    } else if (std::holds_alternative<UpdateRead>(action)) {
+      ReadStored(n);
+    } else if (const auto* write = std::get_if<UpdateWrite>(&action)) {
+      Write(n, *write);
+    } else if (const auto* back = std::get_if<UpdateReadBack>(&action)) {
+      ReadBack(n, *back);
+    }
+  }
+}
+
+auto PlanWorld::Reached() -> bool {
+  ++calls;
+  return !platform_down &&
+         NextFraction(network.random()) >= options_.lost_answers;
+}
+
+auto PlanWorld::Answer(std::size_t n, std::function<void(PlanActions&)> take)
+    -> void {
+  network.AtHost(n, network.now() + kCall, [this, n, take = std::move(take)] {
+    PlanActions actions;
+    take(actions);
+    Perform(n, actions);
+  });
+}
+
+auto PlanWorld::ReadLease(std::size_t n) -> void {
+  const LeaseSeen seen{
+      .reached = Reached(), .version = lease_version_, .record = lease_};
+  Answer(n, [this, n, seen](PlanActions& actions) {
+    OnPlanLeaseSeen(balancers[n].executor, seen, network.now(),
+                    balancers[n].random, actions);
+  });
+}
+
+auto PlanWorld::WriteLease(std::size_t n, const LeaseWrite& write) -> void {
+  auto answer = LeaseWritten::kUnknown;
+  if (!platform_down) {
+    const bool matches = write.if_version == lease_version_;
+    if (matches) {
+      lease_ = write.record;
+      lease_version_ = ++version_;
+    }
+    answer = matches ? LeaseWritten::kAccepted : LeaseWritten::kConflict;
+  }
+  answer = Reached() ? answer : LeaseWritten::kUnknown;
+  Answer(n, [this, n, answer, now_at = lease_version_](PlanActions& actions) {
+    OnPlanLeaseWritten(balancers[n].executor, answer, now_at, network.now(),
+                       balancers[n].random, actions);
+  });
+}
+
+auto PlanWorld::ReadStored(std::size_t n) -> void {
+  const PlanStored stored{.reached = Reached(), .object = history_.back()};
+  Answer(n, [this, n, stored](PlanActions& actions) {
+    OnPlanStored(balancers[n].executor, stored, ViewAt(n), network.now(),
+                 actions);
+  });
+}
+
+auto PlanWorld::Write(std::size_t n, const UpdateWrite& write) -> void {
+  const auto delay = std::exchange(balancers[n].delay_write, std::nullopt);
+  if (delay) {
+    Freeze(n);
+    network.At(network.now() + *delay, [this, n, write] {
+      TakeWrite(n, write);
+      Thaw(n);
+    });
+    return;
+  }
+  TakeWrite(n, write);
+}
+
+auto PlanWorld::TakeWrite(std::size_t n, const UpdateWrite& write) -> void {
+  auto answer = UpdateWritten::kUnknown;
+  if (!platform_down) {
+    const bool matches = write.if_version == history_.back().version;
+    if (matches) {
+      Store(write.value);
+    }
+    answer = matches ? UpdateWritten::kAccepted : UpdateWritten::kConflict;
+  }
+  answer = Reached() ? answer : UpdateWritten::kUnknown;
+  Answer(n, [this, n, answer](PlanActions& actions) {
+    OnPlanWritten(balancers[n].executor, answer, network.now(), actions);
+  });
+}
+
+auto PlanWorld::ReadBack(std::size_t n, const UpdateReadBack& back) -> void {
+  UpdateHistory history{.reached = Reached()};
+  for (const auto& it : history_) {
+    if (history.reached && it.version > back.from) {
+      history.changes.push_back(it);
+    }
+  }
+  Answer(n, [this, n, history](PlanActions& actions) {
+    OnPlanReadBack(balancers[n].executor, history, network.now(), actions);
+  });
+}
+
+auto PlanWorld::Store(const std::string& value) -> void {
+  const auto next = DecodeConfiguration(value);
+  if (!history_.empty() && next.author == kPlanAuthor) {
+    const auto before = Stored();
+    older_acts += next.plan_epoch < highest_epoch_ ? 1 : 0;
+    highest_epoch_ = std::max(highest_epoch_, next.plan_epoch);
+    acts.push_back({.when = network.now(),
+                    .epoch = next.plan_epoch,
+                    .changes = before.resting == next.resting ? 0U : 1U});
+  }
+  history_.push_back({.version = ++version_, .value = value});
+  network.At(network.now() + kSpread, [this, value] {
+    in_force_ = DecodeConfiguration(value);
+    for (std::size_t n = 0; n < targets.size(); ++n) {
+      PutInForce(n, value);
+    }
+  });
+}
+
+auto PlanWorld::PutInForce(std::size_t target, const std::string& value)
+    -> void {
+  auto& it = targets[target];
+  const auto configuration = DecodeConfiguration(value);
+  const auto order = OrderFor(it.follower, configuration);
+  const bool drained = it.agent.draining;
+  Follow(it.agent, order, network.now());
+  target_changes += drained != it.agent.draining ? 1 : 0;
+  if (drained && !it.agent.draining) {
+    it.serves_since = network.now();
+  }
+  if (!drained && it.agent.draining && options_.stop_at_once) {
+    CutFlows(it, it.agent.flows.size());
+  }
+}
+
+auto PlanWorld::CutFlows(Target& target, std::size_t count) -> void {
+  broken_flows += count;
+  cut_requests += count / kFlowsPerRequest;
+  target.agent.flows.clear();
+}
+
+auto PlanWorld::TickFlows() -> void {
+  KeepFlows();
+  AddFlows(Demand() * kFlowsPerRate);
+  network.At(network.now() + kFlowTick, [this] { TickFlows(); });
+}
+
+/// Both ends of each flow talk, until it ends.
+auto PlanWorld::KeepFlows() -> void {
+  for (auto& target : targets) {
+    std::vector<FlowKey> ended;
+    for (auto& [key, flow] : target.agent.flows) {
+      flow.last_from_caller = network.now();
+      flow.last_from_target = network.now();
+      const bool is_long = key.caller.address % kFlowsPerLong == 0;
+      const double life = is_long ? kLongLife : kShortLife;
+      if (NextFraction(network.random()) * life < 1) {
+        ended.push_back(key);
+      }
+    }
+    std::vector<AgentAction> actions;
+    for (const auto& key : ended) {
+      EndFlow(target.agent, key, actions);
+    }
+    actions.clear();
+    const auto before = target.agent.flows.size();
+    OnAgentTick(target.agent, network.now(), actions);
+    const auto cut = before - target.agent.flows.size();
+    broken_flows += cut;
+    cut_requests += cut / kFlowsPerRequest;
+  }
+}
+
+/// Opens flows, each at the least loaded target that serves.
+auto PlanWorld::AddFlows(double wanted) -> void {
+  std::size_t present = 0;
+  for (const auto& it : targets) {
+    present += it.agent.flows.size();
+  }
+  for (; static_cast<double>(present) < wanted; ++present) {
+    Target* best = nullptr;
+    for (auto& it : targets) {
+      const bool takes = it.up && !it.agent.draining &&
+                         it.agent.flows.size() < kPlanConnections;
+      if (takes && (best == nullptr ||
+                    it.agent.flows.size() < best->agent.flows.size())) {
+        best = &it;
+      }
+    }
+    if (best == nullptr) {
+      return;
+    }
+    best->agent.flows[KeyOf(next_flow_++)] =
+        OwnedFlow{.last_from_caller = network.now(),
+                  .last_from_target = network.now(),
+                  .last_told = network.now(),
+                  .home_knows = true};
+  }
+}
+
+auto PlanWorld::Look() -> void {
+  const auto now = network.now();
+  if (Holder() || !held_) {
+    held_ = held_ || Holder().has_value();
+    held_at_ = now;
+  }
+  longest_gap = std::max<Duration>(longest_gap, now - held_at_);
+  if (now.time_since_epoch() % kLook == Duration{0}) {
+    const auto warm = static_cast<double>(
+        std::count_if(targets.begin(), targets.end(), [&](const Target& it) {
+          return it.up && !it.agent.draining &&
+                 now - it.serves_since >= options_.cold_time;
+        }));
+    const double needed =
+        std::ceil(Demand() * kSlotSeconds * kHeadroom / kPlanSlots);
+    looks_short_ += warm < needed ? 1 : 0;
+    if (++looks_ % kLooksPerMinute == 0) {
+      late_minutes += looks_short_ == kLooksPerMinute ? 1 : 0;
+      looks_short_ = 0;
+    }
+  }
+  network.At(now + 100ms, [this] { Look(); });
+}
+
+auto PlanWorld::ViewAt(std::size_t n) const -> PlanView {
+  PlanView view{.local = Advance(options_.start, Elapsed()),
+                .local_ahead = Advance(
+                    options_.start, Elapsed() + options_.executor.plan.warm_up),
+                .ready = true,
+                .candidate = n < 3};
+  for (const auto& it : targets) {
+    view.targets.push_back(RecordOf(it));
+  }
+  return view;
+}
+
+auto PlanWorld::RecordOf(const Target& target) const -> TargetRecord {
+  const auto state =
+      target.agent.draining ? TargetState::kDraining : TargetState::kServing;
+  // Slots are busy where the flows are.
+  const double flows = Demand() * kFlowsPerRate;
+  const double share =
+      flows > 0 ? static_cast<double>(target.agent.flows.size()) / flows : 0;
+  const double busy = std::round(Demand() * kSlotSeconds * share);
+  return TargetRecord{
+      .id = TargetId{HashName(target.name)},
+      .name = target.name,
+      .service = kService,
+      .zone = std::string(1, static_cast<char>('a' + (target.name.back() % 3))),
+      .state = target.up ? state : TargetState::kDead,
+      .load = {
+          .connections = static_cast<std::uint32_t>(target.agent.flows.size()),
+          .slots_busy =
+              static_cast<std::uint16_t>(std::min<double>(busy, kPlanSlots)),
+          .slots = kPlanSlots}};
+}
+
+auto PlanWorld::Demand() const -> double {
+  return options_.demand(Elapsed());
+}
+
+auto PlanWorld::Elapsed() const -> minutes {
+  return std::chrono::duration_cast<minutes>(network.now().time_since_epoch());
+}
+
+}  // namespace hawthornbank::bench
--- a/include/hawthornbank/agent.h
+++ b/include/hawthornbank/agent.h
@@ -78,6 +78,7 @@
   std::size_t connections_last = 0;  ///< Own ones when last told the mean.
   TargetBusyness busyness;
   bool draining = false;
+  bool resting = false;  ///< Draining for the plan: its flows have no limit.
   TimePoint drain_started{};
   std::unordered_map<FlowKey, OwnedFlow> flows;
   std::unordered_map<FlowKey, FlowPointer> pointers;
@@ -175,6 +176,12 @@
 /// @param now The present instant.
 auto BeginDrain(Agent& agent, TimePoint now) -> void;
 
+/// Takes no new flows until EndDrain, and keeps the established ones for as
+/// long as they live. An agent that drains already goes on with that.
+/// @param agent The agent.
+/// @param now The present instant.
+auto BeginRest(Agent& agent, TimePoint now) -> void;
+
 /// Takes new flows again.
 /// @param agent The agent.
 auto EndDrain(Agent& agent) -> void;
--- a/include/hawthornbank/configuration.h
+++ b/include/hawthornbank/configuration.h
@@ -35,6 +35,8 @@
   std::string day;                ///< "daily" or a date, "2026-12-24".
   std::chrono::minutes start{0};  ///< Since local midnight.
   double requests_per_second = 0;
+  /// Zones that the date is a holiday in; empty when it is one everywhere.
+  std::vector<std::string> zones;
 
   auto operator==(const DemandRow&) const -> bool = default;
 };
@@ -47,6 +49,8 @@
   std::vector<Service> services;      ///< In the order of their identities.
   std::vector<std::string> draining;  ///< Names of targets told to leave.
   std::vector<std::string> stopping;  ///< Names of balancers told to leave.
+  std::vector<std::string> resting;   ///< Names of targets the plan rests.
+  Epoch plan_epoch{};                 ///< Lease epoch of the plan's last act.
   std::vector<DemandRow> demand;
   std::uint32_t last_service_id = 0;  ///< Identities are never reused.
 
--- a/include/hawthornbank/plan.h
+++ b/include/hawthornbank/plan.h
@@ -53,7 +53,8 @@
 
 /// Looks up the demand in force at a time. Rows of a date replace the daily
 /// rows on that date; before a day's first row the last row of the day before
-/// is in force.
+/// is in force. Where the date is a holiday in some zones only, the larger of
+/// its demand and the daily one counts.
 /// @param rows Demand of all services.
 /// @param service The service asked for.
 /// @param now Local time.
@@ -77,6 +78,13 @@
                  const PresentLoad& load,
                  const PlanOptions& options) -> PlannedTargets;
 
+/// Says how many targets current flows and requests need.
+/// @param service The service.
+/// @param load What they take.
+/// @return The number of targets, which may be more than there are.
+auto TargetsForLoad(const Service& service, const PresentLoad& load)
+    -> std::uint64_t;
+
 /// Moves a local time.
 /// @param from Where to start.
 /// @param by How far; may cross midnight and may be negative.
--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -146,7 +146,8 @@
               TimePoint now,
               std::vector<AgentAction>& out) -> bool {
   const auto last = std::max(owned.last_from_caller, owned.last_from_target);
-  if (agent.draining && now - agent.drain_started > agent.options.drain_limit) {
+  const bool limited = agent.draining && !agent.resting;
+  if (limited && now - agent.drain_started > agent.options.drain_limit) {
     AddReset(agent, key, Counter::kFlowsEnded, out);
     return false;
   }
@@ -272,14 +273,25 @@
 }
 
 auto BeginDrain(Agent& agent, TimePoint now) -> void {
+  // The limit of a drain counts from its own start, not from a rest before.
+  if (!agent.draining || agent.resting) {
+    agent.draining = true;
+    agent.resting = false;
+    agent.drain_started = now;
+  }
+}
+
+auto BeginRest(Agent& agent, TimePoint now) -> void {
   if (!agent.draining) {
     agent.draining = true;
+    agent.resting = true;
     agent.drain_started = now;
   }
 }
 
 auto EndDrain(Agent& agent) -> void {
   agent.draining = false;
+  agent.resting = false;
 }
 
 auto HandOverPointers(Agent& agent, std::vector<AgentAction>& out) -> void {
--- a/src/coordination/configuration_update.cc
+++ b/src/coordination/configuration_update.cc
@@ -168,7 +168,7 @@
   const auto new_value = json::parse(EncodeConfiguration(after));
   std::vector<std::string> lines;
   DescribeServices(old_value, new_value, lines);
-  for (const auto* field : {"draining", "stopping", "demand"}) {
+  for (const auto* field : {"draining", "stopping", "resting", "demand"}) {
     DescribeList(field, old_value, new_value, lines);
   }
   return lines;
--- a/src/coordination/plan.cc
+++ b/src/coordination/plan.cc
@@ -24,11 +24,10 @@
 }
 
 /// @return The latest row of a day that starts at or before a time.
-auto LastRow(const std::vector<DemandRow>& rows,
-             ServiceId service,
-             const LocalTime& now) -> const DemandRow* {
-  const std::string date = FormatDate(now.date);
-  const std::string day = HasDay(rows, service, date) ? date : kDaily;
+auto LastRowOf(const std::vector<DemandRow>& rows,
+               ServiceId service,
+               const std::string& day,
+               const LocalTime& now) -> const DemandRow* {
   const DemandRow* last = nullptr;
   for (const auto& it : rows) {
     const bool started =
@@ -40,6 +39,25 @@
   return last;
 }
 
+/// @return The row in force on a date, of those that start by a time of day.
+auto LastRow(const std::vector<DemandRow>& rows,
+             ServiceId service,
+             const LocalTime& now) -> const DemandRow* {
+  const std::string date = FormatDate(now.date);
+  if (!HasDay(rows, service, date)) {
+    return LastRowOf(rows, service, kDaily, now);
+  }
+  const DemandRow* const holiday = LastRowOf(rows, service, date, now);
+  if (holiday == nullptr || holiday->zones.empty()) {
+    return holiday;
+  }
+  // The other zones have an ordinary day.
+  const DemandRow* const daily = LastRowOf(rows, service, kDaily, now);
+  const bool ordinary = daily != nullptr && daily->requests_per_second >
+                                                holiday->requests_per_second;
+  return ordinary ? daily : holiday;
+}
+
 /// @return The largest demand of an ordinary day.
 auto DailyPeak(const std::vector<DemandRow>& rows, ServiceId service)
     -> double {
@@ -71,13 +89,6 @@
   return unit == 0 ? 0 : (amount + unit - 1) / unit;
 }
 
-/// @return Targets that current flows and requests need.
-auto TargetsFor(const Service& service, const PresentLoad& load)
-    -> std::uint64_t {
-  return std::max(DivideUp(load.connections, service.max_connections),
-                  DivideUp(load.slots_busy, service.slots));
-}
-
 auto ReadPart(std::string_view text) -> int {
   int value = -1;
   const char* const end = text.data() + text.size();
@@ -120,7 +131,7 @@
   const auto planned = std::max(static_cast<std::uint64_t>(std::min<double>(
                                     wanted, service.target_count)),
                                 std::uint64_t{options.minimum_targets});
-  const std::uint64_t needed = TargetsFor(service, load);
+  const std::uint64_t needed = TargetsForLoad(service, load);
   const std::uint64_t count = std::max(planned, needed);
   return PlannedTargets{
       .count = static_cast<std::uint32_t>(
@@ -130,6 +141,12 @@
       .demand = *demand};
 }
 
+auto TargetsForLoad(const Service& service, const PresentLoad& load)
+    -> std::uint64_t {
+  return std::max(DivideUp(load.connections, service.max_connections),
+                  DivideUp(load.slots_busy, service.slots));
+}
+
 auto Advance(const LocalTime& from, minutes by) -> LocalTime {
   const auto instant = std::chrono::sys_days{from.date} + from.time + by;
   const auto day = std::chrono::floor<std::chrono::days>(instant);
--- /dev/null
+++ b/src/coordination/plan_follower.cc
@@ -0,0 +1,60 @@
+#include "hawthornbank/plan_follower.h"
+
+#include <algorithm>
+
+#include "hawthornbank/error.h"
+#include "plan_decision.h"
+
+namespace hawthornbank {
+
+auto OrderFor(PlanFollower& follower, const Configuration& configuration)
+    -> TargetOrder {
+  try {
+    CheckFence(follower.fence, configuration.plan_epoch);
+    follower.resting = detail::Contains(configuration.resting, follower.self);
+  } catch (const Error&) {
+    // Counted by the fence; the list of an older holder is not followed.
+  }
+  if (detail::Contains(configuration.draining, follower.self)) {
+    return TargetOrder::kLeave;
+  }
+  return follower.resting ? TargetOrder::kRest : TargetOrder::kServe;
+}
+
+auto OrderOf(const Agent& agent) -> TargetOrder {
+  if (!agent.draining) {
+    return TargetOrder::kServe;
+  }
+  return agent.resting ? TargetOrder::kRest : TargetOrder::kLeave;
+}
+
+auto OrderName(TargetOrder order) -> const char* {
+  switch (order) {
+    case TargetOrder::kServe:
+      return "serve";
+    case TargetOrder::kRest:
+      return "rest";
+    case TargetOrder::kLeave:
+      return "leave";
+  }
+  return "";
+}
+
+auto Follow(Agent& agent, TargetOrder order, TimePoint now) -> void {
+  switch (order) {
+    case TargetOrder::kServe:
+      EndDrain(agent);
+      break;
+    case TargetOrder::kRest:
+      if (agent.draining && !agent.resting) {
+        EndDrain(agent);
+      }
+      BeginRest(agent, now);
+      break;
+    case TargetOrder::kLeave:
+      BeginDrain(agent, now);
+      break;
+  }
+}
+
+}  // namespace hawthornbank
--- a/src/protocol/configuration_diff.cc
+++ b/src/protocol/configuration_diff.cc
@@ -64,7 +64,8 @@
   for (const auto& it : configuration.demand) {
     const std::string field = "demand " + it.day + " " + FormatTime(it.start);
     text[{"service " + names[it.service], field}] =
-        FormatRate(it.requests_per_second);
+        FormatRate(it.requests_per_second) +
+        (it.zones.empty() ? "" : " in " + JoinZones(it.zones));
   }
   return text;
 }
@@ -137,6 +138,8 @@
               {"target ", "state", "serving", "draining"}, changes);
   DiffLeaving(before.stopping, after.stopping,
               {"balancer ", "state", "serving", "stopping"}, changes);
+  DiffLeaving(before.resting, after.resting,
+              {"target ", "plan", "serving", "resting"}, changes);
   return changes;
 }
 
--- a/src/protocol/configuration_json.cc
+++ b/src/protocol/configuration_json.cc
@@ -52,10 +52,14 @@
 }
 
 auto DemandToJson(const DemandRow& row) -> json {
-  return json{{"service", ToInteger(row.service)},
-              {"day", row.day},
-              {"start_min", row.start.count()},
-              {"requests_per_second", row.requests_per_second}};
+  json value{{"service", ToInteger(row.service)},
+             {"day", row.day},
+             {"start_min", row.start.count()},
+             {"requests_per_second", row.requests_per_second}};
+  if (!row.zones.empty()) {
+    value["zones"] = row.zones;
+  }
+  return value;
 }
 
 auto DemandFromJson(const json& value) -> DemandRow {
@@ -64,6 +68,7 @@
       .day = value.at("day").get<std::string>(),
       .start = std::chrono::minutes{value.at("start_min").get<std::int64_t>()},
       .requests_per_second = value.at("requests_per_second").get<double>(),
+      .zones = value.value("zones", std::vector<std::string>{}),
   };
 }
 
@@ -84,6 +89,8 @@
               {"services", services},
               {"draining", configuration.draining},
               {"stopping", configuration.stopping},
+              {"resting", configuration.resting},
+              {"plan_epoch", ToInteger(configuration.plan_epoch)},
               {"demand", demand},
               {"last_service_id", configuration.last_service_id}}
       .dump();
@@ -98,6 +105,9 @@
         .author = value.at("author").get<std::string>(),
         .draining = value.at("draining").get<std::vector<std::string>>(),
         .stopping = value.at("stopping").get<std::vector<std::string>>(),
+        // Absent in objects from before the plan was executed.
+        .resting = value.value("resting", std::vector<std::string>{}),
+        .plan_epoch = Epoch{value.value("plan_epoch", std::uint64_t{0})},
         .last_service_id = value.at("last_service_id").get<std::uint32_t>(),
     };
     for (const auto& it : value.at("services")) {
--- a/src/protocol/sheet.cc
+++ b/src/protocol/sheet.cc
@@ -58,6 +58,7 @@
 // clang-format on
 constexpr std::size_t kServiceColumn = 0;
 constexpr std::size_t kDayColumn = 1;
+constexpr std::size_t kZonesColumn = 4;
 
 /// A column of demand.
 struct TimeColumn {
@@ -176,11 +177,24 @@
   }
 }
 
+/// @return The zones that a date is a holiday in; empty when in all.
+auto ReadHolidayZones(Reading& reading, std::size_t row, const std::string& day)
+    -> std::vector<std::string> {
+  std::vector<std::string> zones;
+  const std::string cell = CellOf(reading, row, kZonesColumn);
+  if (!cell.empty() && !day.empty() && day != kDaily) {
+    ReadCell(reading, row, *reading.columns[kZonesColumn],
+             [&] { zones = ReadZonesCell(cell); });
+  }
+  return zones;
+}
+
 auto ReadDemand(Reading& reading,
                 std::size_t row,
                 const std::string& service,
                 const std::string& day) -> void {
   const auto& cells = reading.table.rows[row];
+  const auto zones = ReadHolidayZones(reading, row, day);
   bool any = false;
   for (const auto& it : reading.times) {
     if (it.column >= cells.size() || cells[it.column].empty()) {
@@ -190,10 +204,12 @@
     ReadCell(reading, row, it.column, [&] {
       const double rate =
           ReadRateCell(cells[it.column], reading.table.separator);
-      reading.sheet.demand.push_back(SheetDemand{
-          .service = service,
-          .row = DemandRow{
-              .day = day, .start = it.start, .requests_per_second = rate}});
+      reading.sheet.demand.push_back(
+          SheetDemand{.service = service,
+                      .row = DemandRow{.day = day,
+                                       .start = it.start,
+                                       .requests_per_second = rate,
+                                       .zones = zones}});
     });
   }
   if (!any && !day.empty() && day != kDaily) {
@@ -224,10 +240,12 @@
   reading.sheet.services.push_back(service);
 }
 
-/// A holiday's row says nothing about the service itself.
+/// A holiday's row says nothing about the service itself but the zones that
+/// have the holiday.
 auto CheckHoliday(Reading& reading, std::size_t row) -> void {
   for (std::size_t n = 0; n < kColumns.size(); ++n) {
-    if (kColumns[n].apply != nullptr && !CellOf(reading, row, n).empty()) {
+    if (kColumns[n].apply != nullptr && n != kZonesColumn &&
+        !CellOf(reading, row, n).empty()) {
       AddFault(reading, row, *reading.columns[n],
                "must be empty in the row of a holiday");
     }
@@ -266,6 +284,28 @@
   ReadDemand(reading, row, name, day);
 }
 
+/// The zones of a holiday must be of the service; all of them are the same as
+/// none.
+auto CheckHolidayZones(Reading& reading, const Service& service) -> void {
+  const std::set<std::string> known(service.zones.begin(), service.zones.end());
+  for (auto& it : reading.sheet.demand) {
+    if (it.service != service.name || it.row.zones.empty()) {
+      continue;
+    }
+    const std::set<std::string> zones(it.row.zones.begin(), it.row.zones.end());
+    if (!std::includes(known.begin(), known.end(), zones.begin(),
+                       zones.end())) {
+      AddFault(reading, reading.days.at(service.name + " " + it.row.day),
+               reading.columns[kZonesColumn].value_or(0),
+               "service '" + service.name + "' is not in all of these zones");
+      return;
+    }
+    if (zones == known) {
+      it.row.zones.clear();
+    }
+  }
+}
+
 /// Each holiday must be one of a service that the sheet describes.
 auto CheckServices(Reading& reading) -> void {
   std::vector<std::string> known;
@@ -281,6 +321,9 @@
           "service '" + name + "' has no daily row" + Suggestion(name, known));
     }
   }
+  for (const auto& it : reading.sheet.services) {
+    CheckHolidayZones(reading, it);
+  }
   if (known.empty() && reading.faults.empty()) {
     AddFault(reading, 0, 0, "the sheet describes no service");
   }
--- a/src/protocol/sheet.h
+++ b/src/protocol/sheet.h
@@ -15,7 +15,8 @@
 /// counts_double and drain_limit_s; then a column for each time of day, named
 /// as "07:30", that holds requests per second from then on. A row whose day is
 /// "daily" (or empty) describes a service; a row whose day is a date, as
-/// "2026-12-24", holds that day's demand and leaves the other columns empty.
+/// "2026-12-24", holds that day's demand and leaves the other columns empty,
+/// but for zones, which then names those that have the holiday.
 namespace hawthornbank {
 
 /// Demand of a service, which a sheet knows only by its name.
--- a/test/configuration_diff_test.cc
+++ b/test/configuration_diff_test.cc
@@ -66,3 +66,20 @@
   CHECK(text.find("- service fitquote: demand daily 07:30 12.5\n") !=
         std::string::npos);
 }
+
+TEST(ConfigurationDiff, NamesRestingTargetsAndZonesOfAHoliday) {
+  const Configuration before{.resting = {"fitquote-1"}};
+  Configuration after{.services = {Service{.id = ServiceId{1}, .name = "a"}},
+                      .resting = {"fitquote-2"}};
+  after.demand = {DemandRow{.service = ServiceId{1},
+                            .day = "2026-12-25",
+                            .start = std::chrono::hours{7},
+                            .requests_per_second = 3,
+                            .zones = {"x", "y"}}};
+  const std::string text = DiffText(before, after);
+  for (const auto* line : {"~ target fitquote-1: plan resting -> serving\n",
+                           "~ target fitquote-2: plan serving -> resting\n",
+                           "+ service a: demand 2026-12-25 07:00 3 in x,y\n"}) {
+    STRCMP_CONTAINS(line, text.c_str());
+  }
+}
--- a/test/configuration_update_test.cc
+++ b/test/configuration_update_test.cc
@@ -127,9 +127,11 @@
   Configuration after = before;
   after.services[1].name = std::string("c");
   after.draining = {"a-1"};
+  after.resting = {"a-2"};
   const auto lines = DescribeChanges(before, after);
-  LONGS_EQUAL(3, lines.size());
+  LONGS_EQUAL(4, lines.size());
   STRCMP_EQUAL("service b: removed", lines[0].c_str());
   STRCMP_EQUAL("service c: added", lines[1].c_str());
   STRCMP_EQUAL("draining: added \"a-1\"", lines[2].c_str());
+  STRCMP_EQUAL("resting: added \"a-2\"", lines[3].c_str());
 }
--- /dev/null
+++ b/test/plan_executor_test.cc
@@ -0,0 +1,355 @@
+#include "hawthornbank/plan_executor.h"
+
+#include <algorithm>
+
+#include "common/plan_world.h"
+#include "hawthornbank/error.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+using bench::PlanWorld;
+using bench::PlanWorldOptions;
+using std::chrono::minutes;
+
+namespace {
+
+constexpr ServiceId kId{1};
+
+auto Row(const char* day, minutes start, double rate) -> DemandRow {
+  return DemandRow{
+      .service = kId, .day = day, .start = start, .requests_per_second = rate};
+}
+
+auto Daily() -> std::vector<DemandRow> {
+  return {Row("daily", 0min, 20), Row("daily", 7h, 100), Row("daily", 20h, 20)};
+}
+
+auto Quiet(minutes) -> double {
+  return 20;
+}
+
+auto OptionsAt(const char* date, minutes time) -> PlanWorldOptions {
+  return {.start = {.date = ParseDate(date), .time = time},
+          .rows = Daily(),
+          .demand = Quiet};
+}
+
+/// At night, when the plan wants two of seven targets.
+auto AtNight() -> PlanWorldOptions {
+  return OptionsAt("2026-12-03", 1h);
+}
+
+auto RestingIn(const PlanWorld& world) -> std::vector<std::string> {
+  return world.Stored().resting;
+}
+
+}  // namespace
+
+TEST_GROUP(PlanExecutor){};
+
+TEST(PlanExecutor, TargetsRestAtNightInSteps) {
+  PlanWorld world(AtNight());
+  world.RunFor(5min);
+  LONGS_EQUAL(7, world.Serving());
+  world.RunFor(1min);
+  CHECK(world.Serving() < 7);
+  CHECK(world.Serving() >= 5);
+  world.RunFor(25min);
+  LONGS_EQUAL(2, world.Serving());
+  LONGS_EQUAL(0, world.broken_flows);
+}
+
+TEST(PlanExecutor, ARestDoesNotEndFlowsAtTheDrainLimit) {
+  PlanWorld world(AtNight());
+  world.RunFor(3h);
+  LONGS_EQUAL(2, world.Serving());
+  LONGS_EQUAL(0, world.broken_flows);
+  const auto kept = std::count_if(
+      world.targets.begin(), world.targets.end(), [](const auto& it) {
+        return it.agent.draining && !it.agent.flows.empty();
+      });
+  CHECK(kept > 0);
+}
+
+TEST(PlanExecutor, TargetsReturnBeforeTheMorning) {
+  PlanWorld world(OptionsAt("2026-12-03", 5h));
+  world.RunFor(1h + 44min);
+  LONGS_EQUAL(2, world.Serving());
+  world.RunFor(1min + 10s);
+  LONGS_EQUAL(7, world.Serving());
+}
+
+TEST(PlanExecutor, PresentLoadWinsOverThePlan) {
+  auto options = AtNight();
+  options.demand = [](minutes time) { return time < 1h ? 20.0 : 80.0; };
+  PlanWorld world(options);
+  world.RunFor(1h);
+  LONGS_EQUAL(2, world.Serving());
+  world.RunFor(1min);
+  // 12 slots busy with headroom and margin take 6 targets.
+  CHECK(world.Serving() >= 5);
+}
+
+TEST(PlanExecutor, DoesNotFlapWhenLoadSwings) {
+  auto options = AtNight();
+  options.demand = [](minutes time) {
+    return time.count() % 4 < 2 ? 20.0 : 40.0;
+  };
+  PlanWorld world(options);
+  world.RunFor(1h);
+  const auto changes = world.target_changes;
+  world.RunFor(4h);
+  LONGS_EQUAL(changes, world.target_changes);
+}
+
+TEST(PlanExecutor, AnOperatorsDrainIsLeftAlone) {
+  PlanWorld world(AtNight());
+  world.RunFor(40min);
+  const auto resting = RestingIn(world);
+  LONGS_EQUAL(5, resting.size());
+  // One that serves, and one that rests.
+  std::string serving;
+  for (const auto& it : world.targets) {
+    serving = it.agent.draining ? serving : it.name;
+  }
+  const std::vector<std::string> drained = {resting.front(), serving};
+  world.Edit([&](Configuration& it) { it.draining = drained; });
+  world.RunFor(2min);
+  CHECK(drained == world.Stored().draining);
+  LONGS_EQUAL(2, world.Serving());
+  const auto now = RestingIn(world);
+  CHECK(std::find(now.begin(), now.end(), resting.front()) == now.end());
+}
+
+TEST(PlanExecutor, AnOperatorsChangeWinsARaceAndIsKept) {
+  auto options = AtNight();
+  options.lost_answers = 0;
+  PlanWorld world(options);
+  world.RunFor(4min);
+  const auto holder = world.Holder();
+  CHECK(holder.has_value());
+  world.balancers[*holder].delay_write = 1s;
+  while (!world.balancers[*holder].frozen) {
+    world.RunFor(10ms);
+  }
+  world.Edit([](Configuration& it) { it.services[0].weight = 50; });
+  world.RunFor(1min);
+  LONGS_EQUAL(1, world.Sum(&PlanCounters::conflicts));
+  LONGS_EQUAL(50, world.Stored().services[0].weight);
+  CHECK(!RestingIn(world).empty());
+}
+
+TEST(PlanExecutor, APausedHolderDoesNoHarm) {
+  PlanWorld world(AtNight());
+  world.RunFor(4min + 50s);
+  const auto holder = world.Holder();
+  CHECK(holder.has_value());
+  // Paused after its last check, with a write that rests targets.
+  world.balancers[*holder].delay_write = 6h;
+  world.RunFor(1min);
+  CHECK(world.balancers[*holder].frozen);
+  const auto other = world.Holder();
+  CHECK(other.has_value());
+  CHECK(*other != *holder);
+  world.RunFor(5h + 50min);
+  LONGS_EQUAL(7, world.Serving());  // 06:55
+  world.RunFor(30min);
+  CHECK(!world.balancers[*holder].frozen);
+  LONGS_EQUAL(7, world.Serving());
+  LONGS_EQUAL(0, world.older_acts);
+  CHECK(world.balancers[*holder].executor.counters.conflicts +
+            world.balancers[*holder].executor.counters.lease_lapsed >
+        0);
+  CHECK(world.longest_gap < 14s);
+}
+
+TEST(PlanExecutor, AClaimRefusesAWriteThatIsStillOnItsWay) {
+  auto options = AtNight();
+  options.lost_answers = 0;
+  PlanWorld world(options);
+  world.RunFor(1min);
+  const auto holder = world.Holder();
+  CHECK(holder.has_value());
+  // The next holder has nothing to change.
+  for (std::size_t n = 0; n < world.balancers.size(); ++n) {
+    auto& settings = world.balancers[n].executor.options;
+    settings.surplus_hold = n == *holder ? settings.surplus_hold : 48h;
+  }
+  world.balancers[*holder].delay_write = 2h;
+  world.RunFor(2h + 10min);
+  CHECK(!world.balancers[*holder].frozen);
+  LONGS_EQUAL(0, world.target_changes);
+  LONGS_EQUAL(1, world.Sum(&PlanCounters::conflicts));
+}
+
+TEST(PlanExecutor, AnAnswerAfterALapseLeadsToNoWrite) {
+  auto options = AtNight();
+  options.lost_answers = 0;
+  PlanWorld world(options);
+  world.RunFor(1min);
+  const auto holder = world.Holder();
+  CHECK(holder.has_value());
+  auto& executor = world.balancers[*holder].executor;
+  while (!executor.act) {
+    world.RunFor(1ms);
+  }
+  world.Freeze(*holder);
+  world.platform_down = true;  // Nobody takes over and changes the version.
+  world.RunFor(1min);
+  world.platform_down = false;
+  const auto acts = world.acts.size();
+  world.Thaw(*holder);
+  world.RunFor(100ms);
+  LONGS_EQUAL(1, executor.counters.lease_lapsed);
+  LONGS_EQUAL(acts, world.acts.size());
+}
+
+TEST(PlanExecutor, AnOlderEpochIsRefusedAndCounted) {
+  auto options = AtNight();
+  options.lost_answers = 0;
+  PlanWorld world(options);
+  world.RunFor(1min);
+  world.Edit([](Configuration& it) { it.plan_epoch = Epoch{1000}; });
+  world.RunFor(1h);
+  CHECK(world.Sum(&PlanCounters::refused_fenced) > 0);
+  LONGS_EQUAL(7, world.Serving());
+  CHECK(Epoch{1000} == world.Stored().plan_epoch);
+}
+
+TEST(PlanExecutor, TheDutyMovesInSeconds) {
+  PlanWorld world(AtNight());
+  world.RunFor(1min);
+  for (int n = 0; n < 4; ++n) {
+    const auto holder = world.Holder();
+    CHECK(holder.has_value());
+    world.Freeze(*holder);
+    world.RunFor(14s);
+    CHECK(world.Holder().has_value());
+    world.Thaw(*holder);
+    world.RunFor(1min);
+  }
+  LONGS_EQUAL(0, world.older_acts);
+  CHECK(world.longest_gap < 14s);
+}
+
+TEST(PlanExecutor, AllTargetsServeWithoutASheet) {
+  auto options = AtNight();
+  PlanWorld world(options);
+  world.RunFor(40min);
+  LONGS_EQUAL(2, world.Serving());
+  world.Edit([](Configuration& it) { it.demand.clear(); });
+  world.RunFor(30s);
+  LONGS_EQUAL(7, world.Serving());
+  CHECK(RestingIn(world).empty());
+}
+
+TEST(PlanExecutor, RestingTargetsReturnWhenOthersCrash) {
+  PlanWorld world(AtNight());
+  world.RunFor(40min);
+  for (std::size_t n = 0; n < world.targets.size(); ++n) {
+    if (!world.targets[n].agent.draining) {
+      world.Crash(n);
+    }
+  }
+  LONGS_EQUAL(0, world.Serving());
+  world.RunFor(10s);
+  LONGS_EQUAL(2, world.Serving());
+}
+
+TEST(PlanExecutor, TheNightGoesOnAcrossMidnight) {
+  PlanWorld world(OptionsAt("2026-12-31", 22h));
+  world.RunFor(1h + 50min);
+  LONGS_EQUAL(2, world.Serving());
+  const auto changes = world.target_changes;
+  world.RunFor(1h);
+  LONGS_EQUAL(changes, world.target_changes);
+}
+
+TEST(PlanExecutor, AHolidayReplacesTheMorning) {
+  auto options = OptionsAt("2026-12-25", 5h);
+  options.rows.push_back(Row("2026-12-25", 0min, 20));
+  PlanWorld world(options);
+  world.RunFor(4h);
+  LONGS_EQUAL(2, world.Serving());
+}
+
+TEST(PlanExecutor, AHolidayInOneZoneLeavesTheLargerDemand) {
+  auto options = OptionsAt("2026-12-25", 5h);
+  options.rows.push_back(Row("2026-12-25", 0min, 20));
+  options.rows.back().zones = {"a"};
+  PlanWorld world(options);
+  world.RunFor(4h);
+  LONGS_EQUAL(7, world.Serving());
+}
+
+TEST(PlanExecutor, AHourThatIsLeftOutBringsTheRiseNearer) {
+  Configuration configuration{
+      .services = {Service{.id = kId, .target_count = 4}},
+      .resting = {"t-2", "t-3"},
+      .demand = {Row("daily", 0min, 10), Row("daily", 3h, 100)}};
+  Random random(1);
+  const auto executor = MakePlanExecutor({.self = "a"}, {}, random);
+  // 01:50; a quarter of an hour later it is 03:05.
+  PlanView view{
+      .local = {.date = ParseDate("2026-03-29"), .time = 110min},
+      .local_ahead = {.date = ParseDate("2026-03-29"), .time = 185min},
+      .ready = true};
+  for (const auto* name : {"t-0", "t-1", "t-2", "t-3"}) {
+    view.targets.push_back(TargetRecord{
+        .id = TargetId{HashName(name)}, .name = name, .service = kId});
+  }
+  LONGS_EQUAL(2,
+              DecidePlan(executor, configuration, view, {}).give_back.size());
+  view.local_ahead.time = 125min;
+  CHECK(DecidePlan(executor, configuration, view, {}).give_back.empty());
+}
+
+TEST(PlanExecutor, DoesNothingWhileMembershipIsIncomplete) {
+  Configuration configuration{
+      .services = {Service{.id = kId, .target_count = 4}}, .resting = {"t-1"}};
+  Random random(1);
+  const auto executor = MakePlanExecutor({.self = "a"}, {}, random);
+  const PlanView view{.local = {.date = ParseDate("2026-03-29")},
+                      .local_ahead = {.date = ParseDate("2026-03-29")},
+                      .ready = false};
+  CHECK(PlanChange{} == DecidePlan(executor, configuration, view, {}));
+}
+
+TEST(PlanExecutor, RefusesInTheKindOfAFence) {
+  LeaseFence fence{.highest = Epoch{5}};
+  try {
+    CheckFence(fence, Epoch{4});
+    FAIL("not refused");
+  } catch (const Error& error) {
+    CHECK(ErrorKind::kFenced == error.kind());
+  }
+}
+
+TEST(PlanExecutor, ADrainThatIsNotSeenYetIsNotARest) {
+  Configuration configuration{
+      .services = {Service{.id = kId, .target_count = 4}},
+      .draining = {"t-0"},
+      .demand = {Row("daily", 0min, 1), Row("daily", 20h, 100)}};
+  Random random(1);
+  auto executor = MakePlanExecutor({.self = "a"}, {}, random);
+  executor.surplus[kId] = PlanSurplus{.since = {}, .least = 2};
+  PlanView view{.local = {.date = ParseDate("2026-03-29"), .time = 3h},
+                .local_ahead = {.date = ParseDate("2026-03-29"), .time = 3h},
+                .ready = true};
+  for (const auto* name : {"t-0", "t-1", "t-2", "t-3"}) {
+    view.targets.push_back(TargetRecord{.id = TargetId{HashName(name)},
+                                        .name = name,
+                                        .service = kId,
+                                        .load = {.connections = 5}});
+  }
+  view.targets[0].load.connections = 0;
+  const auto change =
+      DecidePlan(executor, configuration, view, TimePoint{10min});
+  LONGS_EQUAL(1, change.rest.size());
+  CHECK(change.rest[0] != "t-0");
+  configuration.draining.emplace_back("t-1");
+  CHECK(PlanChange{} ==
+        DecidePlan(executor, configuration, view, TimePoint{10min}));
+}
--- a/test/plan_test.cc
+++ b/test/plan_test.cc
@@ -111,3 +111,14 @@
       "2027-01-01",
       FormatDate(Advance(At("2026-12-31", hours{23}), hours{1}).date).c_str());
 }
+
+TEST(Plan, AHolidayInSomeZonesLeavesTheLargerDemand) {
+  auto rows = Rows();
+  rows.back().zones = {"depot-north"};
+  CHECK(100 == DemandAt(rows, kId, At("2026-12-25", hours{12})));
+  CHECK(20 == DemandAt(rows, kId, At("2026-12-25", hours{23})));
+  rows.push_back(rows.back());
+  rows.back().start = hours{9};
+  rows.back().requests_per_second = 150;
+  CHECK(150 == DemandAt(rows, kId, At("2026-12-25", hours{12})));
+}
--- a/test/sheet_test.cc
+++ b/test/sheet_test.cc
@@ -214,3 +214,20 @@
                              {.drop = {"fitquote"}, .shrink = {"fitquote"}})
                        .c_str());
 }
+
+TEST(Sheet, AHolidayMayBeInSomeZonesOnly) {
+  const std::string text = std::string(kHeader) + kRow +
+                           "fitquote,2026-12-25,,,b,,,,2\n"
+                           "fitquote,2026-12-26,,,b a,,,,2\n";
+  const Sheet sheet = ParseSheet(text, "s.csv");
+  LONGS_EQUAL(3, sheet.demand.size());
+  CHECK(sheet.demand[0].row.zones.empty());
+  CHECK(std::vector<std::string>{"b"} == sheet.demand[1].row.zones);
+  // All zones are the same as none.
+  CHECK(sheet.demand[2].row.zones.empty());
+  STRCMP_EQUAL(
+      "s.csv: row 3, column E (zones): service 'fitquote' is not in all of "
+      "these zones",
+      FaultsOf(std::string(kHeader) + kRow + "fitquote,2026-12-25,,,b c,,,,2\n")
+          .c_str());
+}
