Let balancers execute the plan at the platform

The plan's lease and updates run on a thread of their own, as a watch of the configuration may hold the other one for long. The three first live balancers compete for the lease: with all 470, each asking every second, the lease alone would take over 400 reads a second.

Local times are those of the host's time zone, with its daylight saving; an offset in the settings was ruled out, as it knows none. [plan] execute = false switches a balancer off. Agents follow rest and drain by one function; a resting target stopped by a signal now begins its drain, with its limit.

--- a/src/protocol/status_json.h
+++ b/src/protocol/status_json.h
@@ -18,7 +18,7 @@
   std::string name;
   std::string service;
   std::string zone;
-  std::string state;  ///< "serving", "suspect", "draining" or the like.
+  std::string state;  ///< "serving", "suspect", "resting" or the like.
   std::uint64_t connections = 0;
   std::uint64_t slots_busy = 0;
 };
--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -5,6 +5,7 @@
 #include "hawthornbank/agent.h"
 #include "hawthornbank/announcer.h"
 #include "hawthornbank/configuration.h"
+#include "hawthornbank/plan_follower.h"
 #include "hawthornbank/routing_table.h"
 #include "protocol/status_json.h"
 #include "transport/agent_setup.h"
@@ -29,6 +30,7 @@
   explicit AgentDaemon(const Settings& settings)
       : settings_(settings),
         random_(HashName(settings.name)),
+        follower_({.self = settings.name}),
         channel_(io_,
                  settings.peer,
                  MakeKeyRing(settings.key, settings.previous_key)),
@@ -116,10 +118,23 @@
     }
     agent_.options.max_connections = service->max_connections;
     agent_.options.drain_limit = service->drain_limit;
-    const auto& draining = next.draining;
-    const bool leaves = std::find(draining.begin(), draining.end(),
-                                  settings_.name) != draining.end();
-    leaves ? StartDrain("told by the configuration") : CancelOwnDrain();
+    TakeOrder(OrderFor(follower_, next));
+  }
+
+  auto TakeOrder(TargetOrder order) -> void {
+    if (stopping_ || order == OrderOf(agent_)) {
+      return;
+    }
+    Log(Layer::kCoordination, LogLevel::kInfo, "target_order",
+        {{"target", settings_.name}, {"order", OrderName(order)}});
+    const TimePoint now = MonotonicNow();
+    Follow(agent_, order, now);
+    if (announcer_) {
+      std::vector<AnnouncerAction> actions;
+      agent_.draining ? BeginDrain(*announcer_, now, actions)
+                      : CancelDrain(*announcer_, now, actions);
+      PerformAnnouncer(actions);
+    }
   }
 
   auto Start(const Service& service) -> void {
@@ -316,7 +331,7 @@
   }
 
   auto StartDrain(const std::string& reason) -> void {
-    if (agent_.draining) {
+    if (OrderOf(agent_) == TargetOrder::kLeave) {
       return;
     }
     Log(Layer::kCoordination, LogLevel::kInfo, "drain_started",
@@ -329,18 +344,6 @@
     }
   }
 
-  auto CancelOwnDrain() -> void {
-    if (!agent_.draining || stopping_) {
-      return;
-    }
-    EndDrain(agent_);
-    if (announcer_) {
-      std::vector<AnnouncerAction> actions;
-      CancelDrain(*announcer_, MonotonicNow(), actions);
-      PerformAnnouncer(actions);
-    }
-  }
-
   auto Leave() -> void {
     if (announcer_) {
       std::vector<AnnouncerAction> actions;
@@ -388,6 +391,8 @@
       metrics["request_" + std::string(it.name)] =
           static_cast<double>(it.value);
     }
+    metrics["plan_refused_fenced"] =
+        static_cast<double>(follower_.fence.refused);
     metrics["undelivered"] = static_cast<double>(undelivered_);
     return metrics;
   }
@@ -396,6 +401,7 @@
   Random random_;
   asio::io_context io_;
   Agent agent_;
+  PlanFollower follower_;
   std::optional<Announcer> announcer_;
   ControlChannel channel_;
   ConfigurationBinding binding_;
--- a/src/transport/balancer_daemon.cc
+++ b/src/transport/balancer_daemon.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <variant>
 
 #include "hawthornbank/configuration.h"
@@ -13,11 +14,16 @@
 #include "transport/daemon_loop.h"
 #include "transport/logging.h"
 #include "transport/packet_workers.h"
+#include "transport/plan_binding.h"
 #include "transport/status_server.h"
 
 namespace hawthornbank::transport {
 namespace {
 
+/// Balancers that compete for the plan's lease; the others would only add
+/// calls to the platform.
+constexpr std::size_t kPlanCandidates = 3;
+
 /// Time that a leaving balancer goes on forwarding what the fabric still sends.
 constexpr std::chrono::milliseconds kLeaveTime{2000};
 
@@ -70,7 +76,11 @@
               {.on_tick = [this]() { Tick(); },
                .on_stop =
                    [this](const std::string& reason) { BeginStop(reason); },
-               .on_force = []() {}}) {}
+               .on_force = []() {}}) {
+    if (settings.execute_plan) {
+      StartPlan();
+    }
+  }
 
   auto Run() -> int {
     channel_.Receive(
@@ -89,6 +99,47 @@
   }
 
  private:
+  auto StartPlan() -> void {
+    const auto& self = membership_.self;
+    const auto start = std::to_string(ToInteger(self.incarnation));
+    plan_.emplace(
+        io_,
+        PlanBindingOptions{.region = settings_.region,
+                           .platform = settings_.platform,
+                           .executor = {.self = self.name + "/" + start}},
+        [this](bool with_targets) { return MakePlanView(with_targets); },
+        [this](const std::string& value) { binding_.TakeAccepted(value); });
+  }
+
+  auto MakePlanView(bool with_targets) const -> PlanView {
+    PlanView view{.ready = IsReady(membership_), .candidate = IsCandidate()};
+    if (with_targets) {
+      for (const auto& it : configuration_.services) {
+        const auto targets = TargetsOf(membership_, it.id);
+        view.targets.insert(view.targets.end(), targets.begin(), targets.end());
+      }
+    }
+    return view;
+  }
+
+  auto IsCandidate() const -> bool {
+    const auto balancers = Balancers(membership_);
+    const auto before = std::count_if(
+        balancers.begin(), balancers.end(), [this](const BalancerRecord& it) {
+          return it.state == BalancerState::kAlive &&
+                 it.id < membership_.self.id;
+        });
+    return static_cast<std::size_t>(before) < kPlanCandidates;
+  }
+
+  auto IsResting(const std::string& target) const -> bool {
+    const auto contains = [&target](const std::vector<std::string>& names) {
+      return std::find(names.begin(), names.end(), target) != names.end();
+    };
+    return contains(configuration_.resting) &&
+           !contains(configuration_.draining);
+  }
+
   auto HandleMessage(Endpoint from, const Message& message) -> void {
     const TimePoint now = MonotonicNow();
     std::vector<MembershipAction> actions;
@@ -155,6 +206,9 @@
     Perform(actions);
     binding_.SetPeers(LiveBalancers());
     binding_.Tick();
+    if (plan_ && !stopping_) {
+      plan_->Tick(configuration_);
+    }
     if (IsConfirmed(binding_.store(), MonotonicNow())) {
       workers_.SetLastHeard(MonotonicNow());
     }
@@ -204,12 +258,15 @@
         .counters = ToCounters(CollectMetrics())};
     for (const auto& service : configuration_.services) {
       for (const auto& it : TargetsOf(membership_, service.id)) {
-        status.targets.push_back({.name = it.name,
-                                  .service = service.name,
-                                  .zone = it.zone,
-                                  .state = StateName(it.state),
-                                  .connections = it.load.connections,
-                                  .slots_busy = it.load.slots_busy});
+        const bool rests =
+            it.state == TargetState::kDraining && IsResting(it.name);
+        status.targets.push_back(
+            {.name = it.name,
+             .service = service.name,
+             .zone = it.zone,
+             .state = rests ? "resting" : StateName(it.state),
+             .connections = it.load.connections,
+             .slots_busy = it.load.slots_busy});
       }
     }
     for (const auto& it : Balancers(membership_)) {
@@ -238,6 +295,9 @@
         static_cast<double>(configuration.platform_calls);
     metrics["platform_failures"] =
         static_cast<double>(configuration.platform_failures);
+    if (plan_) {
+      plan_->AddMetrics(metrics);
+    }
     metrics["flow_cache_entries"] =
         static_cast<double>(workers_.cache().Size());
     return metrics;
@@ -254,6 +314,7 @@
       std::make_shared<const RoutingTable>();
   ControlChannel channel_;
   ConfigurationBinding binding_;
+  std::optional<PlanBinding> plan_;
   DaemonLoop loop_;
   std::map<std::string, std::uint64_t> events_;
   bool stopping_ = false;
--- a/src/transport/configuration_binding.cc
+++ b/src/transport/configuration_binding.cc
@@ -150,6 +150,12 @@
   Perform(actions);
 }
 
+auto ConfigurationBinding::TakeAccepted(const std::string& value) -> void {
+  ConfigurationActions actions;
+  OnAcceptedConfiguration(store_, value, MonotonicNow(), random_, actions);
+  Perform(actions);
+}
+
 auto ConfigurationBinding::SetPeers(std::vector<BalancerPeer> balancers)
     -> void {
   SetBalancers(store_, std::move(balancers));
--- a/src/transport/configuration_binding.h
+++ b/src/transport/configuration_binding.h
@@ -91,6 +91,10 @@
   auto HandleMessage(Endpoint from, const ConfigurationMessage& message)
       -> void;
 
+  /// Takes a value that the platform has accepted.
+  /// @param value The value, as JSON.
+  auto TakeAccepted(const std::string& value) -> void;
+
   /// Takes the live balancers.
   /// @param balancers Their endpoints and zones.
   auto SetPeers(std::vector<BalancerPeer> balancers) -> void;
--- a/src/transport/settings.cc
+++ b/src/transport/settings.cc
@@ -77,6 +77,9 @@
     {"limits", "retry_budget_percent", kOptional, kOptional,
      [](auto& s, const auto& v) {
        s.retry_budget_percent = ReadNumber(v, {0, 100, "percent"}); }},
+    {"plan", "execute", kOptional, kForbidden,
+     [](auto& s, const auto& v) {
+       s.execute_plan = ReadChoice(v, {"true", "false"}) == "true"; }},
 });
 // clang-format on
 
--- a/src/transport/settings.h
+++ b/src/transport/settings.h
@@ -37,6 +37,7 @@
   std::uint32_t flow_cache_entries = 500'000;
   std::chrono::milliseconds drain_limit{std::chrono::hours{1}};
   std::uint32_t retry_budget_percent = 10;
+  bool execute_plan = true;  ///< Balancer: whether it may execute the plan.
 };
 
 /// Reads settings from INI text.
--- /dev/null
+++ b/test/plan_binding_test.cc
@@ -0,0 +1,168 @@
+#include "transport/plan_binding.h"
+
+#include <cstdlib>
+#include <ctime>
+#include <memory>
+#include <thread>
+
+#include "../standins/platform_standin.h"
+#include "transport/platform_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+using transport::Metrics;
+using transport::PlanBinding;
+using transport::PlanBindingOptions;
+using transport::PlatformClient;
+using transport::ToLocalTime;
+
+namespace {
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+constexpr ServiceId kId{1};
+
+/// The stand-in on a port of the system's choice, in a thread.
+struct RunningStandin {
+  RunningStandin() {
+    port = standin.Bind("127.0.0.1", 0);
+    thread = std::thread([this] { standin.Run(); });
+    while (!standin.running()) {
+      std::this_thread::yield();
+    }
+  }
+  ~RunningStandin() {
+    standin.Stop();
+    thread.join();
+  }
+  auto address() const -> Endpoint {
+    return {.address = kLoopback, .port = static_cast<std::uint16_t>(port)};
+  }
+
+  standins::PlatformStandin standin;
+  std::thread thread;
+  int port = -1;
+};
+
+auto First() -> Configuration {
+  return Configuration{
+      .generation = Generation{1},
+      .services = {Service{.id = kId, .name = "a", .target_count = 4}},
+      // The peak is at a minute that no day has.
+      .demand = {DemandRow{.service = kId, .day = "daily"},
+                 DemandRow{.service = kId,
+                           .day = "daily",
+                           .start = 24h,
+                           .requests_per_second = 100}}};
+}
+
+auto View(bool with_targets) -> PlanView {
+  PlanView view{.ready = true, .candidate = true};
+  for (const auto* name : {"a-1", "a-2", "a-3", "a-4"}) {
+    if (with_targets) {
+      view.targets.push_back(TargetRecord{
+          .id = TargetId{HashName(name)}, .name = name, .service = kId});
+    }
+  }
+  return view;
+}
+
+auto QuickOptions(const std::string& self) -> PlanExecutorOptions {
+  return {.self = self,
+          .lease = {.duration = 1200ms,
+                    .renew_interval = 300ms,
+                    .margin = 300ms,
+                    .watch_interval = 200ms},
+          .tick_interval = 100ms,
+          .start_delay = 0ms,
+          .surplus_hold = 200ms,
+          .rest_interval = 100ms};
+}
+
+auto IsHeld(const PlanBinding& binding) -> bool {
+  Metrics metrics;
+  binding.AddMetrics(metrics);
+  return metrics.at("plan_lease_held") > 0;
+}
+
+}  // namespace
+
+/// Two balancers whose configuration in force follows the accepted one.
+TEST_GROUP(PlanBinding) {
+  RunningStandin standin;
+  PlatformClient client{{.address = standin.address()}};
+  asio::io_context io;
+  Configuration in_force = First();
+  std::unique_ptr<PlanBinding> one;
+  std::unique_ptr<PlanBinding> other;
+
+  void setup() override {
+    client.Put("configuration", "main", 0, "first",
+               EncodeConfiguration(in_force));
+    one = Make("one");
+    other = Make("other");
+  }
+
+  auto Make(const std::string& self)->std::unique_ptr<PlanBinding> {
+    return std::make_unique<PlanBinding>(
+        io,
+        PlanBindingOptions{.region = "main",
+                           .platform = standin.address(),
+                           .executor = QuickOptions(self)},
+        View, [this](const std::string& value) {
+          in_force = DecodeConfiguration(value);
+        });
+  }
+
+  auto RunUntil(const std::function<bool()>& done)->bool {
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (!done() && std::chrono::steady_clock::now() < end) {
+      for (auto* it : {one.get(), other.get()}) {
+        if (it != nullptr) {
+          it->Tick(in_force);
+        }
+      }
+      io.restart();
+      io.run_for(20ms);
+    }
+    return done();
+  }
+
+  auto Stored()->Configuration {
+    return DecodeConfiguration(client.Get("configuration", "main")->value);
+  }
+};
+
+TEST(PlanBinding, OneHolderRestsTargetsAtThePlatform) {
+  CHECK(RunUntil([this] { return in_force.resting.size() == 2; }));
+  CHECK(Stored().resting == in_force.resting);
+  CHECK(Epoch{} != Stored().plan_epoch);
+  STRCMP_EQUAL("plan", Stored().author.c_str());
+  CHECK(IsHeld(*one) != IsHeld(*other));
+}
+
+TEST(PlanBinding, TheOtherTakesOverUnderAHigherEpoch) {
+  CHECK(RunUntil([this] { return in_force.resting.size() == 2; }));
+  const auto epoch = Stored().plan_epoch;
+  (IsHeld(*one) ? one : other).reset();
+  CHECK(RunUntil([&] { return in_force.plan_epoch > epoch; }));
+  LONGS_EQUAL(2, Stored().resting.size());
+}
+
+TEST(PlanBinding, LocalTimeKnowsDaylightSaving) {
+  const char* const before = std::getenv("TZ");
+  const std::string kept = before == nullptr ? "" : before;
+  // Central Europe, by rule, so that no time zone data are needed.
+  setenv("TZ", "CET-1CEST,M3.5.0,M10.5.0/3", 1);
+  tzset();
+  const WallTime instant =
+      std::chrono::sys_days{ParseDate("2026-03-29")} + std::chrono::minutes{50};
+  const auto local = ToLocalTime(instant);
+  const auto ahead = ToLocalTime(instant + 15min);
+  before == nullptr ? unsetenv("TZ") : setenv("TZ", kept.c_str(), 1);
+  tzset();
+  CHECK(ParseDate("2026-03-29") == local.date);
+  LONGS_EQUAL(110, local.time.count());
+  LONGS_EQUAL(185, ahead.time.count());
+}
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -60,6 +60,7 @@
       ParseSettings("\xEF\xBB\xBF" + BalancerText(), "f.ini", Role::kBalancer);
   STRCMP_EQUAL("main", settings.region.c_str());
   LONGS_EQUAL(10, settings.retry_budget_percent);
+  CHECK(settings.execute_plan);
   CHECK(settings.key.ends_with("1a1b1c1d1e1f"));
 }
 
@@ -156,3 +157,12 @@
     CHECK(std::strstr(error.what(), "/nonexistent/f.ini:0: ") != nullptr);
   }
 }
+
+TEST(Settings, ThePlanCanBeSwitchedOff) {
+  const auto settings = ParseSettings(
+      BalancerText() + "[plan]\nexecute = false\n", "f.ini", Role::kBalancer);
+  CHECK(!settings.execute_plan);
+  const std::string fault =
+      FaultsOf(BalancerText() + "[plan]\nexecute = perhaps\n");
+  STRCMP_CONTAINS("plan.execute: ", fault.c_str());
+}
