Refuse a queued request once it can't end in time; guess waits better

What a full target refuses is refused on arrival, within one round trip. The late refusals were queued requests whose wait had been guessed too short: the mean of 16 service times strays by a quarter, callers and double requests that come later weren't counted, and one quick answer made a cold target look stalled. Allow for three deviations, 64 answers, and what is usual of late.

Ruled out: lost packets (the case loses none) and refusals by the target.

--- a/bench/common/request_scenario.cc
+++ b/bench/common/request_scenario.cc
@@ -37,7 +37,9 @@
   bool booking = false;
   TimePoint born{};
   TimePoint deadline{};
-  TimePoint sent{};  ///< First sending of the present message.
+  TimePoint sent{};     ///< First sending of the present message.
+  TimePoint reached{};  ///< First arrival of the present message.
+  bool refused_on_arrival = false;
   std::vector<std::uint8_t> echo;
   std::uint32_t exchange = 0;  ///< Number of the present message.
   bool ended = false;          ///< The present attempt has its answer.
@@ -61,6 +63,7 @@
   std::uint32_t next_exchange = 1;
   std::vector<Run> runs;
   std::vector<double> refusal_round_trips;
+  std::vector<double> arrival_refusal_round_trips;
   std::vector<std::uint64_t> offered_by_second;
   std::vector<std::uint64_t> served_by_second;
   RequestResult result;
@@ -109,13 +112,16 @@
 }
 
 auto SendToTarget(World& world,
-                  const Call& call,
+                  Call& call,
                   std::size_t target,
                   const std::vector<std::uint8_t>& bytes) -> void {
   const auto flow = FlowOf(call, target);
   auto* host = world.targets[target].get();
   SendWithCopies(world, kFirstCallerHost + call.caller, host->host,
-                 [&world, host, flow, bytes] {
+                 [&world, host, flow, bytes, &call, sent = call.exchange] {
+                   if (sent == call.exchange && call.reached < call.sent) {
+                     call.reached = world.net.now();
+                   }
                    DeliverToTarget(*host, world.net, flow, bytes);
                  });
 }
@@ -244,6 +250,16 @@
   return ErrorKind::kInternal;
 }
 
+// Left to the deadline when a request was refused after it was taken in.
+auto NoteLateRefusal(World& world, const Call& call, ErrorKind kind) -> void {
+  auto& result = world.result;
+  ++result.late_refusals_by_kind[kind];
+  const double left =
+      static_cast<double>((call.deadline - world.net.now()).count()) /
+      static_cast<double>(Duration{world.scenario.service_time}.count());
+  result.late_refusal_left_min = std::min(result.late_refusal_left_min, left);
+}
+
 auto NoteRefusal(World& world, Call& call, const CoapMessage& reply) -> void {
   const auto& answer = AnswerFor(KindOf(reply));
   if (answer.execution != Execution::kNotRun) {
@@ -256,9 +272,15 @@
   call.attempts.back().told_not_run = true;
   const Duration round_trip =
       world.scenario.link.delay * 2 + world.scenario.link.jitter * 2;
-  world.refusal_round_trips.push_back(
+  const auto trips =
       static_cast<double>((world.net.now() - call.sent).count()) /
-      static_cast<double>(round_trip.count()));
+      static_cast<double>(round_trip.count());
+  world.refusal_round_trips.push_back(trips);
+  if (call.refused_on_arrival) {
+    world.arrival_refusal_round_trips.push_back(trips);
+  } else {
+    NoteLateRefusal(world, call, answer.kind);
+  }
   if (world.scenario.retry_without_budget) {
     Retry(world, call, kHastyRetryAfter);
   } else if (const auto* age = FindOption(reply, CoapOptionNumber::kMaxAge)) {
@@ -280,13 +302,29 @@
   }
 }
 
-auto ReceiveReply(World& world, const std::vector<std::uint8_t>& bytes)
-    -> void {
-  const auto reply = DecodeCoap(bytes, kMaxDatagram);
+auto ExchangeOf(const CoapMessage& reply) -> std::uint32_t {
   std::uint32_t exchange = 0;
   for (const auto it : reply.token) {
     exchange = exchange << 8U | it;
   }
+  return exchange;
+}
+
+// Notes whether a reply leaves the target at the instant of the request.
+auto NoteDeparture(World& world, const std::vector<std::uint8_t>& bytes)
+    -> void {
+  const auto it =
+      world.exchanges.find(ExchangeOf(DecodeCoap(bytes, kMaxDatagram)));
+  if (it != world.exchanges.end() && it->second->exchange == it->first) {
+    auto& call = *it->second;
+    call.refused_on_arrival = call.reached == world.net.now();
+  }
+}
+
+auto ReceiveReply(World& world, const std::vector<std::uint8_t>& bytes)
+    -> void {
+  const auto reply = DecodeCoap(bytes, kMaxDatagram);
+  const auto exchange = ExchangeOf(reply);
   const auto it = world.exchanges.find(exchange);
   if (it == world.exchanges.end()) {
     ++world.result.wrong_answers;
@@ -373,6 +411,7 @@
   };
   target->send = [&world, host = target->host](
                      const FlowKey& flow, std::vector<std::uint8_t> bytes) {
+    NoteDeparture(world, bytes);
     const auto caller = kFirstCallerHost + (flow.caller.address & 0xFFFFU);
     SendWithCopies(world, host, caller, [&world, bytes = std::move(bytes)] {
       ReceiveReply(world, bytes);
@@ -429,6 +468,11 @@
     result.late_refusals =
         static_cast<double>(late) / static_cast<double>(trips.size());
   }
+  const auto& on_arrival = world.arrival_refusal_round_trips;
+  if (!on_arrival.empty()) {
+    result.arrival_refusal_round_trips_p100 =
+        *std::max_element(on_arrival.begin(), on_arrival.end());
+  }
   for (std::size_t n = 0; n < world.offered_by_second.size(); ++n) {
     const auto offered = static_cast<double>(world.offered_by_second[n]);
     result.served_by_second.push_back(
--- a/bench/common/request_scenario.h
+++ b/bench/common/request_scenario.h
@@ -4,11 +4,14 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
+#include <map>
 #include <memory>
 #include <vector>
 
 #include "common/request_target.h"
 #include "common/virtual_network.h"
+#include "hawthornbank/error.h"
 
 /// @file
 /// Callers that send requests to several targets in virtual time.
@@ -55,6 +58,12 @@
   double shed_share = 0;            ///< Calls refused; permits count double.
   double refusal_round_trips_p99 = 0;
   double late_refusals = 0;  ///< Share of refusals over one round trip.
+  /// Slowest refusal that was sent at the instant the request arrived.
+  double arrival_refusal_round_trips_p100 = 0;
+  /// Refusals of requests that had been taken in, by reason.
+  std::map<ErrorKind, std::uint64_t> late_refusals_by_kind;
+  /// Least time that such a refusal left, in mean service times.
+  double late_refusal_left_min = std::numeric_limits<double>::infinity();
   double goodput_ratio = 0;  ///< Successes over capacity.
   double served_ratio = 0;   ///< Successes over offered requests.
   /// Successes over offered requests in each second of the run.
--- a/bench/requests.cc
+++ b/bench/requests.cc
@@ -18,6 +18,8 @@
 constexpr double kGoodputFloor = 0.95;
 constexpr double kRetriesBound = 1.10;
 constexpr double kRefusalRoundTripsBound = 1;
+constexpr double kLateRefusalLeftFloor = 0.5;
+constexpr double kLateRefusalsBound = 0.001;
 constexpr std::uint64_t kSeeds = 2;
 
 struct Variant {
@@ -156,6 +158,24 @@
   }
 };
 
+auto PrintRefusals(const Printer& printer, const RequestResult& result)
+    -> void {
+  // No packet is lost in this case.
+  printer.Figure("refusal_on_arrival_round_trips_p100",
+                 result.arrival_refusal_round_trips_p100, "round trips",
+                 kRefusalRoundTripsBound);
+  printer.Figure("late_refusals", result.late_refusals, "share",
+                 kLateRefusalsBound);
+  for (const auto& [kind, count] : result.late_refusals_by_kind) {
+    printer.Figure("late_" + std::string{AnswerFor(kind).name},
+                   static_cast<double>(count), "refusals");
+  }
+  if (!result.late_refusals_by_kind.empty()) {
+    printer.Figure("late_refusal_left_min", result.late_refusal_left_min,
+                   "service times", {}, kLateRefusalLeftFloor);
+  }
+}
+
 auto PrintResult(const Printer& printer, const RequestResult& result) -> void {
   const auto& name = printer.name;
   printer.Figure("doubled", static_cast<double>(result.doubled), "requests", 0);
@@ -179,7 +199,7 @@
                    kGoodputFloor);
     printer.Figure("refusal_round_trips_p99", result.refusal_round_trips_p99,
                    "round trips", kRefusalRoundTripsBound);
-    printer.Figure("late_refusals", result.late_refusals, "share");
+    PrintRefusals(printer, result);
   } else {
     printer.Figure("served_ratio", result.served_ratio, "share");
   }
--- a/src/coordination/request_gate.cc
+++ b/src/coordination/request_gate.cc
@@ -1,6 +1,7 @@
 #include "hawthornbank/request_gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "coordination/request_gate_state.h"
@@ -128,6 +129,34 @@
                      out);
 }
 
+// Notes how many are served before each waiting request.
+auto RankQueued(RequestGateState& state) -> void {
+  if (SizeOf(state.queue) <= state.options.slots) {
+    for (auto& [handle, request] : state.pending) {
+      request.ahead = 0;
+    }
+    return;
+  }
+  std::size_t ahead = 0;
+  for (const auto& item : ServingOrder(state.queue)) {
+    state.pending.at(item.request).ahead = ahead++;
+  }
+}
+
+// The last instant at which a waiting request can still end in time, even if
+// those before it end unusually soon.
+auto LastChance(const RequestGateState& state, const PendingRequest& request)
+    -> TimePoint {
+  const auto ahead = static_cast<double>(request.ahead);
+  const auto least =
+      std::max(0.0, ahead - detail::kWaitDeviations * std::sqrt(ahead)) /
+      state.options.slots;
+  return request.deadline -
+         Duration{static_cast<Duration::rep>(
+             static_cast<double>(state.health.service_time.count()) *
+             (1 + least))};
+}
+
 // When a pending request needs attention by itself.
 auto DueAt(const RequestGateState& state, const PendingRequest& request)
     -> TimePoint {
@@ -135,7 +164,7 @@
     case Phase::kDelayed:
       return request.not_before;
     case Phase::kQueued:
-      return request.deadline - state.health.service_time;
+      return LastChance(state, request);
     case Phase::kRunning:
       break;
   }
@@ -156,6 +185,7 @@
     case Phase::kQueued:
       detail::EndNotRun(state, handle, ErrorKind::kDeadlineExpired,
                         GateCounter::kRefusedExpiredInQueue, random, out);
+      RankQueued(state);
       break;
     case Phase::kRunning:
       GiveUp(state, handle, now, random, out);
@@ -278,6 +308,7 @@
             Random& random,
             RequestActions& out) -> TimePoint {
   auto& state = *gate.state;
+  RankQueued(state);
   std::vector<RequestHandle> due;
   for (const auto& [handle, request] : state.pending) {
     if (DueAt(state, request) <= now) {
@@ -285,13 +316,15 @@
     }
   }
   for (const auto handle : due) {
-    // An earlier step of this loop may have ended it.
-    if (state.pending.contains(handle)) {
+    // An earlier step of this loop may have ended it, or made way for it.
+    const auto it = state.pending.find(handle);
+    if (it != state.pending.end() && DueAt(state, it->second) <= now) {
       ActOnDue(state, handle, now, random, out);
     }
   }
   detail::Dispatch(state, now, random, out);
   ForgetOldEntries(state.ledger, now);
+  RankQueued(state);
   auto next = now + kIdleWake;
   for (const auto& [handle, request] : state.pending) {
     next = std::min(next, DueAt(state, request));
--- a/src/coordination/request_gate_state.cc
+++ b/src/coordination/request_gate_state.cc
@@ -176,11 +176,8 @@
   if (state.running < slots && SizeOf(state.queue) == 0) {
     return Duration{0};
   }
-  // With service times that vary as much as their mean, the time in which so
-  // many requests end has this deviation from its mean.
-  constexpr double kDeviations = 2;
   const auto ahead = static_cast<double>(CountAhead(state.queue, item) + 1);
-  const double services = (ahead + kDeviations * std::sqrt(ahead)) / slots;
+  const double services = (ahead + kWaitDeviations * std::sqrt(ahead)) / slots;
   return Duration{static_cast<Duration::rep>(
       static_cast<double>(state.health.service_time.count()) * services)};
 }
--- a/src/coordination/request_gate_state.h
+++ b/src/coordination/request_gate_state.h
@@ -31,6 +31,7 @@
   TimePoint started{};
   TimePoint not_before{};  ///< End of the delay before a retry.
   std::uint32_t attempts = 0;
+  std::size_t ahead = 0;  ///< Waiting requests that are served before it.
   std::vector<WaiterId> waiters;
 };
 
@@ -58,6 +59,11 @@
 
 namespace detail {
 
+/// Deviations from the mean wait that a request has to allow for. With service
+/// times that vary as much as their mean, the time in which n requests end
+/// deviates by the root of n service times.
+inline constexpr double kWaitDeviations = 3;
+
 /// Refuses one waiter.
 auto Refuse(RequestGateState& state,
             WaiterId waiter,
--- a/src/coordination/request_queue.cc
+++ b/src/coordination/request_queue.cc
@@ -1,6 +1,7 @@
 #include "coordination/request_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthornbank {
 namespace {
@@ -10,6 +11,7 @@
 // the newcomer's caller holds. Nobody else loses a place in the queue.
 constexpr std::size_t kGreedyItems = 4;
 constexpr std::size_t kGreedyFactor = 3;
+constexpr double kUsualLinesDecay = 0.99;  // With each request of the class.
 
 auto ClassOf(RequestQueue& queue, const QueueItem& item) -> QueueClass& {
   return item.counts_double ? queue.double_ones : queue.ordinary;
@@ -44,8 +46,16 @@
 // every other line in each round, as lines may be refilled.
 auto CountAheadIn(const QueueClass& from, std::uint64_t caller) -> std::size_t {
   const auto mine = CountOf(from, caller);
-  const auto others = from.lines.size() - (mine > 0 ? 1 : 0);
-  return mine + others * (mine + 1);
+  const std::size_t own_line = mine > 0 ? 1 : 0;
+  const auto others = from.lines.size() - own_line;
+  const auto usual = static_cast<std::size_t>(std::ceil(from.usual_lines));
+  // Callers that join later are served before all but the first of a line.
+  const auto later = std::max(others, usual - std::min(usual, own_line));
+  return mine + others + later * mine;
+}
+
+auto IsInUse(const QueueClass& it) -> bool {
+  return it.size > 0 || it.pushes_since < kRecentPushes;
 }
 
 }  // namespace
@@ -62,6 +72,11 @@
   }
   line.push_back(item);
   ++to.size;
+  ++queue.double_ones.pushes_since;
+  ++queue.ordinary.pushes_since;
+  to.pushes_since = 0;
+  to.usual_lines = std::max(static_cast<double>(to.lines.size()),
+                            to.usual_lines * kUsualLinesDecay);
 }
 
 auto Pop(RequestQueue& queue) -> std::optional<QueueItem> {
@@ -101,13 +116,22 @@
   const auto ahead = CountAheadIn(ClassOf(queue, item), item.caller);
   // More of the other class may arrive while this one waits.
   if (item.counts_double) {
-    const bool contended = queue.ordinary.size > 0;
+    const bool contended = IsInUse(queue.ordinary);
     return contended ? ahead + 1 + ahead / kDoublesPerOrdinary : ahead;
   }
-  const bool contended = queue.double_ones.size > 0;
+  const bool contended = IsInUse(queue.double_ones);
   return contended ? ahead + kDoublesPerOrdinary * (ahead + 1) : ahead;
 }
 
+auto ServingOrder(const RequestQueue& queue) -> std::vector<QueueItem> {
+  std::vector<QueueItem> order;
+  auto rest = queue;
+  while (const auto item = Pop(rest)) {
+    order.push_back(*item);
+  }
+  return order;
+}
+
 auto ChooseVictim(const RequestQueue& queue, const QueueItem& newcomer)
     -> std::optional<QueueItem> {
   const auto& from = ClassOf(queue, newcomer);
--- a/src/coordination/request_queue.h
+++ b/src/coordination/request_queue.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "hawthornbank/request_gate.h"
 
@@ -20,11 +21,18 @@
   bool counts_double = false;
 };
 
+/// A class with a request among so many latest ones counts as in use.
+inline constexpr std::uint32_t kRecentPushes = 32;
+
 /// Requests of one class; callers are served round robin.
 struct QueueClass {
   std::map<std::uint64_t, std::deque<QueueItem>> lines;  ///< None is empty.
   std::deque<std::uint64_t> turns;  ///< Callers in the order of turns.
   std::size_t size = 0;
+  /// Most callers that waited of late; sinks slowly.
+  double usual_lines = 0;
+  /// Requests that the queue took since the last one of this class.
+  std::uint32_t pushes_since = kRecentPushes;
 };
 
 /// Two classes: of those that count double, two are taken for each ordinary
@@ -63,6 +71,10 @@
 auto CountAhead(const RequestQueue& queue, const QueueItem& item)
     -> std::size_t;
 
+/// @param queue The queue.
+/// @return All requests in the order in which they are served if none comes.
+auto ServingOrder(const RequestQueue& queue) -> std::vector<QueueItem>;
+
 /// Chooses what a full queue gives up for a newcomer.
 /// @param queue The queue.
 /// @param newcomer The request that has no room.
--- a/src/coordination/target_health.cc
+++ b/src/coordination/target_health.cc
@@ -9,7 +9,8 @@
 constexpr double kWeakFailure = 0.45;  // Half of the slots from here on.
 constexpr double kDownFailure = 0.6;   // Probes only from here on.
 constexpr std::uint32_t kSuccessesPerSlot = 4;  // Ramp-up of a cold target.
-constexpr std::uint64_t kServiceGainDivisor = 16;
+constexpr std::uint64_t kServiceGainDivisor = 64;
+constexpr std::uint64_t kInitialWeight = 2;  // Of the first guess, in samples.
 constexpr int kClipFactor = 4;   // Most that one sample moves the average.
 constexpr int kStallFactor = 8;  // Times the average service time.
 
@@ -54,8 +55,10 @@
   }
   const auto sample = std::min(service_time, health.service_time * kClipFactor);
   ++health.samples;
-  // A plain mean at first, so that a cold target is soon known.
-  const auto divisor = std::min(health.samples, kServiceGainDivisor);
+  // Nearly a plain mean at first, so that a cold target is soon known; one
+  // quick answer alone must not make the next ones look like stalls.
+  const auto divisor =
+      std::min(health.samples + kInitialWeight, kServiceGainDivisor);
   health.service_time +=
       (sample - health.service_time) / static_cast<Duration::rep>(divisor);
 }
--- a/test/request_queue_test.cc
+++ b/test/request_queue_test.cc
@@ -96,3 +96,16 @@
   LONGS_EQUAL(0, SizeOf(queue));
   CHECK_FALSE(Pop(queue).has_value());
 }
+
+TEST(RequestQueue, AClassThatWasServedOfLateIsExpectedAgain) {
+  Add(1, true);
+  Add(2);
+  Pop(queue);
+  // One ordinary request waits; two double ones may yet come before each.
+  LONGS_EQUAL(5, CountAhead(queue, {.caller = 3}));
+  for (int n = 0; n < 40; ++n) {
+    Add(2);
+    Pop(queue);
+  }
+  LONGS_EQUAL(1, CountAhead(queue, {.caller = 3}));
+}
--- a/test/target_health_test.cc
+++ b/test/target_health_test.cc
@@ -81,3 +81,12 @@
   CHECK(SpendRetry(budget));
   CHECK_FALSE(SpendRetry(budget));
 }
+
+TEST(TargetHealth, OneQuickAnswerMakesTheNextOnesNoStalls) {
+  RecordSuccess(health, milliseconds{2}, now);
+  for (int n = 0; n < 5; ++n) {
+    RecordSuccess(health, milliseconds{180}, now);
+  }
+  CHECK_FALSE(IsDown(health));
+  DOUBLES_EQUAL(0, health.failure, 0.01);
+}
