Keep the slot of cancelled work until the target has stopped it

Its slot is now free when the target answers, confirms the cancel with 2.02 or resets it; after 3 s, or eight mean service times, the target counts as stalled and gets probes only.

Checks replaced, as they demanded the fault: a slot free at once after cancel, reset and the end of a flow. The new ones demand that it is taken before and free after. LateAnswerIsNotTakenForThatOfAReusedToken warms its target up first, as a cold one has a single slot, which the late request holds; its checks are the same.

--- a/bench/common/request_scenario.cc
+++ b/bench/common/request_scenario.cc
@@ -126,16 +126,19 @@
                  });
 }
 
+auto TokenOf(std::uint32_t exchange) -> std::vector<std::uint8_t> {
+  return {static_cast<std::uint8_t>(exchange >> 24U),
+          static_cast<std::uint8_t>(exchange >> 16U),
+          static_cast<std::uint8_t>(exchange >> 8U),
+          static_cast<std::uint8_t>(exchange)};
+}
+
 auto BuildMessage(World& world, const Call& call) -> CoapMessage {
-  const auto exchange = call.exchange;
   const auto left =
       std::chrono::floor<milliseconds>(call.deadline - world.net.now());
   CoapMessage message{.code = call.booking ? kCoapPost : kCoapGet,
                       .id = world.callers[call.caller].next_id++,
-                      .token = {static_cast<std::uint8_t>(exchange >> 24U),
-                                static_cast<std::uint8_t>(exchange >> 16U),
-                                static_cast<std::uint8_t>(exchange >> 8U),
-                                static_cast<std::uint8_t>(exchange)}};
+                      .token = TokenOf(call.exchange)};
   AddOption(
       message, CoapOptionNumber::kUriPath,
       !call.booking ? "board" : (world.scenario.permits ? "permit" : "quote"));
@@ -206,6 +209,36 @@
   }
 }
 
+// Cancels the present attempt; its outcome is then of no interest.
+auto SendCancel(World& world, Call& call) -> void {
+  const auto exchange = world.next_exchange++;
+  world.exchanges.emplace(exchange, &call);
+  CoapMessage message{.type = CoapType::kNon,
+                      .code = kCoapGet,
+                      .id = world.callers[call.caller].next_id++,
+                      .token = TokenOf(exchange)};
+  AddOption(message, CoapOptionNumber::kUriQuery, "cancel=" + call.id);
+  SendToTarget(world, call, call.attempts.back().target, EncodeCoap(message));
+  call.ended = true;
+}
+
+auto PlanCancel(World& world, Call& call) -> void {
+  const auto& scenario = world.scenario;
+  if (scenario.cancel_share == 0 ||
+      NextFraction(world.net.random()) >= scenario.cancel_share) {
+    return;
+  }
+  const auto longest = 2 * Duration{scenario.service_time};
+  const auto delay = static_cast<Duration::rep>(
+      NextFraction(world.net.random()) * static_cast<double>(longest.count()));
+  world.net.At(world.net.now() + Duration{delay},
+               [&world, &call, n = call.attempts.size()] {
+                 if (!call.ended && call.attempts.size() == n) {
+                   SendCancel(world, call);
+                 }
+               });
+}
+
 auto BeginAttempt(World& world, Call& call) -> void {
   const auto now = world.net.now();
   if (!call.attempts.empty()) {
@@ -219,6 +252,7 @@
   call.final_code = 0;
   ++world.result.attempts;
   SendMessage(world, call);
+  PlanCancel(world, call);
   world.net.At(call.deadline, [&world, &call, n = call.attempts.size()] {
     if (call.attempts.size() == n) {
       EndAttempt(world, call);
@@ -399,6 +433,7 @@
   target->options.counts_double = world.scenario.permits;
   target->service_time = world.scenario.service_time;
   target->options.pass_to_other_targets = true;
+  target->ignores_cancel = world.scenario.targets_ignore_cancel;
   target->runs = &world.runs;
   target->pass = [&world, host = target->host](
                      TargetId other, const FlowKey& flow,
@@ -441,6 +476,15 @@
   }
 }
 
+auto SummarizeTargets(World& world) -> void {
+  auto& result = world.result;
+  for (const auto& target : world.targets) {
+    result.running_max = std::max(result.running_max, target->running_max);
+    result.cancelled += target->cancelled;
+    result.slots_freed += target->slots_freed;
+  }
+}
+
 auto Summarize(World& world) -> void {
   auto& result = world.result;
   double weight = 0;
@@ -507,6 +551,7 @@
   world.net.RunUntil(TimePoint{scenario.end + kSettle});
   CountRuns(world);
   Summarize(world);
+  SummarizeTargets(world);
   return world.result;
 }
 
--- a/bench/common/request_scenario.h
+++ b/bench/common/request_scenario.h
@@ -31,9 +31,11 @@
   bool retry_without_budget = false;
   Link link{.delay = std::chrono::milliseconds{3},
             .jitter = std::chrono::milliseconds{1}};
-  double copy_share = 0;          ///< Datagrams that arrive again.
-  std::size_t copies = 1;         ///< How often those arrive again.
-  Duration copy_delay{0};         ///< Latest arrival of a copy.
+  double copy_share = 0;    ///< Datagrams that arrive again.
+  std::size_t copies = 1;   ///< How often those arrive again.
+  Duration copy_delay{0};   ///< Latest arrival of a copy.
+  double cancel_share = 0;  ///< Tries that their caller cancels.
+  bool targets_ignore_cancel = false;
   double second_home_share = 0;   ///< Bookings opened at two targets.
   std::chrono::seconds start{5};  ///< Begin of the measured time.
   std::chrono::seconds end{25};   ///< End of the measured time.
@@ -55,6 +57,9 @@
   std::uint64_t wrong_answers = 0;  ///< Torn, or another request's.
   std::uint64_t unknown = 0;        ///< Calls that ended in "unknown".
   std::uint64_t unanswered = 0;     ///< Calls that nobody answered in time.
+  std::size_t running_max = 0;      ///< Most that ran at one target at once.
+  std::uint64_t cancelled = 0;      ///< Cancellations that stopped work.
+  std::uint64_t slots_freed = 0;    ///< Those that freed the slot at once.
   double shed_share = 0;            ///< Calls refused; permits count double.
   double refusal_round_trips_p99 = 0;
   double late_refusals = 0;  ///< Share of refusals over one round trip.
--- a/bench/common/request_target.cc
+++ b/bench/common/request_target.cc
@@ -45,6 +45,7 @@
   target.runs->push_back(
       {.id = work.id, .target = target.host, .when = net.now()});
   target.running.emplace(number, std::move(work));
+  target.running_max = std::max(target.running_max, target.running.size());
   net.AtHost(target.host, net.now() + DrawServiceTime(target, net.random()),
              [&target, &net, number, life = target.life]() {
                if (life == target.life) {
@@ -92,9 +93,39 @@
   StartQueued(target, net);
 }
 
-auto CancelWork(TargetHost& target, const std::string& id) -> void {
-  std::erase_if(target.running,
-                [&](const auto& work) { return work.second.id == id; });
+// Confirms to the gate that work has stopped.
+auto ConfirmCancel(TargetHost& target,
+                   VirtualNetwork& net,
+                   const FlowKey& flow,
+                   const CoapMessage& cancel) -> void {
+  const CoapMessage reply{.type = CoapType::kNon,
+                          .code = kCoapDeleted,
+                          .id = cancel.id,
+                          .token = cancel.token};
+  const auto busy = GateLoad(target.gate, net.now()).slots_cancelled;
+  GateActions actions;
+  OnTargetDatagram(target.gate, flow, EncodeCoap(reply), net.now(),
+                   net.random(), actions);
+  const auto left = GateLoad(target.gate, net.now()).slots_cancelled;
+  target.slots_freed += busy - left;
+  Apply(target, net, std::move(actions));
+  PlanTick(target, net);
+}
+
+auto CancelWork(TargetHost& target,
+                VirtualNetwork& net,
+                const FlowKey& flow,
+                const CoapMessage& cancel,
+                const std::string& id) -> void {
+  const auto stopped = std::erase_if(
+      target.running, [&](const auto& work) { return work.second.id == id; });
+  target.cancelled += stopped;
+  net.AtHost(target.host, net.now(),
+             [&target, &net, flow, cancel, life = target.life] {
+               if (life == target.life) {
+                 ConfirmCancel(target, net, flow, cancel);
+               }
+             });
 }
 
 // The gate hands a datagram to the target.
@@ -104,7 +135,9 @@
                   const std::vector<std::uint8_t>& bytes) -> void {
   const auto request = DecodeCoap(bytes, kMaxDatagram);
   if (const auto id = QueryValue(request, "cancel")) {
-    CancelWork(target, *id);
+    if (!target.ignores_cancel) {
+      CancelWork(target, net, flow, request, *id);
+    }
     return;
   }
   if (!IsRequestCode(request.code)) {
--- a/bench/common/request_target.h
+++ b/bench/common/request_target.h
@@ -51,6 +51,10 @@
   std::deque<Work> queue;                      ///< Of the baselines.
   std::map<std::string, CoapMessage> answers;  ///< kUnboundedQueue.
   std::set<std::string> known;                 ///< kUnboundedQueue.
+  bool ignores_cancel = false;    ///< Runs on, and confirms nothing.
+  std::size_t running_max = 0;    ///< Most requests that ran at once.
+  std::uint64_t cancelled = 0;    ///< Cancellations that stopped work.
+  std::uint64_t slots_freed = 0;  ///< Those that freed the slot at once.
   Duration service_time{std::chrono::milliseconds{50}};
   std::vector<Run>* runs = nullptr;
   /// Sends a datagram back over the network.
--- a/bench/requests.cc
+++ b/bench/requests.cc
@@ -16,6 +16,7 @@
 using Targets = std::vector<std::unique_ptr<TargetHost>>;
 
 constexpr double kGoodputFloor = 0.95;
+constexpr double kSlots = 3;
 constexpr double kRetriesBound = 1.10;
 constexpr double kRefusalRoundTripsBound = 1;
 constexpr double kLateRefusalLeftFloor = 0.5;
@@ -105,6 +106,15 @@
     it.faults = PlanPauses;
   });
   add("lost_answers", [](RequestScenario& it) { it.link.loss = 0.2; });
+  add("cancellation", [](RequestScenario& it) {
+    it.load = 0.9;
+    it.cancel_share = 0.3;
+  });
+  add("cancellation_ignored", [](RequestScenario& it) {
+    it.load = 0.9;
+    it.cancel_share = 0.3;
+    it.targets_ignore_cancel = true;
+  });
   add("target_restart", [](RequestScenario& it) {
     it.load = 0.8;
     it.faults = PlanRestarts;
@@ -203,6 +213,16 @@
   } else {
     printer.Figure("served_ratio", result.served_ratio, "share");
   }
+  if (name.starts_with("cancellation")) {
+    printer.Figure("running_max", static_cast<double>(result.running_max),
+                   "requests", kSlots);
+  }
+  if (result.cancelled > 0) {
+    printer.Figure("slots_freed",
+                   static_cast<double>(result.slots_freed) /
+                       static_cast<double>(result.cancelled),
+                   "share", {}, 1);
+  }
   if (name.starts_with("target_restart")) {
     printer.Figure("time_to_goodput", TimeToGoodput(result), "s");
   }
--- a/include/hawthornbank/request_gate.h
+++ b/include/hawthornbank/request_gate.h
@@ -51,7 +51,8 @@
   kSucceeded,  ///< It ran, or was refused for the caller's fault.
   kFailed,     ///< It ran and failed for the target's fault.
   kShed,       ///< The target took no work; it did not run.
-  kLost,       ///< The target gave no answer that tells.
+  kReset,      ///< The target knows nothing of it; it isn't running there.
+  kLost,       ///< No answer can come any more; it may be running.
 };
 
 /// An encoded answer, shared by all who wait for it.
@@ -117,6 +118,8 @@
   kLateAnswerKept,
   kLateAnswerDropped,
   kUnmatchedAnswer,
+  kCancelConfirmed,
+  kCancelUnconfirmed,
   kCount,
 };
 
@@ -135,6 +138,9 @@
   std::chrono::milliseconds ledger_retention{120000};
   std::chrono::milliseconds initial_service_time{50};
   std::chrono::milliseconds probe_interval{1000};
+  /// Longest that cancelled work holds its slot; afterwards the target counts
+  /// as stalled.
+  std::chrono::milliseconds cancel_limit{3000};
   double retry_share = 0.10;  ///< Retries allowed for each first try.
   std::uint32_t retry_burst = 10;
   std::chrono::milliseconds come_back_min{1000};
@@ -144,7 +150,8 @@
 /// What a gate holds at the moment.
 struct GateLoadReport {
   std::uint32_t slots_busy = 0;
-  std::uint32_t slots_allowed = 0;  ///< After ramp-up and health.
+  std::uint32_t slots_cancelled = 0;  ///< Busy for work that nobody awaits.
+  std::uint32_t slots_allowed = 0;    ///< After ramp-up and health.
   std::uint32_t queued = 0;
   std::uint32_t connections = 0;
   bool draining = false;
@@ -194,7 +201,7 @@
 /// @param gate The gate.
 /// @param request Handle from kStart.
 /// @param outcome How the target dealt with it.
-/// @param answer The encoded answer; may be null for kLost and kShed.
+/// @param answer The encoded answer; may be null unless it ran.
 /// @param now The present instant.
 /// @param random Jitter of retries.
 /// @param out Receives what has to be done.
@@ -206,6 +213,19 @@
                Random& random,
                RequestActions& out) -> void;
 
+/// Takes in the target's word that it has stopped cancelled work, whose slot
+/// is free from then on.
+/// @param gate The gate.
+/// @param request Handle from kCancel.
+/// @param now The present instant.
+/// @param random Generator of this run.
+/// @param out Receives what has to be done.
+auto OnCancelConfirmed(RequestGate& gate,
+                       RequestHandle request,
+                       TimePoint now,
+                       Random& random,
+                       RequestActions& out) -> void;
+
 /// Drops a waiter; work that nobody waits for any more is cancelled.
 /// @param gate The gate.
 /// @param waiter The waiter that went away.
--- a/src/coordination/request_gate.cc
+++ b/src/coordination/request_gate.cc
@@ -102,17 +102,44 @@
   }
 }
 
-auto OnLost(RequestGateState& state,
-            RequestHandle handle,
-            TimePoint now,
-            Random& random,
-            RequestActions& out) -> void {
+auto OnReset(RequestGateState& state,
+             RequestHandle handle,
+             TimePoint now,
+             Random& random,
+             RequestActions& out) -> void {
   RecordFailure(state.health, now);
   const bool idempotent = state.pending.at(handle).id.empty();
   if (!idempotent ||
       !PlanRetry(state, handle, GateCounter::kRetriedLost, now, random)) {
     detail::EndUnknown(state, handle, GateCounter::kUnknownLost, now, random,
                        out);
+    detail::ReleaseCancelled(state, handle);
+  }
+}
+
+// No retry, as the first try may be running.
+auto OnLost(RequestGateState& state,
+            RequestHandle handle,
+            TimePoint now,
+            Random& random,
+            RequestActions& out) -> void {
+  RecordFailure(state.health, now);
+  detail::EndUnknown(state, handle, GateCounter::kUnknownLost, now, random,
+                     out);
+  state.cancelled.at(handle).answerable = false;
+}
+
+// An outcome of a request that isn't running any more.
+auto OnLateOutcome(RequestGateState& state,
+                   RequestHandle handle,
+                   Outcome outcome,
+                   const Answer& answer) -> void {
+  const auto it = state.cancelled.find(handle);
+  if (outcome != Outcome::kLost) {
+    detail::ReleaseCancelled(state, handle);
+    KeepLateAnswer(state, handle, outcome, answer);
+  } else if (it != state.cancelled.end()) {
+    it->second.answerable = false;
   }
 }
 
@@ -241,7 +268,8 @@
   auto& state = *gate.state;
   const auto it = state.pending.find(request);
   if (it == state.pending.end() || it->second.phase != Phase::kRunning) {
-    KeepLateAnswer(state, request, outcome, answer);
+    OnLateOutcome(state, request, outcome, answer);
+    detail::Dispatch(state, now, random, out);
     return;
   }
   const auto service_time = now - it->second.started;
@@ -258,6 +286,9 @@
     case Outcome::kShed:
       OnShed(state, request, now, random, out);
       break;
+    case Outcome::kReset:
+      OnReset(state, request, now, random, out);
+      break;
     case Outcome::kLost:
       OnLost(state, request, now, random, out);
       break;
@@ -265,6 +296,18 @@
   detail::Dispatch(state, now, random, out);
 }
 
+auto OnCancelConfirmed(RequestGate& gate,
+                       RequestHandle request,
+                       TimePoint now,
+                       Random& random,
+                       RequestActions& out) -> void {
+  auto& state = *gate.state;
+  if (detail::ReleaseCancelled(state, request)) {
+    Bump(state, GateCounter::kCancelConfirmed);
+    detail::Dispatch(state, now, random, out);
+  }
+}
+
 auto DropWaiter(RequestGate& gate,
                 WaiterId waiter,
                 TimePoint now,
@@ -308,6 +351,7 @@
             Random& random,
             RequestActions& out) -> TimePoint {
   auto& state = *gate.state;
+  detail::ReleaseOverdue(state, now);
   RankQueued(state);
   std::vector<RequestHandle> due;
   for (const auto& [handle, request] : state.pending) {
@@ -329,6 +373,9 @@
   for (const auto& [handle, request] : state.pending) {
     next = std::min(next, DueAt(state, request));
   }
+  for (const auto& [handle, work] : state.cancelled) {
+    next = std::min(next, detail::HoldEnd(state, work));
+  }
   return std::max(next, now);
 }
 
@@ -356,10 +403,12 @@
 
 auto Load(const RequestGate& gate, TimePoint now) -> GateLoadReport {
   const auto& state = *gate.state;
+  const auto cancelled = static_cast<std::uint32_t>(state.cancelled.size());
+  const auto pending = static_cast<std::uint32_t>(state.pending.size());
   return {.slots_busy = state.running,
+          .slots_cancelled = cancelled,
           .slots_allowed = AllowedSlots(state.health, now),
-          .queued =
-              static_cast<std::uint32_t>(state.pending.size()) - state.running,
+          .queued = pending + cancelled - state.running,
           .draining = state.draining};
 }
 
--- a/src/coordination/request_gate_state.cc
+++ b/src/coordination/request_gate_state.cc
@@ -133,6 +133,10 @@
                 RequestActions& out) -> void {
   const auto request = Forget(state, handle);
   Bump(state, reason);
+  // The target may ignore the cancellation, so its slot stays taken.
+  state.cancelled.emplace(
+      handle, CancelledWork{.started = request.started, .cancelled = now});
+  ++state.running;
   out.push_back({.kind = RequestAction::Kind::kCancel, .request = handle});
   if (auto* entry = FindEntry(state.ledger, request.id)) {
     entry->state = RequestState::kUnknown;
@@ -146,6 +150,48 @@
   RefuseAll(state, request, ErrorKind::kOutcomeUnknown, random, out);
 }
 
+auto ReleaseCancelled(RequestGateState& state, RequestHandle handle) -> bool {
+  if (state.cancelled.erase(handle) == 0) {
+    return false;
+  }
+  --state.running;
+  return true;
+}
+
+auto HoldEnd(const RequestGateState& state, const CancelledWork& work)
+    -> TimePoint {
+  const auto stall = StallTime(state.health);
+  if (!work.answerable) {
+    return std::max(work.cancelled, work.started + stall);
+  }
+  return work.cancelled + std::max<Duration>(state.options.cancel_limit, stall);
+}
+
+auto ReleaseOverdue(RequestGateState& state, TimePoint now) -> void {
+  for (auto it = state.cancelled.begin(); it != state.cancelled.end();) {
+    const auto end = HoldEnd(state, it->second);
+    if (now < end) {
+      ++it;
+      continue;
+    }
+    Bump(state, GateCounter::kCancelUnconfirmed);
+    if (it->second.answerable) {
+      RecordStall(state.health, end);
+    }
+    --state.running;
+    it = state.cancelled.erase(it);
+  }
+}
+
+auto IsStalled(const RequestGateState& state, TimePoint now) -> bool {
+  const auto allowed = std::max(1U, AllowedSlots(state.health, now));
+  return state.cancelled.size() >= allowed &&
+         std::all_of(state.cancelled.begin(), state.cancelled.end(),
+                     [&](const auto& it) {
+                       return IsStall(state.health, now - it.second.started);
+                     });
+}
+
 auto Dispatch(RequestGateState& state,
               TimePoint now,
               Random& random,
@@ -163,7 +209,7 @@
                 GateCounter::kRefusedExpiredInQueue, random, out);
     }
   }
-  if (IsDown(state.health)) {
+  if (IsDown(state.health) || IsStalled(state, now)) {
     RefuseQueued(state, ErrorKind::kUnhealthy, GateCounter::kRefusedUnhealthy,
                  random, out);
   }
--- a/src/coordination/request_gate_state.h
+++ b/src/coordination/request_gate_state.h
@@ -35,6 +35,13 @@
   std::vector<WaiterId> waiters;
 };
 
+/// Work that nobody waits for and that the target may still be running.
+struct CancelledWork {
+  TimePoint started{};
+  TimePoint cancelled{};
+  bool answerable = true;  ///< Whether the target can still confirm it.
+};
+
 /// Everything a request gate knows.
 struct RequestGateState {
   RequestGateOptions options;
@@ -46,14 +53,16 @@
   std::unordered_map<WaiterId, RequestHandle> waiters;
   /// Requests whose waiters were told "unknown"; the answer may yet come.
   std::map<RequestHandle, std::string> given_up;
+  /// Holds a slot for each of its entries.
+  std::map<RequestHandle, CancelledWork> cancelled;
   std::array<std::uint64_t, static_cast<std::size_t>(GateCounter::kCount)>
       counters{};
   LatencyDistribution service_times;
   LatencyDistribution queue_waits;
   std::uint64_t next_handle = 1;
-  std::uint32_t running = 0;
-  TimePoint last_issued{};   ///< Issue instant of the newest token.
-  TimePoint void_through{};  ///< Tokens up to here start nothing new.
+  std::uint32_t running = 0;  ///< Slots taken, also by cancelled work.
+  TimePoint last_issued{};    ///< Issue instant of the newest token.
+  TimePoint void_through{};   ///< Tokens up to here start nothing new.
   bool draining = false;
 };
 
@@ -87,6 +96,20 @@
                 Random& random,
                 RequestActions& out) -> void;
 
+/// Frees the slot of cancelled work.
+/// @return Whether it held one.
+auto ReleaseCancelled(RequestGateState& state, RequestHandle handle) -> bool;
+
+/// @return When cancelled work stops holding its slot, confirmed or not.
+auto HoldEnd(const RequestGateState& state, const CancelledWork& work)
+    -> TimePoint;
+
+/// Frees the slots of cancelled work that the target never confirmed.
+auto ReleaseOverdue(RequestGateState& state, TimePoint now) -> void;
+
+/// @return Whether cancelled work that doesn't end holds all that is allowed.
+auto IsStalled(const RequestGateState& state, TimePoint now) -> bool;
+
 /// Starts what the slots allow, and refuses what has become hopeless.
 auto Dispatch(RequestGateState& state,
               TimePoint now,
--- a/src/coordination/request_gate_submit.cc
+++ b/src/coordination/request_gate_submit.cc
@@ -41,7 +41,7 @@
     return Refusal{ErrorKind::kDraining, GateCounter::kRefusedDraining};
   }
   const bool probe_due = AllowedSlots(state.health, now) > state.running;
-  if (IsDown(state.health) && !probe_due) {
+  if ((IsDown(state.health) && !probe_due) || detail::IsStalled(state, now)) {
     return Refusal{ErrorKind::kUnhealthy, GateCounter::kRefusedUnhealthy};
   }
   return std::nullopt;
@@ -300,6 +300,7 @@
             Random& random,
             RequestActions& out) -> void {
   auto& state = *gate.state;
+  detail::ReleaseOverdue(state, now);
   if (!request.idempotent) {
     SubmitOnce(state, request, now, random, out);
     return;
--- a/src/coordination/target_health.cc
+++ b/src/coordination/target_health.cc
@@ -71,10 +71,20 @@
   }
 }
 
-auto IsStall(const TargetHealth& health, Duration running) -> bool {
+auto RecordStall(TargetHealth& health, TimePoint when) -> void {
+  if (!IsDown(health)) {
+    health.failure = kDownFailure;
+    health.next_probe = when + health.probe_interval;
+  }
+}
+
+auto StallTime(const TargetHealth& health) -> Duration {
   constexpr std::chrono::milliseconds kShortestStall{100};
-  return running >
-         std::max<Duration>(health.service_time * kStallFactor, kShortestStall);
+  return std::max<Duration>(health.service_time * kStallFactor, kShortestStall);
+}
+
+auto IsStall(const TargetHealth& health, Duration running) -> bool {
+  return running > StallTime(health);
 }
 
 }  // namespace hawthornbank
--- a/src/coordination/target_health.h
+++ b/src/coordination/target_health.h
@@ -49,6 +49,15 @@
 /// @param now The present instant.
 auto RecordFailure(TargetHealth& health, TimePoint now) -> void;
 
+/// Accounts for work that never ended: the target gets nothing but probes.
+/// @param health The target's health.
+/// @param when When it became certain.
+auto RecordStall(TargetHealth& health, TimePoint when) -> void;
+
+/// @param health The target's health.
+/// @return How long a request may run before the target counts as stalled.
+auto StallTime(const TargetHealth& health) -> Duration;
+
 /// @param health The target's health.
 /// @param running How long a request has been running.
 /// @return Whether it has taken so long that the target counts as stalled.
--- a/src/protocol/coap_gate.cc
+++ b/src/protocol/coap_gate.cc
@@ -104,9 +104,16 @@
   if (flow.exchanges.size() < kExchangesPerFlow) {
     return true;
   }
-  const auto it =
-      std::find_if(flow.exchanges.begin(), flow.exchanges.end(),
-                   [](const Exchange& exchange) { return !exchange.waiting; });
+  // What was cancelled is needed to know the answer that may yet come.
+  auto it = std::find_if(flow.exchanges.begin(), flow.exchanges.end(),
+                         [](const Exchange& exchange) {
+                           return !exchange.waiting && !exchange.cancelled;
+                         });
+  if (it == flow.exchanges.end()) {
+    it = std::find_if(
+        flow.exchanges.begin(), flow.exchanges.end(),
+        [](const Exchange& exchange) { return !exchange.waiting; });
+  }
   if (it == flow.exchanges.end()) {
     return false;
   }
@@ -325,12 +332,11 @@
   }
   RequestActions actions;
   for (const auto& exchange : it->second.exchanges) {
-    if (!exchange.waiting) {
-      continue;
+    if (exchange.waiting) {
+      DropWaiter(state.gate, exchange.waiter, now, random, actions);
     }
-    DropWaiter(state.gate, exchange.waiter, now, random, actions);
     // Others may wait for it on other flows, but its answer would come here.
-    if (exchange.handle && state.starters.contains(*exchange.handle)) {
+    if (exchange.handle && (exchange.waiting || exchange.cancelled)) {
       OnOutcome(state.gate, *exchange.handle, Outcome::kLost, nullptr, now,
                 random, actions);
     }
@@ -348,7 +354,8 @@
 
 auto IsGateDrained(const CoapGate& gate, TimePoint now) -> bool {
   const auto load = Load(gate.state->gate, now);
-  return load.draining && load.slots_busy == 0 && load.queued == 0;
+  return load.draining && load.slots_busy == load.slots_cancelled &&
+         load.queued == 0;
 }
 
 auto AbortGate(CoapGate& gate, TimePoint now, Random& random, GateActions& out)
--- a/src/protocol/coap_gate_reply.cc
+++ b/src/protocol/coap_gate_reply.cc
@@ -12,6 +12,7 @@
 
 constexpr unsigned kBitsPerByte = 8;
 constexpr std::size_t kMaxObservations = 64;
+constexpr std::size_t kMaxCancellations = 32;
 
 auto MakeTargetToken(std::uint64_t value) -> CoapToken {
   CoapToken token;
@@ -71,6 +72,14 @@
   SendToTarget(key, message, out);
 }
 
+auto NoteCancellation(Flow& flow, const CoapToken& token, RequestHandle handle)
+    -> void {
+  flow.cancellations.push_back({.target_token = token, .handle = handle});
+  if (flow.cancellations.size() > kMaxCancellations) {
+    flow.cancellations.pop_front();
+  }
+}
+
 // Asks the target to stop work that nobody waits for.
 auto CancelAtTarget(CoapGateState& state,
                     RequestHandle handle,
@@ -90,9 +99,12 @@
   if (!id) {
     return;
   }
+  exchange->cancelled = true;
   CoapMessage message{.type = CoapType::kNon,
                       .code = kCoapGet,
-                      .id = flow->second.next_target_id++};
+                      .id = flow->second.next_target_id++,
+                      .token = MakeTargetToken(state.next_target_token++)};
+  NoteCancellation(flow->second, message.token, handle);
   for (const auto& option : exchange->request.options) {
     if (option.number ==
         static_cast<std::uint16_t>(CoapOptionNumber::kUriPath)) {
--- a/src/protocol/coap_gate_state.h
+++ b/src/protocol/coap_gate_state.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <optional>
@@ -25,6 +26,7 @@
   TimePoint arrived{};
   bool waiting = true;        ///< No final answer has been sent.
   bool acknowledged = false;  ///< An empty ACK was passed to the caller.
+  bool cancelled = false;     ///< The target was asked to stop its work.
   std::optional<RequestHandle> handle;  ///< Of the request it started.
   CoapToken target_token;               ///< Token used towards the target.
   std::uint16_t target_id = 0;      ///< Message identity towards the target.
@@ -32,6 +34,12 @@
   std::optional<std::uint16_t> separate_id;  ///< Of a confirmable answer.
 };
 
+/// A cancellation that the target has not confirmed.
+struct Cancellation {
+  CoapToken target_token;
+  RequestHandle handle{};
+};
+
 /// A resource that a caller observes.
 struct Observation {
   CoapToken target_token;
@@ -42,6 +50,7 @@
 struct Flow {
   std::list<Exchange> exchanges;  ///< Oldest first.
   std::vector<Observation> observations;
+  std::deque<Cancellation> cancellations;  ///< Oldest first.
   std::uint16_t next_target_id = 0;
 };
 
--- a/src/protocol/coap_gate_target.cc
+++ b/src/protocol/coap_gate_target.cc
@@ -32,11 +32,12 @@
 }
 
 auto FindByTargetId(Flow& flow, std::uint16_t id) -> Exchange* {
-  const auto it = std::find_if(flow.exchanges.rbegin(), flow.exchanges.rend(),
-                               [&](const Exchange& exchange) {
-                                 return exchange.handle && exchange.waiting &&
-                                        exchange.target_id == id;
-                               });
+  const auto it = std::find_if(
+      flow.exchanges.rbegin(), flow.exchanges.rend(),
+      [&](const Exchange& exchange) {
+        return exchange.handle && (exchange.waiting || exchange.cancelled) &&
+               exchange.target_id == id;
+      });
   return it == flow.exchanges.rend() ? nullptr : &*it;
 }
 
@@ -67,10 +68,12 @@
     return;
   }
   if (message.type == CoapType::kRst) {
-    Report(state, *exchange->handle, Outcome::kLost, nullptr, now, random, out);
+    Report(state, *exchange->handle, Outcome::kReset, nullptr, now, random,
+           out);
     return;
   }
-  if (exchange->request.type == CoapType::kCon && !exchange->acknowledged) {
+  if (exchange->waiting && exchange->request.type == CoapType::kCon &&
+      !exchange->acknowledged) {
     exchange->acknowledged = true;
     SendToCaller(key, detail::MakeEmpty(CoapType::kAck, exchange->request.id),
                  out);
@@ -102,10 +105,40 @@
     return;
   }
   AcknowledgeIfAsked(key, message, out);
+  exchange.cancelled = false;
   Report(state, *exchange.handle, OutcomeOf(message.code), answer, now, random,
          out);
 }
 
+// The target's response to a cancellation. Only "deleted" says that the work
+// has stopped; a target that knows no cancellations answers something else.
+// @return Whether it was one.
+auto HandleCancelResponse(CoapGateState& state,
+                          const FlowKey& key,
+                          Flow& flow,
+                          const CoapMessage& message,
+                          TimePoint now,
+                          Random& random,
+                          GateActions& out) -> bool {
+  const auto it =
+      std::find_if(flow.cancellations.begin(), flow.cancellations.end(),
+                   [&](const Cancellation& cancellation) {
+                     return cancellation.target_token == message.token;
+                   });
+  if (it == flow.cancellations.end()) {
+    return false;
+  }
+  const auto handle = it->handle;
+  flow.cancellations.erase(it);
+  AcknowledgeIfAsked(key, message, out);
+  if (message.code == kCoapDeleted) {
+    RequestActions actions;
+    OnCancelConfirmed(state.gate, handle, now, random, actions);
+    detail::ApplyActions(state, actions, now, random, out);
+  }
+  return true;
+}
+
 auto PassNotification(const FlowKey& key,
                       const Observation& observation,
                       CoapMessage message,
@@ -148,6 +181,9 @@
     HandleLate(state, key, *exchange, message, answer, now, random, out);
     return;
   }
+  if (HandleCancelResponse(state, key, flow, message, now, random, out)) {
+    return;
+  }
   Count(state.gate, GateCounter::kUnmatchedAnswer);
   if (message.type == CoapType::kCon) {
     SendToTarget(key, detail::MakeEmpty(CoapType::kRst, message.id), out);
--- a/src/state/request_counters.cc
+++ b/src/state/request_counters.cc
@@ -49,6 +49,8 @@
     "late_answer_kept",
     "late_answer_dropped",
     "unmatched_answer",
+    "cancel_confirmed",
+    "cancel_unconfirmed",
 }};
 static_assert(!kCounterNames.back().empty());
 
--- a/test/coap_gate_test.cc
+++ b/test/coap_gate_test.cc
@@ -73,6 +73,12 @@
     LONGS_EQUAL(4 << 5 | 1, challenge.code);
     return Repeat(first, challenge);
   }
+  auto Confirm(const CoapMessage& cancel)->void {
+    auto reply = AnswerOf(cancel, "");
+    reply.type = CoapType::kNon;
+    reply.code = kCoapDeleted;
+    FromTarget(flow, reply);
+  }
   auto CheckError(const CoapMessage& reply, ErrorKind kind)->void {
     const auto& answer = AnswerFor(kind);
     LONGS_EQUAL(answer.coap_class << 5 | answer.coap_detail, reply.code);
@@ -148,6 +154,10 @@
 }
 
 TEST(CoapGate, LateAnswerIsNotTakenForThatOfAReusedToken) {
+  for (int n = 0; n < 4; ++n) {  // Warm up, as the late one holds its slot.
+    FromCaller(flow, Make(kCoapGet, "w", ""));
+    FromTarget(flow, AnswerOf(Sent(0, To::kToTarget), ""));
+  }
   auto a = Make(kCoapGet, "x", "");
   AddOption(a, CoapOptionNumber::kUriQuery, "deadline_ms=1000");
   FromCaller(flow, a);
@@ -303,22 +313,48 @@
   STRCMP_EQUAL("a", QueryValue(Sent(0, To::kToTarget), "cancel")->c_str());
   CheckError(Sent(1, To::kToCaller), ErrorKind::kOutcomeUnknown);
   LONGS_EQUAL(kCoapDeleted, Sent(2, To::kToCaller).code);
-  LONGS_EQUAL(0, GateLoad(gate, now).slots_busy);
+  LONGS_EQUAL(1, GateLoad(gate, now).slots_busy);
   cancel.id = next_id++;
   FromCaller(flow, cancel);
   CheckError(Sent(0, To::kToCaller), ErrorKind::kUnknownRequest);
   FromTarget(flow, AnswerOf(run, "booked"));
   LONGS_EQUAL(0, out.size());
+  LONGS_EQUAL(0, GateLoad(gate, now).slots_busy);
   const auto second = Booking("b");
   FromCaller(flow, second);
   FromCaller(flow, {.type = CoapType::kRst, .id = second.id});
+  LONGS_EQUAL(1, GateLoad(gate, now).slots_busy);
+  Confirm(Sent(1, To::kToTarget));
+  LONGS_EQUAL(0, GateLoad(gate, now).slots_busy);
+  LONGS_EQUAL(1, Value("cancel_confirmed"));
+}
+
+TEST(CoapGate, OnlyDeletedConfirmsACancellation) {
+  const auto booking = Booking("a");
+  FromCaller(flow, booking);
+  FromCaller(flow, {.type = CoapType::kRst, .id = booking.id});
+  const auto cancel = Sent(1, To::kToTarget);
+  // A target that knows no cancellations takes it for a read.
+  FromTarget(flow, AnswerOf(cancel, "board"));
+  LONGS_EQUAL(0, out.size());
+  LONGS_EQUAL(1, GateLoad(gate, now).slots_busy);
+  Confirm(cancel);
+  LONGS_EQUAL(1, GateLoad(gate, now).slots_busy);
+  now += seconds{4};
+  OnGateTick(gate, now, random, out);
   LONGS_EQUAL(0, GateLoad(gate, now).slots_busy);
+  LONGS_EQUAL(1, Value("cancel_unconfirmed"));
 }
 
 TEST(CoapGate, ClosedFlowFreesItsSlots) {
   FromCaller(flow, Make(kCoapGet, "x", ""));
   LONGS_EQUAL(1, GateLoad(gate, now).slots_busy);
   OnFlowClosed(gate, flow, now, random, out);
+  // No confirmation can come, so the slot is free when the work must have
+  // ended.
+  LONGS_EQUAL(1, GateLoad(gate, now).slots_busy);
+  now += milliseconds{400};
+  OnGateTick(gate, now, random, out);
   LONGS_EQUAL(0, GateLoad(gate, now).slots_busy);
   LONGS_EQUAL(0, GateLoad(gate, now).connections);
 }
