--- a/bench/common/request_scenario.h
+++ b/bench/common/request_scenario.h
@@ -4,11 +4,14 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
+#include <map>
 #include <memory>
 #include <vector>
 
 #include "common/request_target.h"
 #include "common/virtual_network.h"
+#include "hawthornbank/error.h"
 
 /// @file
 /// Callers that send requests to several targets in virtual time.
@@ -25,12 +28,16 @@
   std::chrono::milliseconds deadline{2000};
   double booking_share = 0.7;  ///< Non-idempotent requests.
   bool permits = false;        ///< Bookings are permit checks.
+  bool weigh_permits = true;   ///< Whether they count double at the gate.
+  double flood_share = 0;      ///< Calls made by the first caller alone.
   bool retry_without_budget = false;
   Link link{.delay = std::chrono::milliseconds{3},
             .jitter = std::chrono::milliseconds{1}};
-  double copy_share = 0;          ///< Datagrams that arrive again.
-  std::size_t copies = 1;         ///< How often those arrive again.
-  Duration copy_delay{0};         ///< Latest arrival of a copy.
+  double copy_share = 0;    ///< Datagrams that arrive again.
+  std::size_t copies = 1;   ///< How often those arrive again.
+  Duration copy_delay{0};   ///< Latest arrival of a copy.
+  double cancel_share = 0;  ///< Tries that their caller cancels.
+  bool targets_ignore_cancel = false;
   double second_home_share = 0;   ///< Bookings opened at two targets.
   std::chrono::seconds start{5};  ///< Begin of the measured time.
   std::chrono::seconds end{25};   ///< End of the measured time.
@@ -52,9 +59,22 @@
   std::uint64_t wrong_answers = 0;  ///< Torn, or another request's.
   std::uint64_t unknown = 0;        ///< Calls that ended in "unknown".
   std::uint64_t unanswered = 0;     ///< Calls that nobody answered in time.
-  double shed_share = 0;            ///< Calls refused; permits count double.
+  std::size_t running_max = 0;      ///< Most that ran at one target at once.
+  std::uint64_t cancelled = 0;      ///< Cancellations that stopped work.
+  std::uint64_t slots_freed = 0;    ///< Those that freed the slot at once.
+  /// Served of what callers other than a flooding one offered.
+  double others_permits_ratio = 0;
+  double others_ordinary_ratio = 0;
+  double weighted_goodput = 0;  ///< Worth of successes over that of capacity.
+  double shed_share = 0;        ///< Calls refused; permits count double.
   double refusal_round_trips_p99 = 0;
   double late_refusals = 0;  ///< Share of refusals over one round trip.
+  /// Slowest refusal that was sent at the instant the request arrived.
+  double arrival_refusal_round_trips_p100 = 0;
+  /// Refusals of requests that had been taken in, by reason.
+  std::map<ErrorKind, std::uint64_t> late_refusals_by_kind;
+  /// Least time that such a refusal left, in mean service times.
+  double late_refusal_left_min = std::numeric_limits<double>::infinity();
   double goodput_ratio = 0;  ///< Successes over capacity.
   double served_ratio = 0;   ///< Successes over offered requests.
   /// Successes over offered requests in each second of the run.
--- a/src/coordination/request_gate.cc
+++ b/src/coordination/request_gate.cc
@@ -1,6 +1,7 @@
 #include "hawthornbank/request_gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "coordination/request_gate_state.h"
@@ -101,17 +102,44 @@
   }
 }
 
-auto OnLost(RequestGateState& state,
-            RequestHandle handle,
-            TimePoint now,
-            Random& random,
-            RequestActions& out) -> void {
+auto OnReset(RequestGateState& state,
+             RequestHandle handle,
+             TimePoint now,
+             Random& random,
+             RequestActions& out) -> void {
   RecordFailure(state.health, now);
   const bool idempotent = state.pending.at(handle).id.empty();
   if (!idempotent ||
       !PlanRetry(state, handle, GateCounter::kRetriedLost, now, random)) {
     detail::EndUnknown(state, handle, GateCounter::kUnknownLost, now, random,
                        out);
+    detail::ReleaseCancelled(state, handle);
+  }
+}
+
+// No retry, as the first try may be running.
+auto OnLost(RequestGateState& state,
+            RequestHandle handle,
+            TimePoint now,
+            Random& random,
+            RequestActions& out) -> void {
+  RecordFailure(state.health, now);
+  detail::EndUnknown(state, handle, GateCounter::kUnknownLost, now, random,
+                     out);
+  state.cancelled.at(handle).answerable = false;
+}
+
+// An outcome of a request that isn't running any more.
+auto OnLateOutcome(RequestGateState& state,
+                   RequestHandle handle,
+                   Outcome outcome,
+                   const Answer& answer) -> void {
+  const auto it = state.cancelled.find(handle);
+  if (outcome != Outcome::kLost) {
+    detail::ReleaseCancelled(state, handle);
+    KeepLateAnswer(state, handle, outcome, answer);
+  } else if (it != state.cancelled.end()) {
+    it->second.answerable = false;
   }
 }
 
@@ -128,6 +156,34 @@
                      out);
 }
 
+// Notes how many are served before each waiting request.
+auto RankQueued(RequestGateState& state) -> void {
+  if (SizeOf(state.queue) <= state.options.slots) {
+    for (auto& [handle, request] : state.pending) {
+      request.ahead = 0;
+    }
+    return;
+  }
+  std::size_t ahead = 0;
+  for (const auto& item : ServingOrder(state.queue)) {
+    state.pending.at(item.request).ahead = ahead++;
+  }
+}
+
+// The last instant at which a waiting request can still end in time, even if
+// those before it end unusually soon.
+auto LastChance(const RequestGateState& state, const PendingRequest& request)
+    -> TimePoint {
+  const auto ahead = static_cast<double>(request.ahead);
+  const auto least =
+      std::max(0.0, ahead - detail::kWaitDeviations * std::sqrt(ahead)) /
+      state.options.slots;
+  return request.deadline -
+         Duration{static_cast<Duration::rep>(
+             static_cast<double>(state.health.service_time.count()) *
+             (1 + least))};
+}
+
 // When a pending request needs attention by itself.
 auto DueAt(const RequestGateState& state, const PendingRequest& request)
     -> TimePoint {
@@ -135,7 +191,7 @@
     case Phase::kDelayed:
       return request.not_before;
     case Phase::kQueued:
-      return request.deadline - state.health.service_time;
+      return LastChance(state, request);
     case Phase::kRunning:
       break;
   }
@@ -156,6 +212,7 @@
     case Phase::kQueued:
       detail::EndNotRun(state, handle, ErrorKind::kDeadlineExpired,
                         GateCounter::kRefusedExpiredInQueue, random, out);
+      RankQueued(state);
       break;
     case Phase::kRunning:
       GiveUp(state, handle, now, random, out);
@@ -211,7 +268,8 @@
   auto& state = *gate.state;
   const auto it = state.pending.find(request);
   if (it == state.pending.end() || it->second.phase != Phase::kRunning) {
-    KeepLateAnswer(state, request, outcome, answer);
+    OnLateOutcome(state, request, outcome, answer);
+    detail::Dispatch(state, now, random, out);
     return;
   }
   const auto service_time = now - it->second.started;
@@ -228,6 +286,9 @@
     case Outcome::kShed:
       OnShed(state, request, now, random, out);
       break;
+    case Outcome::kReset:
+      OnReset(state, request, now, random, out);
+      break;
     case Outcome::kLost:
       OnLost(state, request, now, random, out);
       break;
@@ -235,6 +296,18 @@
   detail::Dispatch(state, now, random, out);
 }
 
+auto OnCancelConfirmed(RequestGate& gate,
+                       RequestHandle request,
+                       TimePoint now,
+                       Random& random,
+                       RequestActions& out) -> void {
+  auto& state = *gate.state;
+  if (detail::ReleaseCancelled(state, request)) {
+    Bump(state, GateCounter::kCancelConfirmed);
+    detail::Dispatch(state, now, random, out);
+  }
+}
+
 auto DropWaiter(RequestGate& gate,
                 WaiterId waiter,
                 TimePoint now,
@@ -278,6 +351,8 @@
             Random& random,
             RequestActions& out) -> TimePoint {
   auto& state = *gate.state;
+  detail::ReleaseOverdue(state, now);
+  RankQueued(state);
   std::vector<RequestHandle> due;
   for (const auto& [handle, request] : state.pending) {
     if (DueAt(state, request) <= now) {
@@ -285,17 +360,22 @@
     }
   }
   for (const auto handle : due) {
-    // An earlier step of this loop may have ended it.
-    if (state.pending.contains(handle)) {
+    // An earlier step of this loop may have ended it, or made way for it.
+    const auto it = state.pending.find(handle);
+    if (it != state.pending.end() && DueAt(state, it->second) <= now) {
       ActOnDue(state, handle, now, random, out);
     }
   }
   detail::Dispatch(state, now, random, out);
   ForgetOldEntries(state.ledger, now);
+  RankQueued(state);
   auto next = now + kIdleWake;
   for (const auto& [handle, request] : state.pending) {
     next = std::min(next, DueAt(state, request));
   }
+  for (const auto& [handle, work] : state.cancelled) {
+    next = std::min(next, detail::HoldEnd(state, work));
+  }
   return std::max(next, now);
 }
 
@@ -327,10 +407,12 @@
 
 auto Load(const RequestGate& gate, TimePoint now) -> GateLoadReport {
   const auto& state = *gate.state;
+  const auto cancelled = static_cast<std::uint32_t>(state.cancelled.size());
+  const auto pending = static_cast<std::uint32_t>(state.pending.size());
   return {.slots_busy = state.running,
+          .slots_cancelled = cancelled,
           .slots_allowed = AllowedSlots(state.health, now),
-          .queued =
-              static_cast<std::uint32_t>(state.pending.size()) - state.running,
+          .queued = pending + cancelled - state.running,
           .draining = state.draining};
 }
 
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -103,6 +103,7 @@
   done
 }
 
+# Which targets the plan lets rest hangs on the time of day: not here.
 write_balancer_settings() {
   cat >"$DIR/entry-$1.ini" <<INI
 [host]
@@ -122,6 +123,8 @@
 [log]
 level = info
 layout = text
+[plan]
+execute = false
 INI
 }
 
