Drive an operator's change by the core's update; one describer

The tool's conditional update repeated configuration_update. It is now a thin binding: it performs the core's steps over the object API and feeds the answers back. DescribeChanges lists what DiffConfigurations finds, so that one module words differences.

Tests: the checks of both modules stay. Strings of the update test have the tool's form now ('~ service ...: weight 100 -> 70'); a removed or added service is a line a field, and all lines are counted. A lost request is now repeated under the same condition where the tool used to give up; the check that an unseen write ends as unknown holds as before.

--- a/apps/hawthornctl/change.cc
+++ b/apps/hawthornctl/change.cc
@@ -43,7 +43,7 @@
   return changes;
 }
 
-auto PrintDiff(const Configuration& before, const Configuration& after)
+auto PrintLines(const Configuration& before, const Configuration& after)
     -> void {
   for (const auto& it : DiffConfigurations(before, after)) {
     std::cout << "  " << ToText(it) << '\n';
@@ -96,17 +96,30 @@
 }
 
 auto PrintLost(const ChangeOutcome& outcome) -> void {
+  if (outcome.winner.generation == Generation{}) {
+    std::cout << "Not accepted: another change was first, and the platform "
+                 "does not say which. Nothing of yours was changed. To redo "
+                 "yours on top of it, run the same command again.\n";
+    return;
+  }
   std::cout << "Not accepted: " << outcome.winner.author
             << " was first (generation " << ToInteger(outcome.winner.generation)
             << ", operation " << outcome.winner.operation
             << "). Nothing of yours was changed. "
             << "What changed meanwhile:\n";
-  PrintDiff(outcome.before, outcome.winner);
+  PrintLines(outcome.before, outcome.winner);
   std::cout << "To redo yours on top of it, run the same command again.\n";
 }
 
 auto PrintUnknown(const ChangeOutcome& outcome, const std::string& operation)
     -> void {
+  if (outcome.history_gone) {
+    std::cout << "Unknown whether operation " << operation
+              << " was accepted: the platform no longer keeps the changes of "
+                 "its time. Nothing is written now. See what is accepted, and "
+                 "run the command without --operation if it is still wanted.\n";
+    return;
+  }
   std::cout << "Unknown whether it is accepted: the platform's answer was "
                "lost";
   std::cout << (outcome.seen_unchanged
@@ -128,7 +141,7 @@
                 << (outcome.looked_up
                         ? " (the answer was lost; looked up by operation)\n"
                         : "\n");
-      PrintDiff(outcome.before, outcome.after);
+      PrintLines(outcome.before, outcome.after);
       break;
     case ChangeState::kUnchanged:
       std::cout << "Nothing to change.\n";
@@ -152,7 +165,7 @@
     std::cout << "Nothing to change.\n";
   } else {
     std::cout << "Would change (dry run, nothing is written):\n";
-    PrintDiff(outcome.before, outcome.after);
+    PrintLines(outcome.before, outcome.after);
   }
   return 0;
 }
@@ -175,7 +188,8 @@
       transport::ChangeConfiguration(transport::StoreOf(client),
                                      {.region = common.region.getValue(),
                                       .author = arguments.author.getValue(),
-                                      .operation = operation},
+                                      .operation = operation,
+                                      .is_retry = arguments.operation.isSet()},
                                      edit);
   common.json.getValue()
       ? PrintJson(outcome, StateName(outcome.state), operation)
@@ -189,6 +203,22 @@
   return ExitCodeOf(outcome.state);
 }
 
+auto PrintDiff(const Configuration& before,
+               const Configuration& after,
+               bool json) -> void {
+  const auto changes = DiffConfigurations(before, after);
+  if (json) {
+    std::cout << DiffToJson(before, after).dump(2) << '\n';
+    return;
+  }
+  for (const auto& it : changes) {
+    std::cout << ToText(it) << '\n';
+  }
+  if (changes.empty()) {
+    std::cout << "Nothing to change.\n";
+  }
+}
+
 auto ReadAccepted(const CommonArguments& common) -> Configuration {
   transport::PlatformClient client({.address = PlatformAddress(common)});
   return transport::ReadConfiguration(transport::StoreOf(client),
--- a/apps/hawthornctl/change.h
+++ b/apps/hawthornctl/change.h
@@ -20,6 +20,14 @@
                 const ChangeArguments& arguments,
                 const transport::Edit& edit) -> int;
 
+/// Prints the differences of two configurations.
+/// @param before The older one.
+/// @param after The newer one.
+/// @param json Whether to print them as a JSON array.
+auto PrintDiff(const Configuration& before,
+               const Configuration& after,
+               bool json) -> void;
+
 /// Reads the accepted configuration.
 /// @param common Where the platform is.
 /// @return The configuration; empty when there is none yet.
--- a/include/hawthornbank/configuration_update.h
+++ b/include/hawthornbank/configuration_update.h
@@ -51,7 +51,7 @@
 struct UpdateDone {
   UpdateOutcome outcome = UpdateOutcome::kUnknown;
   Configuration configuration;  ///< Accepted, or the winner's; generation
-                                ///< 0 when the winner's is no longer kept.
+                                ///< 0 when the winner's can't be read.
   std::string value;            ///< The accepted value, as JSON.
   std::vector<std::string> winner_changes;  ///< What the winner changed.
 };
@@ -111,7 +111,8 @@
 /// Names the differences between two configurations.
 /// @param before Older one.
 /// @param after Newer one.
-/// @return A line for each difference, as "service fitquote: weight 100 -> 50".
+/// @return A line for each difference, as
+///     "~ service fitquote: weight 100 -> 50".
 auto DescribeChanges(const Configuration& before, const Configuration& after)
     -> std::vector<std::string>;
 
--- a/src/protocol/configuration_diff.cc
+++ b/src/protocol/configuration_diff.cc
@@ -27,6 +27,13 @@
   const auto new_fields =
       after != nullptr ? ListFields(*after) : std::vector<ServiceField>{};
   const auto& fields = after != nullptr ? new_fields : old_fields;
+  if (before != nullptr && after != nullptr && before->id != after->id) {
+    changes.push_back(
+        ConfigurationChange{.subject = "service " + named.name,
+                            .field = "id",
+                            .before = std::to_string(ToInteger(before->id)),
+                            .after = std::to_string(ToInteger(after->id))});
+  }
   for (std::size_t n = 0; n < fields.size(); ++n) {
     const std::string from = before != nullptr ? old_fields[n].value : "";
     const std::string to = after != nullptr ? new_fields[n].value : "";
--- a/src/transport/configuration_change.h
+++ b/src/transport/configuration_change.h
@@ -11,8 +11,8 @@
 #include "transport/platform_client.h"
 
 /// @file
-/// A change of the configuration object by an operator: one conditional
-/// update, whose outcome is looked up when its answer is lost.
+/// Binds a change of the configuration to the platform's calls. The decisions
+/// are those of hawthornbank/configuration_update.h.
 namespace hawthornbank::transport {
 
 /// The calls that a change needs, as PlatformClient has them.
@@ -57,6 +57,7 @@
   std::string region;
   std::string author;
   std::string operation;
+  bool is_retry = false;  ///< An earlier try may have taken effect.
   std::chrono::milliseconds lookup_limit{5000};  ///< After a lost answer.
 };
 
@@ -73,20 +74,25 @@
   ChangeState state = ChangeState::kUnknown;
   Configuration before;         ///< What the change was based on.
   Configuration after;          ///< What was asked for.
-  Configuration winner;         ///< When lost: what is accepted instead.
+  Configuration winner;         ///< When lost: what was accepted instead;
+                                ///< generation 0 when it can't be read.
   bool looked_up = false;       ///< The answer was lost and then looked up.
   bool seen_unchanged = false;  ///< When unknown: not in effect when last seen.
+  bool history_gone = false;    ///< A retry that can't be looked up any more.
 };
 
 /// Makes the wanted configuration from the accepted one.
 using Edit = std::function<Configuration(const Configuration&)>;
 
-/// Carries out a change: reads, edits, and writes once, on condition that
-/// nobody else wrote between.
+/// Carries out a change: reads, edits, and writes on condition that nobody
+/// else wrote between. A write without an answer is read back, and repeated
+/// under the same condition while nothing has changed.
 /// @param store The platform.
 /// @param request Who changes, and the operation id.
 /// @param edit Makes the wanted configuration; may throw to refuse.
-/// @return The outcome. An operation that is accepted already is not repeated.
+/// @return The outcome. An operation that is accepted already is not repeated;
+///         a retry whose first try can't be looked up any more writes nothing
+///         and is kUnknown.
 /// @throws Error kPlatformUnavailable when the configuration can't be read
 ///         (nothing was written then), and whatever edit throws.
 auto ChangeConfiguration(const ObjectStore& store,
--- a/test/configuration_diff_test.cc
+++ b/test/configuration_diff_test.cc
@@ -66,3 +66,40 @@
   CHECK(text.find("- service fitquote: demand daily 07:30 12.5\n") !=
         std::string::npos);
 }
+
+TEST(ConfigurationDiff, NamesEachFieldOfAService) {
+  const auto before = MakeConfiguration();
+  const auto diff = [&before](auto edit) {
+    auto after = before;
+    edit(after.services[0]);
+    return DiffText(before, after);
+  };
+  STRCMP_EQUAL(
+      "~ service fitquote: id 1 -> 2\n",
+      DiffText({.services = {Service{.id = ServiceId{1}, .name = "fitquote"}}},
+               {.services = {Service{.id = ServiceId{2}, .name = "fitquote"}}})
+          .c_str());
+  STRCMP_EQUAL(
+      "~ service fitquote: transport udp -> tcp\n",
+      diff([](Service& it) { it.transport = Transport::kTcp; }).c_str());
+  STRCMP_EQUAL("~ service fitquote: address 10.0.0.1:5 -> 10.0.0.1:6\n",
+               diff([](Service& it) {
+                 it.address = ParseEndpoint("10.0.0.1:6");
+               }).c_str());
+  STRCMP_EQUAL("~ service fitquote: zones a,b -> a\n",
+               diff([](Service& it) { it.zones = {"a"}; }).c_str());
+  STRCMP_EQUAL("~ service fitquote: slots 3 -> 4\n",
+               diff([](Service& it) { it.slots = 4; }).c_str());
+  STRCMP_EQUAL("~ service fitquote: connections 2000 -> 9\n",
+               diff([](Service& it) { it.max_connections = 9; }).c_str());
+  STRCMP_EQUAL("~ service fitquote: weight 100 -> 50\n",
+               diff([](Service& it) { it.weight = 50; }).c_str());
+  STRCMP_EQUAL("~ service fitquote: counts_double no -> yes\n",
+               diff([](Service& it) {
+                 it.non_idempotent_counts_double = true;
+               }).c_str());
+  STRCMP_EQUAL("~ service fitquote: drain_limit_s 3600 -> 60\n",
+               diff([](Service& it) {
+                 it.drain_limit = std::chrono::seconds{60};
+               }).c_str());
+}
