--- a/apps/hawthornctl/arguments.cc
+++ b/apps/hawthornctl/arguments.cc
@@ -29,6 +29,24 @@
   }
 }
 
+/// @return The addresses of an option, or else of an environment variable.
+auto ReadAddresses(const TCLAP::MultiArg<std::string>& option,
+                   const char* variable) -> std::vector<Endpoint> {
+  std::vector<Endpoint> endpoints;
+  for (const auto& it : option.getValue()) {
+    endpoints.push_back(ReadAddress(it, "--" + option.getName()));
+  }
+  const std::string list = FromEnvironment(variable);
+  if (!endpoints.empty() || list.empty()) {
+    return endpoints;
+  }
+  try {
+    return transport::ReadEndpoints(list);
+  } catch (const Error& error) {
+    throw Error(error.kind(), std::string(variable) + ": " + error.what());
+  }
+}
+
 auto PlatformText(const CommonArguments& arguments) -> std::string {
   return arguments.platform.isSet() ? arguments.platform.getValue()
                                     : FromEnvironment("HAWTHORNCTL_PLATFORM");
@@ -94,6 +112,15 @@
                 command),
       json("", "json", "Answer as JSON", command) {}
 
+AgentArguments::AgentArguments(TCLAP::CmdLine& command)
+    : agents("",
+             "agent",
+             "HTTP endpoint of an agent, may stand several times; else "
+             "HAWTHORNCTL_AGENTS, a list with commas",
+             false,
+             "ADDRESS:PORT",
+             command) {}
+
 ChangeArguments::ChangeArguments(TCLAP::CmdLine& command)
     : dry_run("", "dry-run", "Show the change without making it", command),
       wait("", "wait", "Wait until it is in force everywhere", command),
@@ -143,19 +170,13 @@
                 "the platform's address is missing: give --platform "
                 "ADDRESS:PORT or set HAWTHORNCTL_PLATFORM");
   }
-  return ReadAddress(text, "--platform");
+  return ReadAddress(
+      text, arguments.platform.isSet() ? "--platform" : "HAWTHORNCTL_PLATFORM");
 }
 
 auto BalancerAddresses(const CommonArguments& arguments)
     -> std::vector<Endpoint> {
-  std::vector<Endpoint> endpoints;
-  for (const auto& it : arguments.balancers.getValue()) {
-    endpoints.push_back(ReadAddress(it, "--balancer"));
-  }
-  const std::string list = FromEnvironment("HAWTHORNCTL_BALANCERS");
-  if (endpoints.empty() && !list.empty()) {
-    endpoints = transport::ReadEndpoints(list);
-  }
+  auto endpoints = ReadAddresses(arguments.balancers, "HAWTHORNCTL_BALANCERS");
   if (endpoints.empty()) {
     throw Error(ErrorKind::kInvalidSettings,
                 "no balancer is given: give --balancer ADDRESS:PORT (its "
@@ -164,6 +185,10 @@
   return endpoints;
 }
 
+auto AgentAddresses(const AgentArguments& arguments) -> std::vector<Endpoint> {
+  return ReadAddresses(arguments.agents, "HAWTHORNCTL_AGENTS");
+}
+
 auto ReadFile(const std::string& path) -> std::string {
   std::error_code ec;
   const bool is_file = std::filesystem::is_regular_file(path, ec);
--- a/apps/hawthornctl/arguments.h
+++ b/apps/hawthornctl/arguments.h
@@ -24,6 +24,14 @@
   TCLAP::SwitchArg json;
 };
 
+/// Argument of every command that asks agents too.
+struct AgentArguments {
+  /// @param command The command line that takes the argument.
+  explicit AgentArguments(TCLAP::CmdLine& command);
+
+  TCLAP::MultiArg<std::string> agents;
+};
+
 /// Arguments of every command that changes the configuration.
 struct ChangeArguments {
   /// @param command The command line that takes the arguments.
@@ -57,6 +65,11 @@
 auto BalancerAddresses(const CommonArguments& arguments)
     -> std::vector<Endpoint>;
 
+/// @param arguments Parsed arguments.
+/// @return Addresses of agents, from the options or HAWTHORNCTL_AGENTS.
+/// @throws Error kInvalidSettings when one is wrong.
+auto AgentAddresses(const AgentArguments& arguments) -> std::vector<Endpoint>;
+
 /// Reads a file.
 /// @param path The file.
 /// @return Its bytes.
--- a/apps/hawthornctl/balancer_stop.cc
+++ b/apps/hawthornctl/balancer_stop.cc
@@ -1,6 +1,7 @@
 #include "arguments.h"
 #include "change.h"
 #include "in_force.h"
+#include "known_names.h"
 #include "names.h"
 #include "transport/version.h"
 
@@ -11,11 +12,11 @@
                          transport::Version());
   CommonArguments common(command);
   ChangeArguments change(command);
+  UncheckedArgument unchecked(command);
   TCLAP::UnlabeledMultiArg<std::string> names("names", "Names of the balancers",
                                               true, "NAME", command);
   Parse(command, std::move(words));
-  RequireNames("balancer", names.getValue(),
-               BalancerNames(FetchStatus(BalancerAddresses(common))));
+  CheckNames("balancer", names.getValue(), BalancerNames, common, unchecked);
   return MakeChange(common, change, [&](const Configuration& before) {
     Configuration after = before;
     AddNames(after.stopping, names.getValue());
--- a/apps/hawthornctl/commands.h
+++ b/apps/hawthornctl/commands.h
@@ -27,6 +27,7 @@
 auto RunBalancerResume(Words words) -> int;
 auto RunPlanShow(Words words) -> int;
 auto RunStatus(Words words) -> int;
+auto RunWatch(Words words) -> int;
 auto RunMetrics(Words words) -> int;
 
 }  // namespace hawthornbank::hawthornctl
--- a/apps/hawthornctl/in_force.cc
+++ b/apps/hawthornctl/in_force.cc
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <iomanip>
 #include <iostream>
 #include <optional>
@@ -60,7 +61,7 @@
   const auto result = client.Get(path);
   if (!result || result->status != kOk) {
     throw Error(ErrorKind::kFailed,
-                "balancer " + text + " does not answer: " +
+                text + " does not answer: " +
                     (result ? "HTTP status " + std::to_string(result->status)
                             : httplib::to_string(result.error())));
   }
@@ -79,6 +80,27 @@
   throw Error(ErrorKind::kFailed, failures);
 }
 
+auto FetchPages(const std::vector<Endpoint>& processes) -> StatusPages {
+  StatusPages pages;
+  for (const auto& it : processes) {
+    try {
+      pages.pages.push_back(DecodeStatus(FetchText(it, "/status")));
+    } catch (const Error& error) {
+      pages.unanswered.emplace_back(error.what());
+    }
+  }
+  return pages;
+}
+
+auto FindRoot(const StatusPages& pages) -> const ProcessStatus* {
+  for (const auto& it : pages.pages) {
+    if (it.hosts.total > 0 && it.hosts.root == it.name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
 auto TargetNames(const ProcessStatus& status) -> std::vector<std::string> {
   std::vector<std::string> names;
   names.reserve(status.targets.size());
@@ -120,6 +142,14 @@
   return in_force;
 }
 
+auto NewestGeneration(const ProcessStatus& status) -> Generation {
+  Generation newest = status.generation;
+  for (const auto& it : status.balancers) {
+    newest = std::max(newest, it.generation);
+  }
+  return newest;
+}
+
 auto WaitUntilInForce(const std::vector<Endpoint>& balancers,
                       Generation generation,
                       std::chrono::seconds limit) -> int {
--- a/apps/hawthornctl/in_force.h
+++ b/apps/hawthornctl/in_force.h
@@ -26,6 +26,22 @@
 /// @throws Error kFailed when none answers.
 auto FetchStatus(const std::vector<Endpoint>& balancers) -> ProcessStatus;
 
+/// The pages of all processes that answer.
+struct StatusPages {
+  std::vector<ProcessStatus> pages;
+  std::vector<std::string> unanswered;  ///< Why, one for each other process.
+};
+
+/// Asks processes for their status, each of them.
+/// @param processes Their listen.metrics endpoints.
+/// @return What came.
+auto FetchPages(const std::vector<Endpoint>& processes) -> StatusPages;
+
+/// Finds the balancer that sums up all hosts.
+/// @param pages Status pages.
+/// @return Its page, or null when it is not among them.
+auto FindRoot(const StatusPages& pages) -> const ProcessStatus*;
+
 /// @param status What one balancer knows.
 /// @return The names of all targets.
 auto TargetNames(const ProcessStatus& status) -> std::vector<std::string>;
@@ -48,6 +64,10 @@
 auto CountInForce(const ProcessStatus& status, Generation generation)
     -> InForce;
 
+/// @param status What one balancer knows.
+/// @return The newest generation that is in force anywhere.
+auto NewestGeneration(const ProcessStatus& status) -> Generation;
+
 /// Waits until a generation is in force everywhere, with progress on standard
 /// error.
 /// @param balancers Whom to ask.
--- a/apps/hawthornctl/main.cc
+++ b/apps/hawthornctl/main.cc
@@ -43,6 +43,7 @@
     {"balancer resume", "let them serve again", ctl::RunBalancerResume},
     {"plan show", "show the day's demand and targets", ctl::RunPlanShow},
     {"status", "say what is in force and who lags", ctl::RunStatus},
+    {"watch", "print each change until interrupted", ctl::RunWatch},
     {"metrics", "print the metrics of balancers", ctl::RunMetrics},
 });
 
--- a/apps/hawthornctl/metrics.cc
+++ b/apps/hawthornctl/metrics.cc
@@ -1,21 +1,57 @@
 #include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "arguments.h"
+#include "hawthornbank/error.h"
 #include "in_force.h"
 #include "transport/version.h"
 
 namespace hawthornbank::hawthornctl {
+namespace {
+
+using nlohmann::json;
+
+/// @return Values by name, from lines "name value".
+auto MetricsToJson(const std::string& text) -> json {
+  json metrics = json::object();
+  std::istringstream lines(text);
+  std::string name;
+  double value = 0;
+  while (lines >> name >> value) {
+    metrics[name] = value;
+  }
+  return metrics;
+}
+
+}  // namespace
 
 auto RunMetrics(Words words) -> int {
   TCLAP::CmdLine command("Prints the metrics of each balancer given.", ' ',
                          transport::Version());
   CommonArguments common(command);
   Parse(command, std::move(words));
+  json all = json::array();
+  int exit_code = 0;
   for (const auto& it : BalancerAddresses(common)) {
-    std::cout << "# balancer " << ToString(it) << '\n'
-              << FetchText(it, "/metrics");
+    const std::string address = ToString(it);
+    try {
+      const std::string text = FetchText(it, "/metrics");
+      if (common.json.getValue()) {
+        all.push_back(
+            json{{"balancer", address}, {"metrics", MetricsToJson(text)}});
+      } else {
+        std::cout << "# balancer " << address << '\n' << text;
+      }
+    } catch (const Error& error) {
+      std::cerr << "hawthornctl: " << error.what() << '\n';
+      exit_code = AnswerFor(error.kind()).exit_code;
+    }
+  }
+  if (common.json.getValue()) {
+    std::cout << all.dump(2) << '\n';
   }
-  return 0;
+  return exit_code;
 }
 
 }  // namespace hawthornbank::hawthornctl
--- a/apps/hawthornctl/sheet_check.cc
+++ b/apps/hawthornctl/sheet_check.cc
@@ -1,18 +1,52 @@
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 #include "arguments.h"
+#include "hawthornbank/error.h"
 #include "protocol/sheet.h"
 #include "transport/version.h"
 
 namespace hawthornbank::hawthornctl {
+namespace {
+
+using nlohmann::json;
+
+auto PrintJson(const CheckedSheet& checked, const std::string& file) -> void {
+  json faults = json::array();
+  for (const auto& it : checked.faults) {
+    faults.push_back(json{{"row", it.row},
+                          {"column", it.column},
+                          {"key", it.key},
+                          {"why", it.reason}});
+  }
+  // Bytes that are no UTF-8 may stand in a header.
+  std::cout << json{{"file", file},
+                    {"ok", checked.faults.empty()},
+                    {"services", checked.sheet.services.size()},
+                    {"demand_entries", checked.sheet.demand.size()},
+                    {"faults", faults}}
+                   .dump(2, ' ', false, json::error_handler_t::replace)
+            << '\n';
+}
+
+}  // namespace
 
 auto RunSheetCheck(Words words) -> int {
   TCLAP::CmdLine command("Checks a sheet and names all its faults.", ' ',
                          transport::Version());
+  TCLAP::SwitchArg as_json("", "json", "Answer as JSON", command);
   TCLAP::UnlabeledValueArg<std::string> file("file", "The sheet (CSV)", true,
                                              "", "FILE", command);
   Parse(command, std::move(words));
-  const Sheet sheet = ParseSheet(ReadFile(file.getValue()), file.getValue());
+  const std::string text = ReadFile(file.getValue());
+  if (as_json.getValue()) {
+    const auto checked = CheckSheet(text);
+    PrintJson(checked, file.getValue());
+    return checked.faults.empty()
+               ? 0
+               : AnswerFor(ErrorKind::kInvalidSettings).exit_code;
+  }
+  const Sheet sheet = ParseSheet(text, file.getValue());
   std::cout << file.getValue() << ": ok, " << sheet.services.size()
             << " services, " << sheet.demand.size() << " demand entries\n";
   return 0;
--- a/apps/hawthornctl/sheet_diff.cc
+++ b/apps/hawthornctl/sheet_diff.cc
@@ -1,8 +1,5 @@
-#include <iostream>
-
 #include "arguments.h"
 #include "change.h"
-#include "protocol/configuration_diff.h"
 #include "protocol/sheet.h"
 #include "transport/version.h"
 
@@ -23,14 +20,7 @@
     all.drop.push_back(it.name);
     all.shrink.push_back(it.name);
   }
-  const auto changes =
-      DiffConfigurations(before, ApplySheet(before, sheet, all));
-  for (const auto& it : changes) {
-    std::cout << ToText(it) << '\n';
-  }
-  if (changes.empty()) {
-    std::cout << "Nothing to change.\n";
-  }
+  PrintDiff(before, ApplySheet(before, sheet, all), common.json.getValue());
   return 0;
 }
 
--- a/apps/hawthornctl/target_drain.cc
+++ b/apps/hawthornctl/target_drain.cc
@@ -1,6 +1,7 @@
 #include "arguments.h"
 #include "change.h"
 #include "in_force.h"
+#include "known_names.h"
 #include "names.h"
 #include "transport/version.h"
 
@@ -13,12 +14,12 @@
       ' ', transport::Version());
   CommonArguments common(command);
   ChangeArguments change(command);
+  UncheckedArgument unchecked(command);
   TCLAP::UnlabeledMultiArg<std::string> names("names", "Names of the targets",
                                               true, "NAME", command);
   Parse(command, std::move(words));
   // The configuration names no targets, so only balancers know a typing error.
-  RequireNames("target", names.getValue(),
-               TargetNames(FetchStatus(BalancerAddresses(common))));
+  CheckNames("target", names.getValue(), TargetNames, common, unchecked);
   return MakeChange(common, change, [&](const Configuration& before) {
     Configuration after = before;
     AddNames(after.draining, names.getValue());
--- a/src/protocol/sheet.cc
+++ b/src/protocol/sheet.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 
 #include "hawthornbank/error.h"
 #include "protocol/csv.h"
@@ -286,31 +287,37 @@
   }
 }
 
-auto ThrowFaults(Reading& reading, const std::string& file) -> void {
+/// @return The faults by place, in the words of spreadsheets.
+auto ListFaults(Reading& reading) -> std::vector<SheetFault> {
   std::stable_sort(reading.faults.begin(), reading.faults.end(),
                    [](const CsvFault& a, const CsvFault& b) {
                      return a.row != b.row ? a.row < b.row
                                            : a.column < b.column;
                    });
-  std::string text;
+  std::vector<SheetFault> faults;
+  faults.reserve(reading.faults.size());
   for (const auto& it : reading.faults) {
-    std::string header;
-    if (!reading.table.rows.empty() &&
-        it.column < reading.table.rows[0].size()) {
-      header = " (" + reading.table.rows[0][it.column] + ")";
-    }
-    text += text.empty() ? "" : "\n";
-    text += file;
-    text += ": row " + std::to_string(it.row + 1);
-    text += ", column " + CsvColumnName(it.column);
-    text += header + ": " + it.reason;
+    const bool has_header =
+        !reading.table.rows.empty() && it.column < reading.table.rows[0].size();
+    faults.push_back(
+        SheetFault{.row = it.row + 1,
+                   .column = CsvColumnName(it.column),
+                   .key = has_header ? reading.table.rows[0][it.column] : "",
+                   .reason = it.reason});
   }
-  throw Error(ErrorKind::kInvalidSettings, text);
+  return faults;
+}
+
+auto FaultText(const SheetFault& fault, const std::string& file)
+    -> std::string {
+  return file + ": row " + std::to_string(fault.row) + ", column " +
+         fault.column + (fault.key.empty() ? "" : " (" + fault.key + ")") +
+         ": " + fault.reason;
 }
 
 }  // namespace
 
-auto ParseSheet(const std::string& text, const std::string& file) -> Sheet {
+auto CheckSheet(const std::string& text) -> CheckedSheet {
   Reading reading{.table = ParseCsv(text)};
   reading.faults = reading.table.faults;
   if (!IsUtf8(text)) {
@@ -324,10 +331,21 @@
     }
     CheckServices(reading);
   }
-  if (!reading.faults.empty()) {
-    ThrowFaults(reading, file);
+  auto faults = ListFaults(reading);
+  return CheckedSheet{.sheet = std::move(reading.sheet),
+                      .faults = std::move(faults)};
+}
+
+auto ParseSheet(const std::string& text, const std::string& file) -> Sheet {
+  auto checked = CheckSheet(text);
+  std::string faults;
+  for (const auto& it : checked.faults) {
+    faults += (faults.empty() ? "" : "\n") + FaultText(it, file);
+  }
+  if (!faults.empty()) {
+    throw Error(ErrorKind::kInvalidSettings, faults);
   }
-  return reading.sheet;
+  return std::move(checked.sheet);
 }
 
 auto ListServiceColumns() -> std::vector<std::string> {
--- a/src/protocol/sheet.h
+++ b/src/protocol/sheet.h
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNBANK_SRC_PROTOCOL_SHEET_H_
 #define HAWTHORNBANK_SRC_PROTOCOL_SHEET_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,25 @@
   std::vector<SheetDemand> demand;
 };
 
+/// A fault of a sheet and its place.
+struct SheetFault {
+  std::size_t row = 0;  ///< As in the spreadsheet, from 1.
+  std::string column;   ///< "D".
+  std::string key;      ///< Header of the column, or empty.
+  std::string reason;
+};
+
+/// A sheet as read; without faults it is whole.
+struct CheckedSheet {
+  Sheet sheet;
+  std::vector<SheetFault> faults;  ///< In the order of rows and columns.
+};
+
+/// Reads a sheet and lists all its faults.
+/// @param text CSV text.
+/// @return What it says, and its faults.
+auto CheckSheet(const std::string& text) -> CheckedSheet;
+
 /// Reads a sheet, whole or not at all.
 /// @param text CSV text.
 /// @param file Name of the file in error messages.
--- a/src/protocol/status_json.cc
+++ b/src/protocol/status_json.cc
@@ -41,6 +41,28 @@
   };
 }
 
+auto HostsToJson(const HostsStatus& hosts) -> json {
+  return json{{"root", hosts.root},
+              {"generation", ToInteger(hosts.generation)},
+              {"total", hosts.total},
+              {"in_force", hosts.in_force},
+              {"lagging", hosts.lagging}};
+}
+
+/// Processes of an earlier version sum nothing up.
+auto HostsFromJson(const json& value) -> HostsStatus {
+  const auto it = value.find("hosts");
+  if (it == value.end()) {
+    return {};
+  }
+  return HostsStatus{
+      .root = it->at("root").get<std::string>(),
+      .generation = Generation{it->at("generation").get<std::uint64_t>()},
+      .total = it->at("total").get<std::uint64_t>(),
+      .in_force = it->at("in_force").get<std::uint64_t>(),
+      .lagging = it->at("lagging").get<std::vector<std::string>>()};
+}
+
 }  // namespace
 
 auto StateName(TargetState state) -> std::string {
@@ -75,6 +97,7 @@
               {"confirmed", status.confirmed},
               {"targets", targets},
               {"balancers", balancers},
+              {"hosts", HostsToJson(status.hosts)},
               {"counters", status.counters}}
       .dump();
 }
@@ -88,6 +111,7 @@
         .zone = value.at("zone").get<std::string>(),
         .generation = Generation{value.at("generation").get<std::uint64_t>()},
         .confirmed = value.at("confirmed").get<bool>(),
+        .hosts = HostsFromJson(value),
         .counters =
             value.at("counters").get<std::map<std::string, std::uint64_t>>(),
     };
--- a/src/protocol/status_json.h
+++ b/src/protocol/status_json.h
@@ -31,6 +31,15 @@
   Generation generation{};  ///< In force there, as far as known here.
 };
 
+/// Balancers and agents that a balancer has summed up from reports.
+struct HostsStatus {
+  std::string root;  ///< The balancer whose sum covers all hosts.
+  Generation generation{};
+  std::uint64_t total = 0;  ///< 0 when nothing is summed up here.
+  std::uint64_t in_force = 0;
+  std::vector<std::string> lagging;  ///< A few that have it not in force.
+};
+
 /// State of one process and its view of the others.
 struct ProcessStatus {
   std::string role;
@@ -40,6 +49,7 @@
   bool confirmed = false;   ///< The platform has confirmed it.
   std::vector<TargetStatus> targets;
   std::vector<BalancerStatus> balancers;  ///< Including this one.
+  HostsStatus hosts;                      ///< Of a balancer alone.
   std::map<std::string, std::uint64_t> counters;
 };
 
--- a/src/transport/balancer_daemon.cc
+++ b/src/transport/balancer_daemon.cc
@@ -201,6 +201,7 @@
         .zone = settings_.zone,
         .generation = configuration_.generation,
         .confirmed = IsConfirmed(binding_.store(), MonotonicNow()),
+        .hosts = SumUpHosts(),
         .counters = ToCounters(CollectMetrics())};
     for (const auto& service : configuration_.services) {
       for (const auto& it : TargetsOf(membership_, service.id)) {
@@ -221,6 +222,36 @@
     return EncodeStatus(status);
   }
 
+  auto SumUpHosts() const -> HostsStatus {
+    const auto sum = SumUpInForce(binding_.store(), MonotonicNow());
+    HostsStatus hosts{.root = NameOf(ReportRoot(binding_.store())),
+                      .generation = sum.generation,
+                      .total = sum.hosts,
+                      .in_force = sum.in_force};
+    for (const auto host : sum.lagging) {
+      hosts.lagging.push_back(NameOf(host));
+    }
+    return hosts;
+  }
+
+  /// @return The name of a balancer or agent, or else its endpoint.
+  auto NameOf(HostId host) const -> std::string {
+    const Endpoint endpoint = ToEndpoint(host);
+    for (const auto& it : Balancers(membership_)) {
+      if (it.peer == endpoint) {
+        return it.name;
+      }
+    }
+    for (const auto& service : configuration_.services) {
+      for (const auto& it : TargetsOf(membership_, service.id)) {
+        if (it.agent == endpoint) {
+          return it.name;
+        }
+      }
+    }
+    return ToString(endpoint);
+  }
+
   auto CollectMetrics() -> Metrics {
     Metrics metrics;
     AddCounters(workers_.counters(), metrics);
--- a/support/hawthornctl-completion.bash
+++ b/support/hawthornctl-completion.bash
@@ -14,7 +14,7 @@
   local words=""
   COMPREPLY=()
   if [ "$COMP_CWORD" -eq 1 ]; then
-    words="sheet service target balancer plan status metrics --help --version"
+    words="sheet service target balancer plan status watch metrics --help --version"
   elif [ "$COMP_CWORD" -eq 2 ]; then
     case $group in
       sheet) words="check diff import" ;;
@@ -26,9 +26,16 @@
   elif [[ $word == --* ]]; then
     words="--platform --region --balancer --json --help"
     case "$group $verb" in
-      "sheet import" | "service set" | target*drain | balancer*)
+      "sheet check") words="--json --help" ;;
+      "sheet import" | "service set" | target*drain | "balancer stop" | \
+        "balancer resume")
         words+=" --dry-run --wait --wait-limit-s --author --operation" ;;
       "plan show") words+=" --date" ;;
+      status*) words+=" --agent" ;;
+      watch*) words+=" --agent --for" ;;
+    esac
+    case "$group $verb" in
+      "target drain" | "balancer stop") words+=" --unchecked" ;;
     esac
     case "$group $verb" in
       "sheet import" | "service set") words+=" --allow-drop --allow-shrink" ;;
