--- a/apps/hawthornctl/arguments.cc
+++ b/apps/hawthornctl/arguments.cc
@@ -1,13 +1,17 @@
 #include "arguments.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 #include "hawthornbank/error.h"
-#include "protocol/near_match.h"
+#include "protocol/name.h"
+#include "protocol/sheet_cells.h"
+#include "transport/command_line.h"
 #include "transport/settings_values.h"
 
 namespace hawthornbank::hawthornctl {
@@ -57,41 +61,6 @@
   return user.empty() ? "unknown" : user;
 }
 
-/// @return The names of all options, for suggestions.
-auto OptionNames(TCLAP::CmdLine& command) -> std::vector<std::string> {
-  std::vector<std::string> names;
-  for (auto* const it : command.getArgList()) {
-    names.push_back("--" + it->getName());
-  }
-  return names;
-}
-
-/// Refuses unknown options, which TCLAP would take for file names.
-auto CheckOptions(TCLAP::CmdLine& command, const Words& words) -> void {
-  const std::vector<std::string> known = OptionNames(command);
-  for (const auto& it : words) {
-    const std::string option = it.substr(0, it.find('='));
-    const bool is_option = option.size() > 2 && option.starts_with("--");
-    if (is_option &&
-        std::find(known.begin(), known.end(), option) == known.end()) {
-      throw Error(ErrorKind::kInvalidSettings,
-                  "unknown option '" + option + "'" +
-                      Suggestion(option, known) + "\nTry: " + words.front() +
-                      " --help");
-    }
-  }
-}
-
-/// @return Words as TCLAP's messages have them, without its wrapping.
-auto Reword(const std::string& text) -> std::string {
-  std::istringstream stream(text);
-  std::string result;
-  for (std::string word; stream >> word;) {
-    result += (result.empty() ? "" : " ") + word;
-  }
-  return result;
-}
-
 }  // namespace
 
 CommonArguments::CommonArguments(TCLAP::CmdLine& command)
@@ -147,16 +116,30 @@
                 command) {}
 
 auto Parse(TCLAP::CmdLine& command, Words words) -> void {
-  command.setExceptionHandling(false);
-  const std::string name = words.front();
-  CheckOptions(command, words);
+  transport::ParseCommandLine(command, std::move(words));
+}
+
+auto Region(const CommonArguments& arguments) -> std::string {
   try {
-    command.parse(words);
-  } catch (const TCLAP::ArgException& error) {
+    return ReadName(arguments.region.getValue());
+  } catch (const Error& error) {
+    throw Error(error.kind(), std::string("--region: ") + error.what());
+  }
+}
+
+auto Author(const ChangeArguments& arguments) -> std::string {
+  constexpr std::size_t kLongest = 100;
+  const std::string& author = arguments.author.getValue();
+  const bool is_plain = std::none_of(author.begin(), author.end(), [](char c) {
+    return std::iscntrl(static_cast<unsigned char>(c)) != 0;
+  });
+  if (author.empty() || author.size() > kLongest || !is_plain ||
+      !IsUtf8(author)) {
     throw Error(ErrorKind::kInvalidSettings,
-                Reword(error.argId() + " " + error.error()) + "\nTry: " + name +
-                    " --help");
+                "--author: is not one line of text, at most " +
+                    std::to_string(kLongest) + " bytes");
   }
+  return author;
 }
 
 auto HasPlatform(const CommonArguments& arguments) -> bool {
--- a/apps/hawthornctl/arguments.h
+++ b/apps/hawthornctl/arguments.h
@@ -50,6 +50,16 @@
 /// @throws Error kInvalidSettings naming the argument and the near match.
 auto Parse(TCLAP::CmdLine& command, Words words) -> void;
 
+/// @param arguments Parsed arguments.
+/// @return The region.
+/// @throws Error kInvalidSettings when it is no name.
+auto Region(const CommonArguments& arguments) -> std::string;
+
+/// @param arguments Parsed arguments.
+/// @return Who makes the change.
+/// @throws Error kInvalidSettings when it is not a line of text.
+auto Author(const ChangeArguments& arguments) -> std::string;
+
 /// @param arguments Parsed arguments.
 /// @return Whether the platform's address is given.
 auto HasPlatform(const CommonArguments& arguments) -> bool;
--- a/apps/hawthornctl/change.cc
+++ b/apps/hawthornctl/change.cc
@@ -31,6 +31,14 @@
   return text.data();
 }
 
+auto ReadOperation(const std::string& text) -> std::string {
+  try {
+    return ReadName(text);
+  } catch (const Error& error) {
+    throw Error(error.kind(), std::string("--operation: ") + error.what());
+  }
+}
+
 auto DiffToJson(const Configuration& before, const Configuration& after)
     -> json {
   json changes = json::array();
@@ -175,19 +183,21 @@
 auto MakeChange(const CommonArguments& common,
                 const ChangeArguments& arguments,
                 const transport::Edit& edit) -> int {
+  const std::string author = Author(arguments);
   if (arguments.dry_run.getValue()) {
     return ShowDryRun(common, edit);
   }
   const auto balancers = arguments.wait.getValue() ? BalancerAddresses(common)
                                                    : std::vector<Endpoint>{};
-  const std::string operation = arguments.operation.isSet()
-                                    ? ReadName(arguments.operation.getValue())
-                                    : MakeOperationId();
+  const std::string operation =
+      arguments.operation.isSet()
+          ? ReadOperation(arguments.operation.getValue())
+          : MakeOperationId();
   transport::PlatformClient client({.address = PlatformAddress(common)});
   const auto outcome =
       transport::ChangeConfiguration(transport::StoreOf(client),
-                                     {.region = common.region.getValue(),
-                                      .author = arguments.author.getValue(),
+                                     {.region = Region(common),
+                                      .author = author,
                                       .operation = operation,
                                       .is_retry = arguments.operation.isSet()},
                                      edit);
@@ -222,7 +232,7 @@
 auto ReadAccepted(const CommonArguments& common) -> Configuration {
   transport::PlatformClient client({.address = PlatformAddress(common)});
   return transport::ReadConfiguration(transport::StoreOf(client),
-                                      common.region.getValue())
+                                      Region(common))
       .configuration;
 }
 
--- a/apps/hawthornctl/in_force.cc
+++ b/apps/hawthornctl/in_force.cc
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "hawthornbank/error.h"
+#include "transport/http_failure.h"
 
 namespace hawthornbank::hawthornctl {
 namespace {
@@ -60,10 +61,8 @@
   client.set_read_timeout(kCallTimeout);
   const auto result = client.Get(path);
   if (!result || result->status != kOk) {
-    throw Error(ErrorKind::kFailed,
-                text + " does not answer: " +
-                    (result ? "HTTP status " + std::to_string(result->status)
-                            : httplib::to_string(result.error())));
+    throw Error(ErrorKind::kFailed, text + " does not answer: " +
+                                        transport::DescribeFailure(result));
   }
   return result->body;
 }
--- a/apps/hawthornctl/names.cc
+++ b/apps/hawthornctl/names.cc
@@ -19,17 +19,21 @@
     -> const Service& {
   const Service* const service = FindService(configuration, name);
   if (service == nullptr) {
-    std::vector<std::string> known;
-    known.reserve(configuration.services.size());
-    for (const auto& it : configuration.services) {
-      known.push_back(it.name);
-    }
-    throw Error(ErrorKind::kUnknownService,
-                "there is no service '" + name + "'" + Suggestion(name, known));
+    RequireServices(configuration, {name});
   }
   return *service;
 }
 
+auto RequireServices(const Configuration& configuration,
+                     const std::vector<std::string>& names) -> void {
+  std::vector<std::string> known;
+  known.reserve(configuration.services.size());
+  for (const auto& it : configuration.services) {
+    known.push_back(it.name);
+  }
+  RequireNames("service", names, known);
+}
+
 auto RequireNames(const std::string& what,
                   const std::vector<std::string>& names,
                   const std::vector<std::string>& known) -> void {
--- a/apps/hawthornctl/names.h
+++ b/apps/hawthornctl/names.h
@@ -18,6 +18,13 @@
 auto RequireService(const Configuration& configuration, const std::string& name)
     -> const Service&;
 
+/// Checks that all services exist.
+/// @param configuration Where to look.
+/// @param names Their names.
+/// @throws Error kUnknownService listing each unknown name and near match.
+auto RequireServices(const Configuration& configuration,
+                     const std::vector<std::string>& names) -> void;
+
 /// Checks that all names exist.
 /// @param what What they name, as "target".
 /// @param names What the operator gave.
--- a/apps/hawthornctl/service_set.cc
+++ b/apps/hawthornctl/service_set.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "arguments.h"
 #include "change.h"
@@ -11,6 +12,26 @@
 namespace hawthornbank::hawthornctl {
 namespace {
 
+auto Join(const std::vector<std::string>& names) -> std::string {
+  std::string text;
+  for (const auto& it : names) {
+    text += (text.empty() ? "" : ", ") + it;
+  }
+  return text;
+}
+
+/// Refuses a field that is given twice, so that none is dropped unseen.
+auto CheckFields(const std::vector<std::string>& assignments) -> void {
+  std::set<std::string> seen;
+  for (const auto& it : assignments) {
+    const std::string field = it.substr(0, it.find('='));
+    if (!seen.insert(field).second) {
+      throw Error(ErrorKind::kInvalidSettings,
+                  "field '" + field + "' is given twice");
+    }
+  }
+}
+
 /// Applies one FIELD=VALUE to a service.
 /// @throws Error kInvalidSettings for an unknown field or a wrong value.
 auto SetField(Service& service, const std::string& assignment) -> void {
@@ -23,7 +44,8 @@
   }
   if (std::find(known.begin(), known.end(), field) == known.end()) {
     throw Error(ErrorKind::kInvalidSettings,
-                "unknown field '" + field + "'" + Suggestion(field, known));
+                "unknown field '" + field + "'" + Suggestion(field, known) +
+                    "\nThe fields: " + Join(known));
   }
   SetServiceColumn(service, field, assignment.substr(mark + 1));
 }
@@ -78,7 +100,10 @@
   Parse(command, std::move(words));
   const SheetConsent consent{.drop = drop.getValue(),
                              .shrink = shrink.getValue()};
+  CheckFields(fields.getValue());
   return MakeChange(common, change, [&](const Configuration& before) {
+    RequireServices(before, consent.drop);
+    RequireServices(before, consent.shrink);
     Service service = RequireService(before, name.getValue());
     for (const auto& it : fields.getValue()) {
       SetField(service, it);
--- a/apps/hawthornctl/sheet_import.cc
+++ b/apps/hawthornctl/sheet_import.cc
@@ -1,5 +1,6 @@
 #include "arguments.h"
 #include "change.h"
+#include "names.h"
 #include "protocol/sheet.h"
 #include "transport/version.h"
 
@@ -25,6 +26,8 @@
   const SheetConsent consent{.drop = drop.getValue(),
                              .shrink = shrink.getValue()};
   return MakeChange(common, change, [&](const Configuration& before) {
+    RequireServices(before, consent.drop);
+    RequireServices(before, consent.shrink);
     return ApplySheet(before, sheet, consent);
   });
 }
--- a/apps/hawthornd/main.cc
+++ b/apps/hawthornd/main.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "hawthornbank/error.h"
+#include "transport/command_line.h"
 #include "transport/daemon.h"
 #include "transport/logging.h"
 #include "transport/settings.h"
@@ -25,6 +26,16 @@
     "2 wrong settings or command line, 7 superseded, 9 stopped at once, "
     "70 internal error.";
 
+/// Names the program in errors, as those of settings name their file.
+auto Parse(TCLAP::CmdLine& command, int argc, char** argv) -> void {
+  try {
+    hawthornbank::transport::ParseCommandLine(
+        command, hawthornbank::transport::ToWords("hawthornd", argc, argv));
+  } catch (const Error& error) {
+    throw Error(error.kind(), std::string("hawthornd: ") + error.what());
+  }
+}
+
 auto Run(int argc, char** argv) -> int {
   TCLAP::CmdLine command(kDescription, ' ', hawthornbank::transport::Version());
   std::vector<std::string> roles = {"balancer", "agent"};
@@ -34,8 +45,7 @@
   TCLAP::ValueArg<std::string> config("", "config", "Settings file (INI)", true,
                                       "", "FILE", command);
   TCLAP::SwitchArg check("", "check", "Check the settings and exit", command);
-  command.setExceptionHandling(false);
-  command.parse(argc, argv);
+  Parse(command, argc, argv);
 
   const Role wanted =
       role.getValue() == "balancer" ? Role::kBalancer : Role::kAgent;
@@ -46,9 +56,13 @@
     return 0;
   }
   hawthornbank::transport::InitLogging(settings.log_level, settings.log_layout);
-  return wanted == Role::kBalancer
-             ? hawthornbank::transport::RunBalancer(settings)
-             : hawthornbank::transport::RunAgent(settings);
+  try {
+    return wanted == Role::kBalancer
+               ? hawthornbank::transport::RunBalancer(settings)
+               : hawthornbank::transport::RunAgent(settings);
+  } catch (const Error& error) {
+    throw Error(error.kind(), config.getValue() + ": " + error.what());
+  }
 }
 
 }  // namespace
@@ -56,10 +70,6 @@
 auto main(int argc, char** argv) -> int {
   try {
     return Run(argc, argv);
-  } catch (const TCLAP::ArgException& error) {
-    std::cerr << "hawthornd: " << error.argId() << ": " << error.error()
-              << "\nTry: hawthornd --help\n";
-    return AnswerFor(ErrorKind::kInvalidSettings).exit_code;
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   } catch (const Error& error) {
--- a/apps/hawthornload/arrivals.cc
+++ b/apps/hawthornload/arrivals.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -20,8 +21,9 @@
 }
 
 auto ReadSheet(const std::string& path) -> Sheet {
-  std::ifstream in(path);
-  if (!in) {
+  std::error_code ec;
+  std::ifstream in(path, std::ios::binary);
+  if (!std::filesystem::is_regular_file(path, ec) || !in) {
     throw Error(ErrorKind::kInvalidSettings,
                 "can't read the sheet '" + path + "'");
   }
@@ -52,6 +54,11 @@
   const auto sheet = ReadSheet(options.sheet);
   for (const auto& it : options.services) {
     auto demand = DemandOfDay(sheet, it.workload.service, options.day);
+    if (demand.empty()) {
+      throw Error(ErrorKind::kInvalidSettings,
+                  options.sheet + ": holds no demand of service '" +
+                      it.workload.service + "'");
+    }
     for (auto& point : demand) {
       point.per_second *= options.scale;
     }
--- a/apps/hawthornload/main.cc
+++ b/apps/hawthornload/main.cc
@@ -9,6 +9,7 @@
 #include "options.h"
 #include "report.h"
 #include "requests.h"
+#include "transport/command_line.h"
 #include "watches.h"
 
 namespace hawthornbank::load {
@@ -61,16 +62,9 @@
 
 auto main(int argc, char** argv) -> int {
   using namespace hawthornbank;
-  try {
+  return transport::RunProgram("hawthornload", [argc, argv] {
     std::signal(SIGTERM, [](int) { load::stop_requested = 1; });
     std::signal(SIGINT, [](int) { load::stop_requested = 1; });
     load::Run(load::ParseOptions(argc, argv));
-    return 0;
-  } catch (const Error& error) {
-    std::cerr << "hawthornload: " << error.what() << '\n';
-    return AnswerFor(error.kind()).exit_code;
-  } catch (const std::exception& error) {
-    std::cerr << "hawthornload: " << error.what() << '\n';
-    return AnswerFor(ErrorKind::kInternal).exit_code;
-  }
+  });
 }
--- a/apps/hawthornload/options.cc
+++ b/apps/hawthornload/options.cc
@@ -4,8 +4,13 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
+#include <set>
+#include <sstream>
 
 #include "hawthornbank/error.h"
+#include "hawthornbank/plan.h"
+#include "transport/command_line.h"
 #include "transport/version.h"
 
 namespace hawthornbank::load {
@@ -39,7 +44,8 @@
                     "planstore, plan-core, docs-in");
   }
   return {.workload = *it,
-          .address = ParseEndpoint(text.substr(separator + 1))};
+          .address = transport::ReadAddressOption(text.substr(separator + 1),
+                                                  "service " + name)};
 }
 
 auto ToMilliseconds(double seconds) -> milliseconds {
@@ -48,23 +54,78 @@
       static_cast<std::int64_t>(seconds * kMillisecondsPerSecond));
 }
 
-auto Check(const LoadOptions& options) -> void {
-  if (options.duration <= milliseconds(0) || options.requests_per_second < 0 ||
-      options.deadline <= milliseconds(0)) {
-    throw Error(ErrorKind::kInvalidSettings,
-                "--seconds and --deadline-ms must be above 0, --rate not "
-                "below 0");
+[[noreturn]] auto Refuse(const std::string& reason) -> void {
+  throw Error(ErrorKind::kInvalidSettings, reason);
+}
+
+auto CheckRange(const char* option, double value, double min, double max)
+    -> void {
+  if (value < min || value > max) {
+    std::ostringstream text;
+    text << option << ": " << value << " is out of range: " << min << " to "
+         << max;
+    Refuse(text.str());
   }
+}
+
+auto CheckServices(const LoadOptions& options) -> void {
+  std::set<std::string> seen;
+  for (const auto& it : options.services) {
+    if (!seen.insert(it.workload.service).second) {
+      Refuse("--service " + it.workload.service + " is given twice");
+    }
+  }
+}
+
+auto CheckRates(const LoadOptions& options) -> void {
   const bool has_rates = options.requests_per_second > 0 || options.uploads > 0;
   if (!options.sheet.empty() && has_rates) {
-    throw Error(ErrorKind::kInvalidSettings,
-                "--sheet sets the rates; leave out --rate and --uploads");
+    Refuse("--sheet sets the rates; leave out --rate and --uploads");
   }
-  if (options.scale <= 0) {
-    throw Error(ErrorKind::kInvalidSettings, "--scale must be above 0");
+  if (options.sheet.empty() && !has_rates && options.watches == 0) {
+    Refuse("nothing to do: give --watches, --rate, --uploads or --sheet");
   }
 }
 
+auto CheckDay(const std::string& day) -> void {
+  if (day == "daily") {
+    return;
+  }
+  try {
+    ParseDate(day);
+  } catch (const Error& error) {
+    Refuse(std::string("--day: ") + error.what());
+  }
+}
+
+/// A report that can't be written is better known before the run.
+auto CheckReport(const std::string& path) -> void {
+  if (!path.empty() && !std::ofstream(path, std::ios::app)) {
+    Refuse("--report: can't write '" + path + "'");
+  }
+}
+
+auto Check(const LoadOptions& options, double seconds) -> void {
+  constexpr double kMostSeconds = 604'800;
+  constexpr double kMostRate = 1e6;
+  constexpr double kMostWatches = 1e5;
+  constexpr double kMostBytes = 16.0 * 1024 * 1024;
+  constexpr double kMostMilliseconds = 3'600'000;
+  constexpr double kLeast = 0.001;
+  CheckRange("--seconds", seconds, kLeast, kMostSeconds);
+  CheckRange("--rate", options.requests_per_second, 0, kMostRate);
+  CheckRange("--watches", options.watches, 0, kMostWatches);
+  CheckRange("--upload-bytes", static_cast<double>(options.upload_bytes), 1,
+             kMostBytes);
+  CheckRange("--deadline-ms", static_cast<double>(options.deadline.count()), 1,
+             kMostMilliseconds);
+  CheckRange("--scale", options.scale, kLeast, kMostRate);
+  CheckServices(options);
+  CheckRates(options);
+  CheckDay(options.day);
+  CheckReport(options.report);
+}
+
 }  // namespace
 
 auto ParseOptions(int argc, char** argv) -> LoadOptions {
@@ -100,7 +161,8 @@
                                 false, 1, "X", line);
   TCLAP::ValueArg<std::string> report("", "report", "JSON report to write",
                                       false, "", "FILE", line);
-  line.parse(argc, argv);
+  transport::ParseCommandLine(line,
+                              transport::ToWords("hawthornload", argc, argv));
   LoadOptions options{.watches = watches.getValue(),
                       .requests_per_second = rate.getValue(),
                       .uploads = uploads.getValue(),
@@ -115,7 +177,7 @@
   for (const auto& it : services.getValue()) {
     options.services.push_back(ParseService(it));
   }
-  Check(options);
+  Check(options, seconds.getValue());
   return options;
 }
 
--- a/src/protocol/sheet.cc
+++ b/src/protocol/sheet.cc
@@ -287,6 +287,19 @@
   }
 }
 
+auto ReadRows(Reading& reading) -> void {
+  // Without the names of services, each row would be a fault.
+  if (!reading.columns[kServiceColumn]) {
+    return;
+  }
+  for (std::size_t n = 1; n < reading.table.rows.size(); ++n) {
+    if (!IsEmptyRow(reading.table.rows[n])) {
+      ReadRow(reading, n);
+    }
+  }
+  CheckServices(reading);
+}
+
 /// @return The faults by place, in the words of spreadsheets.
 auto ListFaults(Reading& reading) -> std::vector<SheetFault> {
   std::stable_sort(reading.faults.begin(), reading.faults.end(),
@@ -324,12 +337,7 @@
     AddFault(reading, 0, 0, "the file is not UTF-8; export it as CSV UTF-8");
   } else {
     ReadHeader(reading);
-    for (std::size_t n = 1; n < reading.table.rows.size(); ++n) {
-      if (!IsEmptyRow(reading.table.rows[n])) {
-        ReadRow(reading, n);
-      }
-    }
-    CheckServices(reading);
+    ReadRows(reading);
   }
   auto faults = ListFaults(reading);
   return CheckedSheet{.sheet = std::move(reading.sheet),
--- a/src/transport/platform_client.cc
+++ b/src/transport/platform_client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "hawthornbank/error.h"
+#include "transport/http_failure.h"
 
 namespace hawthornbank::transport {
 namespace {
@@ -53,9 +54,8 @@
 /// Turns a missing or unexpected answer into an error.
 [[noreturn]] auto ThrowUnavailable(const std::string& call,
                                    const httplib::Result& result) -> void {
-  const auto why = result ? "HTTP status " + std::to_string(result->status)
-                          : httplib::to_string(result.error());
-  throw Error(ErrorKind::kPlatformUnavailable, "platform " + call + ": " + why);
+  throw Error(ErrorKind::kPlatformUnavailable,
+              "platform " + call + ": " + DescribeFailure(result));
 }
 
 /// Reads a body; one that can't be read counts as no answer.
--- a/standins/fabric.cc
+++ b/standins/fabric.cc
@@ -2,6 +2,7 @@
 /// Stand-in of the network fabric: sprays each packet over the balancers.
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <chrono>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <system_error>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +20,7 @@
 #include "hawthornbank/types.h"
 #include "ipv4.h"
 #include "stats_server.h"
+#include "transport/command_line.h"
 
 namespace hawthornbank::standins {
 namespace {
@@ -293,11 +296,19 @@
       .dump();
 }
 
+auto Bind(Fabric& fabric, Endpoint address) -> udp::socket {
+  try {
+    return udp::socket(fabric.io, ToAsio(address));
+  } catch (const std::system_error& error) {
+    throw Error(ErrorKind::kInvalidSettings, "can't bind " + ToString(address) +
+                                                 ": " + error.code().message());
+  }
+}
+
 auto Open(Fabric& fabric) -> void {
   for (const auto& address : fabric.options.services) {
     fabric.services.push_back(std::make_unique<ServicePort>(
-        ServicePort{.socket = udp::socket(fabric.io, ToAsio(address)),
-                    .address = address}));
+        ServicePort{.socket = Bind(fabric, address), .address = address}));
     ReceiveFromCallers(fabric, *fabric.services.back());
   }
   for (const auto& address : fabric.options.balancers) {
@@ -306,8 +317,7 @@
     fabric.balancers.back()->socket.connect(ToAsio(address));
     ReceiveFromBalancer(fabric, *fabric.balancers.back());
   }
-  fabric.return_socket.open(udp::v4());
-  fabric.return_socket.bind(ToAsio(fabric.options.return_address));
+  fabric.return_socket = Bind(fabric, fabric.options.return_address);
   ReceiveReturns(fabric);
   ProbeHealth(fabric);
 }
@@ -332,16 +342,34 @@
   fabric.io.run();
 }
 
-auto ParseEndpoints(const std::vector<std::string>& texts)
+auto ReadAddresses(const TCLAP::MultiArg<std::string>& option)
     -> std::vector<Endpoint> {
   std::vector<Endpoint> endpoints;
-  endpoints.reserve(texts.size());
-  for (const auto& it : texts) {
-    endpoints.push_back(ParseEndpoint(it));
+  for (const auto& it : option.getValue()) {
+    const auto address = transport::ReadAddressOption(it, option.getName());
+    if (std::find(endpoints.begin(), endpoints.end(), address) !=
+        endpoints.end()) {
+      throw Error(ErrorKind::kInvalidSettings,
+                  "--" + option.getName() + ": " + it + " is given twice");
+    }
+    endpoints.push_back(address);
   }
   return endpoints;
 }
 
+auto ReadAddress(const TCLAP::ValueArg<std::string>& option) -> Endpoint {
+  return transport::ReadAddressOption(option.getValue(), option.getName());
+}
+
+auto ReadShare(const TCLAP::ValueArg<double>& option) -> double {
+  const double share = option.getValue();
+  if (share < 0 || share > 1) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "--" + option.getName() + ": is out of range: 0 to 1");
+  }
+  return share;
+}
+
 auto ParseOptions(int argc, char** argv) -> Options {
   const std::string address_form = "127.0.0.1:PORT";
   TCLAP::CmdLine line("Stand-in of the network fabric");
@@ -361,14 +389,15 @@
       "", "duplicate", "share of packets sent twice", false, 0, "0..1", line);
   TCLAP::ValueArg<int> delay("", "delay-ms", "one-way delay", false, 0, "ms",
                              line);
-  line.parse(argc, argv);
-  return Options{.services = ParseEndpoints(services.getValue()),
-                 .balancers = ParseEndpoints(balancers.getValue()),
-                 .return_address = ParseEndpoint(back.getValue()),
-                 .stats = ParseEndpoint(stats.getValue()),
+  transport::ParseCommandLine(line,
+                              transport::ToWords("standin_fabric", argc, argv));
+  return Options{.services = ReadAddresses(services),
+                 .balancers = ReadAddresses(balancers),
+                 .return_address = ReadAddress(back),
+                 .stats = ReadAddress(stats),
                  .seed = seed.getValue(),
-                 .loss = loss.getValue(),
-                 .duplicate = duplicate.getValue(),
+                 .loss = ReadShare(loss),
+                 .duplicate = ReadShare(duplicate),
                  .delay = std::chrono::milliseconds(delay.getValue())};
 }
 
@@ -376,15 +405,8 @@
 }  // namespace hawthornbank::standins
 
 auto main(int argc, char** argv) -> int {
-  try {
-    hawthornbank::standins::Run(
-        hawthornbank::standins::ParseOptions(argc, argv));
-    return 0;
-  } catch (const hawthornbank::Error& error) {
-    std::cerr << "standin_fabric: " << error.what() << '\n';
-    return hawthornbank::AnswerFor(error.kind()).exit_code;
-  } catch (const std::exception& error) {
-    std::cerr << "standin_fabric: " << error.what() << '\n';
-    return 1;
-  }
+  using namespace hawthornbank;
+  return transport::RunProgram("standin_fabric", [argc, argv] {
+    standins::Run(standins::ParseOptions(argc, argv));
+  });
 }
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -1,35 +1,42 @@
+#include <tclap/CmdLine.h>
+
 #include <iostream>
 #include <string>
 
 #include "hawthornbank/error.h"
 #include "hawthornbank/types.h"
 #include "platform_standin.h"
+#include "transport/command_line.h"
 
 /// @file
 /// Serves the stand-in of the platform's object API until it is terminated.
+namespace hawthornbank::standins {
+namespace {
 
-auto main(int argc, char** argv) -> int {
-  using hawthornbank::Endpoint;
-  if (argc != 3 || std::string(argv[1]) != "--listen") {
-    std::cerr << "usage: standin_platform --listen 127.0.0.1:PORT\n";
-    return 2;
-  }
-  Endpoint address;
-  try {
-    address = hawthornbank::ParseEndpoint(argv[2]);
-  } catch (const hawthornbank::Error& error) {
-    std::cerr << "standin_platform: " << error.what() << '\n';
-    return 2;
-  }
-  const auto text = hawthornbank::ToString(address);
+auto Run(int argc, char** argv) -> void {
+  TCLAP::CmdLine line("Stand-in of the platform's object API");
+  TCLAP::ValueArg<std::string> listen("", "listen", "HTTP endpoint", true, "",
+                                      "127.0.0.1:PORT", line);
+  transport::ParseCommandLine(
+      line, transport::ToWords("standin_platform", argc, argv));
+  const Endpoint address =
+      transport::ReadAddressOption(listen.getValue(), "listen");
+  const auto text = ToString(address);
   const auto host = text.substr(0, text.find(':'));
-  hawthornbank::standins::PlatformStandin standin;
+  PlatformStandin standin;
   const int port = standin.Bind(host, address.port);
   if (port < 0) {
-    std::cerr << "standin_platform: can't listen on " << text << '\n';
-    return 1;
+    throw Error(ErrorKind::kInvalidSettings, "can't listen on " + text);
   }
   std::cout << "listening " << host << ':' << port << std::endl;
   standin.Run();
-  return 0;
+}
+
+}  // namespace
+}  // namespace hawthornbank::standins
+
+auto main(int argc, char** argv) -> int {
+  using namespace hawthornbank;
+  return transport::RunProgram("standin_platform",
+                               [argc, argv] { standins::Run(argc, argv); });
 }
--- a/standins/target.cc
+++ b/standins/target.cc
@@ -19,7 +19,9 @@
 
 #include "hawthornbank/error.h"
 #include "hawthornbank/types.h"
+#include "protocol/name.h"
 #include "stats_server.h"
+#include "transport/command_line.h"
 
 namespace hawthornbank::standins {
 namespace {
@@ -360,11 +362,16 @@
                                        false, 3, "N", line);
   TCLAP::ValueArg<int> service_time("", "service-ms", "time a request runs",
                                     false, 20, "ms", line);
-  line.parse(argc, argv);
-  return Options{.listen = ParseEndpoint(listen.getValue()),
-                 .stats = ParseEndpoint(stats.getValue()),
-                 .name = name.getValue(),
-                 .kind = kind.getValue(),
+  using transport::ReadAddressOption;
+  transport::ParseCommandLine(line,
+                              transport::ToWords("standin_target", argc, argv));
+  if (slots.getValue() == 0) {
+    throw Error(ErrorKind::kInvalidSettings, "--slots: must be above 0");
+  }
+  return Options{.listen = ReadAddressOption(listen.getValue(), "listen"),
+                 .stats = ReadAddressOption(stats.getValue(), "stats"),
+                 .name = ReadName(name.getValue()),
+                 .kind = ReadName(kind.getValue()),
                  .slots = slots.getValue(),
                  .service_time = milliseconds(service_time.getValue())};
 }
@@ -373,17 +380,10 @@
 }  // namespace hawthornbank::standins
 
 auto main(int argc, char** argv) -> int {
-  try {
-    std::signal(SIGTERM, hawthornbank::standins::RequestStop);
-    std::signal(SIGINT, hawthornbank::standins::RequestStop);
-    hawthornbank::standins::Run(
-        hawthornbank::standins::ParseOptions(argc, argv));
-    return 0;
-  } catch (const hawthornbank::Error& error) {
-    std::cerr << "standin_target: " << error.what() << '\n';
-    return hawthornbank::AnswerFor(error.kind()).exit_code;
-  } catch (const std::exception& error) {
-    std::cerr << "standin_target: " << error.what() << '\n';
-    return 1;
-  }
+  using namespace hawthornbank;
+  return transport::RunProgram("standin_target", [argc, argv] {
+    std::signal(SIGTERM, standins::RequestStop);
+    std::signal(SIGINT, standins::RequestStop);
+    standins::Run(standins::ParseOptions(argc, argv));
+  });
 }
--- /dev/null
+++ b/test/command_line_test.cc
@@ -0,0 +1,146 @@
+#include "transport/command_line.h"
+
+#include "run_program.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+
+namespace {
+
+/// Checks that a command line is refused before anything starts.
+auto CheckRefused(const std::string& program,
+                  const std::string& arguments,
+                  const std::string& message) -> void {
+  const auto ran = test::RunProgram(program, arguments);
+  LONGS_EQUAL_TEXT(2, ran.code, arguments.c_str());
+  STRCMP_CONTAINS_TEXT(message.c_str(), ran.text.c_str(), arguments.c_str());
+  CHECK_TEXT(ran.text.find("USAGE") == std::string::npos, arguments.c_str());
+}
+
+auto CheckLoad(const std::string& arguments, const std::string& message)
+    -> void {
+  CheckRefused("apps/hawthornload", arguments, message);
+}
+
+auto CheckTarget(const std::string& arguments, const std::string& message)
+    -> void {
+  CheckRefused("standins/standin_target", arguments, message);
+}
+
+auto CheckFabric(const std::string& arguments, const std::string& message)
+    -> void {
+  CheckRefused("standins/standin_fabric", arguments, message);
+}
+
+const std::string kService = "--service fitquote=127.0.0.1:1 ";
+const std::string kTarget =
+    "--listen 127.0.0.1:1 --stats 127.0.0.1:1 --kind fitquote ";
+const std::string kFabric =
+    "--return 127.0.0.1:1 --stats 127.0.0.1:1 --balancer 127.0.0.1:2 ";
+
+}  // namespace
+
+TEST_GROUP(CommandLine){};
+
+TEST(CommandLine, EachProgramHasHelp) {
+  for (const auto* const program :
+       {"apps/hawthornd", "apps/hawthornload", "apps/hawthornctl",
+        "standins/standin_platform", "standins/standin_target",
+        "standins/standin_fabric"}) {
+    const auto ran = test::RunProgram(program, "--help");
+    LONGS_EQUAL_TEXT(0, ran.code, program);
+    CHECK_TEXT(!ran.text.empty(), program);
+  }
+}
+
+TEST(CommandLine, OfTheDaemon) {
+  const auto check = [](const char* arguments, const char* message) {
+    CheckRefused("apps/hawthornd", arguments, message);
+  };
+  check("", "hawthornd: Required arguments missing: config, role");
+  check("--role balancer", "Required argument missing: config");
+  check("--role balncer --config x", "'balncer' does not meet constraint");
+  check("--role balancer --config x --chekc", "did you mean '--check'?");
+  check("--role balancer --config x extra", "'extra' is not expected here");
+  check("--role balancer --role agent --config x", "already set");
+  check("--role balancer --config", "--config) Missing a value");
+  check("--role balancer --config /nonexistent", "/nonexistent:0: the file");
+  check("--role agent --config " TEST_DATA_DIR "/examples/balancer.ini",
+        "target.service: missing; role agent needs it");
+  check("--role balancer --config " TEST_DATA_DIR "/examples",
+        "can't be read or is empty");
+}
+
+TEST(CommandLine, OfTheLoadTool) {
+  CheckLoad("", "Required argument missing: service");
+  CheckLoad(kService, "nothing to do: give --watches");
+  CheckLoad("--service fitqoute=127.0.0.1:1", "is not SERVICE=ADDRESS:PORT");
+  CheckLoad("--service fitquote=127.0.0.1:99999",
+            "--service fitquote: '127.0.0.1:99999' is not an address");
+  CheckLoad(kService + kService + "--rate 1", "fitquote is given twice");
+  CheckLoad(kService + "--sekonds 3", "did you mean '--seconds'?");
+  CheckLoad(kService + "--rate 1 --seconds -1", "--seconds: '-1' is below 0");
+  CheckLoad(kService + "--rate 1 --seconds 1e300", "--seconds: 1e+300 is out");
+  CheckLoad(kService + "--watches -1", "--watches: '-1' is below 0");
+  CheckLoad(kService + "--uploads 1.5", "Couldn't read argument value");
+  CheckLoad(kService + "--rate 1 extra", "'extra' is not expected here");
+  CheckLoad(kService + "--rate 1 --report /nonexistent/x --seconds 9",
+            "--report: can't write '/nonexistent/x'");
+  CheckLoad(kService + "--rate 1 --upload-bytes 0", "--upload-bytes: 0 is out");
+  CheckLoad(kService + "--rate 1 --scale 0", "--scale: 0 is out of range");
+}
+
+TEST(CommandLine, OfTheLoadToolsSheet) {
+  const std::string examples = TEST_DATA_DIR "/examples";
+  CheckLoad(kService + "--sheet /nonexistent", "can't read the sheet");
+  CheckLoad(kService + "--sheet " + examples, "can't read the sheet");
+  CheckLoad(kService + "--sheet " + examples + "/tezontle.csv",
+            "holds no demand of service 'fitquote'");
+  CheckLoad(kService + "--rate 1 --sheet " + examples + "/trentmoor.csv",
+            "--sheet sets the rates");
+  CheckLoad(
+      kService + "--day 2026-13-45 --sheet " + examples + "/trentmoor.csv",
+      "--day: there is no day '2026-13-45'");
+}
+
+TEST(CommandLine, OfThePlatformStandIn) {
+  const auto check = [](const char* arguments, const char* message) {
+    CheckRefused("standins/standin_platform", arguments, message);
+  };
+  check("", "Required argument missing: listen");
+  check("--listen", "Missing a value");
+  check("--listen abc", "--listen: 'abc' is not an address");
+  check("--listen 127.0.0.1:99999", "--listen: '127.0.0.1:99999'");
+  check("--lisen 127.0.0.1:1", "did you mean '--listen'?");
+  check("--listen 127.0.0.1:1 extra", "'extra' is not expected here");
+  check("--listen 192.0.2.1:7400", "can't listen on 192.0.2.1:7400");
+}
+
+TEST(CommandLine, OfTheTargetStandIn) {
+  CheckTarget("", "Required arguments missing: kind, name, stats, listen");
+  CheckTarget("--slot 3", "did you mean '--slots'?");
+  CheckTarget(kTarget + "--name a --slots -3", "--slots: '-3' is below 0");
+  CheckTarget(kTarget + "--name a --slots 0", "--slots: must be above 0");
+  CheckTarget(kTarget + "--name a --service-ms -5", "'-5' is below 0");
+  CheckTarget(kTarget + "--name 'a b'", "'a b' is not a name");
+  CheckTarget("--listen x --stats 127.0.0.1:1 --kind a --name a",
+              "--listen: 'x' is not an address");
+  CheckTarget("--listen 127.0.0.1:1 --stats x --kind a --name a",
+              "--stats: 'x' is not an address");
+}
+
+TEST(CommandLine, OfTheFabricStandIn) {
+  CheckFabric("", "Required arguments missing");
+  CheckFabric("--los 1", "did you mean '--loss'?");
+  CheckFabric(kFabric + "--service 192.0.2.1:7 --loss 2",
+              "--loss: is out of range: 0 to 1");
+  CheckFabric(kFabric + "--service 192.0.2.1:7 --delay-ms -4",
+              "--delay-ms: '-4' is below 0");
+  CheckFabric(kFabric + "--service 192.0.2.1:7 --seed -1",
+              "--seed: '-1' is below 0");
+  CheckFabric(kFabric + "--service 192.0.2.1:7 --service 192.0.2.1:7",
+              "--service: 192.0.2.1:7 is given twice");
+  CheckFabric(kFabric + "--service x", "--service: 'x' is not an address");
+  CheckFabric(kFabric + "--service 192.0.2.1:7", "can't bind 192.0.2.1:7");
+}
--- a/test/hawthornctl_test.cc
+++ b/test/hawthornctl_test.cc
@@ -1,8 +1,5 @@
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <array>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -12,6 +9,7 @@
 
 #include "../standins/platform_standin.h"
 #include "protocol/status_json.h"
+#include "run_program.h"
 #include "transport/platform_client.h"
 
 #include <CppUTest/TestHarness.h>
@@ -19,6 +17,7 @@
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
 using namespace hawthornbank;
+using test::Ran;
 using transport::PlatformClient;
 
 namespace {
@@ -48,31 +47,8 @@
   int port = -1;
 };
 
-/// Exit code and both outputs of one run of the tool.
-struct Ran {
-  int code = -1;
-  std::string text;
-};
-
-auto Program() -> std::string {
-  const auto self = std::filesystem::read_symlink("/proc/self/exe");
-  return (self.parent_path().parent_path() / "apps/hawthornctl").string();
-}
-
 auto RunTool(const std::string& arguments) -> Ran {
-  const std::string line =
-      "env -u HAWTHORNCTL_PLATFORM -u "
-      "HAWTHORNCTL_BALANCERS USER=ana " +
-      Program() + " " + arguments + " 2>&1";
-  Ran ran;
-  FILE* const pipe = popen(line.c_str(), "r");
-  CHECK(pipe != nullptr);
-  std::array<char, 4096> buf = {};
-  while (const auto n = fread(buf.data(), 1, buf.size(), pipe)) {
-    ran.text.append(buf.data(), n);
-  }
-  ran.code = WEXITSTATUS(pclose(pipe));
-  return ran;
+  return test::RunProgram("apps/hawthornctl", arguments);
 }
 
 /// A balancer's or agent's status page, which the test may change.
@@ -251,6 +227,16 @@
   CheckRefused("sheet imprt x", 2, "did you mean 'sheet import'?");
   CheckRefused("sheet import --dry-rnu x", 2, "did you mean '--dry-run'?");
   CheckRefused("sheet import", 2, "Required argument missing: file");
+  CheckRefused("service show a b", 2, "'b' is not expected here");
+  CheckRefused("sheet import --wait-limit-s -5 " + kSheet, 2,
+               "--wait-limit-s: '-5' is below 0");
+  CheckRefused("sheet import --author '' " + kSheet, 2, "--author: is not one");
+  CheckRefused("sheet import --author '\n' " + kSheet, 2,
+               "--author: is not one");
+  CheckRefused("sheet import --operation 'x y' " + kSheet, 2,
+               "--operation: 'x y' is not a name");
+  CheckRefused("watch --for -1 --balancer 127.0.0.1:1", 2,
+               "--for: '-1' is below 0");
   CheckRefused("sheet import /nonexistent.csv", 2, "there is no such file");
   CheckRefused("status", 2, "no balancer is given: give --balancer");
   CheckRefused("status --balancer 127.0.0.1:99999", 2,
@@ -269,6 +255,13 @@
   CheckRefused("service set fitquote address=10.20.0.11:5683", 2,
                "is also the address of service 'planstore'");
   CheckRefused("service set fitquote targets=3", 2, "--allow-shrink fitquote");
+  CheckRefused("service set fitquote targets=8 targets=9", 2,
+               "field 'targets' is given twice");
+  CheckRefused("service set fitquote name=x", 2, "The fields: transport");
+  CheckRefused("service set fitquote slots=1 --allow-shrink fitqoute", 3,
+               "there is no service 'fitqoute'; did you mean 'fitquote'?");
+  CheckRefused("sheet import " + kSheet + " --allow-drop fitqoute", 3,
+               "there is no service 'fitqoute'; did you mean 'fitquote'?");
   CheckRefused("target undrain fitquote-1", 3,
                "there is no draining target 'fitquote-1'");
   CheckRefused("target drain fitquote-1", 2, "no balancer is given");
@@ -289,6 +282,26 @@
   check("", "the sheet is empty");
 }
 
+TEST(Hawthornctl, ARegionThatIsNoNameIsNotMade) {
+  const Ran ran = Tool("sheet import --region 'x y' " + kSheet);
+  LONGS_EQUAL(2, ran.code);
+  STRCMP_CONTAINS("--region: 'x y' is not a name", ran.text.c_str());
+  LONGS_EQUAL(
+      0, PlatformClient(
+             {.address = {.address = kLoopback,
+                          .port = static_cast<std::uint16_t>(platform.port)}})
+             .List("configuration")
+             .size());
+}
+
+TEST(Hawthornctl, AFileThatIsNoSheetIsRefusedBriefly) {
+  const Ran ran =
+      RunTool("sheet check " TEST_DATA_DIR "/examples/balancer.ini");
+  LONGS_EQUAL(2, ran.code);
+  STRCMP_CONTAINS("column 'service' is missing", ran.text.c_str());
+  CHECK(ran.text.find("row 2") == std::string::npos);
+}
+
 TEST(Hawthornctl, StatusNamesWhoLags) {
   const ProcessStatus status{
       .role = "balancer",
