--- a/apps/hawthornctl/arguments.cc
+++ b/apps/hawthornctl/arguments.cc
@@ -1,13 +1,17 @@
 #include "arguments.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 #include "hawthornbank/error.h"
-#include "protocol/near_match.h"
+#include "protocol/name.h"
+#include "protocol/sheet_cells.h"
+#include "transport/command_line.h"
 #include "transport/settings_values.h"
 
 namespace hawthornbank::hawthornctl {
@@ -29,6 +33,24 @@
   }
 }
 
+/// @return The addresses of an option, or else of an environment variable.
+auto ReadAddresses(const TCLAP::MultiArg<std::string>& option,
+                   const char* variable) -> std::vector<Endpoint> {
+  std::vector<Endpoint> endpoints;
+  for (const auto& it : option.getValue()) {
+    endpoints.push_back(ReadAddress(it, "--" + option.getName()));
+  }
+  const std::string list = FromEnvironment(variable);
+  if (!endpoints.empty() || list.empty()) {
+    return endpoints;
+  }
+  try {
+    return transport::ReadEndpoints(list);
+  } catch (const Error& error) {
+    throw Error(error.kind(), std::string(variable) + ": " + error.what());
+  }
+}
+
 auto PlatformText(const CommonArguments& arguments) -> std::string {
   return arguments.platform.isSet() ? arguments.platform.getValue()
                                     : FromEnvironment("HAWTHORNCTL_PLATFORM");
@@ -39,41 +61,6 @@
   return user.empty() ? "unknown" : user;
 }
 
-/// @return The names of all options, for suggestions.
-auto OptionNames(TCLAP::CmdLine& command) -> std::vector<std::string> {
-  std::vector<std::string> names;
-  for (auto* const it : command.getArgList()) {
-    names.push_back("--" + it->getName());
-  }
-  return names;
-}
-
-/// Refuses unknown options, which TCLAP would take for file names.
-auto CheckOptions(TCLAP::CmdLine& command, const Words& words) -> void {
-  const std::vector<std::string> known = OptionNames(command);
-  for (const auto& it : words) {
-    const std::string option = it.substr(0, it.find('='));
-    const bool is_option = option.size() > 2 && option.starts_with("--");
-    if (is_option &&
-        std::find(known.begin(), known.end(), option) == known.end()) {
-      throw Error(ErrorKind::kInvalidSettings,
-                  "unknown option '" + option + "'" +
-                      Suggestion(option, known) + "\nTry: " + words.front() +
-                      " --help");
-    }
-  }
-}
-
-/// @return Words as TCLAP's messages have them, without its wrapping.
-auto Reword(const std::string& text) -> std::string {
-  std::istringstream stream(text);
-  std::string result;
-  for (std::string word; stream >> word;) {
-    result += (result.empty() ? "" : " ") + word;
-  }
-  return result;
-}
-
 }  // namespace
 
 CommonArguments::CommonArguments(TCLAP::CmdLine& command)
@@ -94,6 +81,15 @@
                 command),
       json("", "json", "Answer as JSON", command) {}
 
+AgentArguments::AgentArguments(TCLAP::CmdLine& command)
+    : agents("",
+             "agent",
+             "HTTP endpoint of an agent, may stand several times; else "
+             "HAWTHORNCTL_AGENTS, a list with commas",
+             false,
+             "ADDRESS:PORT",
+             command) {}
+
 ChangeArguments::ChangeArguments(TCLAP::CmdLine& command)
     : dry_run("", "dry-run", "Show the change without making it", command),
       wait("", "wait", "Wait until it is in force everywhere", command),
@@ -120,16 +116,30 @@
                 command) {}
 
 auto Parse(TCLAP::CmdLine& command, Words words) -> void {
-  command.setExceptionHandling(false);
-  const std::string name = words.front();
-  CheckOptions(command, words);
+  transport::ParseCommandLine(command, std::move(words));
+}
+
+auto Region(const CommonArguments& arguments) -> std::string {
   try {
-    command.parse(words);
-  } catch (const TCLAP::ArgException& error) {
+    return ReadName(arguments.region.getValue());
+  } catch (const Error& error) {
+    throw Error(error.kind(), std::string("--region: ") + error.what());
+  }
+}
+
+auto Author(const ChangeArguments& arguments) -> std::string {
+  constexpr std::size_t kLongest = 100;
+  const std::string& author = arguments.author.getValue();
+  const bool is_plain = std::none_of(author.begin(), author.end(), [](char c) {
+    return std::iscntrl(static_cast<unsigned char>(c)) != 0;
+  });
+  if (author.empty() || author.size() > kLongest || !is_plain ||
+      !IsUtf8(author)) {
     throw Error(ErrorKind::kInvalidSettings,
-                Reword(error.argId() + " " + error.error()) + "\nTry: " + name +
-                    " --help");
+                "--author: is not one line of text, at most " +
+                    std::to_string(kLongest) + " bytes");
   }
+  return author;
 }
 
 auto HasPlatform(const CommonArguments& arguments) -> bool {
@@ -143,19 +153,13 @@
                 "the platform's address is missing: give --platform "
                 "ADDRESS:PORT or set HAWTHORNCTL_PLATFORM");
   }
-  return ReadAddress(text, "--platform");
+  return ReadAddress(
+      text, arguments.platform.isSet() ? "--platform" : "HAWTHORNCTL_PLATFORM");
 }
 
 auto BalancerAddresses(const CommonArguments& arguments)
     -> std::vector<Endpoint> {
-  std::vector<Endpoint> endpoints;
-  for (const auto& it : arguments.balancers.getValue()) {
-    endpoints.push_back(ReadAddress(it, "--balancer"));
-  }
-  const std::string list = FromEnvironment("HAWTHORNCTL_BALANCERS");
-  if (endpoints.empty() && !list.empty()) {
-    endpoints = transport::ReadEndpoints(list);
-  }
+  auto endpoints = ReadAddresses(arguments.balancers, "HAWTHORNCTL_BALANCERS");
   if (endpoints.empty()) {
     throw Error(ErrorKind::kInvalidSettings,
                 "no balancer is given: give --balancer ADDRESS:PORT (its "
@@ -164,6 +168,10 @@
   return endpoints;
 }
 
+auto AgentAddresses(const AgentArguments& arguments) -> std::vector<Endpoint> {
+  return ReadAddresses(arguments.agents, "HAWTHORNCTL_AGENTS");
+}
+
 auto ReadFile(const std::string& path) -> std::string {
   std::error_code ec;
   const bool is_file = std::filesystem::is_regular_file(path, ec);
--- a/apps/hawthornctl/change.cc
+++ b/apps/hawthornctl/change.cc
@@ -31,6 +31,14 @@
   return text.data();
 }
 
+auto ReadOperation(const std::string& text) -> std::string {
+  try {
+    return ReadName(text);
+  } catch (const Error& error) {
+    throw Error(error.kind(), std::string("--operation: ") + error.what());
+  }
+}
+
 auto DiffToJson(const Configuration& before, const Configuration& after)
     -> json {
   json changes = json::array();
@@ -43,7 +51,7 @@
   return changes;
 }
 
-auto PrintDiff(const Configuration& before, const Configuration& after)
+auto PrintLines(const Configuration& before, const Configuration& after)
     -> void {
   for (const auto& it : DiffConfigurations(before, after)) {
     std::cout << "  " << ToText(it) << '\n';
@@ -96,17 +104,30 @@
 }
 
 auto PrintLost(const ChangeOutcome& outcome) -> void {
+  if (outcome.winner.generation == Generation{}) {
+    std::cout << "Not accepted: another change was first, and the platform "
+                 "does not say which. Nothing of yours was changed. To redo "
+                 "yours on top of it, run the same command again.\n";
+    return;
+  }
   std::cout << "Not accepted: " << outcome.winner.author
             << " was first (generation " << ToInteger(outcome.winner.generation)
             << ", operation " << outcome.winner.operation
             << "). Nothing of yours was changed. "
             << "What changed meanwhile:\n";
-  PrintDiff(outcome.before, outcome.winner);
+  PrintLines(outcome.before, outcome.winner);
   std::cout << "To redo yours on top of it, run the same command again.\n";
 }
 
 auto PrintUnknown(const ChangeOutcome& outcome, const std::string& operation)
     -> void {
+  if (outcome.history_gone) {
+    std::cout << "Unknown whether operation " << operation
+              << " was accepted: the platform no longer keeps the changes of "
+                 "its time. Nothing is written now. See what is accepted, and "
+                 "run the command without --operation if it is still wanted.\n";
+    return;
+  }
   std::cout << "Unknown whether it is accepted: the platform's answer was "
                "lost";
   std::cout << (outcome.seen_unchanged
@@ -128,7 +149,7 @@
                 << (outcome.looked_up
                         ? " (the answer was lost; looked up by operation)\n"
                         : "\n");
-      PrintDiff(outcome.before, outcome.after);
+      PrintLines(outcome.before, outcome.after);
       break;
     case ChangeState::kUnchanged:
       std::cout << "Nothing to change.\n";
@@ -152,7 +173,7 @@
     std::cout << "Nothing to change.\n";
   } else {
     std::cout << "Would change (dry run, nothing is written):\n";
-    PrintDiff(outcome.before, outcome.after);
+    PrintLines(outcome.before, outcome.after);
   }
   return 0;
 }
@@ -162,20 +183,23 @@
 auto MakeChange(const CommonArguments& common,
                 const ChangeArguments& arguments,
                 const transport::Edit& edit) -> int {
+  const std::string author = Author(arguments);
   if (arguments.dry_run.getValue()) {
     return ShowDryRun(common, edit);
   }
   const auto balancers = arguments.wait.getValue() ? BalancerAddresses(common)
                                                    : std::vector<Endpoint>{};
-  const std::string operation = arguments.operation.isSet()
-                                    ? ReadName(arguments.operation.getValue())
-                                    : MakeOperationId();
+  const std::string operation =
+      arguments.operation.isSet()
+          ? ReadOperation(arguments.operation.getValue())
+          : MakeOperationId();
   transport::PlatformClient client({.address = PlatformAddress(common)});
   const auto outcome =
       transport::ChangeConfiguration(transport::StoreOf(client),
-                                     {.region = common.region.getValue(),
-                                      .author = arguments.author.getValue(),
-                                      .operation = operation},
+                                     {.region = Region(common),
+                                      .author = author,
+                                      .operation = operation,
+                                      .is_retry = arguments.operation.isSet()},
                                      edit);
   common.json.getValue()
       ? PrintJson(outcome, StateName(outcome.state), operation)
@@ -189,10 +213,26 @@
   return ExitCodeOf(outcome.state);
 }
 
+auto PrintDiff(const Configuration& before,
+               const Configuration& after,
+               bool json) -> void {
+  const auto changes = DiffConfigurations(before, after);
+  if (json) {
+    std::cout << DiffToJson(before, after).dump(2) << '\n';
+    return;
+  }
+  for (const auto& it : changes) {
+    std::cout << ToText(it) << '\n';
+  }
+  if (changes.empty()) {
+    std::cout << "Nothing to change.\n";
+  }
+}
+
 auto ReadAccepted(const CommonArguments& common) -> Configuration {
   transport::PlatformClient client({.address = PlatformAddress(common)});
   return transport::ReadConfiguration(transport::StoreOf(client),
-                                      common.region.getValue())
+                                      Region(common))
       .configuration;
 }
 
--- a/apps/hawthornload/arrivals.cc
+++ b/apps/hawthornload/arrivals.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -23,8 +24,9 @@
 }
 
 auto ReadSheet(const std::string& path) -> Sheet {
-  std::ifstream in(path);
-  if (!in) {
+  std::error_code ec;
+  std::ifstream in(path, std::ios::binary);
+  if (!std::filesystem::is_regular_file(path, ec) || !in) {
     throw Error(ErrorKind::kInvalidSettings,
                 "can't read the sheet '" + path + "'");
   }
@@ -55,6 +57,11 @@
   const auto sheet = ReadSheet(options.sheet);
   for (const auto& it : options.services) {
     auto demand = DemandOfDay(sheet, it.workload.service, options.day);
+    if (demand.empty()) {
+      throw Error(ErrorKind::kInvalidSettings,
+                  options.sheet + ": holds no demand of service '" +
+                      it.workload.service + "'");
+    }
     for (auto& point : demand) {
       point.per_second *= options.scale;
     }
