Synchronise by checksums of records, so that only missing ones travel

A start of everything took one digest a tick of gossip (19 records), 27 s for 5,170 records, and synchronisation answered with whole buckets. Now a peer lists the checksums of the records in the buckets that differ; the other sends what the list lacks and asks for what it lacks itself.

--- a/bench/common/membership_slopes.cc
+++ b/bench/common/membership_slopes.cc
@@ -19,6 +19,7 @@
 /// Pointers, colour and padding of a node of std::map.
 constexpr std::size_t kMapNodeBytes = 32;
 constexpr std::uint64_t kSeed = 1;
+constexpr double kStartBound = 14;  // Seconds.
 
 /// What a node spends at one size.
 struct Sample {
@@ -133,16 +134,21 @@
       fleet, 50ms, [&] { return IsReady(fleet.balancer(kNewcomer)); });
 }
 
+auto SlopeOptions(std::size_t balancers) -> FleetOptions {
+  const auto agents = balancers * kAgentsPerBalancer;
+  return FleetOptions{.balancers = balancers,
+                      .agents = agents,
+                      .zones = 6,
+                      .services = agents / kTargetsPerService,
+                      .jitter = 20ms,
+                      .loss = 0.01,
+                      .seed = kSeed};
+}
+
 auto Measure(std::size_t balancers) -> Sample {
   Sample sample{.balancers = balancers};
   const auto agents = balancers * kAgentsPerBalancer;
-  MembershipFleet fleet(FleetOptions{.balancers = balancers,
-                                     .agents = agents,
-                                     .zones = 6,
-                                     .services = agents / kTargetsPerService,
-                                     .jitter = 20ms,
-                                     .loss = 0.01,
-                                     .seed = kSeed});
+  MembershipFleet fleet(SlopeOptions(balancers));
   sample.whole = SecondsUntil(fleet, 500ms, [&] { return fleet.IsWhole(); });
   sample.start_bytes = OverBalancers(fleet, balancers, BytesOf);
   fleet.Run(20s);
@@ -213,11 +219,15 @@
   return start + slope * kFullBalancers;
 }
 
+auto CaseName(std::size_t balancers) -> std::string {
+  return "slopes_" + std::to_string(balancers) + "_" +
+         std::to_string(balancers * kAgentsPerBalancer);
+}
+
 auto PrintSample(const Sample& sample) -> void {
   for (const auto& it : kFigures) {
     Row row{.bench = "membership",
-            .name = "slopes_" + std::to_string(sample.balancers) + "_" +
-                    std::to_string(sample.balancers * kAgentsPerBalancer),
+            .name = CaseName(sample.balancers),
             .figure = it.name,
             .value = sample.*it.value,
             .unit = it.unit,
@@ -229,8 +239,52 @@
   }
 }
 
+/// What a start of everything costs the nodes.
+struct Start {
+  double whole = 0;        ///< Seconds until every balancer knows all.
+  double mean_bytes = 0;   ///< Sent by a balancer.
+  double most_bytes = 0;   ///< Sent by the busiest balancer.
+  double agent_bytes = 0;  ///< Sent by the busiest agent.
+};
+
+auto MeasureStart(std::size_t balancers) -> Start {
+  MembershipFleet fleet(SlopeOptions(balancers));
+  Start start;
+  start.whole = SecondsUntil(fleet, 250ms, [&] { return fleet.IsWhole(); });
+  start.mean_bytes = OverBalancers(fleet, balancers, BytesOf);
+  for (std::size_t n = 0; n < balancers; ++n) {
+    start.most_bytes = std::max(
+        start.most_bytes, static_cast<double>(fleet.balancer_traffic(n).bytes));
+  }
+  for (std::size_t n = 0; n < balancers * kAgentsPerBalancer; ++n) {
+    start.agent_bytes = std::max(
+        start.agent_bytes, static_cast<double>(fleet.agent_traffic(n).bytes));
+  }
+  return start;
+}
+
 }  // namespace
 
+auto PrintStart(std::size_t balancers) -> void {
+  const auto start = MeasureStart(balancers);
+  Row row{.bench = "membership",
+          .name = "start_" + CaseName(balancers),
+          .seed = kSeed};
+  const auto print = [&row](const char* figure, double value,
+                            const char* unit) {
+    row.figure = figure;
+    row.value = value;
+    row.unit = unit;
+    Print(row);
+  };
+  row.bound = kStartBound;
+  print("time_to_whole", start.whole, "s");
+  row.bound.reset();
+  print("bytes_of_a_balancer", start.mean_bytes, "B");
+  print("bytes_of_busiest_balancer", start.most_bytes, "B");
+  print("bytes_of_busiest_agent", start.agent_bytes, "B");
+}
+
 auto PrintSlopes(bool full) -> void {
   std::vector<Sample> samples;
   for (const std::size_t balancers : {20U, 60U, 120U, 240U}) {
--- a/bench/common/virtual_network.cc
+++ b/bench/common/virtual_network.cc
@@ -52,7 +52,8 @@
 
 auto VirtualNetwork::RunUntil(TimePoint end) -> void {
   while (!events_.empty() && events_.top().when <= end) {
-    Event event = events_.top();
+    // The queue gives its top as const only; it is taken off right after.
+    Event event = std::move(const_cast<Event&>(events_.top()));
     events_.pop();
     now_ = event.when;
     event.action();
--- a/bench/membership.cc
+++ b/bench/membership.cc
@@ -355,6 +355,10 @@
   const auto asked = [argc, argv](const char* option) {
     return argc > 1 && std::strcmp(argv[1], option) == 0;
   };
+  if (asked("--start") && argc > 2) {
+    PrintStart(std::stoul(argv[2]));
+    return ExitCode();
+  }
   if (asked("--slopes") || asked("--full")) {
     PrintSlopes(asked("--full"));
     return ExitCode();
--- a/include/hawthornbank/membership.h
+++ b/include/hawthornbank/membership.h
@@ -148,10 +148,12 @@
   TimePoint health_changed{};
   std::uint32_t health = 0;  ///< 0 is well; each step stretches timeouts.
   double budget_bytes = 0;
+  double sync_allowance = 0;  ///< Bytes that synchronisation may send now.
   bool ready_peer = false;    ///< A peer that is ready has been heard.
   bool watches_stale = true;  ///< The balancers changed since last assigned.
   bool ready = false;
   bool in_step = false;            ///< A peer answered that nothing is missing.
+  bool behind = false;             ///< Much is missing; synchronise soon.
   std::uint8_t gossip_rounds = 3;  ///< Rounds that a change is sent in.
   detail::MemberStatus self_status;
   std::vector<detail::RosterEntry> roster;  ///< Live balancers and self.
--- a/include/hawthornbank/membership_messages.h
+++ b/include/hawthornbank/membership_messages.h
@@ -190,6 +190,9 @@
   std::uint32_t targets_checksum = 0;  ///< Of all targets, with checksums.
   std::uint32_t first_bucket = 0;
   std::vector<std::uint32_t> checksums;  ///< From first_bucket on.
+  std::vector<std::uint8_t> buckets;     ///< Whose records are listed in held.
+  std::vector<std::uint32_t> held;       ///< Checksums of records held.
+  std::vector<std::uint32_t> wanted;     ///< Checksums of records asked for.
   std::vector<ZoneBeacon> beacons;
   std::vector<TargetRecord> targets;
   std::vector<BalancerRecord> balancers;
@@ -203,6 +206,9 @@
     wire::Varint(archive, targets_checksum);
     wire::Varint(archive, first_bucket);
     wire::List(archive, checksums);
+    wire::List(archive, buckets);
+    wire::List(archive, held);
+    wire::List(archive, wanted);
     wire::List(archive, beacons);
     wire::List(archive, targets);
     wire::List(archive, balancers);
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -235,6 +235,7 @@
   membership.budget_bytes = kReserveSeconds * options.budget_bytes_per_second;
   membership.last_heartbeat = now - options.heartbeat_interval;
   membership.last_sync = now - options.sync_interval;
+  detail::RefillSyncAllowance(membership, std::chrono::seconds{1});
   membership.last_assign = now - options.heartbeat_interval;
   detail::RebuildRoster(membership);
   detail::MarkSelf(membership);
@@ -289,6 +290,12 @@
   if (!digest.checksums.empty()) {
     detail::AnswerSync(membership, from, digest, out);
   }
+  if (!digest.buckets.empty()) {
+    detail::AnswerHeld(membership, from, digest, out);
+  }
+  if (!digest.wanted.empty()) {
+    detail::AnswerWanted(membership, from, digest, out);
+  }
   if (ask || (digest.probe && digest.checksums.empty())) {
     AnswerProbe(membership, from, ask, out);
   }
@@ -302,6 +309,7 @@
   detail::CheckOwnHealth(membership, now, out);
   const double elapsed =
       std::chrono::duration<double>(now - membership.last_tick).count();
+  detail::RefillSyncAllowance(membership, now - membership.last_tick);
   membership.last_tick = now;
   const double limit = options.budget_bytes_per_second;
   membership.budget_bytes = std::min(kReserveSeconds * limit,
--- a/src/coordination/membership_internal.h
+++ b/src/coordination/membership_internal.h
@@ -125,16 +125,28 @@
 /// @return A checksum a bucket, beginning with first.
 auto BucketChecksums(const Membership& membership, std::uint32_t first)
     -> std::vector<std::uint32_t>;
+/// Lets synchronisation spend again.
+auto RefillSyncAllowance(Membership& membership, Duration elapsed) -> void;
 /// Asks peers for what is missing.
 auto SendSync(Membership& membership,
               TimePoint now,
               Random& random,
               Actions& out) -> void;
-/// Answers a request for what is missing.
+/// Answers checksums of buckets by what self holds in those that differ.
 auto AnswerSync(Membership& membership,
                 Endpoint to,
                 const Digest& request,
                 Actions& out) -> void;
+/// Sends the records that the sender of a list lacks; asks for the others.
+auto AnswerHeld(Membership& membership,
+                Endpoint to,
+                const Digest& offer,
+                Actions& out) -> void;
+/// Sends the records that are asked for by checksum.
+auto AnswerWanted(Membership& membership,
+                  Endpoint to,
+                  const Digest& request,
+                  Actions& out) -> void;
 
 }  // namespace hawthornbank::detail
 
--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -10,8 +10,9 @@
 constexpr std::uint32_t kSignificantShare = 8;
 /// Change of connections that is worth spreading at least.
 constexpr std::uint32_t kSignificantConnections = 16;
-/// Changes at a time above which gossip sends each less often and leaves the
-/// rest to synchronisation, as after a start of everything.
+/// Changes at a time above which gossip sends only those that self found out,
+/// and these less often; the rest is left to synchronisation, as after a start
+/// of everything.
 constexpr std::size_t kBulkChanges = 40;
 /// Gossip rounds of a change among many.
 constexpr std::uint8_t kBulkRounds = 1;
@@ -184,6 +185,10 @@
 auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
     -> void {
   const bool bulk = membership.hot_targets.size() > kBulkChanges;
+  if (bulk && !entry.status.watched && entry.status.rounds == 0) {
+    membership.behind = true;
+    return;
+  }
   entry.status.rounds = bulk ? kBulkRounds : membership.gossip_rounds;
   entry.status.urgent = entry.status.urgent || urgent;
   membership.hot_targets.insert(entry.record.id);
--- a/src/coordination/membership_watch.cc
+++ b/src/coordination/membership_watch.cc
@@ -83,14 +83,40 @@
   return 0;
 }
 
+/// @return Whether self may be among the watchers. A cheap test: of those that
+///   are as near to the member, fewer than kWatcherCount go before self.
+auto MayWatch(const Membership& membership,
+              std::uint64_t member,
+              std::uint32_t zone,
+              std::uint32_t region) -> bool {
+  const auto& self = membership.roster.front();
+  const auto place = [zone, region](const RosterEntry& it) {
+    return it.zone == zone ? 0 : it.region == region ? 1 : 2;
+  };
+  const auto own_place = place(self);
+  const auto own_score = Score(member, self.id);
+  std::size_t better = 0;
+  for (const auto& it : membership.roster) {
+    if (place(it) == own_place && ToInteger(it.id) != member &&
+        Score(member, it.id) > own_score && ++better == kWatcherCount) {
+      return false;
+    }
+  }
+  return true;
+}
+
 auto SetWatched(const Membership& membership,
                 MemberStatus& status,
                 std::uint64_t member,
                 std::uint32_t zone,
                 std::uint32_t region,
                 TimePoint now) -> void {
-  const auto watchers = ChooseWatchers(membership, member, zone, region);
-  const bool watched = Contains(watchers, membership.self.id);
+  const auto home_region =
+      region != 0 ? region : RegionOfZone(membership, zone);
+  const bool watched =
+      MayWatch(membership, member, zone, home_region) &&
+      Contains(ChooseWatchers(membership, member, zone, home_region),
+               membership.self.id);
   // A new watcher gives the member the whole timeout to be heard.
   if (watched && !status.watched) {
     status.heard = now;
