Ask the other watchers before a member is suspected

A link that fails in one direction between a watcher and a target, or between two balancers, made the watcher suspect again and again: the target lost new flows at every balancer until the refutation came. Nothing newer comes from a dead member, so a crash is found as soon as before (test).

--- a/bench/common/membership_fleet.cc
+++ b/bench/common/membership_fleet.cc
@@ -100,7 +100,7 @@
     -> Link {
   const auto a = ZoneOfHost(from);
   const auto b = ZoneOfHost(to);
-  if ((a < cut_) != (b < cut_)) {
+  if ((a < cut_) != (b < cut_) || one_way_cuts_.contains({from, to})) {
     return Link{.loss = 1};
   }
   const auto deaf = deaf_.find(to);
--- a/bench/common/membership_fleet.h
+++ b/bench/common/membership_fleet.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/virtual_network.h"
@@ -68,6 +70,11 @@
   /// Loses every message between hosts of the two groups of zones.
   auto CutZonesFrom(std::size_t first_zone) -> void { cut_ = first_zone; }
   auto EndCut() -> void { cut_ = SIZE_MAX; }
+  /// Loses every message from one host to another, not those that go back.
+  auto CutOneWay(std::uint64_t from, std::uint64_t to) -> void {
+    one_way_cuts_.emplace(from, to);
+  }
+  auto EndOneWayCuts() -> void { one_way_cuts_.clear(); }
   /// Loses a share of what a host is sent.
   auto Deafen(std::uint64_t host, double loss) -> void { deaf_[host] = loss; }
 
@@ -124,6 +131,7 @@
   std::uint64_t changes_ = 0;
   std::size_t cut_ = SIZE_MAX;
   std::map<std::uint64_t, double> deaf_;
+  std::set<std::pair<std::uint64_t, std::uint64_t>> one_way_cuts_;
 };
 
 }  // namespace hawthornbank::bench
--- a/include/hawthornbank/membership_messages.h
+++ b/include/hawthornbank/membership_messages.h
@@ -193,6 +193,8 @@
   std::vector<std::uint8_t> buckets;     ///< Whose records are listed in held.
   std::vector<std::uint32_t> held;       ///< Checksums of records held.
   std::vector<std::uint32_t> wanted;     ///< Checksums of records asked for.
+  /// Members that the sender no longer hears; who does sends their records.
+  std::vector<std::uint64_t> asked;
   std::vector<ZoneBeacon> beacons;
   std::vector<TargetRecord> targets;
   std::vector<BalancerRecord> balancers;
@@ -209,6 +211,7 @@
     wire::List(archive, buckets);
     wire::List(archive, held);
     wire::List(archive, wanted);
+    wire::List(archive, asked);
     wire::List(archive, beacons);
     wire::List(archive, targets);
     wire::List(archive, balancers);
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -296,6 +296,9 @@
   if (!digest.wanted.empty()) {
     detail::AnswerWanted(membership, from, digest, out);
   }
+  if (!digest.asked.empty()) {
+    detail::AnswerAsked(membership, from, digest, now, out);
+  }
   if (ask || (digest.probe && digest.checksums.empty())) {
     AnswerProbe(membership, from, ask, out);
   }
--- a/src/coordination/membership_internal.h
+++ b/src/coordination/membership_internal.h
@@ -83,6 +83,18 @@
 auto CheckOwnHealth(Membership& membership, TimePoint now, Actions& out)
     -> void;
 
+/// Takes a newer record of a watched member as a sign of life that another
+/// watcher heard.
+auto HearIndirectly(const Membership& membership,
+                    MemberStatus& status,
+                    TimePoint now) -> void;
+/// Sends the records of those asked for that self watches and hears.
+auto AnswerAsked(Membership& membership,
+                 Endpoint to,
+                 const Digest& request,
+                 TimePoint now,
+                 Actions& out) -> void;
+
 /// @return Whether nothing at all is heard: the fault is likelier on this side.
 auto IsDeaf(const Membership& membership, TimePoint now) -> bool;
 /// Doubts self one step more after it suspected a member wrongly.
--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -93,9 +93,9 @@
   }
 }
 
-/// Takes a newer record of a target that self suspected as evidence.
-auto HearIndirectly(Membership& membership,
-                    TargetEntry& entry,
+/// Doubts self when others heard what self suspected.
+auto NoteRefutation(Membership& membership,
+                    const TargetEntry& entry,
                     std::uint64_t suspected_sequence,
                     TimePoint now) -> void {
   // One announce that was lost here alone is chance, more are a fault here.
@@ -103,8 +103,6 @@
   if (entry.record.sequence >= suspected_sequence + kMissedAnnounces) {
     NoteWrongSuspicion(membership, now);
   }
-  entry.status.heard =
-      std::max(entry.status.heard, now - membership.options.probe_timeout);
 }
 
 auto ReplaceTarget(Membership& membership,
@@ -125,6 +123,9 @@
     entry.status.first_seen = now;
     entry.status.heard = now;
   }
+  if (record.state < TargetState::kSuspect) {
+    HearIndirectly(membership, entry.status, now);
+  }
   if (record.service != before.service) {
     UnindexTarget(membership, before);
     IndexTarget(membership, record);
@@ -139,7 +140,7 @@
         record.state < TargetState::kSuspect) {
       Count(MembershipEvent::kRefuted, out);
       if (entry.status.watched && !restarted) {
-        HearIndirectly(membership, entry, before.sequence, now);
+        NoteRefutation(membership, entry, before.sequence, now);
       }
     }
   }
@@ -182,6 +183,12 @@
   return state < TargetState::kDead;
 }
 
+auto HearIndirectly(const Membership& membership,
+                    MemberStatus& status,
+                    TimePoint now) -> void {
+  status.heard = std::max(status.heard, now - membership.options.probe_timeout);
+}
+
 auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
     -> void {
   const bool bulk = membership.hot_targets.size() > kBulkChanges;
@@ -285,6 +292,9 @@
   if (record.incarnation == before.incarnation) {
     entry.record.generation = std::max(record.generation, before.generation);
   }
+  if (record.state == BalancerState::kAlive) {
+    HearIndirectly(membership, entry.status, now);
+  }
   const bool moved = record.peer != before.peer || record.zone != before.zone;
   if (record.state != before.state ||
       record.incarnation != before.incarnation || moved) {
--- a/src/coordination/membership_watch.cc
+++ b/src/coordination/membership_watch.cc
@@ -148,6 +148,29 @@
   Send(membership, entry.record.peer, std::move(digest), out);
 }
 
+/// Asks the other watchers whether they hear a member that is about to be
+/// suspected: the fault may be of one link, or of one of its directions.
+auto AskWatchers(Membership& membership,
+                 std::uint64_t member,
+                 const MemberStatus& status,
+                 std::uint32_t zone,
+                 TimePoint now,
+                 Actions& out) -> void {
+  constexpr int kTries = 2;
+  const auto& options = membership.options;
+  if (now - status.heard <
+      options.suspect_timeout - kTries * options.probe_interval) {
+    return;
+  }
+  for (const auto& it : ChooseWatchers(membership, member, zone, 0)) {
+    if (it.id != membership.self.id) {
+      Digest digest = MakeDigest(membership);
+      digest.asked.push_back(member);
+      Send(membership, it.peer, std::move(digest), out);
+    }
+  }
+}
+
 /// What a watcher is to do about a member.
 enum class Verdict : std::uint8_t { kNone, kProbe, kSuspect, kDead };
 
@@ -183,6 +206,8 @@
   if (verdict == Verdict::kProbe) {
     entry.status.probed = now;
     SendProbe(membership, entry, out);
+    AskWatchers(membership, ToInteger(entry.record.id), entry.status,
+                PlaceHash(entry.record.zone), now, out);
   } else if (verdict == Verdict::kSuspect) {
     Count(MembershipEvent::kSuspected, out);
     ChangeTargetState(membership, entry, TargetState::kSuspect, now, out);
@@ -215,6 +240,8 @@
   if (verdict == Verdict::kProbe) {
     entry.status.probed = now;
     SendProbe(membership, entry, out);
+    AskWatchers(membership, ToInteger(entry.record.id), entry.status,
+                PlaceHash(entry.record.zone), now, out);
   } else if (verdict == Verdict::kSuspect) {
     Count(MembershipEvent::kSuspected, out);
     ChangeBalancerState(membership, entry, BalancerState::kSuspect, now);
@@ -361,6 +388,32 @@
   }
 }
 
+auto AnswerAsked(Membership& membership,
+                 Endpoint to,
+                 const Digest& request,
+                 TimePoint now,
+                 Actions& out) -> void {
+  const auto heard = [&](const MemberStatus& status) {
+    return status.watched &&
+           now - status.heard <= membership.options.probe_timeout;
+  };
+  Digest answer = MakeDigest(membership);
+  for (const auto id : request.asked) {
+    const auto target = membership.targets.find(TargetId{id});
+    if (target != membership.targets.end() && heard(target->second.status)) {
+      answer.targets.push_back(target->second.record);
+    }
+    const auto balancer = membership.balancers.find(HostId{id});
+    if (balancer != membership.balancers.end() &&
+        heard(balancer->second.status)) {
+      answer.balancers.push_back(balancer->second.record);
+    }
+  }
+  if (!answer.targets.empty() || !answer.balancers.empty()) {
+    Send(membership, to, std::move(answer), out);
+  }
+}
+
 auto IsDeaf(const Membership& membership, TimePoint now) -> bool {
   return now - membership.last_received > membership.options.probe_timeout;
 }
