Compress configurations on their way; measure the recovery of whole fleets

bench_recovery runs membership and configuration together: restarts of all balancers and of all agents, an empty platform, a zone lost and back, regions parted and joined, at the sizes of today and at 47 + 470. Sent bytes count.

--- a/bench/common/configuration_fixture.cc
+++ b/bench/common/configuration_fixture.cc
@@ -176,6 +176,7 @@
   const auto to = static_cast<std::size_t>(ToInteger(send.to) - 1);
   const auto bytes = SizeOf(send.message);
   nodes[from].bytes += bytes;
+  nodes[from].sent += bytes;
   const auto message =
       std::make_shared<ConfigurationMessage>(std::move(send.message));
   const auto life = nodes[to].life;
--- a/bench/common/configuration_fixture.h
+++ b/bench/common/configuration_fixture.h
@@ -53,6 +53,7 @@
     bool alive = true;
     Generation highest{};     ///< Ever in force on this host.
     std::uint64_t bytes = 0;  ///< Sent and received.
+    std::uint64_t sent = 0;   ///< Of these, sent.
   };
 
   explicit ConfigurationFixture(ConfigurationFixtureOptions options);
--- a/bench/common/recovery_fleet.h
+++ b/bench/common/recovery_fleet.h
@@ -47,10 +47,14 @@
   /// Forgets what was counted so far.
   auto ResetCounts() -> void;
 
-  /// @return Mean bytes a second of the busiest process since the reset.
+  /// @return Mean bytes a second that the busiest process has sent since the
+  ///   reset.
   [[nodiscard]] auto BytesPerSecond() const -> double;
-  /// @return Deaths that were declared since the reset.
-  [[nodiscard]] auto Deaths() const -> std::uint64_t;
+  /// @return Samples since the reset in which a balancer held a target dead
+  ///   that has lived for five seconds.
+  [[nodiscard]] auto false_death_samples() const -> std::uint64_t {
+    return false_death_samples_;
+  }
   /// @return Samples since the reset in which a balancer that is ready missed
   ///   a target that has lived for five seconds.
   [[nodiscard]] auto lost_target_samples() const -> std::uint64_t {
@@ -60,7 +64,9 @@
 
  private:
   auto Sample() -> void;
-  [[nodiscard]] auto CountSettled() const -> std::size_t;
+  auto SampleBalancer(std::size_t n, const std::vector<TargetId>& settled)
+      -> void;
+  [[nodiscard]] auto Settled() const -> std::vector<TargetId>;
   [[nodiscard]] auto RegionOf(std::size_t zone) const -> std::size_t;
   auto TellAgent(std::size_t n) -> void;
   auto TellBalancers() -> void;
@@ -72,7 +78,7 @@
   TimePoint sampled_{};
   std::uint64_t generation_ = 1;
   std::uint64_t lost_target_samples_ = 0;
-  std::uint64_t deaths_before_ = 0;
+  std::uint64_t false_death_samples_ = 0;
   TimePoint reset_at_{};
 };
 
--- a/include/hawthornbank/configuration_store.h
+++ b/include/hawthornbank/configuration_store.h
@@ -133,7 +133,8 @@
   std::shared_ptr<const Configuration> in_force;
   std::string value;                              ///< Of what is in force.
   std::map<Generation, std::string> earlier;      ///< Bases of differences.
-  std::map<Generation, std::string> differences;  ///< Ready to send, by base.
+  /// Ready to send, compressed, by base; the whole value at base 0.
+  std::map<Generation, std::string> differences;
   std::optional<TimePoint> last_confirmed;
   std::vector<BalancerPeer> balancers;  ///< Live, by identity.
   std::optional<ConfigurationTransfer> transfer;
--- a/src/coordination/configuration_transfer.cc
+++ b/src/coordination/configuration_transfer.cc
@@ -5,6 +5,9 @@
 #include <numeric>
 #include <utility>
 
+#include "hawthornbank/error.h"
+#include "protocol/compression.h"
+
 namespace hawthornbank::detail {
 namespace {
 
@@ -21,12 +24,21 @@
 /// Repeats before another peer's offer is taken.
 constexpr int kMaxStalls = 4;
 
-/// What is sent: the whole value, or a difference from a base.
+/// What is sent, compressed: the whole value, or a difference from a base.
 struct Payload {
   Generation base{};
   std::string bytes;
 };
 
+/// @return The whole value, compressed once, since many peers ask for it.
+auto PackedValue(ConfigurationStore& store) -> const std::string& {
+  auto it = store.differences.find(Generation{});
+  if (it == store.differences.end()) {
+    it = store.differences.emplace(Generation{}, Compress(store.value)).first;
+  }
+  return it->second;
+}
+
 /// @return The difference from an earlier value; worked out once, since many
 ///     peers ask for the same.
 auto DifferenceFrom(ConfigurationStore& store,
@@ -35,35 +47,39 @@
   auto it = store.differences.find(base);
   if (it == store.differences.end()) {
     auto patch = json::diff(json::parse(earlier), json::parse(store.value));
-    it = store.differences.emplace(base, patch.dump()).first;
+    it = store.differences.emplace(base, Compress(patch.dump())).first;
   }
   return it->second;
 }
 
 auto MakePayload(ConfigurationStore& store, Generation base) -> Payload {
+  const auto& value = PackedValue(store);
   const auto it = store.earlier.find(base);
   if (it != store.earlier.end()) {
     const auto& difference = DifferenceFrom(store, base, it->second);
-    if (difference.size() < store.value.size()) {
+    if (difference.size() < value.size()) {
       return Payload{.base = base, .bytes = difference};
     }
   }
-  return Payload{.base = {}, .bytes = store.value};
+  return Payload{.base = {}, .bytes = value};
 }
 
 /// @return The value that a payload stands for, or nothing.
 auto ApplyPayload(const ConfigurationStore& store, const Payload& payload)
     -> std::optional<std::string> {
-  if (payload.base == Generation{}) {
-    return payload.bytes;
-  }
-  if (payload.base != GenerationInForce(store)) {
-    return std::nullopt;
-  }
   try {
-    return json::parse(store.value).patch(json::parse(payload.bytes)).dump();
+    auto text = Decompress(payload.bytes);
+    if (payload.base == Generation{}) {
+      return text;
+    }
+    if (payload.base != GenerationInForce(store)) {
+      return std::nullopt;
+    }
+    return json::parse(store.value).patch(json::parse(text)).dump();
   } catch (const json::exception&) {
     return std::nullopt;
+  } catch (const Error&) {
+    return std::nullopt;
   }
 }
 
--- /dev/null
+++ b/test/compression_test.cc
@@ -0,0 +1,53 @@
+#include "protocol/compression.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "hawthornbank/error.h"
+
+using namespace hawthornbank;
+
+namespace {
+
+auto IsMalformed(const std::string& compressed,
+                 std::size_t limit = kMaxTextBytes) -> bool {
+  try {
+    Decompress(compressed, limit);
+  } catch (const Error& error) {
+    return error.kind() == ErrorKind::kMalformed;
+  }
+  return false;
+}
+
+}  // namespace
+
+TEST_GROUP(Compression){};
+
+TEST(Compression, GivesTheTextBack) {
+  for (const std::size_t size : {0U, 1U, 1000U, 65536U, 300000U}) {
+    std::string text;
+    for (std::size_t n = 0; n < size; ++n) {
+      text.push_back(static_cast<char>('a' + n * n % 23));
+    }
+    const auto compressed = Compress(text);
+    CHECK(Decompress(compressed) == text);
+    CHECK(size < 1000 || compressed.size() < size / 4);
+  }
+}
+
+TEST(Compression, RefusesWhatIsCutChangedOrExtended) {
+  const auto compressed = Compress(std::string(5000, 'x') + "end");
+  for (std::size_t n = 0; n < compressed.size(); ++n) {
+    CHECK(IsMalformed(compressed.substr(0, n)));
+  }
+  auto changed = compressed;
+  changed.back() = static_cast<char>(changed.back() ^ 1);
+  CHECK(IsMalformed(changed));
+  CHECK(IsMalformed(compressed + "x"));
+  CHECK(IsMalformed("{\"generation\":1}"));
+}
+
+TEST(Compression, RefusesATextOverTheLimit) {
+  const auto compressed = Compress(std::string(100001, 'x'));
+  CHECK(IsMalformed(compressed, 100000));
+  LONGS_EQUAL(100001, Decompress(compressed, 100002).size());
+}
