Judge no target of another region by its silence

Where a region has one balancer a zone, its balancers are taken for dead in a partition, and the other region's become the watchers of its targets, which they can't hear: eight targets were held dead after a minute apart (test, extended first). A balancer now remembers the region of each zone and leaves such targets to the rule of silent zones, which changes no record.

--- a/include/hawthornbank/membership.h
+++ b/include/hawthornbank/membership.h
@@ -138,6 +138,8 @@
   std::map<TargetId, detail::TargetEntry> targets;
   std::map<HostId, detail::BalancerEntry> balancers;  ///< Without self.
   std::map<std::uint32_t, detail::ZoneEntry> zones;
+  /// Regions of zones, by hash, as balancers told; kept when these are gone.
+  std::map<std::uint32_t, std::uint32_t> zone_regions;
   std::map<ServiceId, std::vector<TargetId>> services;
   TimePoint started{};
   TimePoint last_tick{};
--- a/src/coordination/membership_watch.cc
+++ b/src/coordination/membership_watch.cc
@@ -171,6 +171,15 @@
   }
 }
 
+/// @return Whether a target's zone lies in another region. Its silence is no
+///   evidence then: the regions may have lost each other.
+auto IsForeign(const Membership& membership, const TargetRecord& record)
+    -> bool {
+  const auto it = membership.zone_regions.find(PlaceHash(record.zone));
+  return it != membership.zone_regions.end() &&
+         it->second != membership.roster.front().region;
+}
+
 /// What a watcher is to do about a member.
 enum class Verdict : std::uint8_t { kNone, kProbe, kSuspect, kDead };
 
@@ -296,6 +305,9 @@
       roster.push_back(entry(it.record));
     }
   }
+  for (const auto& it : roster) {
+    membership.zone_regions[it.zone] = it.region;
+  }
   const auto in_zone = std::count_if(
       roster.begin(), roster.end(),
       [&](const RosterEntry& it) { return it.zone == roster.front().zone; });
@@ -375,7 +387,8 @@
   for (const auto id : membership.watched_targets) {
     const auto it = membership.targets.find(id);
     if (it != membership.targets.end() && IsPresent(it->second.record.state) &&
-        it->second.status.watched) {
+        it->second.status.watched &&
+        !IsForeign(membership, it->second.record)) {
       CheckTarget(membership, it->second, stretch, now, out);
     }
   }
--- a/test/membership_fleet_test.cc
+++ b/test/membership_fleet_test.cc
@@ -52,6 +52,13 @@
   return gaps;
 }
 
+auto CountDeadTargets(const Membership& membership) -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      membership.targets.begin(), membership.targets.end(), [](const auto& it) {
+        return it.second.record.state == TargetState::kDead;
+      }));
+}
+
 auto CountAlive(const Membership& membership) -> std::size_t {
   const auto balancers = Balancers(membership);
   return static_cast<std::size_t>(std::count_if(
@@ -233,7 +240,11 @@
     fleet.Run(20s);
     CHECK(fleet.IsWhole());
     fleet.CutZonesFrom(3);
-    fleet.Run(15min);
+    for (int minute = 0; minute < 15; ++minute) {
+      fleet.Run(1min);
+      LONGS_EQUAL(0, CountDeadTargets(fleet.balancer(0)));
+      LONGS_EQUAL(0, CountDeadTargets(fleet.balancer(5)));
+    }
     fleet.EndCut();
     CHECK(RunUntil(fleet, 60s, [&] { return fleet.IsWhole(); }) <= 14s);
     fleet.Run(5s);
