--- a/bench/common/configuration_fixture.cc
+++ b/bench/common/configuration_fixture.cc
@@ -30,6 +30,15 @@
   return static_cast<std::uint64_t>(stream.tellp()) + 1 + kDatagramBytes;
 }
 
+template <class Call>
+auto Timed(ConfigurationFixture::Node& node, Call call) -> void {
+  const auto begin = std::chrono::steady_clock::now();
+  call();
+  const auto end = std::chrono::steady_clock::now();
+  node.core_seconds += std::chrono::duration<double>(end - begin).count();
+  ++node.calls;
+}
+
 auto SecondOf(TimePoint now) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::seconds>(
              now.time_since_epoch())
@@ -148,7 +157,9 @@
     return;
   }
   ConfigurationActions actions;
-  TickConfiguration(node.store, network.now(), node.random, actions);
+  Timed(node, [&] {
+    TickConfiguration(node.store, network.now(), node.random, actions);
+  });
   Perform(n, actions);
   network.At(network.now() + kConfigurationTick,
              [this, n, life] { Tick(n, life); });
@@ -187,8 +198,10 @@
     }
     node.bytes += bytes;
     ConfigurationActions actions;
-    OnConfigurationMessage(node.store, HostOf(from), *message, network.now(),
-                           node.random, actions);
+    Timed(node, [&] {
+      OnConfigurationMessage(node.store, HostOf(from), *message, network.now(),
+                             node.random, actions);
+    });
     Perform(to, actions);
   });
 }
@@ -203,7 +216,9 @@
       return;
     }
     ConfigurationActions actions;
-    OnPlatformAnswer(node.store, answer, network.now(), node.random, actions);
+    Timed(node, [&] {
+      OnPlatformAnswer(node.store, answer, network.now(), node.random, actions);
+    });
     Perform(n, actions);
   });
 }
--- a/bench/common/configuration_fixture.h
+++ b/bench/common/configuration_fixture.h
@@ -54,6 +54,8 @@
     Generation highest{};     ///< Ever in force on this host.
     std::uint64_t bytes = 0;  ///< Sent and received.
     std::uint64_t sent = 0;   ///< Of these, sent.
+    std::uint64_t calls = 0;  ///< Of the core, for ticks, messages and answers.
+    double core_seconds = 0;  ///< Wall time inside the core.
   };
 
   explicit ConfigurationFixture(ConfigurationFixtureOptions options);
--- a/bench/common/membership_fleet.cc
+++ b/bench/common/membership_fleet.cc
@@ -35,6 +35,7 @@
   call();
   const auto end = std::chrono::steady_clock::now();
   traffic.core_seconds += std::chrono::duration<double>(end - begin).count();
+  ++traffic.calls;
 }
 
 }  // namespace
--- a/bench/common/membership_fleet.h
+++ b/bench/common/membership_fleet.h
@@ -37,6 +37,7 @@
 struct NodeTraffic {
   std::uint64_t bytes = 0;  ///< With IPv4 and UDP headers.
   std::uint64_t messages = 0;
+  std::uint64_t calls = 0;  ///< Of the core, for ticks and messages.
   double core_seconds = 0;  ///< Wall time inside the core.
 };
 
--- a/bench/common/membership_slopes.cc
+++ b/bench/common/membership_slopes.cc
@@ -29,7 +29,12 @@
   double agent_bytes = 0;
   double agent_messages = 0;
   double state_bytes = 0;
-  double core_percent = 0;  ///< Wall time inside the core; varies by machine.
+  double core_percent = 0;    ///< Wall time inside the core; varies by machine.
+  double balancer_calls = 0;  ///< Of the core, a second.
+  double balancer_call_ns = 0;  ///< Wall time of a call.
+  double agent_core_percent = 0;
+  double agent_calls = 0;
+  double agent_call_ns = 0;
   double whole = 0;         ///< Seconds from a start of everything.
   double start_bytes = 0;   ///< Sent by a balancer until then, mean.
   double change_bytes = 0;  ///< Sent by a balancer for a change, mean.
@@ -163,6 +168,17 @@
       OverBalancers(fleet, balancers, messages) / kSteadySeconds;
   sample.core_percent =
       100 * OverBalancers(fleet, balancers, core) / kSteadySeconds;
+  const auto calls = [](const NodeTraffic& it) { return it.calls; };
+  constexpr double kPercentToNs = 1e7;
+  sample.balancer_calls =
+      OverBalancers(fleet, balancers, calls) / kSteadySeconds;
+  sample.balancer_call_ns =
+      kPercentToNs * sample.core_percent / sample.balancer_calls;
+  sample.agent_core_percent =
+      100 * OverAgents(fleet, agents, core) / kSteadySeconds;
+  sample.agent_calls = OverAgents(fleet, agents, calls) / kSteadySeconds;
+  sample.agent_call_ns =
+      kPercentToNs * sample.agent_core_percent / sample.agent_calls;
   sample.agent_bytes = OverAgents(fleet, agents, BytesOf) / kSteadySeconds;
   sample.agent_messages = OverAgents(fleet, agents, messages) / kSteadySeconds;
   sample.state_bytes = StateBytes(fleet.balancer(0));
@@ -189,6 +205,11 @@
     {"agent_messages_per_second", &Sample::agent_messages, "1/s", 0},
     {"balancer_state", &Sample::state_bytes, "B", kStateBound},
     {"balancer_core_wall_time", &Sample::core_percent, "% of a core", 0},
+    {"balancer_core_calls_per_second", &Sample::balancer_calls, "1/s", 0},
+    {"balancer_core_time_per_call", &Sample::balancer_call_ns, "ns", 0},
+    {"agent_core_wall_time", &Sample::agent_core_percent, "% of a core", 0},
+    {"agent_core_calls_per_second", &Sample::agent_calls, "1/s", 0},
+    {"agent_core_time_per_call", &Sample::agent_call_ns, "ns", 0},
     {"start_of_everything_time", &Sample::whole, "s", 0},
     {"start_of_everything_bytes", &Sample::start_bytes, "B", 0},
     {"bytes_per_change", &Sample::change_bytes, "B", 0},
--- a/bench/configuration.cc
+++ b/bench/configuration.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <span>
 #include <string>
 
 #include "common/configuration_fixture.h"
@@ -337,10 +338,67 @@
   print("platform_reads_peak", static_cast<double>(processes), "calls/s");
 }
 
+/// Prints the mean wall time in the core of a range of processes.
+auto PrintCost(const std::string& name,
+               const std::string& role,
+               std::span<const ConfigurationFixture::Node> nodes,
+               double seconds) -> void {
+  double calls = 0;
+  double core_seconds = 0;
+  for (const auto& it : nodes) {
+    calls += static_cast<double>(it.calls);
+    core_seconds += it.core_seconds;
+  }
+  const auto count = static_cast<double>(nodes.size());
+  Row row{.bench = "configuration", .name = name, .seed = kSeed};
+  row.figure = role + "_core_calls_per_second";
+  row.value = calls / count / seconds;
+  row.unit = "1/s";
+  Print(row);
+  row.figure = role + "_core_time_per_call";
+  row.value = 1e9 * core_seconds / calls;
+  row.unit = "ns";
+  Print(row);
+  row.figure = role + "_core_wall_time";
+  row.value = 100 * core_seconds / count / seconds;
+  row.unit = "% of a core";
+  Print(row);
+}
+
+/// A minute with one change, at some size.
+auto PrintCosts(std::size_t balancers, std::size_t services) -> void {
+  const std::size_t agents = balancers * 10;
+  ConfigurationFixture fixture(
+      {.balancers = balancers, .agents = agents, .zones = 6});
+  fixture.Write(EncodeConfiguration(FirstConfiguration(services)));
+  fixture.RunUntilInForce(Generation{1}, 60s);
+  fixture.RunFor(5s);
+  for (auto& node : fixture.nodes) {
+    node.calls = 0;
+    node.core_seconds = 0;
+  }
+  auto update = MakeUpdate("change", 7);
+  Finish(fixture, update);
+  fixture.RunFor(kChangeInterval);
+  const std::span<const ConfigurationFixture::Node> nodes(fixture.nodes);
+  const auto name = "cost_" + std::to_string(balancers) + "_" +
+                    std::to_string(agents) + "_" + std::to_string(services);
+  const auto seconds = Seconds(kChangeInterval);
+  PrintCost(name, "balancer", nodes.first(balancers), seconds);
+  PrintCost(name, "agent", nodes.subspan(balancers), seconds);
+}
+
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
   const std::string wanted = argc > 1 ? argv[1] : "";
+  if (wanted == "--cost") {
+    for (const std::size_t balancers : {20U, 60U, 120U, 240U}) {
+      PrintCosts(balancers, 10);
+    }
+    PrintCosts(20, 410);
+    return hawthornbank::bench::ExitCode();
+  }
   const std::vector<std::pair<std::string, void (*)(const Size&)>> cases = {
       {"change", RunChange},          {"race", RunRace},
       {"lost_answer", RunLostAnswer}, {"platform_down", RunPlatformDown},
