Pass generations on in notes; an emptied platform confirms nothing

The new test allows four times all records and failed before.

A watch that ends without a change confirmed what is in force even when the platform had lost its versions, as after a restart with nothing. Such an answer now confirms nothing, and the object is read anew (test, failed before).

--- a/bench/common/configuration_fixture.cc
+++ b/bench/common/configuration_fixture.cc
@@ -136,6 +136,7 @@
                                          const std::vector<std::size_t>& live)
     -> void {
   std::vector<BalancerPeer> peers;
+  peers.reserve(live.size());
   for (const auto it : live) {
     peers.push_back(all_balancers_[it]);
   }
--- a/include/hawthornbank/membership.h
+++ b/include/hawthornbank/membership.h
@@ -101,6 +101,7 @@
   bool unreachable = false;  ///< Its zone is silent and nobody vouches.
   std::uint8_t rounds = 0;   ///< Gossip rounds left.
   bool urgent = false;       ///< The rumour is a change of state, not of load.
+  bool generation_only = false;  ///< The rumour is a balancer's generation.
 };
 
 struct TargetEntry {
--- a/include/hawthornbank/membership_messages.h
+++ b/include/hawthornbank/membership_messages.h
@@ -178,6 +178,21 @@
   }
 };
 
+/// A generation that a balancer has put in force; the rest of its record is as
+/// it was.
+struct GenerationNote {
+  HostId id{};
+  Incarnation incarnation{};
+  Generation generation{};
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(id);
+    wire::Varint(archive, incarnation);
+    wire::Varint(archive, generation);
+  }
+};
+
 /// Message between balancers: heartbeat, changes and synchronisation.
 struct Digest {
   HostId sender{};
@@ -198,6 +213,7 @@
   std::vector<ZoneBeacon> beacons;
   std::vector<TargetRecord> targets;
   std::vector<BalancerRecord> balancers;
+  std::vector<GenerationNote> generations;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
@@ -215,6 +231,7 @@
     wire::List(archive, beacons);
     wire::List(archive, targets);
     wire::List(archive, balancers);
+    wire::List(archive, generations);
   }
 };
 
@@ -224,6 +241,9 @@
 /// @param record A record.
 /// @return Its encoded size in bytes.
 auto EncodedSize(const BalancerRecord& record) -> std::size_t;
+/// @param note A note.
+/// @return Its encoded size in bytes.
+auto EncodedSize(const GenerationNote& note) -> std::size_t;
 /// @param digest A message.
 /// @return Its encoded size in bytes.
 auto EncodedSize(const Digest& digest) -> std::size_t;
--- a/src/coordination/configuration_platform.cc
+++ b/src/coordination/configuration_platform.cc
@@ -80,7 +80,14 @@
     platform.next_call = now + detail::WithJitter(kMissingInterval, random);
     return;
   }
-  platform.version = std::max(*platform.version, answer.version);
+  // A platform that has lost versions stands behind nothing: list again.
+  if (answer.version < *platform.version) {
+    platform.version.reset();
+    platform.candidate.reset();
+    platform.next_call = now + detail::WithJitter(kMissingInterval, random);
+    return;
+  }
+  platform.version = answer.version;
   if (platform.candidate) {
     const auto value = std::move(*platform.candidate);
     platform.candidate.reset();
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -121,6 +121,9 @@
       corrections.Add(membership, it);
     }
   }
+  for (const auto& it : digest.generations) {
+    detail::TakeGeneration(membership, it);
+  }
   for (const auto& it : digest.targets) {
     if (detail::MergeTarget(membership, it, now, out) ==
         detail::Merge::kStale) {
--- a/src/coordination/membership_gossip.cc
+++ b/src/coordination/membership_gossip.cc
@@ -179,6 +179,27 @@
   }
 }
 
+/// @return Whether there was room.
+auto AddBalancer(const BalancerEntry& entry, Digest& digest, std::size_t& room)
+    -> bool {
+  const auto& record = entry.record;
+  const GenerationNote note{.id = record.id,
+                            .incarnation = record.incarnation,
+                            .generation = record.generation};
+  const bool small = entry.status.generation_only;
+  const auto size = small ? EncodedSize(note) : EncodedSize(record);
+  if (size > room) {
+    return false;
+  }
+  room -= size;
+  if (small) {
+    digest.generations.push_back(note);
+  } else {
+    digest.balancers.push_back(record);
+  }
+  return true;
+}
+
 auto AddBalancers(Membership& membership, Digest& digest, std::size_t& room)
     -> void {
   for (auto it = membership.hot_balancers.begin();
@@ -189,12 +210,9 @@
       continue;
     }
     auto& entry = balancer->second;
-    const auto size = EncodedSize(entry.record);
-    if (size > room) {
+    if (!AddBalancer(entry, digest, room)) {
       return;
     }
-    room -= size;
-    digest.balancers.push_back(entry.record);
     it = --entry.status.rounds == 0 ? membership.hot_balancers.erase(it)
                                     : std::next(it);
   }
@@ -283,7 +301,8 @@
   } else if (!membership.hot_targets.empty()) {
     Count(MembershipEvent::kLoadPutOff, out);
   }
-  if (digest.targets.empty() && digest.balancers.empty()) {
+  if (digest.targets.empty() && digest.balancers.empty() &&
+      digest.generations.empty()) {
     return;
   }
   for (const auto& it : GossipPeers(membership, random)) {
--- a/src/coordination/membership_internal.h
+++ b/src/coordination/membership_internal.h
@@ -48,6 +48,10 @@
                    TimePoint now,
                    Actions& out) -> Merge;
 
+/// Takes a generation apart from the rest of a record: heartbeats advance the
+/// sequence without it, and in one incarnation it only grows.
+auto TakeGeneration(Membership& membership, const GenerationNote& note) -> void;
+
 /// Gossips a member in the next rounds.
 auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
     -> void;
--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -161,18 +161,6 @@
   }
 }
 
-/// Takes a generation apart from the rest of a record: heartbeats advance
-/// the sequence without it, and in one incarnation it only grows.
-auto TakeGeneration(Membership& membership,
-                    BalancerEntry& entry,
-                    const BalancerRecord& record) -> void {
-  if (record.incarnation == entry.record.incarnation &&
-      record.generation > entry.record.generation) {
-    entry.record.generation = record.generation;
-    MarkBalancer(membership, entry);
-  }
-}
-
 }  // namespace
 
 auto IsPresent(BalancerState state) -> bool {
@@ -204,9 +192,30 @@
 auto MarkBalancer(Membership& membership, BalancerEntry& entry) -> void {
   const bool bulk = membership.hot_balancers.size() > kBulkChanges;
   entry.status.rounds = bulk ? kBulkRounds : membership.gossip_rounds;
+  entry.status.generation_only = false;
   membership.hot_balancers.insert(entry.record.id);
 }
 
+auto TakeGeneration(Membership& membership, const GenerationNote& note)
+    -> void {
+  const auto it = membership.balancers.find(note.id);
+  if (it == membership.balancers.end()) {
+    return;
+  }
+  auto& entry = it->second;
+  if (note.incarnation != entry.record.incarnation ||
+      note.generation <= entry.record.generation) {
+    return;
+  }
+  entry.record.generation = note.generation;
+  // A rumour of the whole record carries the generation too.
+  const bool whole = entry.status.rounds > 0 && !entry.status.generation_only;
+  if (!whole) {
+    MarkBalancer(membership, entry);
+    entry.status.generation_only = true;
+  }
+}
+
 auto MarkSelf(Membership& membership) -> void {
   membership.self_status.rounds = membership.gossip_rounds;
 }
@@ -274,7 +283,9 @@
     return Merge::kAdopted;
   }
   auto& entry = it->second;
-  TakeGeneration(membership, entry, record);
+  TakeGeneration(membership, GenerationNote{.id = record.id,
+                                            .incarnation = record.incarnation,
+                                            .generation = record.generation});
   if (Age(record) == Age(entry.record)) {
     return Merge::kSame;
   }
--- a/src/coordination/membership_messages.cc
+++ b/src/coordination/membership_messages.cc
@@ -49,6 +49,10 @@
   return CountBytes(record);
 }
 
+auto EncodedSize(const GenerationNote& note) -> std::size_t {
+  return CountBytes(note);
+}
+
 auto EncodedSize(const Digest& digest) -> std::size_t {
   return CountBytes(digest);
 }
--- a/test/configuration_store_test.cc
+++ b/test/configuration_store_test.cc
@@ -246,6 +246,41 @@
   LONGS_EQUAL(0, fixture.reverts);
 }
 
+TEST(ConfigurationStore, EmptyPlatformNeitherRevertsNorConfirms) {
+  ConfigurationFixture fixture({});
+  for (const std::uint64_t n : {1, 2}) {
+    fixture.Write(MakeValue(n));
+    fixture.RunFor(5s);
+  }
+  fixture.platform.empty = true;
+  fixture.RunFor(2min);
+  fixture.Restart(0);
+  fixture.Restart(12);
+  fixture.RunFor(10s);
+  LONGS_EQUAL(13, fixture.CountInForce(Generation{2}));
+  LONGS_EQUAL(0, fixture.reverts);
+  for (const auto& it : fixture.nodes) {
+    CHECK(!IsConfirmed(it.store, fixture.network.now()));
+  }
+  fixture.platform.empty = false;
+  fixture.RunFor(30s);
+  CHECK(IsConfirmed(fixture.nodes[12].store, fixture.network.now()));
+}
+
+TEST(ConfigurationStore, QuietWatchOfAnEmptiedPlatformConfirmsNothing) {
+  Single single;
+  single.Read(5, 3);
+  single.Platform({.reached = true, .version = 5});
+  LONGS_EQUAL(3, ToInteger(GenerationInForce(single.store)));
+  single.now += kConfirmationLimit * 2;
+  single.Platform({.reached = true, .version = 0});
+  CHECK(!IsConfirmed(single.store, single.now));
+  single.now += 10s;
+  single.Tick();
+  CHECK(single.Last<CallPlatformGet>() != nullptr);
+  LONGS_EQUAL(3, ToInteger(GenerationInForce(single.store)));
+}
+
 TEST(ConfigurationStore, OutageBetweenWriteAndWatchDoesNotRevert) {
   ConfigurationFixture fixture({});
   fixture.Write(MakeValue(1));
--- a/test/membership_fleet_test.cc
+++ b/test/membership_fleet_test.cc
@@ -156,6 +156,27 @@
   CHECK(RunUntil(fleet, 30s, all_know) <= 14s);
 }
 
+TEST(MembershipFleet, GenerationsCostLessThanRecords) {
+  MembershipFleet fleet(FleetOptions{.balancers = 60, .agents = 60});
+  const auto bytes_in = [&fleet](Duration duration) {
+    fleet.ResetTraffic();
+    fleet.Run(duration);
+    std::uint64_t bytes = 0;
+    for (std::size_t n = 0; n < 60; ++n) {
+      bytes += fleet.balancer_traffic(n).bytes;
+    }
+    return bytes / 60;
+  };
+  fleet.Run(20s);
+  const auto quiet = bytes_in(20s);
+  for (std::size_t n = 0; n < 60; ++n) {
+    fleet.SetGeneration(n, Generation{2});
+  }
+  // A record sent to two peers in two rounds, by each balancer.
+  const auto records = 60 * EncodedSize(fleet.balancer(0).self);
+  CHECK(bytes_in(20s) <= quiet + 4 * records);
+}
+
 TEST(MembershipFleet, TargetLostWithItsZoneWatchersIsStillFound) {
   MembershipFleet fleet(FleetOptions{.balancers = 9, .agents = 12});
   fleet.Run(20s);
@@ -377,10 +398,10 @@
   fleet.ResetTraffic();
   fleet.Run(60s);
   for (std::size_t n = 0; n < 20; ++n) {
-    CHECK(fleet.balancer_traffic(n).bytes <= 60 * 3072);
+    CHECK(fleet.balancer_traffic(n).bytes <= 60UL * 3072);
   }
   for (std::size_t n = 0; n < 200; ++n) {
-    CHECK(fleet.agent_traffic(n).bytes <= 60 * 3072);
+    CHECK(fleet.agent_traffic(n).bytes <= 60UL * 3072);
   }
 }
 
