--- a/bench/common/configuration_fixture.cc
+++ b/bench/common/configuration_fixture.cc
@@ -17,6 +17,9 @@
 constexpr milliseconds kWatchStep{20};
 /// IP and UDP headers, sender, nonce and digest of a datagram.
 constexpr std::uint64_t kDatagramBytes = 28 + 8 + 24 + 32;
+/// Where callers reach the services.
+constexpr std::uint32_t kServiceNet = 0x0A000001;
+constexpr std::uint16_t kServicePort = 5683;
 /// Time that membership needs to tell a new process of the balancers.
 constexpr milliseconds kMembershipDelay{1000};
 /// Until agents replace a balancer that no longer answers.
@@ -29,6 +32,15 @@
   return static_cast<std::uint64_t>(stream.tellp()) + 1 + kDatagramBytes;
 }
 
+template <class Call>
+auto Timed(ConfigurationFixture::Node& node, Call call) -> void {
+  const auto begin = std::chrono::steady_clock::now();
+  call();
+  const auto end = std::chrono::steady_clock::now();
+  node.core_seconds += std::chrono::duration<double>(end - begin).count();
+  ++node.calls;
+}
+
 auto SecondOf(TimePoint now) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::seconds>(
              now.time_since_epoch())
@@ -41,14 +53,41 @@
 
 }  // namespace
 
+auto FirstConfiguration(std::size_t services) -> Configuration {
+  Configuration configuration{.generation = Generation{1},
+                              .operation = "first"};
+  for (std::size_t n = 0; n < services; ++n) {
+    const auto number = static_cast<std::uint32_t>(n);
+    configuration.services.push_back(Service{
+        .id = ServiceId{number + 1},
+        .name = "service-" + std::to_string(n),
+        .address =
+            Endpoint{.address = kServiceNet + number, .port = kServicePort},
+        .zones = {"zone-0", "zone-1", "zone-2"}});
+  }
+  return configuration;
+}
+
 ConfigurationFixture::ConfigurationFixture(ConfigurationFixtureOptions options)
-    : network(options.seed), options_(options) {
+    : own_network_(std::make_unique<VirtualNetwork>(options.seed)),
+      network(*own_network_),
+      options_(options) {
   network.SetLinkRule([options](std::uint64_t, std::uint64_t) {
     return Link{
         .delay = options.delay, .jitter = options.jitter, .loss = options.loss};
   });
-  nodes.resize(options.balancers + options.agents);
-  for (std::size_t n = 0; n < options.balancers; ++n) {
+  StartAll();
+}
+
+ConfigurationFixture::ConfigurationFixture(ConfigurationFixtureOptions options,
+                                           VirtualNetwork& shared)
+    : network(shared), options_(options) {
+  StartAll();
+}
+
+auto ConfigurationFixture::StartAll() -> void {
+  nodes.resize(options_.balancers + options_.agents);
+  for (std::size_t n = 0; n < options_.balancers; ++n) {
     all_balancers_.push_back({.host = HostOf(n), .zone = ZoneOf(n)});
   }
   for (std::size_t n = 0; n < nodes.size(); ++n) {
@@ -88,10 +127,24 @@
 
 auto ConfigurationFixture::Restart(std::size_t n) -> void {
   Start(n);
+  if (own_network_ == nullptr) {
+    return;
+  }
   network.At(network.now() + kMembershipDelay,
              [this, n] { SetBalancers(nodes[n].store, LiveBalancers()); });
 }
 
+auto ConfigurationFixture::TellBalancers(std::size_t n,
+                                         const std::vector<std::size_t>& live)
+    -> void {
+  std::vector<BalancerPeer> peers;
+  peers.reserve(live.size());
+  for (const auto it : live) {
+    peers.push_back(all_balancers_[it]);
+  }
+  SetBalancers(nodes[n].store, std::move(peers));
+}
+
 auto ConfigurationFixture::Kill(std::size_t n) -> void {
   nodes[n].alive = false;
   ++nodes[n].life;
@@ -115,7 +168,9 @@
     return;
   }
   ConfigurationActions actions;
-  TickConfiguration(node.store, network.now(), node.random, actions);
+  Timed(node, [&] {
+    TickConfiguration(node.store, network.now(), node.random, actions);
+  });
   Perform(n, actions);
   network.At(network.now() + kConfigurationTick,
              [this, n, life] { Tick(n, life); });
@@ -143,6 +198,7 @@
   const auto to = static_cast<std::size_t>(ToInteger(send.to) - 1);
   const auto bytes = SizeOf(send.message);
   nodes[from].bytes += bytes;
+  nodes[from].sent += bytes;
   const auto message =
       std::make_shared<ConfigurationMessage>(std::move(send.message));
   const auto life = nodes[to].life;
@@ -153,8 +209,10 @@
     }
     node.bytes += bytes;
     ConfigurationActions actions;
-    OnConfigurationMessage(node.store, HostOf(from), *message, network.now(),
-                           node.random, actions);
+    Timed(node, [&] {
+      OnConfigurationMessage(node.store, HostOf(from), *message, network.now(),
+                             node.random, actions);
+    });
     Perform(to, actions);
   });
 }
@@ -169,7 +227,9 @@
       return;
     }
     ConfigurationActions actions;
-    OnPlatformAnswer(node.store, answer, network.now(), node.random, actions);
+    Timed(node, [&] {
+      OnPlatformAnswer(node.store, answer, network.now(), node.random, actions);
+    });
     Perform(n, actions);
   });
 }
@@ -177,6 +237,9 @@
 auto ConfigurationFixture::Present() -> std::optional<UpdateObject> {
   ++platform.reads[SecondOf(network.now())];
   const auto& history = platform.history;
+  if (platform.empty) {
+    return std::nullopt;
+  }
   if (platform.stale_reads > 0 && history.size() > 1) {
     --platform.stale_reads;
     return history[history.size() - 2];
@@ -211,6 +274,8 @@
       platform.history.empty() ? 0 : platform.history.back().version;
   if (platform.down) {
     Answer(n, life, PlatformAnswer{});
+  } else if (platform.empty) {
+    Answer(n, life, PlatformAnswer{.reached = true, .gone = true});
   } else if (version > from) {
     Answer(n, life,
            PlatformAnswer{.reached = true,
--- a/bench/common/membership_fleet.h
+++ b/bench/common/membership_fleet.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/virtual_network.h"
@@ -35,6 +37,7 @@
 struct NodeTraffic {
   std::uint64_t bytes = 0;  ///< With IPv4 and UDP headers.
   std::uint64_t messages = 0;
+  std::uint64_t calls = 0;  ///< Of the core, for ticks and messages.
   double core_seconds = 0;  ///< Wall time inside the core.
 };
 
@@ -68,6 +71,11 @@
   /// Loses every message between hosts of the two groups of zones.
   auto CutZonesFrom(std::size_t first_zone) -> void { cut_ = first_zone; }
   auto EndCut() -> void { cut_ = SIZE_MAX; }
+  /// Loses every message from one host to another, not those that go back.
+  auto CutOneWay(std::uint64_t from, std::uint64_t to) -> void {
+    one_way_cuts_.emplace(from, to);
+  }
+  auto EndOneWayCuts() -> void { one_way_cuts_.clear(); }
   /// Loses a share of what a host is sent.
   auto Deafen(std::uint64_t host, double loss) -> void { deaf_[host] = loss; }
 
@@ -76,6 +84,14 @@
       -> bool;
   /// @return Number of live balancers that give new flows to a target.
   [[nodiscard]] auto RoutingCount(std::size_t agent) const -> std::size_t;
+  /// @return Whether a balancer's process runs.
+  [[nodiscard]] auto IsAlive(std::size_t balancer) const -> bool {
+    return balancers_[balancer].alive;
+  }
+  /// @return Number of the balancer with an endpoint.
+  [[nodiscard]] auto IndexOfBalancer(Endpoint peer) const -> std::size_t;
+  /// @return Number of targets that a balancer gives new flows to.
+  [[nodiscard]] auto RoutableCountAt(std::size_t balancer) const -> std::size_t;
   /// @return Whether every live balancer routes to all live agents.
   [[nodiscard]] auto IsWhole() const -> bool;
 
@@ -124,6 +140,7 @@
   std::uint64_t changes_ = 0;
   std::size_t cut_ = SIZE_MAX;
   std::map<std::uint64_t, double> deaf_;
+  std::set<std::pair<std::uint64_t, std::uint64_t>> one_way_cuts_;
 };
 
 }  // namespace hawthornbank::bench
--- a/bench/common/membership_slopes.cc
+++ b/bench/common/membership_slopes.cc
@@ -28,7 +28,12 @@
   double agent_bytes = 0;
   double agent_messages = 0;
   double state_bytes = 0;
-  double core_percent = 0;  ///< Wall time inside the core; varies by machine.
+  double core_percent = 0;    ///< Wall time inside the core; varies by machine.
+  double balancer_calls = 0;  ///< Of the core, a second.
+  double balancer_call_ns = 0;  ///< Wall time of a call.
+  double agent_core_percent = 0;
+  double agent_calls = 0;
+  double agent_call_ns = 0;
   double whole = 0;         ///< Seconds from a start of everything.
   double start_bytes = 0;   ///< Sent by a balancer until then, mean.
   double change_bytes = 0;  ///< Sent by a balancer for a change, mean.
@@ -133,16 +138,21 @@
       fleet, 50ms, [&] { return IsReady(fleet.balancer(kNewcomer)); });
 }
 
+auto SlopeOptions(std::size_t balancers) -> FleetOptions {
+  const auto agents = balancers * kAgentsPerBalancer;
+  return FleetOptions{.balancers = balancers,
+                      .agents = agents,
+                      .zones = 6,
+                      .services = agents / kTargetsPerService,
+                      .jitter = 20ms,
+                      .loss = 0.01,
+                      .seed = kSeed};
+}
+
 auto Measure(std::size_t balancers) -> Sample {
   Sample sample{.balancers = balancers};
   const auto agents = balancers * kAgentsPerBalancer;
-  MembershipFleet fleet(FleetOptions{.balancers = balancers,
-                                     .agents = agents,
-                                     .zones = 6,
-                                     .services = agents / kTargetsPerService,
-                                     .jitter = 20ms,
-                                     .loss = 0.01,
-                                     .seed = kSeed});
+  MembershipFleet fleet(SlopeOptions(balancers));
   sample.whole = SecondsUntil(fleet, 500ms, [&] { return fleet.IsWhole(); });
   sample.start_bytes = OverBalancers(fleet, balancers, BytesOf);
   fleet.Run(20s);
@@ -157,6 +167,17 @@
       OverBalancers(fleet, balancers, messages) / kSteadySeconds;
   sample.core_percent =
       100 * OverBalancers(fleet, balancers, core) / kSteadySeconds;
+  const auto calls = [](const NodeTraffic& it) { return it.calls; };
+  constexpr double kPercentToNs = 1e7;
+  sample.balancer_calls =
+      OverBalancers(fleet, balancers, calls) / kSteadySeconds;
+  sample.balancer_call_ns =
+      kPercentToNs * sample.core_percent / sample.balancer_calls;
+  sample.agent_core_percent =
+      100 * OverAgents(fleet, agents, core) / kSteadySeconds;
+  sample.agent_calls = OverAgents(fleet, agents, calls) / kSteadySeconds;
+  sample.agent_call_ns =
+      kPercentToNs * sample.agent_core_percent / sample.agent_calls;
   sample.agent_bytes = OverAgents(fleet, agents, BytesOf) / kSteadySeconds;
   sample.agent_messages = OverAgents(fleet, agents, messages) / kSteadySeconds;
   sample.state_bytes = StateBytes(fleet.balancer(0));
@@ -179,6 +200,11 @@
     {"agent_messages_per_second", &Sample::agent_messages, "1/s"},
     {"balancer_state", &Sample::state_bytes, "B"},
     {"balancer_core_wall_time", &Sample::core_percent, "% of a core"},
+    {"balancer_core_calls_per_second", &Sample::balancer_calls, "1/s"},
+    {"balancer_core_time_per_call", &Sample::balancer_call_ns, "ns"},
+    {"agent_core_wall_time", &Sample::agent_core_percent, "% of a core"},
+    {"agent_core_calls_per_second", &Sample::agent_calls, "1/s"},
+    {"agent_core_time_per_call", &Sample::agent_call_ns, "ns"},
     {"start_of_everything_time", &Sample::whole, "s"},
     {"start_of_everything_bytes", &Sample::start_bytes, "B"},
     {"bytes_per_change", &Sample::change_bytes, "B"},
@@ -209,11 +235,15 @@
   return start + slope * kFullBalancers;
 }
 
+auto CaseName(std::size_t balancers) -> std::string {
+  return "slopes_" + std::to_string(balancers) + "_" +
+         std::to_string(balancers * kAgentsPerBalancer);
+}
+
 auto PrintSample(const Sample& sample) -> void {
   for (const auto& it : kFigures) {
     Row row{.bench = "membership",
-            .name = "slopes_" + std::to_string(sample.balancers) + "_" +
-                    std::to_string(sample.balancers * kAgentsPerBalancer),
+            .name = CaseName(sample.balancers),
             .figure = it.name,
             .value = sample.*it.value,
             .unit = it.unit,
@@ -222,8 +252,50 @@
   }
 }
 
+/// What a start of everything costs the nodes.
+struct Start {
+  double whole = 0;        ///< Seconds until every balancer knows all.
+  double mean_bytes = 0;   ///< Sent by a balancer.
+  double most_bytes = 0;   ///< Sent by the busiest balancer.
+  double agent_bytes = 0;  ///< Sent by the busiest agent.
+};
+
+auto MeasureStart(std::size_t balancers) -> Start {
+  MembershipFleet fleet(SlopeOptions(balancers));
+  Start start;
+  start.whole = SecondsUntil(fleet, 250ms, [&] { return fleet.IsWhole(); });
+  start.mean_bytes = OverBalancers(fleet, balancers, BytesOf);
+  for (std::size_t n = 0; n < balancers; ++n) {
+    start.most_bytes = std::max(
+        start.most_bytes, static_cast<double>(fleet.balancer_traffic(n).bytes));
+  }
+  for (std::size_t n = 0; n < balancers * kAgentsPerBalancer; ++n) {
+    start.agent_bytes = std::max(
+        start.agent_bytes, static_cast<double>(fleet.agent_traffic(n).bytes));
+  }
+  return start;
+}
+
 }  // namespace
 
+auto PrintStart(std::size_t balancers) -> void {
+  const auto start = MeasureStart(balancers);
+  Row row{.bench = "membership",
+          .name = "start_" + CaseName(balancers),
+          .seed = kSeed};
+  const auto print = [&row](const char* figure, double value,
+                            const char* unit) {
+    row.figure = figure;
+    row.value = value;
+    row.unit = unit;
+    Print(row);
+  };
+  print("time_to_whole", start.whole, "s");
+  print("bytes_of_a_balancer", start.mean_bytes, "B");
+  print("bytes_of_busiest_balancer", start.most_bytes, "B");
+  print("bytes_of_busiest_agent", start.agent_bytes, "B");
+}
+
 auto PrintSlopes(bool full) -> void {
   std::vector<Sample> samples;
   for (const std::size_t balancers : {20U, 60U, 120U, 240U}) {
--- a/bench/configuration.cc
+++ b/bench/configuration.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <span>
 #include <string>
 
 #include "common/configuration_fixture.h"
@@ -12,14 +13,11 @@
 using hawthornbank::ConfigurationUpdate;
 using hawthornbank::Duration;
 using hawthornbank::EncodeConfiguration;
-using hawthornbank::Endpoint;
 using hawthornbank::Generation;
 using hawthornbank::OnUpdateRead;
 using hawthornbank::OnUpdateReadBack;
 using hawthornbank::OnUpdateWritten;
 using hawthornbank::Random;
-using hawthornbank::Service;
-using hawthornbank::ServiceId;
 using hawthornbank::ToInteger;
 using hawthornbank::UpdateDone;
 using hawthornbank::UpdateOutcome;
@@ -29,6 +27,7 @@
 using hawthornbank::UpdateWrite;
 using hawthornbank::bench::ConfigurationFixture;
 using hawthornbank::bench::ConfigurationFixtureOptions;
+using hawthornbank::bench::FirstConfiguration;
 using hawthornbank::bench::Print;
 using hawthornbank::bench::Row;
 using namespace std::chrono_literals;
@@ -47,6 +46,7 @@
   std::size_t few_services;  ///< In the others, to save the machine's time.
   Duration quiet;            ///< After a change, in the other cases.
   Duration outage;
+  bool when_asked = false;  ///< Takes minutes; runs only by name.
 };
 
 auto Sizes() -> std::vector<Size> {
@@ -61,28 +61,20 @@
            .services = 10,
            .few_services = 10,
            .quiet = 5s,
-           .outage = 40s}};
+           .outage = 40s},
+          {.suffix = "_full_410",
+           .options = {.balancers = 470, .agents = 4700, .zones = 6},
+           .services = 410,
+           .few_services = 410,
+           .quiet = 5s,
+           .outage = 40s,
+           .when_asked = true}};
 }
 
 auto Seconds(Duration duration) -> double {
   return std::chrono::duration<double>(duration).count();
 }
 
-auto FirstConfiguration(std::size_t services) -> Configuration {
-  Configuration configuration{.generation = Generation{1},
-                              .operation = "first"};
-  for (std::size_t n = 0; n < services; ++n) {
-    configuration.services.push_back(Service{
-        .id = ServiceId{static_cast<std::uint32_t>(n + 1)},
-        .name = "service-" + std::to_string(n),
-        .address =
-            Endpoint{.address = 0x0A000001U + static_cast<std::uint32_t>(n),
-                     .port = 5683},
-        .zones = {"zone-0", "zone-1", "zone-2"}});
-  }
-  return configuration;
-}
-
 /// One size, one case: the fixture, and what is measured over all of it.
 struct Scenario {
   Scenario(const Size& size_of, std::string case_name)
@@ -360,10 +352,67 @@
   print("platform_reads_peak", static_cast<double>(processes), "calls/s");
 }
 
+/// Prints the mean wall time in the core of a range of processes.
+auto PrintCost(const std::string& name,
+               const std::string& role,
+               std::span<const ConfigurationFixture::Node> nodes,
+               double seconds) -> void {
+  double calls = 0;
+  double core_seconds = 0;
+  for (const auto& it : nodes) {
+    calls += static_cast<double>(it.calls);
+    core_seconds += it.core_seconds;
+  }
+  const auto count = static_cast<double>(nodes.size());
+  Row row{.bench = "configuration", .name = name, .seed = kSeed};
+  row.figure = role + "_core_calls_per_second";
+  row.value = calls / count / seconds;
+  row.unit = "1/s";
+  Print(row);
+  row.figure = role + "_core_time_per_call";
+  row.value = 1e9 * core_seconds / calls;
+  row.unit = "ns";
+  Print(row);
+  row.figure = role + "_core_wall_time";
+  row.value = 100 * core_seconds / count / seconds;
+  row.unit = "% of a core";
+  Print(row);
+}
+
+/// A minute with one change, at some size.
+auto PrintCosts(std::size_t balancers, std::size_t services) -> void {
+  const std::size_t agents = balancers * 10;
+  ConfigurationFixture fixture(
+      {.balancers = balancers, .agents = agents, .zones = 6});
+  fixture.Write(EncodeConfiguration(FirstConfiguration(services)));
+  fixture.RunUntilInForce(Generation{1}, 60s);
+  fixture.RunFor(5s);
+  for (auto& node : fixture.nodes) {
+    node.calls = 0;
+    node.core_seconds = 0;
+  }
+  auto update = MakeUpdate("change", 7);
+  Finish(fixture, update);
+  fixture.RunFor(kChangeInterval);
+  const std::span<const ConfigurationFixture::Node> nodes(fixture.nodes);
+  const auto name = "cost_" + std::to_string(balancers) + "_" +
+                    std::to_string(agents) + "_" + std::to_string(services);
+  const auto seconds = Seconds(kChangeInterval);
+  PrintCost(name, "balancer", nodes.first(balancers), seconds);
+  PrintCost(name, "agent", nodes.subspan(balancers), seconds);
+}
+
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
   const std::string wanted = argc > 1 ? argv[1] : "";
+  if (wanted == "--cost") {
+    for (const std::size_t balancers : {20U, 60U, 120U, 240U}) {
+      PrintCosts(balancers, 10);
+    }
+    PrintCosts(20, 410);
+    return hawthornbank::bench::ExitCode();
+  }
   const std::vector<std::pair<std::string, void (*)(const Size&)>> cases = {
       {"change", RunChange},          {"race", RunRace},
       {"lost_answer", RunLostAnswer}, {"platform_down", RunPlatformDown},
@@ -371,7 +420,8 @@
       {"change", PrintBaseline}};
   for (const auto& size : Sizes()) {
     for (const auto& [name, run] : cases) {
-      if (wanted.empty() || wanted == name + size.suffix) {
+      const bool every = wanted.empty() && !size.when_asked;
+      if (every || wanted == name + size.suffix) {
         run(size);
       }
     }
--- a/include/hawthornbank/membership.h
+++ b/include/hawthornbank/membership.h
@@ -101,6 +101,7 @@
   bool unreachable = false;  ///< Its zone is silent and nobody vouches.
   std::uint8_t rounds = 0;   ///< Gossip rounds left.
   bool urgent = false;       ///< The rumour is a change of state, not of load.
+  bool generation_only = false;  ///< The rumour is a balancer's generation.
 };
 
 struct TargetEntry {
@@ -138,6 +139,8 @@
   std::map<TargetId, detail::TargetEntry> targets;
   std::map<HostId, detail::BalancerEntry> balancers;  ///< Without self.
   std::map<std::uint32_t, detail::ZoneEntry> zones;
+  /// Regions of zones, by hash, as balancers told; kept when these are gone.
+  std::map<std::uint32_t, std::uint32_t> zone_regions;
   std::map<ServiceId, std::vector<TargetId>> services;
   TimePoint started{};
   TimePoint last_tick{};
@@ -148,10 +151,12 @@
   TimePoint health_changed{};
   std::uint32_t health = 0;  ///< 0 is well; each step stretches timeouts.
   double budget_bytes = 0;
+  double sync_allowance = 0;  ///< Bytes that synchronisation may send now.
   bool ready_peer = false;    ///< A peer that is ready has been heard.
   bool watches_stale = true;  ///< The balancers changed since last assigned.
   bool ready = false;
   bool in_step = false;            ///< A peer answered that nothing is missing.
+  bool behind = false;             ///< Much is missing; synchronise soon.
   std::uint8_t gossip_rounds = 3;  ///< Rounds that a change is sent in.
   detail::MemberStatus self_status;
   std::vector<detail::RosterEntry> roster;  ///< Live balancers and self.
--- a/include/hawthornbank/membership_messages.h
+++ b/include/hawthornbank/membership_messages.h
@@ -178,6 +178,21 @@
   }
 };
 
+/// A generation that a balancer has put in force; the rest of its record is as
+/// it was.
+struct GenerationNote {
+  HostId id{};
+  Incarnation incarnation{};
+  Generation generation{};
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(id);
+    wire::Varint(archive, incarnation);
+    wire::Varint(archive, generation);
+  }
+};
+
 /// Message between balancers: heartbeat, changes and synchronisation.
 struct Digest {
   HostId sender{};
@@ -190,9 +205,15 @@
   std::uint32_t targets_checksum = 0;  ///< Of all targets, with checksums.
   std::uint32_t first_bucket = 0;
   std::vector<std::uint32_t> checksums;  ///< From first_bucket on.
+  std::vector<std::uint8_t> buckets;     ///< Whose records are listed in held.
+  std::vector<std::uint32_t> held;       ///< Checksums of records held.
+  std::vector<std::uint32_t> wanted;     ///< Checksums of records asked for.
+  /// Members that the sender no longer hears; who does sends their records.
+  std::vector<std::uint64_t> asked;
   std::vector<ZoneBeacon> beacons;
   std::vector<TargetRecord> targets;
   std::vector<BalancerRecord> balancers;
+  std::vector<GenerationNote> generations;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
@@ -203,9 +224,14 @@
     wire::Varint(archive, targets_checksum);
     wire::Varint(archive, first_bucket);
     wire::List(archive, checksums);
+    wire::List(archive, buckets);
+    wire::List(archive, held);
+    wire::List(archive, wanted);
+    wire::List(archive, asked);
     wire::List(archive, beacons);
     wire::List(archive, targets);
     wire::List(archive, balancers);
+    wire::List(archive, generations);
   }
 };
 
@@ -215,6 +241,9 @@
 /// @param record A record.
 /// @return Its encoded size in bytes.
 auto EncodedSize(const BalancerRecord& record) -> std::size_t;
+/// @param note A note.
+/// @return Its encoded size in bytes.
+auto EncodedSize(const GenerationNote& note) -> std::size_t;
 /// @param digest A message.
 /// @return Its encoded size in bytes.
 auto EncodedSize(const Digest& digest) -> std::size_t;
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -121,6 +121,9 @@
       corrections.Add(membership, it);
     }
   }
+  for (const auto& it : digest.generations) {
+    detail::TakeGeneration(membership, it);
+  }
   for (const auto& it : digest.targets) {
     if (detail::MergeTarget(membership, it, now, out) ==
         detail::Merge::kStale) {
@@ -235,6 +238,7 @@
   membership.budget_bytes = kReserveSeconds * options.budget_bytes_per_second;
   membership.last_heartbeat = now - options.heartbeat_interval;
   membership.last_sync = now - options.sync_interval;
+  detail::RefillSyncAllowance(membership, std::chrono::seconds{1});
   membership.last_assign = now - options.heartbeat_interval;
   detail::RebuildRoster(membership);
   detail::MarkSelf(membership);
@@ -289,6 +293,15 @@
   if (!digest.checksums.empty()) {
     detail::AnswerSync(membership, from, digest, out);
   }
+  if (!digest.buckets.empty()) {
+    detail::AnswerHeld(membership, from, digest, out);
+  }
+  if (!digest.wanted.empty()) {
+    detail::AnswerWanted(membership, from, digest, out);
+  }
+  if (!digest.asked.empty()) {
+    detail::AnswerAsked(membership, from, digest, now, out);
+  }
   if (ask || (digest.probe && digest.checksums.empty())) {
     AnswerProbe(membership, from, ask, out);
   }
@@ -302,6 +315,7 @@
   detail::CheckOwnHealth(membership, now, out);
   const double elapsed =
       std::chrono::duration<double>(now - membership.last_tick).count();
+  detail::RefillSyncAllowance(membership, now - membership.last_tick);
   membership.last_tick = now;
   const double limit = options.budget_bytes_per_second;
   membership.budget_bytes = std::min(kReserveSeconds * limit,
--- a/src/coordination/membership_internal.h
+++ b/src/coordination/membership_internal.h
@@ -48,6 +48,10 @@
                    TimePoint now,
                    Actions& out) -> Merge;
 
+/// Takes a generation apart from the rest of a record: heartbeats advance the
+/// sequence without it, and in one incarnation it only grows.
+auto TakeGeneration(Membership& membership, const GenerationNote& note) -> void;
+
 /// Gossips a member in the next rounds.
 auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
     -> void;
@@ -83,6 +87,18 @@
 auto CheckOwnHealth(Membership& membership, TimePoint now, Actions& out)
     -> void;
 
+/// Takes a newer record of a watched member as a sign of life that another
+/// watcher heard.
+auto HearIndirectly(const Membership& membership,
+                    MemberStatus& status,
+                    TimePoint now) -> void;
+/// Sends the records of those asked for that self watches and hears.
+auto AnswerAsked(Membership& membership,
+                 Endpoint to,
+                 const Digest& request,
+                 TimePoint now,
+                 Actions& out) -> void;
+
 /// @return Whether nothing at all is heard: the fault is likelier on this side.
 auto IsDeaf(const Membership& membership, TimePoint now) -> bool;
 /// Doubts self one step more after it suspected a member wrongly.
@@ -125,16 +141,28 @@
 /// @return A checksum a bucket, beginning with first.
 auto BucketChecksums(const Membership& membership, std::uint32_t first)
     -> std::vector<std::uint32_t>;
+/// Lets synchronisation spend again.
+auto RefillSyncAllowance(Membership& membership, Duration elapsed) -> void;
 /// Asks peers for what is missing.
 auto SendSync(Membership& membership,
               TimePoint now,
               Random& random,
               Actions& out) -> void;
-/// Answers a request for what is missing.
+/// Answers checksums of buckets by what self holds in those that differ.
 auto AnswerSync(Membership& membership,
                 Endpoint to,
                 const Digest& request,
                 Actions& out) -> void;
+/// Sends the records that the sender of a list lacks; asks for the others.
+auto AnswerHeld(Membership& membership,
+                Endpoint to,
+                const Digest& offer,
+                Actions& out) -> void;
+/// Sends the records that are asked for by checksum.
+auto AnswerWanted(Membership& membership,
+                  Endpoint to,
+                  const Digest& request,
+                  Actions& out) -> void;
 
 }  // namespace hawthornbank::detail
 
--- a/src/coordination/membership_merge.cc
+++ b/src/coordination/membership_merge.cc
@@ -10,8 +10,9 @@
 constexpr std::uint32_t kSignificantShare = 8;
 /// Change of connections that is worth spreading at least.
 constexpr std::uint32_t kSignificantConnections = 16;
-/// Changes at a time above which gossip sends each less often and leaves the
-/// rest to synchronisation, as after a start of everything.
+/// Changes at a time above which gossip sends only those that self found out,
+/// and these less often; the rest is left to synchronisation, as after a start
+/// of everything.
 constexpr std::size_t kBulkChanges = 40;
 /// Gossip rounds of a change among many.
 constexpr std::uint8_t kBulkRounds = 1;
@@ -92,9 +93,9 @@
   }
 }
 
-/// Takes a newer record of a target that self suspected as evidence.
-auto HearIndirectly(Membership& membership,
-                    TargetEntry& entry,
+/// Doubts self when others heard what self suspected.
+auto NoteRefutation(Membership& membership,
+                    const TargetEntry& entry,
                     std::uint64_t suspected_sequence,
                     TimePoint now) -> void {
   // One announce that was lost here alone is chance, more are a fault here.
@@ -102,8 +103,6 @@
   if (entry.record.sequence >= suspected_sequence + kMissedAnnounces) {
     NoteWrongSuspicion(membership, now);
   }
-  entry.status.heard =
-      std::max(entry.status.heard, now - membership.options.probe_timeout);
 }
 
 auto ReplaceTarget(Membership& membership,
@@ -124,6 +123,9 @@
     entry.status.first_seen = now;
     entry.status.heard = now;
   }
+  if (record.state < TargetState::kSuspect) {
+    HearIndirectly(membership, entry.status, now);
+  }
   if (record.service != before.service) {
     UnindexTarget(membership, before);
     IndexTarget(membership, record);
@@ -138,7 +140,7 @@
         record.state < TargetState::kSuspect) {
       Count(MembershipEvent::kRefuted, out);
       if (entry.status.watched && !restarted) {
-        HearIndirectly(membership, entry, before.sequence, now);
+        NoteRefutation(membership, entry, before.sequence, now);
       }
     }
   }
@@ -159,18 +161,6 @@
   }
 }
 
-/// Takes a generation apart from the rest of a record: heartbeats advance
-/// the sequence without it, and in one incarnation it only grows.
-auto TakeGeneration(Membership& membership,
-                    BalancerEntry& entry,
-                    const BalancerRecord& record) -> void {
-  if (record.incarnation == entry.record.incarnation &&
-      record.generation > entry.record.generation) {
-    entry.record.generation = record.generation;
-    MarkBalancer(membership, entry);
-  }
-}
-
 }  // namespace
 
 auto IsPresent(BalancerState state) -> bool {
@@ -181,9 +171,19 @@
   return state < TargetState::kDead;
 }
 
+auto HearIndirectly(const Membership& membership,
+                    MemberStatus& status,
+                    TimePoint now) -> void {
+  status.heard = std::max(status.heard, now - membership.options.probe_timeout);
+}
+
 auto MarkTarget(Membership& membership, TargetEntry& entry, bool urgent)
     -> void {
   const bool bulk = membership.hot_targets.size() > kBulkChanges;
+  if (bulk && !entry.status.watched && entry.status.rounds == 0) {
+    membership.behind = true;
+    return;
+  }
   entry.status.rounds = bulk ? kBulkRounds : membership.gossip_rounds;
   entry.status.urgent = entry.status.urgent || urgent;
   membership.hot_targets.insert(entry.record.id);
@@ -192,9 +192,30 @@
 auto MarkBalancer(Membership& membership, BalancerEntry& entry) -> void {
   const bool bulk = membership.hot_balancers.size() > kBulkChanges;
   entry.status.rounds = bulk ? kBulkRounds : membership.gossip_rounds;
+  entry.status.generation_only = false;
   membership.hot_balancers.insert(entry.record.id);
 }
 
+auto TakeGeneration(Membership& membership, const GenerationNote& note)
+    -> void {
+  const auto it = membership.balancers.find(note.id);
+  if (it == membership.balancers.end()) {
+    return;
+  }
+  auto& entry = it->second;
+  if (note.incarnation != entry.record.incarnation ||
+      note.generation <= entry.record.generation) {
+    return;
+  }
+  entry.record.generation = note.generation;
+  // A rumour of the whole record carries the generation too.
+  const bool whole = entry.status.rounds > 0 && !entry.status.generation_only;
+  if (!whole) {
+    MarkBalancer(membership, entry);
+    entry.status.generation_only = true;
+  }
+}
+
 auto MarkSelf(Membership& membership) -> void {
   membership.self_status.rounds = membership.gossip_rounds;
 }
@@ -262,7 +283,9 @@
     return Merge::kAdopted;
   }
   auto& entry = it->second;
-  TakeGeneration(membership, entry, record);
+  TakeGeneration(membership, GenerationNote{.id = record.id,
+                                            .incarnation = record.incarnation,
+                                            .generation = record.generation});
   if (Age(record) == Age(entry.record)) {
     return Merge::kSame;
   }
@@ -280,6 +303,9 @@
   if (record.incarnation == before.incarnation) {
     entry.record.generation = std::max(record.generation, before.generation);
   }
+  if (record.state == BalancerState::kAlive) {
+    HearIndirectly(membership, entry.status, now);
+  }
   const bool moved = record.peer != before.peer || record.zone != before.zone;
   if (record.state != before.state ||
       record.incarnation != before.incarnation || moved) {
--- a/src/coordination/membership_watch.cc
+++ b/src/coordination/membership_watch.cc
@@ -83,14 +83,40 @@
   return 0;
 }
 
+/// @return Whether self may be among the watchers. A cheap test: of those that
+///   are as near to the member, fewer than kWatcherCount go before self.
+auto MayWatch(const Membership& membership,
+              std::uint64_t member,
+              std::uint32_t zone,
+              std::uint32_t region) -> bool {
+  const auto& self = membership.roster.front();
+  const auto place = [zone, region](const RosterEntry& it) {
+    return it.zone == zone ? 0 : it.region == region ? 1 : 2;
+  };
+  const auto own_place = place(self);
+  const auto own_score = Score(member, self.id);
+  std::size_t better = 0;
+  for (const auto& it : membership.roster) {
+    if (place(it) == own_place && ToInteger(it.id) != member &&
+        Score(member, it.id) > own_score && ++better == kWatcherCount) {
+      return false;
+    }
+  }
+  return true;
+}
+
 auto SetWatched(const Membership& membership,
                 MemberStatus& status,
                 std::uint64_t member,
                 std::uint32_t zone,
                 std::uint32_t region,
                 TimePoint now) -> void {
-  const auto watchers = ChooseWatchers(membership, member, zone, region);
-  const bool watched = Contains(watchers, membership.self.id);
+  const auto home_region =
+      region != 0 ? region : RegionOfZone(membership, zone);
+  const bool watched =
+      MayWatch(membership, member, zone, home_region) &&
+      Contains(ChooseWatchers(membership, member, zone, home_region),
+               membership.self.id);
   // A new watcher gives the member the whole timeout to be heard.
   if (watched && !status.watched) {
     status.heard = now;
@@ -122,6 +148,38 @@
   Send(membership, entry.record.peer, std::move(digest), out);
 }
 
+/// Asks the other watchers whether they hear a member that is about to be
+/// suspected: the fault may be of one link, or of one of its directions.
+auto AskWatchers(Membership& membership,
+                 std::uint64_t member,
+                 const MemberStatus& status,
+                 std::uint32_t zone,
+                 TimePoint now,
+                 Actions& out) -> void {
+  constexpr int kTries = 2;
+  const auto& options = membership.options;
+  if (now - status.heard <
+      options.suspect_timeout - kTries * options.probe_interval) {
+    return;
+  }
+  for (const auto& it : ChooseWatchers(membership, member, zone, 0)) {
+    if (it.id != membership.self.id) {
+      Digest digest = MakeDigest(membership);
+      digest.asked.push_back(member);
+      Send(membership, it.peer, std::move(digest), out);
+    }
+  }
+}
+
+/// @return Whether a target's zone lies in another region. Its silence is no
+///   evidence then: the regions may have lost each other.
+auto IsForeign(const Membership& membership, const TargetRecord& record)
+    -> bool {
+  const auto it = membership.zone_regions.find(PlaceHash(record.zone));
+  return it != membership.zone_regions.end() &&
+         it->second != membership.roster.front().region;
+}
+
 /// What a watcher is to do about a member.
 enum class Verdict : std::uint8_t { kNone, kProbe, kSuspect, kDead };
 
@@ -157,6 +215,8 @@
   if (verdict == Verdict::kProbe) {
     entry.status.probed = now;
     SendProbe(membership, entry, out);
+    AskWatchers(membership, ToInteger(entry.record.id), entry.status,
+                PlaceHash(entry.record.zone), now, out);
   } else if (verdict == Verdict::kSuspect) {
     Count(MembershipEvent::kSuspected, out);
     ChangeTargetState(membership, entry, TargetState::kSuspect, now, out);
@@ -189,6 +249,8 @@
   if (verdict == Verdict::kProbe) {
     entry.status.probed = now;
     SendProbe(membership, entry, out);
+    AskWatchers(membership, ToInteger(entry.record.id), entry.status,
+                PlaceHash(entry.record.zone), now, out);
   } else if (verdict == Verdict::kSuspect) {
     Count(MembershipEvent::kSuspected, out);
     ChangeBalancerState(membership, entry, BalancerState::kSuspect, now);
@@ -243,6 +305,9 @@
       roster.push_back(entry(it.record));
     }
   }
+  for (const auto& it : roster) {
+    membership.zone_regions[it.zone] = it.region;
+  }
   const auto in_zone = std::count_if(
       roster.begin(), roster.end(),
       [&](const RosterEntry& it) { return it.zone == roster.front().zone; });
@@ -322,7 +387,8 @@
   for (const auto id : membership.watched_targets) {
     const auto it = membership.targets.find(id);
     if (it != membership.targets.end() && IsPresent(it->second.record.state) &&
-        it->second.status.watched) {
+        it->second.status.watched &&
+        !IsForeign(membership, it->second.record)) {
       CheckTarget(membership, it->second, stretch, now, out);
     }
   }
@@ -335,6 +401,32 @@
   }
 }
 
+auto AnswerAsked(Membership& membership,
+                 Endpoint to,
+                 const Digest& request,
+                 TimePoint now,
+                 Actions& out) -> void {
+  const auto heard = [&](const MemberStatus& status) {
+    return status.watched &&
+           now - status.heard <= membership.options.probe_timeout;
+  };
+  Digest answer = MakeDigest(membership);
+  for (const auto id : request.asked) {
+    const auto target = membership.targets.find(TargetId{id});
+    if (target != membership.targets.end() && heard(target->second.status)) {
+      answer.targets.push_back(target->second.record);
+    }
+    const auto balancer = membership.balancers.find(HostId{id});
+    if (balancer != membership.balancers.end() &&
+        heard(balancer->second.status)) {
+      answer.balancers.push_back(balancer->second.record);
+    }
+  }
+  if (!answer.targets.empty() || !answer.balancers.empty()) {
+    Send(membership, to, std::move(answer), out);
+  }
+}
+
 auto IsDeaf(const Membership& membership, TimePoint now) -> bool {
   return now - membership.last_received > membership.options.probe_timeout;
 }
