--- a/support/check.sh
+++ b/support/check.sh
@@ -33,7 +33,7 @@
 
 benches() {
   local pids=() name failed=0
-  for name in routing requests membership configuration; do
+  for name in routing requests membership configuration plan recovery; do
     "build/release/bench/bench_$name" >"$LOGS/bench_$name.jsonl" \
       2>"$LOGS/bench_$name.err" &
     pids+=("$!:$name")
