--- a/bench/common/routing_world.cc
+++ b/bench/common/routing_world.cc
@@ -290,10 +290,7 @@
 
 auto RoutingWorld::RouteBaseline(BalancerHost& host, const PacketView& packet)
     -> Endpoint {
-  const FlowKey key{.service = kService,
-                    .caller = packet.source,
-                    .address = packet.destination,
-                    .transport = packet.transport};
+  const FlowKey key = FlowOf(kService, packet);
   if (options_.variant == Variant::kFlowTable) {
     const auto it = host.flow_table.find(key);
     if (it != host.flow_table.end()) {
@@ -319,10 +316,7 @@
     network_.Send(from, kFirstAgent + target, [this, target, packet]() {
       const PacketView arrived = ParsePacket(*packet);
       ++deliveries_;
-      Deliver(target, FlowKey{.service = kService,
-                              .caller = arrived.source,
-                              .address = arrived.destination,
-                              .transport = arrived.transport});
+      Deliver(target, FlowOf(kService, arrived));
     });
     return;
   }
@@ -337,10 +331,7 @@
                     HandleAtAgent(target, header, packet);
                   });
   } else if (decision.verdict == RouteVerdict::kReset) {
-    Reset(FlowKey{.service = kService,
-                  .caller = view.source,
-                  .address = view.destination,
-                  .transport = view.transport});
+    Reset(FlowOf(kService, view));
   }
 }
 
--- a/bench/routing_cost.cc
+++ b/bench/routing_cost.cc
@@ -160,9 +160,7 @@
   std::vector<FlowKey> keys;
   for (const auto& it : packets) {
     const auto view = ParsePacket(it);
-    keys.push_back(FlowKey{.service = ServiceId{1},
-                           .caller = view.source,
-                           .address = view.destination});
+    keys.push_back(FlowOf(ServiceId{1}, view));
     plain.emplace(keys.back(), kAddress);
     warm.Insert(keys.back(), table.live_agents.begin()->first, kNow);
   }
--- a/include/hawthornbank/packet.h
+++ b/include/hawthornbank/packet.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <vector>
 
+#include "hawthornbank/flow_key.h"
 #include "hawthornbank/types.h"
 
 /// @file
@@ -48,6 +49,16 @@
 /// @return The view; its kind is kMalformed when the packet isn't understood.
 auto ParsePacket(ByteView bytes) -> PacketView;
 
+/// @param service Service whose address the packet bears.
+/// @param packet A parsed packet from a caller.
+/// @return The flow that the packet belongs to.
+constexpr auto FlowOf(ServiceId service, const PacketView& packet) -> FlowKey {
+  return FlowKey{.service = service,
+                 .caller = packet.source,
+                 .address = packet.destination,
+                 .transport = packet.transport};
+}
+
 /// @param packet A parsed packet.
 /// @return Whether it may be the first of its flow: a TCP SYN, or any UDP.
 constexpr auto MayOpenFlow(const PacketView& packet) -> bool {
--- a/src/coordination/agent.cc
+++ b/src/coordination/agent.cc
@@ -169,10 +169,7 @@
     Count(agent.counters, Counter::kDropWrongService);
     return;
   }
-  const FlowKey key{.service = header.service,
-                    .caller = packet.source,
-                    .address = packet.destination,
-                    .transport = packet.transport};
+  const FlowKey key = FlowOf(header.service, packet);
   if (header.phase == WalkPhase::kHandedOver) {
     out.push_back(AgentAction{.kind = Kind::kDeliver, .flow = key});
     return;
--- a/src/coordination/routing.cc
+++ b/src/coordination/routing.cc
@@ -70,10 +70,7 @@
     return RouteDecision{.verdict = RouteVerdict::kReset};
   }
   const RoutedService& service = it->second;
-  const FlowKey key{.service = service.id,
-                    .caller = packet.source,
-                    .address = packet.destination,
-                    .transport = packet.transport};
+  const FlowKey key = FlowOf(service.id, packet);
   bool established = false;
   if (const auto owner = cache.Find(key, now)) {
     if (IsUnchanged(table, *owner)) {
