Go on after a lost lease object and after a dropped epoch

A lease object that is lost from the platform begins at epoch 1 again, and the plan's holder was then refused by the stored plan_epoch for good. It now gives the duty up and gains it again above that epoch (RaiseEpoch); a superseded holder can't, as its write of the lease is conditional.

A tool that doesn't know plan_epoch drops it; agents then refused the plan's part and went on resting, though the list was empty, until the next act. The holder now writes its epoch whenever the stored one differs, which replaces its own note of the last act.

--- a/bench/common/plan_world.cc
+++ b/bench/common/plan_world.cc
@@ -253,11 +253,11 @@
   if (!history_.empty() && next.author == kPlanAuthor) {
     const auto before = Stored();
     older_acts += next.plan_epoch < highest_epoch_ ? 1 : 0;
-    highest_epoch_ = std::max(highest_epoch_, next.plan_epoch);
     acts.push_back({.when = network.now(),
                     .epoch = next.plan_epoch,
                     .changes = before.resting == next.resting ? 0U : 1U});
   }
+  highest_epoch_ = std::max(highest_epoch_, next.plan_epoch);
   history_.push_back({.version = ++version_, .value = value});
   network.At(network.now() + kSpread, [this, value] {
     in_force_ = DecodeConfiguration(value);
--- a/include/hawthornbank/lease.h
+++ b/include/hawthornbank/lease.h
@@ -106,6 +106,7 @@
   bool waiting = false;                      ///< A call is out.
   bool read_first = true;  ///< What is stored has to be read before a write.
   TimePoint next_call;
+  Epoch floor{};  ///< Epochs up to this one are known to be used up.
   std::uint64_t writes = 0;
   std::uint64_t platform_failures = 0;
 };
@@ -159,6 +160,16 @@
 /// @return The epoch to send with the act, or nothing when it must not act.
 auto EpochForAct(const Lease& lease, TimePoint now) -> std::optional<Epoch>;
 
+/// Gives the duty up because a receiver has seen a higher epoch. If nobody else
+/// holds the lease, as when its object was lost and epochs began anew, this
+/// process gains it again under an epoch above that one.
+/// @param lease State.
+/// @param seen The epoch that the receiver has seen.
+/// @param now Present instant.
+/// @param actions Where actions are appended.
+auto RaiseEpoch(Lease& lease, Epoch seen, TimePoint now, LeaseActions& actions)
+    -> void;
+
 /// What a receiver remembers of the acts of one duty.
 struct LeaseFence {
   Epoch highest{};
--- a/include/hawthornbank/plan_executor.h
+++ b/include/hawthornbank/plan_executor.h
@@ -125,6 +125,7 @@
 /// The act that is under way.
 struct PlanAct {
   Epoch epoch{};
+  Epoch stored{};  ///< As read.
   PlanChange change;
   std::optional<ConfigurationUpdate> update;  ///< Once the read is answered.
 };
@@ -134,7 +135,6 @@
   PlanExecutorOptions options;
   Lease lease;
   std::optional<PlanAct> act;
-  Epoch claimed{};  ///< Epoch of the last act that took effect.
   std::map<ServiceId, PlanSurplus> surplus;
   std::map<ServiceId, TimePoint> last_short;  ///< Of targets.
   std::map<std::string, TimePoint> returned;  ///< By target, within settling.
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -1,5 +1,6 @@
 #include "hawthornbank/lease.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -36,7 +37,8 @@
   if (!lease.valid_until) {
     // Also its own record of before is taken over under a new epoch: the
     // acts of then may still be on their way.
-    record.epoch = Epoch{ToInteger(record.epoch) + 1};
+    const Epoch last = std::max(record.epoch, lease.floor);
+    record.epoch = Epoch{ToInteger(last) + 1};
   }
   record.holder = lease.options.self;
   record.operation = lease.options.self + "/" + std::to_string(++lease.writes);
@@ -199,6 +201,14 @@
   return lease.record.epoch;
 }
 
+auto RaiseEpoch(Lease& lease, Epoch seen, TimePoint now, LeaseActions& actions)
+    -> void {
+  lease.floor = std::max(lease.floor, seen);
+  Lose(lease, actions);
+  lease.read_first = true;
+  lease.next_call = now;
+}
+
 auto CheckFence(LeaseFence& fence, Epoch epoch) -> void {
   if (epoch < fence.highest) {
     ++fence.refused;
--- a/src/coordination/plan_decision.cc
+++ b/src/coordination/plan_decision.cc
@@ -18,29 +18,27 @@
                      .slots_busy = scale(load.slots_busy)};
 }
 
+/// @return The part of an index that belongs to a service.
+template <class Map>
+auto PartOf(const Map& map, ServiceId service) -> const
+    typename Map::mapped_type& {
+  static const typename Map::mapped_type none;
+  const auto it = map.find(service);
+  return it == map.end() ? none : it->second;
+}
+
 /// Flows of resting targets count too: callers reconnect to any target.
-auto LoadOf(ServiceId service, const PlanView& view) -> PresentLoad {
+auto LoadOf(const std::vector<const TargetRecord*>& targets) -> PresentLoad {
   PresentLoad load;
-  for (const auto& it : view.targets) {
-    if (it.service == service && it.state <= TargetState::kSuspect) {
-      load.connections += it.load.connections;
-      load.slots_busy += std::uint64_t{it.load.slots_busy} + it.load.queued;
+  for (const auto* it : targets) {
+    if (it->state <= TargetState::kSuspect) {
+      load.connections += it->load.connections;
+      load.slots_busy += std::uint64_t{it->load.slots_busy} + it->load.queued;
     }
   }
   return load;
 }
 
-/// A few rows instead of those of all services, as each is asked for often.
-auto RowsOf(const Configuration& configuration, ServiceId service)
-    -> std::vector<DemandRow> {
-  std::vector<DemandRow> rows;
-  std::copy_if(configuration.demand.begin(), configuration.demand.end(),
-               std::back_inserter(rows), [service](const DemandRow& it) {
-                 return it.service == service;
-               });
-  return rows;
-}
-
 /// @return What the plan wants, whatever the load.
 auto PlannedCount(const PlanOptions& options,
                   const std::vector<DemandRow>& rows,
@@ -85,14 +83,29 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+auto MakePlanIndex(const Configuration& configuration, const PlanView& view)
+    -> PlanIndex {
+  PlanIndex index{.view = &view};
+  for (const auto& it : view.targets) {
+    index.targets[it.service].push_back(&it);
+  }
+  for (const auto& it : configuration.demand) {
+    index.rows[it.service].push_back(it);
+  }
+  index.draining.insert(configuration.draining.begin(),
+                        configuration.draining.end());
+  index.resting.insert(configuration.resting.begin(),
+                       configuration.resting.end());
+  return index;
+}
+
 auto NeedOf(const PlanExecutorOptions& options,
-            const Configuration& configuration,
-            const Service& service,
-            const PlanView& view) -> PlanNeed {
-  const auto rows = RowsOf(configuration, service.id);
-  const auto planned = PlannedCount(options.plan, rows, service, view);
-  const auto load =
-      AddPercent(LoadOf(service.id, view), options.plan.headroom_percent);
+            const PlanIndex& index,
+            const Service& service) -> PlanNeed {
+  const auto planned = PlannedCount(
+      options.plan, PartOf(index.rows, service.id), service, *index.view);
+  const auto load = AddPercent(LoadOf(PartOf(index.targets, service.id)),
+                               options.plan.headroom_percent);
   const auto count = [&](std::uint32_t margin_percent) {
     const auto needed =
         TargetsForLoad(service, AddPercent(load, margin_percent));
@@ -103,21 +116,20 @@
 }
 
 auto GroupTargets(const PlanExecutor& executor,
-                  const Configuration& configuration,
+                  const PlanIndex& index,
                   ServiceId service,
-                  const PlanView& view,
                   TimePoint now) -> PlanGroups {
   PlanGroups groups;
-  for (const auto& it : view.targets) {
-    if (it.service != service || Contains(configuration.draining, it.name)) {
+  for (const auto* it : PartOf(index.targets, service)) {
+    if (index.draining.contains(it->name)) {
       continue;
     }
-    const bool serves = it.state == TargetState::kServing;
-    const bool drains = it.state == TargetState::kDraining;
-    if (Contains(configuration.resting, it.name)) {
-      (serves || drains ? groups.resting : groups.absent).push_back(&it);
-    } else if (serves || (drains && ReturnedOfLate(executor, it.name, now))) {
-      groups.serving.push_back(&it);
+    const bool serves = it->state == TargetState::kServing;
+    const bool drains = it->state == TargetState::kDraining;
+    if (index.resting.contains(it->name)) {
+      (serves || drains ? groups.resting : groups.absent).push_back(it);
+    } else if (serves || (drains && ReturnedOfLate(executor, it->name, now))) {
+      groups.serving.push_back(it);
     }
   }
   std::sort(groups.serving.begin(), groups.serving.end(), ByLoad);
@@ -129,11 +141,11 @@
                    const Configuration& configuration,
                    const PlanView& view,
                    TimePoint now) -> void {
+  const auto index = MakePlanIndex(configuration, view);
   std::map<ServiceId, PlanSurplus> next;
   for (const auto& service : configuration.services) {
-    const auto need = NeedOf(executor.options, configuration, service, view);
-    const auto groups =
-        GroupTargets(executor, configuration, service.id, view, now);
+    const auto need = NeedOf(executor.options, index, service);
+    const auto groups = GroupTargets(executor, index, service.id, now);
     if (view.ready && groups.serving.size() < need.rise &&
         need.rise != kAllTargets) {
       executor.last_short[service.id] = now;
@@ -213,15 +225,12 @@
 }
 
 auto DecideService(const PlanExecutor& executor,
-                   const Configuration& configuration,
+                   const detail::PlanIndex& index,
                    const Service& service,
-                   const PlanView& view,
                    TimePoint now,
                    PlanChange& out) -> void {
-  const auto need =
-      detail::NeedOf(executor.options, configuration, service, view);
-  const auto groups =
-      detail::GroupTargets(executor, configuration, service.id, view, now);
+  const auto need = detail::NeedOf(executor.options, index, service);
+  const auto groups = detail::GroupTargets(executor, index, service.id, now);
   const std::size_t serving = groups.serving.size();
   if (serving < need.rise) {
     ChooseToReturn(groups, need.rise - serving, out);
@@ -247,13 +256,14 @@
   if (!view.ready) {
     return change;
   }
+  const auto index = detail::MakePlanIndex(configuration, view);
   for (const auto& it : configuration.resting) {
-    if (detail::Contains(configuration.draining, it)) {
+    if (index.draining.contains(it)) {
       change.give_back.push_back(it);
     }
   }
   for (const auto& it : configuration.services) {
-    DecideService(executor, configuration, it, view, now, change);
+    DecideService(executor, index, it, now, change);
   }
   return change;
 }
--- a/src/coordination/plan_decision.h
+++ b/src/coordination/plan_decision.h
@@ -3,6 +3,9 @@
 
 #include <cstdint>
 #include <limits>
+#include <map>
+#include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "hawthornbank/plan_executor.h"
@@ -27,28 +30,40 @@
   std::vector<const TargetRecord*> absent;   ///< Resting, but not up.
 };
 
+/// What a decision looks up for each service.
+struct PlanIndex {
+  const PlanView* view = nullptr;
+  std::map<ServiceId, std::vector<const TargetRecord*>> targets;
+  std::map<ServiceId, std::vector<DemandRow>> rows;
+  std::unordered_set<std::string> draining;
+  std::unordered_set<std::string> resting;
+};
+
+/// Arranges a configuration and a view by service.
+/// @param configuration Demand, and who rests and is drained.
+/// @param view What is seen; must outlive the index.
+/// @return The index.
+auto MakePlanIndex(const Configuration& configuration, const PlanView& view)
+    -> PlanIndex;
+
 /// Says how many targets a service needs.
 /// @param options How the plan is executed.
-/// @param configuration Demand of all services.
+/// @param index What is seen.
 /// @param service The service.
-/// @param view What is seen.
 /// @return The need; all targets when no demand is stated.
 auto NeedOf(const PlanExecutorOptions& options,
-            const Configuration& configuration,
-            const Service& service,
-            const PlanView& view) -> PlanNeed;
+            const PlanIndex& index,
+            const Service& service) -> PlanNeed;
 
 /// Sorts the targets of a service into groups, the least loaded first.
 /// @param executor Which targets returned of late.
-/// @param configuration Who rests and who is drained.
+/// @param index What is seen.
 /// @param service The service.
-/// @param view What is seen.
 /// @param now Present instant.
 /// @return The groups; they point into the view.
 auto GroupTargets(const PlanExecutor& executor,
-                  const Configuration& configuration,
+                  const PlanIndex& index,
                   ServiceId service,
-                  const PlanView& view,
                   TimePoint now) -> PlanGroups;
 
 /// Notes for every service how long it has had more targets than it needs.
--- a/src/coordination/plan_executor.cc
+++ b/src/coordination/plan_executor.cc
@@ -19,12 +19,10 @@
 }
 
 /// @return Whether an earlier holder's act could still take effect.
-auto NeedsClaim(const PlanExecutor& executor,
-                const Configuration& configuration,
-                Epoch epoch) -> bool {
+auto NeedsClaim(const Configuration& configuration, Epoch epoch) -> bool {
   const bool planned =
       !configuration.demand.empty() || !configuration.resting.empty();
-  return planned && epoch != executor.claimed;
+  return planned && configuration.plan_epoch != epoch;
 }
 
 auto Refuse(PlanExecutor& executor, ErrorKind reason, PlanActions& actions)
@@ -82,7 +80,8 @@
           .author = kPlanAuthor,
           .edit = [&executor, &view, now](Configuration& configuration) {
             auto& act = *executor.act;
-            LeaseFence fence{.highest = configuration.plan_epoch};
+            act.stored = configuration.plan_epoch;
+            LeaseFence fence{.highest = act.stored};
             CheckFence(fence, act.epoch);
             act.change = DecidePlan(executor, configuration, view, now);
             Apply(act.change, act.epoch, configuration);
@@ -96,7 +95,6 @@
   ++counters.acts;
   counters.rested += act.change.rest.size();
   counters.returned += act.change.give_back.size();
-  executor.claimed = act.epoch;
   for (const auto& it : act.change.give_back) {
     executor.returned[it] = now;
   }
@@ -152,7 +150,7 @@
   if (!epoch || !view.ready || !settled) {
     return;
   }
-  if (NeedsClaim(executor, in_force, *epoch) ||
+  if (NeedsClaim(in_force, *epoch) ||
       DecidePlan(executor, in_force, view, now) != PlanChange{}) {
     executor.act = PlanAct{.epoch = *epoch};
     actions.emplace_back(UpdateRead{});
@@ -233,7 +231,7 @@
     auto update = MakeUpdate(executor, view, now);
     const auto step = OnUpdateRead(update, stored.object);
     update.options.edit = nullptr;  // It refers to the view of this call.
-    const bool claims = NeedsClaim(executor, update.base, executor.act->epoch);
+    const bool claims = NeedsClaim(update.base, executor.act->epoch);
     if (!claims && executor.act->change == PlanChange{}) {
       executor.act.reset();
       return;
@@ -241,6 +239,11 @@
     executor.act->update = std::move(update);
     Proceed(executor, step, now, actions);
   } catch (const Error& error) {
+    if (error.kind() == ErrorKind::kFenced) {
+      LeaseActions lease_actions;
+      RaiseEpoch(executor.lease, executor.act->stored, now, lease_actions);
+      Append(lease_actions, executor, actions);
+    }
     Refuse(executor, error.kind(), actions);
   }
 }
--- a/test/lease_test.cc
+++ b/test/lease_test.cc
@@ -248,6 +248,38 @@
   CHECK(!EpochForAct(lease, end));
 }
 
+TEST(Lease, EpochsGoOnAboveThoseThatReceiversHaveSeen) {
+  Rivals rivals(6);
+  rivals.RunFor(3s);
+  // The lease object was lost once: receivers know higher epochs.
+  rivals.fence.highest = Epoch{1000};
+  const auto holder = static_cast<std::size_t>(rivals.Holder());
+  auto& lease = rivals.rivals[holder].lease;
+  LeaseActions actions;
+  RaiseEpoch(lease, Epoch{1000}, rivals.network.now(), actions);
+  CHECK(std::holds_alternative<LeaseLost>(actions.at(0)));
+  CHECK(!EpochForAct(lease, rivals.network.now()));
+  rivals.RunFor(5s);
+  LONGS_EQUAL(holder, rivals.Holder());
+  CHECK(rivals.stored.epoch == Epoch{1001});
+}
+
+TEST(Lease, ASupersededHolderCannotRaiseTheEpoch) {
+  Rivals rivals(7);
+  rivals.RunFor(3s);
+  const auto paused = static_cast<std::size_t>(rivals.Holder());
+  rivals.network.Freeze(paused);
+  rivals.RunFor(20s);
+  const auto holder = rivals.Holder();
+  const auto epoch = rivals.stored.epoch;
+  LeaseActions actions;
+  RaiseEpoch(rivals.rivals[paused].lease, epoch, rivals.network.now(), actions);
+  rivals.network.Thaw(paused);
+  rivals.RunFor(20s);
+  LONGS_EQUAL(holder, rivals.Holder());
+  CHECK(epoch == rivals.stored.epoch);
+}
+
 TEST(Lease, RecordRoundTrip) {
   const LeaseRecord record{
       .holder = "host-1", .operation = "host-1/7", .epoch = Epoch{4}};
