Leave draining targets out of a service's floor

With five of seven targets resting, one suspect among the two that serve brought the service below its floor of 30%: the suspect went on getting new flows for up to a minute. Targets that drain or rest are out by intent and no longer count.

DrainingTargetsDoNotBringAServiceBelowItsFloor failed first (2 routable, 1 expected).

--- a/src/coordination/membership_view.cc
+++ b/src/coordination/membership_view.cc
@@ -31,7 +31,10 @@
   }
   for (const auto id : it->second) {
     const auto state = EffectiveState(membership.targets.at(id));
-    counts.known += state != TargetState::kLeft ? 1 : 0;
+    // A draining target is out by intent, and many rest at night.
+    const bool meant_to_serve =
+        state != TargetState::kLeft && state != TargetState::kDraining;
+    counts.known += meant_to_serve ? 1 : 0;
     counts.live += state == TargetState::kServing ? 1 : 0;
   }
   return counts;
--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -124,6 +124,23 @@
   LONGS_EQUAL(1, RoutableTargets(membership, ServiceId{1}).size());
 }
 
+TEST(MembershipRules, DrainingTargetsDoNotBringAServiceBelowItsFloor) {
+  auto membership = Alone();
+  std::vector<MembershipAction> out;
+  Digest digest{.sender = HostId{2}};
+  for (int n = 0; n < 7; ++n) {
+    auto target = Target("t-" + std::to_string(n), 1, 1);
+    target.state = n < 2 ? TargetState::kServing : TargetState::kDraining;
+    OnAnnounce(membership, {}, Announce{.target = target}, TimePoint{1s}, out);
+  }
+  digest.targets = {Target("t-0", 1, 1)};
+  digest.targets[0].state = TargetState::kSuspect;
+  OnDigest(membership, {}, digest, TimePoint{2s}, out);
+  const auto targets = RoutableTargets(membership, ServiceId{1});
+  LONGS_EQUAL(1, targets.size());
+  STRCMP_EQUAL("t-1", targets[0].name.c_str());
+}
+
 TEST(MembershipRules, ExpiredTombstoneDoesNotComeBack) {
   auto membership = Alone();
   std::vector<MembershipAction> out;
--- a/test/plan_executor_test.cc
+++ b/test/plan_executor_test.cc
@@ -371,3 +371,28 @@
   CHECK(PlanChange{} ==
         DecidePlan(executor, configuration, view, TimePoint{10min}));
 }
+
+TEST(PlanExecutor, AZoneKeepsItsLastServingTarget) {
+  const Configuration configuration{
+      .services = {Service{.id = kId, .target_count = 4}},
+      .demand = {Row("daily", 0min, 1), Row("daily", 20h, 100)}};
+  Random random(1);
+  auto executor =
+      MakePlanExecutor({.self = "a", .rest_step_percent = 50}, {}, random);
+  executor.surplus[kId] = PlanSurplus{.since = {}, .least = 2};
+  PlanView view{.local = {.date = ParseDate("2026-03-29"), .time = 3h},
+                .local_ahead = {.date = ParseDate("2026-03-29"), .time = 3h},
+                .ready = true};
+  std::uint32_t connections = 0;
+  for (const auto* name : {"a-0", "a-1", "b-0", "b-1"}) {
+    view.targets.push_back(TargetRecord{.id = TargetId{HashName(name)},
+                                        .name = name,
+                                        .service = kId,
+                                        .zone = std::string(1, name[0]),
+                                        .load = {.connections = connections}});
+    ++connections;
+  }
+  const std::vector<std::string> expected = {"a-0", "b-0"};
+  CHECK(expected ==
+        DecidePlan(executor, configuration, view, TimePoint{10min}).rest);
+}
