--- a/src/coordination/plan_decision.cc
+++ b/src/coordination/plan_decision.cc
@@ -1,8 +1,9 @@
 #include "plan_decision.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
+#include <tuple>
+#include <utility>
 
 namespace hawthornbank {
 namespace detail {
