--- /dev/null
+++ b/bench/common/request_summary.cc
@@ -0,0 +1,143 @@
+#include "common/request_world.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+/// @file
+/// From what happened in a scenario to its figures.
+
+namespace hawthornbank::bench::request_world {
+namespace {
+
+struct Served {
+  double offered = 0;
+  double served = 0;
+
+  [[nodiscard]] auto Ratio() const -> double {
+    return offered == 0 ? 0 : served / offered;
+  }
+};
+
+// How permit checks and other requests of the well-behaved callers fared.
+auto SummarizeWeights(World& world) -> void {
+  Served permits;
+  Served ordinary;
+  double worth = 0;
+  for (const auto& call : world.calls) {
+    if (!IsMeasured(world, call->born)) {
+      continue;
+    }
+    worth += call->succeeded ? (call->booking ? 2 : 1) : 0;
+    const bool floods = world.scenario.flood_share > 0 && call->caller == 0;
+    if (!floods) {
+      auto& group = call->booking ? permits : ordinary;
+      group.offered += 1;
+      group.served += call->succeeded ? 1 : 0;
+    }
+  }
+  const double time =
+      std::chrono::duration<double>{world.scenario.end - world.scenario.start}
+          .count();
+  world.result.others_permits_ratio = permits.Ratio();
+  world.result.others_ordinary_ratio = ordinary.Ratio();
+  world.result.weighted_goodput =
+      worth / (CapacityPerSecond(world.scenario) * time);
+}
+
+auto SummarizeTargets(World& world) -> void {
+  auto& result = world.result;
+  for (const auto& target : world.targets) {
+    result.running_max = std::max(result.running_max, target->running_max);
+    result.cancelled += target->cancelled;
+    result.slots_freed += target->slots_freed;
+  }
+}
+
+}  // namespace
+
+auto IsMeasured(const World& world, TimePoint when) -> bool {
+  return when >= TimePoint{world.scenario.start} &&
+         when < TimePoint{world.scenario.end};
+}
+
+auto SecondOf(TimePoint when) -> std::size_t {
+  return static_cast<std::size_t>(
+      std::chrono::floor<std::chrono::seconds>(when.time_since_epoch())
+          .count());
+}
+
+auto CapacityPerSecond(const RequestScenario& scenario) -> double {
+  constexpr double kSlots = 3;
+  const double service =
+      std::chrono::duration<double>{scenario.service_time}.count();
+  return static_cast<double>(scenario.targets) * kSlots / service;
+}
+
+auto CountRuns(World& world) -> void {
+  std::map<std::string, std::vector<TimePoint>> starts;
+  for (const auto& run : world.runs) {
+    starts[run.id].push_back(run.when);
+  }
+  for (const auto& call : world.calls) {
+    const auto it = starts.find(call->id);
+    if (!call->booking || it == starts.end()) {
+      continue;
+    }
+    world.result.doubled += it->second.size() > 1 ? 1 : 0;
+    for (const auto& attempt : call->attempts) {
+      const bool ran = std::any_of(
+          it->second.begin(), it->second.end(), [&](TimePoint when) {
+            return when >= attempt.start && when < attempt.end;
+          });
+      world.result.falsely_not_run += attempt.told_not_run && ran ? 1 : 0;
+    }
+  }
+}
+
+auto Summarize(World& world) -> void {
+  auto& result = world.result;
+  double weight = 0;
+  double shed = 0;
+  for (const auto& call : world.calls) {
+    const double value = call->booking && world.scenario.permits ? 2 : 1;
+    weight += value;
+    shed += call->attempts.front().told_not_run ? value : 0;
+  }
+  result.shed_share = weight == 0 ? 0 : shed / weight;
+  const double time =
+      std::chrono::duration<double>{world.scenario.end - world.scenario.start}
+          .count();
+  const auto succeeded = static_cast<double>(result.succeeded);
+  result.goodput_ratio = succeeded / (CapacityPerSecond(world.scenario) * time);
+  result.served_ratio = succeeded / static_cast<double>(result.offered);
+  auto& trips = world.refusal_round_trips;
+  if (!trips.empty()) {
+    const auto rank =
+        trips.begin() + static_cast<std::ptrdiff_t>(trips.size() * 99 / 100);
+    std::nth_element(trips.begin(), rank, trips.end());
+    result.refusal_round_trips_p99 = *rank;
+    const auto late = std::count_if(trips.begin(), trips.end(),
+                                    [](double it) { return it > 1; });
+    result.late_refusals =
+        static_cast<double>(late) / static_cast<double>(trips.size());
+  }
+  const auto& on_arrival = world.arrival_refusal_round_trips;
+  if (!on_arrival.empty()) {
+    result.arrival_refusal_round_trips_p100 =
+        *std::max_element(on_arrival.begin(), on_arrival.end());
+  }
+  for (std::size_t n = 0; n < world.offered_by_second.size(); ++n) {
+    const auto offered = static_cast<double>(world.offered_by_second[n]);
+    result.served_by_second.push_back(
+        offered == 0
+            ? 0
+            : static_cast<double>(world.served_by_second[n]) / offered);
+  }
+  SummarizeTargets(world);
+  SummarizeWeights(world);
+}
+
+}  // namespace hawthornbank::bench::request_world
