--- a/bench/common/request_calls.cc
+++ b/bench/common/request_calls.cc
@@ -111,13 +111,21 @@
                });
 }
 
+auto ChooseTarget(World& world) -> std::size_t {
+  const auto count = static_cast<std::uint32_t>(world.targets.size());
+  std::size_t target = world.net.random()(count);
+  while (!world.targets[target]->routed) {
+    target = world.net.random()(count);
+  }
+  return target;
+}
+
 auto BeginAttempt(World& world, Call& call) -> void {
   const auto now = world.net.now();
   if (!call.attempts.empty()) {
     call.attempts.back().end = now;
   }
-  const auto count = static_cast<std::uint32_t>(world.targets.size());
-  call.attempts.push_back({.target = world.net.random()(count), .start = now});
+  call.attempts.push_back({.target = ChooseTarget(world), .start = now});
   call.deadline = now + world.scenario.deadline;
   call.echo.clear();
   call.ended = false;
--- a/bench/common/request_replies.cc
+++ b/bench/common/request_replies.cc
@@ -23,6 +23,10 @@
   call.succeeded = true;
   const auto second = SecondOf(call.born);
   ++world.served_by_second[second];
+  const auto answered = SecondOf(world.net.now());
+  if (answered < world.result.succeeded_by_second.size()) {
+    ++world.result.succeeded_by_second[answered];
+  }
   if (IsMeasured(world, world.net.now())) {
     ++world.result.succeeded;
   }
--- a/bench/common/request_scenario.cc
+++ b/bench/common/request_scenario.cc
@@ -94,6 +94,7 @@
   const auto length = static_cast<std::size_t>(scenario.end.count());
   world.offered_by_second.resize(length);
   world.served_by_second.resize(length);
+  world.result.succeeded_by_second.resize(length);
   for (std::size_t n = 0; n < scenario.targets; ++n) {
     world.targets.push_back(MakeTarget(world, n));
     StartTarget(*world.targets.back(), world.net);
@@ -106,6 +107,7 @@
   world.net.RunUntil(TimePoint{scenario.end + kSettle});
   CountRuns(world);
   Summarize(world);
+  world.result.runs = std::move(world.runs);
   return world.result;
 }
 
--- a/bench/common/request_scenario.h
+++ b/bench/common/request_scenario.h
@@ -76,7 +76,11 @@
   /// Least time that such a refusal left, in mean service times.
   double late_refusal_left_min = std::numeric_limits<double>::infinity();
   double goodput_ratio = 0;  ///< Successes over capacity.
+  double capacity = 0;       ///< Requests a second of all targets.
   double served_ratio = 0;   ///< Successes over offered requests.
+  std::vector<Run> runs;     ///< Every start at a target, in order.
+  /// Answers in each second of the run.
+  std::vector<std::uint64_t> succeeded_by_second;
   /// Successes over offered requests in each second of the run.
   std::vector<double> served_by_second;
 };
--- a/bench/common/request_summary.cc
+++ b/bench/common/request_summary.cc
@@ -136,6 +136,7 @@
             ? 0
             : static_cast<double>(world.served_by_second[n]) / offered);
   }
+  result.capacity = CapacityPerSecond(world.scenario);
   SummarizeTargets(world);
   SummarizeWeights(world);
 }
--- a/bench/common/request_target.cc
+++ b/bench/common/request_target.cc
@@ -7,6 +7,7 @@
 namespace hawthornbank::bench {
 namespace {
 
+constexpr std::uint8_t kInternalServerError = 5 << 5;
 constexpr std::size_t kAnswerRepeats = 40;
 constexpr double kLongestService = 10;  // In mean service times.
 
@@ -46,6 +47,9 @@
       {.id = work.id, .target = target.host, .when = net.now()});
   target.running.emplace(number, std::move(work));
   target.running_max = std::max(target.running_max, target.running.size());
+  if (target.sickness == Sickness::kStalls) {
+    return;
+  }
   net.AtHost(target.host, net.now() + DrawServiceTime(target, net.random()),
              [&target, &net, number, life = target.life]() {
                if (life == target.life) {
@@ -79,7 +83,11 @@
   }
   const auto work = std::move(it->second);
   target.running.erase(it);
-  const auto answer = MakeAnswer(work.request);
+  auto answer = MakeAnswer(work.request);
+  if (target.sickness == Sickness::kFails) {
+    answer.code = kInternalServerError;
+    answer.payload.clear();
+  }
   if (target.kind == GateKind::kReal) {
     GateActions actions;
     OnTargetDatagram(target.gate, work.flow, EncodeCoap(answer), net.now(),
--- a/bench/common/request_target.h
+++ b/bench/common/request_target.h
@@ -25,6 +25,13 @@
   kUnboundedQueue,  ///< Repeats are joined; nothing is ever refused.
 };
 
+/// What is wrong with a target, whatever its health endpoint says.
+enum class Sickness : std::uint8_t {
+  kNone,
+  kFails,   ///< Each answer is an error.
+  kStalls,  ///< Work that begins never ends.
+};
+
 /// One start of a request at a target.
 struct Run {
   std::string id;
@@ -51,6 +58,8 @@
   std::deque<Work> queue;                      ///< Of the baselines.
   std::map<std::string, CoapMessage> answers;  ///< kUnboundedQueue.
   std::set<std::string> known;                 ///< kUnboundedQueue.
+  Sickness sickness = Sickness::kNone;
+  bool routed = true;             ///< Whether callers still send to it.
   bool ignores_cancel = false;    ///< Runs on, and confirms nothing.
   std::size_t running_max = 0;    ///< Most requests that ran at once.
   std::uint64_t cancelled = 0;    ///< Cancellations that stopped work.
--- a/bench/requests.cc
+++ b/bench/requests.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/report.h"
+#include "common/request_faults.h"
 #include "common/request_scenario.h"
 
 namespace hawthornbank::bench {
@@ -13,10 +14,13 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using Targets = std::vector<std::unique_ptr<TargetHost>>;
 
 constexpr double kGoodputFloor = 0.95;
 constexpr double kSlots = 3;
+constexpr double kShareLeft = 4.0 / 7;  // Of the targets, after a zone's loss.
+constexpr double kSickShareBound = 0.1;
+constexpr double kRecoverBound = 5;  // Seconds.
+constexpr double kStormBound = 5;    // Seconds, of which 2 are detection.
 constexpr double kPermitsFloor = 0.95;
 constexpr double kRetriesBound = 1.10;
 constexpr double kRefusalRoundTripsBound = 1;
@@ -48,36 +52,6 @@
       {.name = "baseline_retry_by_all", .retry_without_budget = true}};
 }
 
-// Kills targets one after the other, then three at once.
-auto PlanRestarts(VirtualNetwork& net, Targets& targets) -> void {
-  const auto restart = [&net, &targets](std::size_t n, seconds at,
-                                        seconds down) {
-    auto& target = *targets[n];
-    net.At(TimePoint{at}, [&net, &target] { net.Kill(target.host); });
-    net.At(TimePoint{at + down}, [&net, &target] {
-      net.Revive(target.host);
-      StartTarget(target, net);
-    });
-  };
-  for (std::size_t n = 0; n < targets.size(); ++n) {
-    restart(n, seconds{6 + static_cast<int>(n)}, seconds{1});
-  }
-  for (std::size_t n = 0; n < 3; ++n) {
-    restart(n, seconds{16}, seconds{4});
-  }
-}
-
-// Freezes agent and target of a host and lets them go on.
-auto PlanPauses(VirtualNetwork& net, Targets& targets) -> void {
-  for (std::size_t n = 0; n < 3; ++n) {
-    auto& target = *targets[n];
-    const seconds at{8 + 5 * static_cast<int>(n)};
-    net.At(TimePoint{at}, [&net, &target] { net.Freeze(target.host); });
-    net.At(TimePoint{at + seconds{3}},
-           [&net, &target] { net.Thaw(target.host); });
-  }
-}
-
 auto Fitquote() -> RequestScenario {
   return {.booking_share = 0.7,
           .link = {.delay = milliseconds{3}, .jitter = milliseconds{1}}};
@@ -117,6 +91,18 @@
     it.cancel_share = 0.3;
     it.targets_ignore_cancel = true;
   });
+  add("health_cycle", [](RequestScenario& it) { it.faults = PlanSickness; });
+  add("retry_storm", [](RequestScenario& it) {
+    it.load = 1.0;
+    it.end = seconds{20};
+    it.faults = PlanZoneLoss;
+  });
+  add("balancer_crash", [](RequestScenario& it) {
+    it.copy_share = 0.2;
+    it.copy_delay = seconds{2};
+    it.second_home_share = 0.3;
+    it.faults = PlanBalancerCrashes;
+  });
   add("target_restart", [](RequestScenario& it) {
     it.load = 0.8;
     it.faults = PlanRestarts;
@@ -130,21 +116,6 @@
   return cases;
 }
 
-// Seconds from the loss of three targets until 95% are served again.
-auto TimeToGoodput(const RequestResult& result) -> double {
-  constexpr std::size_t kLost = 16;
-  for (auto n = kLost + 1; n < result.served_by_second.size(); ++n) {
-    const bool lasting = std::all_of(
-        result.served_by_second.begin() + static_cast<std::ptrdiff_t>(n),
-        result.served_by_second.end(),
-        [](double served) { return served >= kGoodputFloor; });
-    if (lasting) {
-      return static_cast<double>(n - kLost);
-    }
-  }
-  return static_cast<double>(result.served_by_second.size() - kLost);
-}
-
 struct Printer {
   std::string name;
   Variant variant;
@@ -188,6 +159,24 @@
   }
 }
 
+auto PrintFaults(const Printer& printer, const RequestResult& result) -> void {
+  const auto& name = printer.name;
+  if (name.starts_with("target_restart")) {
+    printer.Figure("time_to_goodput", TimeToGoodput(result), "s");
+  }
+  if (name.starts_with("health_cycle")) {
+    printer.Figure("share_while_sick", ShareWhileSick(result), "share",
+                   kSickShareBound);
+    printer.Figure("time_to_recover", TimeToRecover(result), "s",
+                   kRecoverBound);
+  }
+  if (name.starts_with("retry_storm")) {
+    printer.Figure("time_to_goodput",
+                   TimeToCapacityLeft(result, result.capacity * kShareLeft),
+                   "s", kStormBound);
+  }
+}
+
 auto PrintResult(const Printer& printer, const RequestResult& result) -> void {
   const auto& name = printer.name;
   printer.Figure("doubled", static_cast<double>(result.doubled), "requests", 0);
@@ -222,6 +211,7 @@
                    "share");
     printer.Figure("weighted_goodput", result.weighted_goodput, "share");
   }
+  PrintFaults(printer, result);
   if (name.starts_with("cancellation")) {
     printer.Figure("running_max", static_cast<double>(result.running_max),
                    "requests", kSlots);
@@ -232,9 +222,6 @@
                        static_cast<double>(result.cancelled),
                    "share", {}, 1);
   }
-  if (name.starts_with("target_restart")) {
-    printer.Figure("time_to_goodput", TimeToGoodput(result), "s");
-  }
 }
 
 auto RunCase(const Case& it) -> void {
--- a/test/request_scenario_test.cc
+++ b/test/request_scenario_test.cc
@@ -1,5 +1,7 @@
 #include "common/request_scenario.h"
 
+#include "common/request_faults.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hawthornbank::bench;
@@ -86,3 +88,12 @@
   const auto equal = RunScenario(overload);
   CHECK(weighed.weighted_goodput > equal.weighted_goodput * 1.1);
 }
+
+TEST(RequestScenario, SickTargetsGetAlmostNothingAndComeBack) {
+  RequestScenario sick{.seed = 11, .faults = PlanSickness};
+  const auto result = RunScenario(sick);
+  CHECK(ShareWhileSick(result) <= 0.1);
+  CHECK(TimeToRecover(result) <= 5);
+  sick.gate = GateKind::kUnboundedQueue;
+  CHECK(ShareWhileSick(RunScenario(sick)) > 0.3);
+}
