--- a/bench/requests.cc
+++ b/bench/requests.cc
@@ -1,6 +1,7 @@
 /// @file
 /// Requests through real gates in virtual time, against baselines.
 #include <algorithm>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "common/report.h"
 #include "common/request_faults.h"
 #include "common/request_scenario.h"
+#include "state/request_ledger.h"
 
 namespace hawthornbank::bench {
 namespace {
@@ -253,11 +255,43 @@
   return {.name = "permit_checks_plan_core", .scenario = scenario};
 }
 
+// Fills a ledger as long as it takes entries.
+auto RunLedger() -> void {
+  constexpr std::size_t kIdBytes = 36;  // A UUID.
+  constexpr std::size_t kAnswerBytes = 200;
+  constexpr double kEntryBound = 512;
+  const RequestGateOptions options;
+  RequestLedger ledger{.limit = options.ledger_entries,
+                       .byte_limit = options.ledger_bytes};
+  const auto answer =
+      std::make_shared<const std::vector<std::uint8_t>>(kAnswerBytes);
+  for (std::size_t n = 0;; ++n) {
+    auto id = std::to_string(n);
+    id.insert(0, kIdBytes - id.size(), '0');
+    if (!AddEntry(ledger, id, {.keep_until = TimePoint::max()}, TimePoint{})) {
+      break;
+    }
+    KeepAnswer(ledger, id, answer);
+  }
+  const auto entries = static_cast<double>(ledger.entries.size());
+  const auto bytes = static_cast<double>(ledger.bytes);
+  const Printer printer{.name = "ledger", .variant = Variants().front()};
+  printer.Figure("ledger_entries", entries, "entries", {},
+                 static_cast<double>(options.ledger_entries));
+  printer.Figure("ledger_bytes_per_entry", bytes / entries, "bytes",
+                 kEntryBound);
+  printer.Figure("ledger_bytes", bytes, "bytes",
+                 static_cast<double>(options.ledger_bytes));
+}
+
 auto RunAll(const std::string& wanted) -> void {
   auto cases = Cases(Fitquote(), "fitquote");
   const auto more = Cases(PlanCore(), "plan_core");
   cases.insert(cases.end(), more.begin(), more.end());
   cases.push_back(PermitChecks());
+  if (std::string_view{"ledger"}.starts_with(wanted)) {
+    RunLedger();
+  }
   for (const auto& it : cases) {
     if (it.name.starts_with(wanted)) {
       RunCase(it);
--- a/include/hawthornbank/request_gate.h
+++ b/include/hawthornbank/request_gate.h
@@ -134,6 +134,7 @@
   std::uint32_t slots = 3;         ///< Requests the target runs at once.
   std::uint32_t queue_limit = 64;  ///< Requests that wait for a slot.
   std::size_t ledger_entries = 16384;
+  std::size_t ledger_bytes = std::size_t{32} << 20U;  ///< With kept answers.
   std::chrono::milliseconds token_validity{30000};
   std::chrono::milliseconds ledger_retention{120000};
   std::chrono::milliseconds initial_service_time{50};
--- a/src/coordination/request_gate.cc
+++ b/src/coordination/request_gate.cc
@@ -54,8 +54,7 @@
   state.pending.erase(it);
   --state.running;
   if (auto* entry = FindEntry(state.ledger, request.id)) {
-    entry->state = RequestState::kFinished;
-    entry->answer = answer;
+    KeepAnswer(state.ledger, request.id, answer);
     entry->keep_until =
         std::max(entry->keep_until, now + state.options.ledger_retention);
   }
@@ -85,8 +84,7 @@
     return;
   }
   Bump(state, GateCounter::kLateAnswerKept);
-  entry->state = RequestState::kFinished;
-  entry->answer = answer;
+  KeepAnswer(state.ledger, it->second, answer);
   state.given_up.erase(it);
 }
 
@@ -252,6 +250,7 @@
   state.budget.share = options.retry_share;
   state.budget.limit = options.retry_burst;
   state.ledger.limit = options.ledger_entries;
+  state.ledger.byte_limit = options.ledger_bytes;
   // Before every instant, so that no token is void at the start.
   state.last_issued = TimePoint::min();
   state.void_through = TimePoint::min();
--- a/src/state/request_ledger.cc
+++ b/src/state/request_ledger.cc
@@ -15,16 +15,45 @@
               TimePoint now) -> bool {
   ForgetOldEntries(ledger, now);
   const bool known = ledger.entries.contains(id);
-  if (!known && ledger.entries.size() >= ledger.limit) {
+  const bool full = ledger.entries.size() >= ledger.limit ||
+                    ledger.bytes >= ledger.byte_limit;
+  if (!known && full) {
     return false;
   }
   if (!known) {
     ledger.expiries.push_back({.when = entry.keep_until, .id = id});
   }
+  if (known) {
+    ledger.bytes -= EntryBytes(id, ledger.entries.at(id).answer);
+  }
+  ledger.bytes += EntryBytes(id, entry.answer);
   ledger.entries.insert_or_assign(id, std::move(entry));
   return true;
 }
 
+auto KeepAnswer(RequestLedger& ledger,
+                const std::string& id,
+                const Answer& answer) -> void {
+  auto& entry = ledger.entries.at(id);
+  ledger.bytes -= EntryBytes(id, entry.answer);
+  entry.state = RequestState::kFinished;
+  entry.answer = answer;
+  ledger.bytes += EntryBytes(id, entry.answer);
+}
+
+auto EntryBytes(const std::string& id, const Answer& answer) -> std::size_t {
+  using Node = std::pair<const std::string, LedgerEntry>;
+  constexpr std::size_t kPointers = 3 * sizeof(void*);  // Next, hash, bucket.
+  constexpr std::size_t kAnswerOwner =
+      sizeof(*Answer{}) + 2 * sizeof(void*);  // The vector, two counts.
+  const bool is_long = id.size() > std::string{}.capacity();
+  const std::size_t text = is_long ? id.size() + 1 : 0;
+  const std::size_t kept =
+      answer == nullptr ? 0 : kAnswerOwner + answer->capacity();
+  return sizeof(Node) + kPointers + sizeof(RequestLedger::Expiry) + 2 * text +
+         kept;
+}
+
 auto ForgetOldEntries(RequestLedger& ledger, TimePoint now) -> void {
   while (!ledger.expiries.empty() && ledger.expiries.front().when <= now) {
     auto oldest = std::move(ledger.expiries.front());
@@ -33,6 +62,7 @@
     const auto& entry = it->second;
     const bool pending = entry.state == RequestState::kPending;
     if (!pending && entry.keep_until <= now) {
+      ledger.bytes -= EntryBytes(it->first, entry.answer);
       ledger.entries.erase(it);
       continue;
     }
--- a/src/state/request_ledger.h
+++ b/src/state/request_ledger.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <string>
 #include <unordered_map>
 
@@ -43,6 +44,8 @@
     std::string id;
   };
   std::size_t limit = 0;
+  std::size_t byte_limit = std::numeric_limits<std::size_t>::max();
+  std::size_t bytes = 0;  ///< Of all entries, by EntryBytes.
   std::unordered_map<std::string, LedgerEntry> entries;
   std::deque<Expiry> expiries;  ///< In the order of insertion.
 };
@@ -57,12 +60,26 @@
 /// @param id Identity of the request.
 /// @param entry What is known.
 /// @param now The present instant.
-/// @return False when the ledger is full and nothing was added.
+/// @return False when the ledger is full, by entries or by bytes, and nothing
+///   was added.
 auto AddEntry(RequestLedger& ledger,
               const std::string& id,
               LedgerEntry entry,
               TimePoint now) -> bool;
 
+/// Notes that a request has finished, and keeps its answer.
+/// @param ledger The ledger.
+/// @param id Identity of a request in the ledger.
+/// @param answer The target's answer.
+auto KeepAnswer(RequestLedger& ledger,
+                const std::string& id,
+                const Answer& answer) -> void;
+
+/// @param id Identity of a request.
+/// @param answer Its kept answer, or null.
+/// @return Bytes that the ledger takes for it, without the allocator's own.
+auto EntryBytes(const std::string& id, const Answer& answer) -> std::size_t;
+
 /// Drops the entries that may be forgotten.
 /// @param ledger The ledger.
 /// @param now The present instant.
--- a/test/request_ledger_test.cc
+++ b/test/request_ledger_test.cc
@@ -1,5 +1,9 @@
 #include "state/request_ledger.h"
 
+#include <memory>
+#include <string>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hawthornbank;
@@ -53,3 +57,25 @@
   ForgetOldEntries(ledger, At(200));
   POINTERS_EQUAL(nullptr, FindEntry(ledger, "a"));
 }
+
+TEST(RequestLedger, FullByBytesUntilOldAnswersAreForgotten) {
+  ledger.byte_limit = 2000;
+  CHECK(Add("a", 10, 0));
+  KeepAnswer(ledger, "a",
+             std::make_shared<const std::vector<std::uint8_t>>(2000));
+  CHECK(ledger.bytes > 2000);
+  CHECK_FALSE(Add("b", 20, 9));
+  CHECK(Add("b", 20, 10));
+  LONGS_EQUAL(EntryBytes("b", nullptr), ledger.bytes);
+  ForgetOldEntries(ledger, At(20));
+  LONGS_EQUAL(0, ledger.bytes);
+}
+
+TEST(RequestLedger, BytesOfAnEntry) {
+  const auto answer = std::make_shared<const std::vector<std::uint8_t>>(100);
+  const auto alone = EntryBytes("a", nullptr);
+  CHECK(alone >= sizeof(LedgerEntry) + sizeof(RequestLedger::Expiry));
+  CHECK(alone <= 256);
+  CHECK(EntryBytes("a", answer) >= alone + 100);
+  LONGS_EQUAL(alone + 2 * 65, EntryBytes(std::string(64, 'x'), nullptr));
+}
