--- a/src/protocol/coap_gate.cc
+++ b/src/protocol/coap_gate.cc
@@ -9,7 +9,7 @@
 namespace hawthornbank {
 namespace {
 
-using detail::ApplyActions;
+using detail::Perform;
 using detail::SendToCaller;
 using detail::SendToTarget;
 
@@ -136,9 +136,10 @@
                   TimePoint now,
                   Random& random,
                   GateActions& out) -> void {
-  RequestActions actions;
-  const bool found = CancelRequest(state.gate, id, now, random, actions);
-  ApplyActions(state, actions, now, random, out);
+  bool found = false;
+  Perform(state, now, random, out, [&](RequestActions& actions) {
+    found = CancelRequest(state.gate, id, now, random, actions);
+  });
   if (found) {
     SendToCaller(key, detail::MakeReply(message, false, kCoapDeleted, random),
                  out);
@@ -180,9 +181,9 @@
   flow.exchanges.push_back(
       {.waiter = waiter, .request = message, .arrived = now});
   state.waiters.emplace(waiter, key);
-  RequestActions actions;
-  Submit(state.gate, request, now, random, actions);
-  ApplyActions(state, actions, now, random, out);
+  Perform(state, now, random, out, [&](RequestActions& actions) {
+    Submit(state.gate, request, now, random, actions);
+  });
 }
 
 auto HandleRequest(CoapGateState& state,
@@ -230,9 +231,9 @@
                        it != flow.exchanges.end() && it->waiting;
   if (cancels) {
     const auto waiter = it->waiter;
-    RequestActions actions;
-    DropWaiter(state.gate, waiter, now, random, actions);
-    ApplyActions(state, actions, now, random, out);
+    Perform(state, now, random, out, [&](RequestActions& actions) {
+      DropWaiter(state.gate, waiter, now, random, actions);
+    });
     // Stays, so that an answer that comes yet is kept for a repeat.
     state.waiters.erase(waiter);
     it->waiting = false;
@@ -269,6 +270,24 @@
   }
 }
 
+// Ends what only the exchanges of a flow that closes wait for.
+auto EndExchanges(CoapGateState& state,
+                  const Flow& flow,
+                  TimePoint now,
+                  Random& random,
+                  RequestActions& actions) -> void {
+  for (const auto& exchange : flow.exchanges) {
+    if (exchange.waiting) {
+      DropWaiter(state.gate, exchange.waiter, now, random, actions);
+    }
+    // Others may wait for it on other flows, but its answer would come here.
+    if (exchange.handle && (exchange.waiting || exchange.cancelled)) {
+      OnOutcome(state.gate, *exchange.handle, Outcome::kLost, nullptr, now,
+                random, actions);
+    }
+  }
+}
+
 }  // namespace
 
 CoapGate::CoapGate() = default;
@@ -314,9 +333,11 @@
 
 auto OnGateTick(CoapGate& gate, TimePoint now, Random& random, GateActions& out)
     -> TimePoint {
-  RequestActions actions;
-  const auto next = OnTick(gate.state->gate, now, random, actions);
-  ApplyActions(*gate.state, actions, now, random, out);
+  auto& state = *gate.state;
+  TimePoint next{};
+  Perform(state, now, random, out, [&](RequestActions& actions) {
+    next = OnTick(state.gate, now, random, actions);
+  });
   return next;
 }
 
@@ -330,18 +351,9 @@
   if (it == state.flows.end()) {
     return;
   }
-  RequestActions actions;
-  for (const auto& exchange : it->second.exchanges) {
-    if (exchange.waiting) {
-      DropWaiter(state.gate, exchange.waiter, now, random, actions);
-    }
-    // Others may wait for it on other flows, but its answer would come here.
-    if (exchange.handle && (exchange.waiting || exchange.cancelled)) {
-      OnOutcome(state.gate, *exchange.handle, Outcome::kLost, nullptr, now,
-                random, actions);
-    }
-  }
-  ApplyActions(state, actions, now, random, out);
+  Perform(state, now, random, out, [&](RequestActions& actions) {
+    EndExchanges(state, it->second, now, random, actions);
+  });
   for (const auto& exchange : it->second.exchanges) {
     state.waiters.erase(exchange.waiter);
   }
@@ -360,9 +372,10 @@
 
 auto AbortGate(CoapGate& gate, TimePoint now, Random& random, GateActions& out)
     -> void {
-  RequestActions actions;
-  Abort(gate.state->gate, now, random, actions);
-  ApplyActions(*gate.state, actions, now, random, out);
+  auto& state = *gate.state;
+  Perform(state, now, random, out, [&](RequestActions& actions) {
+    Abort(state.gate, now, random, actions);
+  });
 }
 
 auto GateLoad(const CoapGate& gate, TimePoint now) -> GateLoadReport {
--- a/src/protocol/coap_gate_state.h
+++ b/src/protocol/coap_gate_state.h
@@ -115,6 +115,19 @@
                   Random& random,
                   GateActions& out) -> void;
 
+/// Lets the typed gate take a step and carries out what it wants done.
+/// @param step Called with the list that receives the gate's actions.
+template <typename Step>
+auto Perform(CoapGateState& state,
+             TimePoint now,
+             Random& random,
+             GateActions& out,
+             Step step) -> void {
+  RequestActions actions;
+  step(actions);
+  ApplyActions(state, actions, now, random, out);
+}
+
 /// @return The exchange of a waiter, or null.
 auto FindExchange(Flow& flow, WaiterId waiter) -> Exchange*;
 
--- a/src/protocol/coap_gate_target.cc
+++ b/src/protocol/coap_gate_target.cc
@@ -48,9 +48,9 @@
             TimePoint now,
             Random& random,
             GateActions& out) -> void {
-  RequestActions actions;
-  OnOutcome(state.gate, handle, outcome, answer, now, random, actions);
-  detail::ApplyActions(state, actions, now, random, out);
+  detail::Perform(state, now, random, out, [&](RequestActions& actions) {
+    OnOutcome(state.gate, handle, outcome, answer, now, random, actions);
+  });
 }
 
 // An empty ACK or RST for a message of the gate.
@@ -132,9 +132,9 @@
   flow.cancellations.erase(it);
   AcknowledgeIfAsked(key, message, out);
   if (message.code == kCoapDeleted) {
-    RequestActions actions;
-    OnCancelConfirmed(state.gate, handle, now, random, actions);
-    detail::ApplyActions(state, actions, now, random, out);
+    detail::Perform(state, now, random, out, [&](RequestActions& actions) {
+      OnCancelConfirmed(state.gate, handle, now, random, actions);
+    });
   }
   return true;
 }
