--- a/bench/requests.cc
+++ b/bench/requests.cc
@@ -2,6 +2,7 @@
 /// Requests through real gates in virtual time, against baselines.
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "common/report.h"
 #include "common/request_faults.h"
 #include "common/request_scenario.h"
+#include "common/upload_scenario.h"
 #include "state/request_ledger.h"
 
 namespace hawthornbank::bench {
@@ -255,6 +257,30 @@
   return {.name = "permit_checks_plan_core", .scenario = scenario};
 }
 
+// Parts that are lost, doubled and reordered; some callers change their
+// address.
+auto RunUploadCase() -> void {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (const bool has_gate : {true, false}) {
+      const auto result = RunUploads({.seed = seed, .has_gate = has_gate});
+      const Printer printer{.name = "uploads",
+                            .variant = Variants().at(has_gate ? 0 : 1),
+                            .seed = seed};
+      const auto figure = [&](const std::string& name, std::uint64_t value,
+                              std::optional<double> bound = {}) {
+        printer.Figure(name, static_cast<double>(value), "uploads", bound);
+      };
+      figure("broken_uploads", result.broken, 0);
+      figure("mixed_bodies", result.mixed, 0);
+      figure("doubled_parts", result.doubled_parts, 0);
+      figure("without_an_end", result.pending, 0);
+      figure("errors", result.errors);
+      figure("whole", result.whole);
+      figure("resumed", result.resumed);
+    }
+  }
+}
+
 // Fills a ledger as long as it takes entries.
 auto RunLedger() -> void {
   constexpr std::size_t kIdBytes = 36;  // A UUID.
@@ -292,6 +318,9 @@
   if (std::string_view{"ledger"}.starts_with(wanted)) {
     RunLedger();
   }
+  if (std::string_view{"uploads"}.starts_with(wanted)) {
+    RunUploadCase();
+  }
   for (const auto& it : cases) {
     if (it.name.starts_with(wanted)) {
       RunCase(it);
