--- a/bench/common/request_replies.cc
+++ b/bench/common/request_replies.cc
@@ -114,9 +114,27 @@
   }
 }
 
+auto AcknowledgeReply(World& world,
+                      TargetHost& target,
+                      const FlowKey& flow,
+                      const std::vector<std::uint8_t>& bytes) -> void {
+  const auto reply = DecodeCoap(bytes, kMaxDatagram);
+  if (reply.type != CoapType::kCon) {
+    return;
+  }
+  const auto caller = kFirstCallerHost + (flow.caller.address & 0xFFFFU);
+  const auto ack = EncodeCoap({.type = CoapType::kAck, .id = reply.id});
+  SendWithCopies(world, caller, target.host, [&world, &target, flow, ack] {
+    DeliverToTarget(target, world.net, flow, ack);
+  });
+}
+
 auto ReceiveReply(World& world, const std::vector<std::uint8_t>& bytes)
     -> void {
   const auto reply = DecodeCoap(bytes, kMaxDatagram);
+  if (reply.code == kCoapEmpty) {
+    return;  // The answer comes separately.
+  }
   const auto exchange = ExchangeOf(reply);
   const auto it = world.exchanges.find(exchange);
   if (it == world.exchanges.end()) {
--- a/bench/common/request_scenario.cc
+++ b/bench/common/request_scenario.cc
@@ -36,6 +36,7 @@
   target->service_time = world.scenario.service_time;
   target->options.pass_to_other_targets = true;
   target->ignores_cancel = world.scenario.targets_ignore_cancel;
+  target->separate_answers = world.scenario.separate_answers;
   target->runs = &world.runs;
   target->pass = [&world, host = target->host](
                      TargetId other, const FlowKey& flow,
@@ -50,9 +51,12 @@
                      const FlowKey& flow, std::vector<std::uint8_t> bytes) {
     NoteDeparture(world, bytes);
     const auto caller = kFirstCallerHost + (flow.caller.address & 0xFFFFU);
-    SendWithCopies(world, host, caller, [&world, bytes = std::move(bytes)] {
-      ReceiveReply(world, bytes);
-    });
+    auto* sender = world.targets.at(host - 1).get();
+    SendWithCopies(world, host, caller,
+                   [&world, sender, flow, bytes = std::move(bytes)] {
+                     AcknowledgeReply(world, *sender, flow, bytes);
+                     ReceiveReply(world, bytes);
+                   });
   };
   return target;
 }
--- a/bench/common/request_scenario.h
+++ b/bench/common/request_scenario.h
@@ -33,10 +33,11 @@
   bool retry_without_budget = false;
   Link link{.delay = std::chrono::milliseconds{3},
             .jitter = std::chrono::milliseconds{1}};
-  double copy_share = 0;    ///< Datagrams that arrive again.
-  std::size_t copies = 1;   ///< How often those arrive again.
-  Duration copy_delay{0};   ///< Latest arrival of a copy.
-  double cancel_share = 0;  ///< Tries that their caller cancels.
+  double copy_share = 0;          ///< Datagrams that arrive again.
+  std::size_t copies = 1;         ///< How often those arrive again.
+  Duration copy_delay{0};         ///< Latest arrival of a copy.
+  bool separate_answers = false;  ///< Targets answer by confirmable messages.
+  double cancel_share = 0;        ///< Tries that their caller cancels.
   bool targets_ignore_cancel = false;
   double second_home_share = 0;   ///< Bookings opened at two targets.
   std::chrono::seconds start{5};  ///< Begin of the measured time.
@@ -56,12 +57,13 @@
   std::uint64_t doubled = 0;    ///< Bookings that ran more than once.
   std::uint64_t falsely_not_run = 0;
   std::uint64_t answer_after_give_up = 0;
-  std::uint64_t wrong_answers = 0;  ///< Torn, or another request's.
-  std::uint64_t unknown = 0;        ///< Calls that ended in "unknown".
-  std::uint64_t unanswered = 0;     ///< Calls that nobody answered in time.
-  std::size_t running_max = 0;      ///< Most that ran at one target at once.
-  std::uint64_t cancelled = 0;      ///< Cancellations that stopped work.
-  std::uint64_t slots_freed = 0;    ///< Those that freed the slot at once.
+  std::uint64_t wrong_answers = 0;   ///< Torn, or another request's.
+  std::uint64_t unknown = 0;         ///< Calls that ended in "unknown".
+  std::uint64_t unanswered = 0;      ///< Calls that nobody answered in time.
+  std::uint64_t unacknowledged = 0;  ///< Separate answers never acknowledged.
+  std::size_t running_max = 0;       ///< Most that ran at one target at once.
+  std::uint64_t cancelled = 0;       ///< Cancellations that stopped work.
+  std::uint64_t slots_freed = 0;     ///< Those that freed the slot at once.
   /// Served of what callers other than a flooding one offered.
   double others_permits_ratio = 0;
   double others_ordinary_ratio = 0;
--- a/bench/common/request_summary.cc
+++ b/bench/common/request_summary.cc
@@ -52,6 +52,7 @@
   for (const auto& target : world.targets) {
     result.running_max = std::max(result.running_max, target->running_max);
     result.cancelled += target->cancelled;
+    result.unacknowledged += target->unacknowledged.size();
     result.slots_freed += target->slots_freed;
   }
 }
--- a/bench/common/request_target.cc
+++ b/bench/common/request_target.cc
@@ -75,6 +75,51 @@
           .payload = AnswerBody(request)};
 }
 
+auto HandToGate(TargetHost& target,
+                VirtualNetwork& net,
+                const FlowKey& flow,
+                const CoapMessage& message) -> void {
+  GateActions actions;
+  OnTargetDatagram(target.gate, flow, EncodeCoap(message), net.now(),
+                   net.random(), actions);
+  Apply(target, net, std::move(actions));
+  PlanTick(target, net);
+}
+
+// Sends a confirmable answer until it is acknowledged.
+auto SendSeparate(TargetHost& target,
+                  VirtualNetwork& net,
+                  const FlowKey& flow,
+                  const CoapMessage& answer,
+                  int sent) -> void {
+  constexpr int kMostSendings = 5;
+  constexpr std::chrono::milliseconds kRetransmitAfter{400};
+  if (sent == kMostSendings || !target.unacknowledged.contains(answer.id)) {
+    return;
+  }
+  HandToGate(target, net, flow, answer);
+  net.AtHost(target.host, net.now() + kRetransmitAfter * (1 << sent),
+             [&target, &net, flow, answer, sent, life = target.life] {
+               if (life == target.life) {
+                 SendSeparate(target, net, flow, answer, sent + 1);
+               }
+             });
+}
+
+auto SendAnswer(TargetHost& target,
+                VirtualNetwork& net,
+                const FlowKey& flow,
+                CoapMessage answer) -> void {
+  if (!target.separate_answers) {
+    HandToGate(target, net, flow, answer);
+    return;
+  }
+  answer.type = CoapType::kCon;
+  answer.id = target.next_message++;
+  target.unacknowledged.insert(answer.id);
+  SendSeparate(target, net, flow, answer, 0);
+}
+
 auto FinishWork(TargetHost& target, VirtualNetwork& net, std::uint64_t number)
     -> void {
   const auto it = target.running.find(number);
@@ -89,11 +134,7 @@
     answer.payload.clear();
   }
   if (target.kind == GateKind::kReal) {
-    GateActions actions;
-    OnTargetDatagram(target.gate, work.flow, EncodeCoap(answer), net.now(),
-                     net.random(), actions);
-    Apply(target, net, std::move(actions));
-    PlanTick(target, net);
+    SendAnswer(target, net, work.flow, answer);
     return;
   }
   target.answers[work.id] = answer;
@@ -149,8 +190,18 @@
     return;
   }
   if (!IsRequestCode(request.code)) {
+    target.unacknowledged.erase(request.id);
     return;
   }
+  if (target.separate_answers) {
+    net.AtHost(target.host, net.now(),
+               [&target, &net, flow, id = request.id, life = target.life] {
+                 if (life == target.life) {
+                   HandToGate(target, net, flow,
+                              {.type = CoapType::kAck, .id = id});
+                 }
+               });
+  }
   const auto id = QueryValue(request, "rid").value_or("");
   StartWork(target, net, {.flow = flow, .request = request, .id = id});
 }
@@ -201,6 +252,7 @@
   target.queue.clear();
   target.answers.clear();
   target.known.clear();
+  target.unacknowledged.clear();
   target.wake = TimePoint::max();
   target.options.gate.incarnation = Incarnation{target.life};
   target.gate = MakeCoapGate(target.options);
--- a/bench/common/request_target.h
+++ b/bench/common/request_target.h
@@ -58,6 +58,9 @@
   std::deque<Work> queue;                      ///< Of the baselines.
   std::map<std::string, CoapMessage> answers;  ///< kUnboundedQueue.
   std::set<std::string> known;                 ///< kUnboundedQueue.
+  bool separate_answers = false;  ///< Confirmable, after an acknowledgement.
+  std::uint16_t next_message = 0;
+  std::set<std::uint16_t> unacknowledged;  ///< Separate answers.
   Sickness sickness = Sickness::kNone;
   bool routed = true;             ///< Whether callers still send to it.
   bool ignores_cancel = false;    ///< Runs on, and confirms nothing.
--- a/bench/common/request_world.h
+++ b/bench/common/request_world.h
@@ -104,6 +104,12 @@
 /// Takes in a reply at the caller.
 auto ReceiveReply(World& world, const std::vector<std::uint8_t>& bytes) -> void;
 
+/// Acknowledges a confirmable reply, each time it comes.
+auto AcknowledgeReply(World& world,
+                      TargetHost& target,
+                      const FlowKey& flow,
+                      const std::vector<std::uint8_t>& bytes) -> void;
+
 /// Compares what ran with what the callers were told.
 auto CountRuns(World& world) -> void;
 
--- a/bench/requests.cc
+++ b/bench/requests.cc
@@ -85,6 +85,13 @@
     it.copy_delay = seconds{3};
     it.faults = PlanPauses;
   });
+  add("late_answers", [](RequestScenario& it) {
+    it.separate_answers = true;
+    it.link.jitter = milliseconds{600};
+    it.link.loss = 0.1;
+    it.copy_share = 0.3;
+    it.copy_delay = seconds{3};
+  });
   add("lost_answers", [](RequestScenario& it) { it.link.loss = 0.2; });
   add("cancellation", [](RequestScenario& it) {
     it.load = 0.9;
@@ -216,6 +223,10 @@
     printer.Figure("weighted_goodput", result.weighted_goodput, "share");
   }
   PrintFaults(printer, result);
+  if (name.starts_with("late_answers")) {
+    printer.Figure("unacknowledged", static_cast<double>(result.unacknowledged),
+                   "answers");
+  }
   if (name.starts_with("cancellation")) {
     printer.Figure("running_max", static_cast<double>(result.running_max),
                    "requests", kSlots);
--- a/src/state/request_ledger.cc
+++ b/src/state/request_ledger.cc
@@ -45,7 +45,8 @@
   using Node = std::pair<const std::string, LedgerEntry>;
   constexpr std::size_t kPointers = 3 * sizeof(void*);  // Next, hash, bucket.
   constexpr std::size_t kAnswerOwner =
-      sizeof(Answer::element_type) + 2 * sizeof(void*);  // The vector, two counts.
+      sizeof(Answer::element_type) +
+      2 * sizeof(void*);  // The vector, two counts.
   const bool is_long = id.size() > std::string{}.capacity();
   const std::size_t text = is_long ? id.size() + 1 : 0;
   const std::size_t kept =
--- a/test/request_ledger_test.cc
+++ b/test/request_ledger_test.cc
@@ -77,5 +77,6 @@
   CHECK(alone >= sizeof(LedgerEntry) + sizeof(RequestLedger::Expiry));
   CHECK(alone <= 256);
   CHECK(EntryBytes("a", answer) >= alone + 100);
-  LONGS_EQUAL(alone + 2 * 65, EntryBytes(std::string(64, 'x'), nullptr));
+  constexpr std::size_t kTwoTexts = 130;  // Of 64 bytes and their ends.
+  LONGS_EQUAL(alone + kTwoTexts, EntryBytes(std::string(64, 'x'), nullptr));
 }
--- a/test/request_scenario_test.cc
+++ b/test/request_scenario_test.cc
@@ -97,3 +97,15 @@
   sick.gate = GateKind::kUnboundedQueue;
   CHECK(ShareWhileSick(RunScenario(sick)) > 0.3);
 }
+
+TEST(RequestScenario, SeparateAnswersReachTheirRequestsAndAreAcknowledged) {
+  storm.separate_answers = true;
+  storm.link = {
+      .delay = milliseconds{3}, .jitter = milliseconds{600}, .loss = 0.1};
+  const auto result = RunScenario(storm);
+  CHECK(result.succeeded > 200);
+  LONGS_EQUAL(0, result.doubled);
+  LONGS_EQUAL(0, result.wrong_answers);
+  LONGS_EQUAL(0, result.answer_after_give_up);
+  CHECK(result.unacknowledged * 100 <= result.succeeded);
+}
