--- a/src/coordination/request_gate.cc
+++ b/src/coordination/request_gate.cc
@@ -154,20 +154,6 @@
                      out);
 }
 
-// Notes how many are served before each waiting request.
-auto RankQueued(RequestGateState& state) -> void {
-  if (SizeOf(state.queue) <= state.options.slots) {
-    for (auto& [handle, request] : state.pending) {
-      request.ahead = 0;
-    }
-    return;
-  }
-  std::size_t ahead = 0;
-  for (const auto& item : ServingOrder(state.queue)) {
-    state.pending.at(item.request).ahead = ahead++;
-  }
-}
-
 // The last instant at which a waiting request can still end in time, even if
 // those before it end unusually soon.
 auto LastChance(const RequestGateState& state, const PendingRequest& request)
@@ -182,6 +168,25 @@
              (1 + least))};
 }
 
+// Notes how many are served before each waiting request: all of them as long
+// as even that leaves time, as the exact order costs a copy of the queue.
+auto RankQueued(RequestGateState& state, TimePoint now) -> void {
+  const auto size = SizeOf(state.queue);
+  bool is_tight = false;
+  for (auto& [handle, request] : state.pending) {
+    request.ahead = size == 0 ? 0 : size - 1;
+    is_tight = is_tight || (request.phase == Phase::kQueued &&
+                            LastChance(state, request) <= now);
+  }
+  if (!is_tight) {
+    return;
+  }
+  std::size_t ahead = 0;
+  for (const auto& item : ServingOrder(state.queue)) {
+    state.pending.at(item.request).ahead = ahead++;
+  }
+}
+
 // When a pending request needs attention by itself.
 auto DueAt(const RequestGateState& state, const PendingRequest& request)
     -> TimePoint {
@@ -210,7 +215,7 @@
     case Phase::kQueued:
       detail::EndNotRun(state, handle, ErrorKind::kDeadlineExpired,
                         GateCounter::kRefusedExpiredInQueue, random, out);
-      RankQueued(state);
+      RankQueued(state, now);
       break;
     case Phase::kRunning:
       GiveUp(state, handle, now, random, out);
@@ -351,7 +356,7 @@
             RequestActions& out) -> TimePoint {
   auto& state = *gate.state;
   detail::ReleaseOverdue(state, now);
-  RankQueued(state);
+  RankQueued(state, now);
   std::vector<RequestHandle> due;
   for (const auto& [handle, request] : state.pending) {
     if (DueAt(state, request) <= now) {
@@ -367,7 +372,7 @@
   }
   detail::Dispatch(state, now, random, out);
   ForgetOldEntries(state.ledger, now);
-  RankQueued(state);
+  RankQueued(state, now);
   auto next = now + kIdleWake;
   for (const auto& [handle, request] : state.pending) {
     next = std::min(next, DueAt(state, request));
