--- a/bench/common/request_scenario.cc
+++ b/bench/common/request_scenario.cc
@@ -36,6 +36,7 @@
   target->service_time = world.scenario.service_time;
   target->options.pass_to_other_targets = true;
   target->ignores_cancel = world.scenario.targets_ignore_cancel;
+  target->separate_answers = world.scenario.separate_answers;
   target->runs = &world.runs;
   target->pass = [&world, host = target->host](
                      TargetId other, const FlowKey& flow,
@@ -50,9 +51,12 @@
                      const FlowKey& flow, std::vector<std::uint8_t> bytes) {
     NoteDeparture(world, bytes);
     const auto caller = kFirstCallerHost + (flow.caller.address & 0xFFFFU);
-    SendWithCopies(world, host, caller, [&world, bytes = std::move(bytes)] {
-      ReceiveReply(world, bytes);
-    });
+    auto* sender = world.targets.at(host - 1).get();
+    SendWithCopies(world, host, caller,
+                   [&world, sender, flow, bytes = std::move(bytes)] {
+                     AcknowledgeReply(world, *sender, flow, bytes);
+                     ReceiveReply(world, bytes);
+                   });
   };
   return target;
 }
@@ -94,6 +98,7 @@
   const auto length = static_cast<std::size_t>(scenario.end.count());
   world.offered_by_second.resize(length);
   world.served_by_second.resize(length);
+  world.result.succeeded_by_second.resize(length);
   for (std::size_t n = 0; n < scenario.targets; ++n) {
     world.targets.push_back(MakeTarget(world, n));
     StartTarget(*world.targets.back(), world.net);
@@ -106,6 +111,7 @@
   world.net.RunUntil(TimePoint{scenario.end + kSettle});
   CountRuns(world);
   Summarize(world);
+  world.result.runs = std::move(world.runs);
   return world.result;
 }
 
--- a/bench/common/request_summary.cc
+++ b/bench/common/request_summary.cc
@@ -52,6 +52,7 @@
   for (const auto& target : world.targets) {
     result.running_max = std::max(result.running_max, target->running_max);
     result.cancelled += target->cancelled;
+    result.unacknowledged += target->unacknowledged.size();
     result.slots_freed += target->slots_freed;
   }
 }
@@ -136,6 +137,7 @@
             ? 0
             : static_cast<double>(world.served_by_second[n]) / offered);
   }
+  result.capacity = CapacityPerSecond(world.scenario);
   SummarizeTargets(world);
   SummarizeWeights(world);
 }
--- a/bench/common/request_target.cc
+++ b/bench/common/request_target.cc
@@ -7,6 +7,7 @@
 namespace hawthornbank::bench {
 namespace {
 
+constexpr std::uint8_t kInternalServerError = 5 << 5;
 constexpr std::size_t kAnswerRepeats = 40;
 constexpr double kLongestService = 10;  // In mean service times.
 
@@ -46,6 +47,9 @@
       {.id = work.id, .target = target.host, .when = net.now()});
   target.running.emplace(number, std::move(work));
   target.running_max = std::max(target.running_max, target.running.size());
+  if (target.sickness == Sickness::kStalls) {
+    return;
+  }
   net.AtHost(target.host, net.now() + DrawServiceTime(target, net.random()),
              [&target, &net, number, life = target.life]() {
                if (life == target.life) {
@@ -71,6 +75,51 @@
           .payload = AnswerBody(request)};
 }
 
+auto HandToGate(TargetHost& target,
+                VirtualNetwork& net,
+                const FlowKey& flow,
+                const CoapMessage& message) -> void {
+  GateActions actions;
+  OnTargetDatagram(target.gate, flow, EncodeCoap(message), net.now(),
+                   net.random(), actions);
+  Apply(target, net, std::move(actions));
+  PlanTick(target, net);
+}
+
+// Sends a confirmable answer until it is acknowledged.
+auto SendSeparate(TargetHost& target,
+                  VirtualNetwork& net,
+                  const FlowKey& flow,
+                  const CoapMessage& answer,
+                  int sent) -> void {
+  constexpr int kMostSendings = 5;
+  constexpr std::chrono::milliseconds kRetransmitAfter{400};
+  if (sent == kMostSendings || !target.unacknowledged.contains(answer.id)) {
+    return;
+  }
+  HandToGate(target, net, flow, answer);
+  net.AtHost(target.host, net.now() + kRetransmitAfter * (1 << sent),
+             [&target, &net, flow, answer, sent, life = target.life] {
+               if (life == target.life) {
+                 SendSeparate(target, net, flow, answer, sent + 1);
+               }
+             });
+}
+
+auto SendAnswer(TargetHost& target,
+                VirtualNetwork& net,
+                const FlowKey& flow,
+                CoapMessage answer) -> void {
+  if (!target.separate_answers) {
+    HandToGate(target, net, flow, answer);
+    return;
+  }
+  answer.type = CoapType::kCon;
+  answer.id = target.next_message++;
+  target.unacknowledged.insert(answer.id);
+  SendSeparate(target, net, flow, answer, 0);
+}
+
 auto FinishWork(TargetHost& target, VirtualNetwork& net, std::uint64_t number)
     -> void {
   const auto it = target.running.find(number);
@@ -79,13 +128,13 @@
   }
   const auto work = std::move(it->second);
   target.running.erase(it);
-  const auto answer = MakeAnswer(work.request);
+  auto answer = MakeAnswer(work.request);
+  if (target.sickness == Sickness::kFails) {
+    answer.code = kInternalServerError;
+    answer.payload.clear();
+  }
   if (target.kind == GateKind::kReal) {
-    GateActions actions;
-    OnTargetDatagram(target.gate, work.flow, EncodeCoap(answer), net.now(),
-                     net.random(), actions);
-    Apply(target, net, std::move(actions));
-    PlanTick(target, net);
+    SendAnswer(target, net, work.flow, answer);
     return;
   }
   target.answers[work.id] = answer;
@@ -141,8 +190,18 @@
     return;
   }
   if (!IsRequestCode(request.code)) {
+    target.unacknowledged.erase(request.id);
     return;
   }
+  if (target.separate_answers) {
+    net.AtHost(target.host, net.now(),
+               [&target, &net, flow, id = request.id, life = target.life] {
+                 if (life == target.life) {
+                   HandToGate(target, net, flow,
+                              {.type = CoapType::kAck, .id = id});
+                 }
+               });
+  }
   const auto id = QueryValue(request, "rid").value_or("");
   StartWork(target, net, {.flow = flow, .request = request, .id = id});
 }
@@ -193,6 +252,7 @@
   target.queue.clear();
   target.answers.clear();
   target.known.clear();
+  target.unacknowledged.clear();
   target.wake = TimePoint::max();
   target.options.gate.incarnation = Incarnation{target.life};
   target.gate = MakeCoapGate(target.options);
