--- a/src/coordination/membership_sync.cc
+++ b/src/coordination/membership_sync.cc
@@ -256,16 +256,20 @@
   const std::size_t fanout = membership.ready ? 1 : kNewcomerFanout;
   std::vector<Endpoint> peers;
   AddRandom(SyncGroup(membership), fanout, random, peers);
+  if (peers.empty()) {
+    return;
+  }
   // Each peer is asked for another part, so that no record comes twice.
   auto first = static_cast<std::uint32_t>(Draw(random, kBucketCount));
-  const auto buckets = kBucketCount / static_cast<std::uint32_t>(fanout) + 1;
+  const auto parts = static_cast<std::uint32_t>(peers.size());
+  const auto buckets = std::min(kBucketCount / parts + 1, kBucketCount);
   for (const auto& it : peers) {
     Digest digest = MakeDigest(membership);
     digest.probe = !membership.ready;
     digest.first_bucket = first;
     digest.targets_checksum = TargetsChecksum(membership);
     digest.checksums = BucketChecksums(membership, first);
-    digest.checksums.resize(std::min(buckets, kBucketCount));
+    digest.checksums.resize(buckets);
     if (!membership.ready) {
       digest.balancers.push_back(membership.self);
     }
