--- a/bench/configuration.cc
+++ b/bench/configuration.cc
@@ -95,6 +95,7 @@
     fixture.platform.writes.clear();
     for (auto& node : fixture.nodes) {
       node.bytes = 0;
+      node.sent = 0;
     }
   }
 
@@ -114,11 +115,17 @@
                 .seed = kSeed});
   }
 
-  auto Report(std::uint64_t lost_accepts) const -> void {
+  auto Report(std::uint64_t lost_accepts) -> void {
+    const auto elapsed = fixture.network.now() - start;
+    if (elapsed < kChangeInterval) {
+      fixture.RunFor(kChangeInterval - elapsed);
+    }
     const auto passed = Seconds(fixture.network.now() - start);
     double most = 0;
+    double most_sent = 0;
     for (const auto& node : fixture.nodes) {
       most = std::max(most, static_cast<double>(node.bytes) / passed);
+      most_sent = std::max(most_sent, static_cast<double>(node.sent) / passed);
     }
     const auto peak = [](const auto& by_second) {
       double highest = 0;
@@ -138,6 +145,7 @@
       Print("bytes_per_second_max", most, "B/s");
     } else {
       Print("bytes_per_second_max_in_burst", most, "B/s");
+      Print("sent_per_second_max_in_burst", most_sent, "B/s");
     }
     Print("platform_reads_peak", peak(fixture.platform.reads), "calls/s");
     Print("platform_writes_peak", peak(fixture.platform.writes), "calls/s");
