--- a/apps/hawthornload/main.cc
+++ b/apps/hawthornload/main.cc
@@ -1,5 +1,6 @@
 /// @file
 /// hawthornload: callers of both workloads, for demos and measurements.
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -43,10 +44,11 @@
   while (open || !requests.active.empty()) {
     coap_io_process(context.get(), kPollInterval.count());
     const auto now = Clock::now();
-    open = now < end && stop_requested == 0;
     if (open) {
-      StartDue(arrivals, requests, context.get(), options, now);
+      // Up to the end, so that the seed alone decides what is started.
+      StartDue(arrivals, requests, context.get(), options, std::min(now, end));
     }
+    open = open && now < end && stop_requested == 0;
     AdvanceRequests(requests, context.get(), now);
     CheckWatches(watches, context.get(), now);
   }
--- a/test/load_schedule_test.cc
+++ b/test/load_schedule_test.cc
@@ -1,5 +1,10 @@
 #include "../apps/hawthornload/schedule.h"
 
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
 #include "../apps/hawthornload/arrivals.h"
 
 #include <CppUTest/TestHarness.h>
@@ -66,3 +71,82 @@
   DOUBLES_EQUAL(360, static_cast<double>(night), 60);
   DOUBLES_EQUAL(2700, static_cast<double>(day), 160);
 }
+
+namespace {
+
+struct Planned {
+  const char* sheet;
+  const char* service;
+  bool upload;
+};
+
+constexpr Planned kPlanned[] = {
+    {"/examples/trentmoor.csv", "fitquote", false},
+    {"/examples/trentmoor.csv", "planstore", true},
+    {"/examples/tezontle.csv", "plan-core", false},
+    {"/examples/tezontle.csv", "docs-in", true},
+};
+
+auto OptionsOf(const Planned& planned) -> LoadOptions {
+  Workload workload{.service = planned.service};
+  (planned.upload ? workload.upload_path : workload.request_path) = "x";
+  return {.services = {{.workload = workload}},
+          .duration = seconds(48),
+          .seed = 7,
+          .sheet = std::string(TEST_DATA_DIR) + planned.sheet,
+          .day = "daily"};
+}
+
+/// @return Calls of a whole run that looks for due ones every so often.
+auto CountCalls(const LoadOptions& options, std::chrono::milliseconds step)
+    -> std::size_t {
+  const auto start = Clock::time_point(seconds(1000));
+  const auto end = start + options.duration;
+  auto arrivals = MakeArrivals(options, start);
+  std::size_t count = 0;
+  for (auto now = start; now < end + step; now += step) {
+    count += TakeDue(arrivals, options, std::min(now, end)).size();
+  }
+  return count;
+}
+
+/// @return Calls that a compressed day holds on average.
+auto ExpectedCalls(const LoadOptions& options) -> double {
+  std::ifstream file(options.sheet);
+  std::ostringstream text;
+  text << file.rdbuf();
+  const auto demand =
+      DemandOfDay(ParseSheet(text.str(), options.sheet),
+                  options.services[0].workload.service, options.day);
+  constexpr int kMinutes = 24 * 60;
+  double sum = 0;
+  for (int n = 0; n < kMinutes; ++n) {
+    sum += RateAt(demand, minutes(n));
+  }
+  return sum / kMinutes *
+         std::chrono::duration<double>(options.duration).count();
+}
+
+}  // namespace
+
+TEST(LoadSchedule, ADayOfEachServiceIsWhatItsSheetAsks) {
+  for (const auto& it : kPlanned) {
+    const auto options = OptionsOf(it);
+    const double expected = ExpectedCalls(options);
+    CHECK(expected > 0);
+    // Five standard deviations of a Poisson count.
+    DOUBLES_EQUAL(
+        expected,
+        static_cast<double>(CountCalls(options, std::chrono::milliseconds(2))),
+        5 * std::sqrt(expected));
+  }
+}
+
+TEST(LoadSchedule, TheSeedAloneDecidesWhatIsStarted) {
+  for (const auto& it : kPlanned) {
+    const auto options = OptionsOf(it);
+    const auto count = CountCalls(options, std::chrono::milliseconds(2));
+    LONGS_EQUAL(count, CountCalls(options, std::chrono::milliseconds(170)));
+    LONGS_EQUAL(count, CountCalls(options, options.duration));
+  }
+}
