--- a/include/hawthornbank/counters.h
+++ b/include/hawthornbank/counters.h
@@ -22,7 +22,6 @@
   kDropFragment,
   kDropNoTarget,
   kDropIsolated,
-  kDropForged,
   kDropWrongService,
   kDropWalkTooLong,
   kDropUnknownIcmp,
@@ -50,16 +49,16 @@
 
 /// Names of the counters, in the order of the enumeration.
 inline constexpr std::array<std::string_view, kCounterCount> kCounterNames = {
-    "packets_forwarded", "cache_hits",          "cache_misses",
-    "cache_evictions",   "drop_malformed",      "drop_unknown_service",
-    "drop_fragment",     "drop_no_target",      "drop_isolated",
-    "drop_forged",       "drop_wrong_service",  "drop_walk_too_long",
-    "drop_unknown_icmp", "reset_target_lost",   "reset_unknown_flow",
-    "reset_silent_flow", "refused_connections", "flows_accepted",
-    "flows_passed",      "flows_ended",         "packets_passed",
-    "lookups",           "hints_sent",          "hints_withheld",
-    "hints_received",    "pointers_sent",       "pointers_received",
-    "pointers_evicted",  "probes_sent",
+    "packets_forwarded",   "cache_hits",         "cache_misses",
+    "cache_evictions",     "drop_malformed",     "drop_unknown_service",
+    "drop_fragment",       "drop_no_target",     "drop_isolated",
+    "drop_wrong_service",  "drop_walk_too_long", "drop_unknown_icmp",
+    "reset_target_lost",   "reset_unknown_flow", "reset_silent_flow",
+    "refused_connections", "flows_accepted",     "flows_passed",
+    "flows_ended",         "packets_passed",     "lookups",
+    "hints_sent",          "hints_withheld",     "hints_received",
+    "pointers_sent",       "pointers_received",  "pointers_evicted",
+    "probes_sent",
 };
 static_assert(!kCounterNames.back().empty());
 
