--- a/apps/hawthornctl/arguments.cc
+++ b/apps/hawthornctl/arguments.cc
@@ -6,7 +6,6 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
-#include <utility>
 
 #include "hawthornbank/error.h"
 #include "protocol/name.h"
@@ -115,8 +114,8 @@
                 "ID",
                 command) {}
 
-auto Parse(TCLAP::CmdLine& command, Words words) -> void {
-  transport::ParseCommandLine(command, std::move(words));
+auto Parse(TCLAP::CmdLine& command, const Words& words) -> void {
+  transport::ParseCommandLine(command, words);
 }
 
 auto Region(const CommonArguments& arguments) -> std::string {
--- a/apps/hawthornctl/arguments.h
+++ b/apps/hawthornctl/arguments.h
@@ -48,7 +48,7 @@
 /// @param command The command line and its arguments.
 /// @param words The words, the first of which names the command.
 /// @throws Error kInvalidSettings naming the argument and the near match.
-auto Parse(TCLAP::CmdLine& command, Words words) -> void;
+auto Parse(TCLAP::CmdLine& command, const Words& words) -> void;
 
 /// @param arguments Parsed arguments.
 /// @return The region.
--- a/apps/hawthornctl/balancer_list.cc
+++ b/apps/hawthornctl/balancer_list.cc
@@ -5,11 +5,11 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunBalancerList(Words words) -> int {
+auto RunBalancerList(const Words& words) -> int {
   TCLAP::CmdLine command("Lists the balancers that a balancer knows.", ' ',
                          transport::Version());
   CommonArguments common(command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const ProcessStatus status = FetchStatus(BalancerAddresses(common));
   Table table = {{"balancer", "zone", "state", "generation"}};
   for (const auto& it : status.balancers) {
--- a/apps/hawthornctl/balancer_resume.cc
+++ b/apps/hawthornctl/balancer_resume.cc
@@ -5,7 +5,7 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunBalancerResume(Words words) -> int {
+auto RunBalancerResume(const Words& words) -> int {
   TCLAP::CmdLine command(
       "Lets stopped balancers serve again when they are started.", ' ',
       transport::Version());
@@ -13,7 +13,7 @@
   ChangeArguments change(command);
   TCLAP::UnlabeledMultiArg<std::string> names("names", "Names of the balancers",
                                               true, "NAME", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
 
   return MakeChange(common, change, [&](const Configuration& before) {
     RequireNames("stopped balancer", names.getValue(), before.stopping);
--- a/apps/hawthornctl/balancer_stop.cc
+++ b/apps/hawthornctl/balancer_stop.cc
@@ -7,7 +7,7 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunBalancerStop(Words words) -> int {
+auto RunBalancerStop(const Words& words) -> int {
   TCLAP::CmdLine command("Tells balancers to leave gracefully.", ' ',
                          transport::Version());
   CommonArguments common(command);
@@ -15,7 +15,7 @@
   UncheckedArgument unchecked(command);
   TCLAP::UnlabeledMultiArg<std::string> names("names", "Names of the balancers",
                                               true, "NAME", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   CheckNames("balancer", names.getValue(), BalancerNames, common, unchecked);
   return MakeChange(common, change, [&](const Configuration& before) {
     Configuration after = before;
--- a/apps/hawthornctl/commands.h
+++ b/apps/hawthornctl/commands.h
@@ -13,22 +13,22 @@
 /// Words of a command line.
 using Words = std::vector<std::string>;
 
-auto RunSheetCheck(Words words) -> int;
-auto RunSheetDiff(Words words) -> int;
-auto RunSheetImport(Words words) -> int;
-auto RunServiceList(Words words) -> int;
-auto RunServiceShow(Words words) -> int;
-auto RunServiceSet(Words words) -> int;
-auto RunTargetList(Words words) -> int;
-auto RunTargetDrain(Words words) -> int;
-auto RunTargetUndrain(Words words) -> int;
-auto RunBalancerList(Words words) -> int;
-auto RunBalancerStop(Words words) -> int;
-auto RunBalancerResume(Words words) -> int;
-auto RunPlanShow(Words words) -> int;
-auto RunStatus(Words words) -> int;
-auto RunWatch(Words words) -> int;
-auto RunMetrics(Words words) -> int;
+auto RunSheetCheck(const Words& words) -> int;
+auto RunSheetDiff(const Words& words) -> int;
+auto RunSheetImport(const Words& words) -> int;
+auto RunServiceList(const Words& words) -> int;
+auto RunServiceShow(const Words& words) -> int;
+auto RunServiceSet(const Words& words) -> int;
+auto RunTargetList(const Words& words) -> int;
+auto RunTargetDrain(const Words& words) -> int;
+auto RunTargetUndrain(const Words& words) -> int;
+auto RunBalancerList(const Words& words) -> int;
+auto RunBalancerStop(const Words& words) -> int;
+auto RunBalancerResume(const Words& words) -> int;
+auto RunPlanShow(const Words& words) -> int;
+auto RunStatus(const Words& words) -> int;
+auto RunWatch(const Words& words) -> int;
+auto RunMetrics(const Words& words) -> int;
 
 }  // namespace hawthornbank::hawthornctl
 
--- a/apps/hawthornctl/main.cc
+++ b/apps/hawthornctl/main.cc
@@ -23,7 +23,7 @@
 struct Command {
   std::string_view name;
   std::string_view summary;
-  auto(*run)(Words words) -> int;
+  auto(*run)(const Words& words) -> int;
 };
 
 namespace ctl = hawthornbank::hawthornctl;
@@ -103,7 +103,7 @@
       1 + std::count(command.name.begin(), command.name.end(), ' ');
   words.erase(words.begin(), words.begin() + used);
   words.insert(words.begin(), "hawthornctl " + std::string(command.name));
-  return command.run(std::move(words));
+  return command.run(words);
 }
 
 }  // namespace
--- a/apps/hawthornctl/metrics.cc
+++ b/apps/hawthornctl/metrics.cc
@@ -26,11 +26,11 @@
 
 }  // namespace
 
-auto RunMetrics(Words words) -> int {
+auto RunMetrics(const Words& words) -> int {
   TCLAP::CmdLine command("Prints the metrics of each balancer given.", ' ',
                          transport::Version());
   CommonArguments common(command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   json all = json::array();
   int exit_code = 0;
   for (const auto& it : BalancerAddresses(common)) {
--- a/apps/hawthornctl/plan_show.cc
+++ b/apps/hawthornctl/plan_show.cc
@@ -89,7 +89,7 @@
 
 }  // namespace
 
-auto RunPlanShow(Words words) -> int {
+auto RunPlanShow(const Words& words) -> int {
   TCLAP::CmdLine command(
       "Shows a day of the plan: demand, targets, slots, and when they change.",
       ' ', transport::Version());
@@ -98,7 +98,7 @@
                                     false, "", "YYYY-MM-DD", command);
   TCLAP::UnlabeledValueArg<std::string> name("service", "One service", false,
                                              "", "SERVICE", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const auto day = date.isSet() ? ParseDate(date.getValue()) : Today();
   const Configuration configuration = ReadAccepted(common);
   std::vector<Service> services = configuration.services;
--- a/apps/hawthornctl/service_list.cc
+++ b/apps/hawthornctl/service_list.cc
@@ -6,11 +6,11 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunServiceList(Words words) -> int {
+auto RunServiceList(const Words& words) -> int {
   TCLAP::CmdLine command("Lists the services of the configuration.", ' ',
                          transport::Version());
   CommonArguments common(command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   Table table = {{"service"}};
   for (const auto& field : ListFields(Service{})) {
     table[0].push_back(field.name);
--- a/apps/hawthornctl/service_set.cc
+++ b/apps/hawthornctl/service_set.cc
@@ -81,7 +81,7 @@
 
 }  // namespace
 
-auto RunServiceSet(Words words) -> int {
+auto RunServiceSet(const Words& words) -> int {
   TCLAP::CmdLine command(
       "Changes fields of a service, named as the sheet's columns.", ' ',
       transport::Version());
@@ -97,7 +97,7 @@
                                              "SERVICE", command);
   TCLAP::UnlabeledMultiArg<std::string> fields("fields", "As targets=8", true,
                                                "FIELD=VALUE", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const SheetConsent consent{.drop = drop.getValue(),
                              .shrink = shrink.getValue()};
   CheckFields(fields.getValue());
--- a/apps/hawthornctl/service_show.cc
+++ b/apps/hawthornctl/service_show.cc
@@ -7,13 +7,13 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunServiceShow(Words words) -> int {
+auto RunServiceShow(const Words& words) -> int {
   TCLAP::CmdLine command("Shows one service and its demand.", ' ',
                          transport::Version());
   CommonArguments common(command);
   TCLAP::UnlabeledValueArg<std::string> name("service", "Its name", true, "",
                                              "SERVICE", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const Configuration configuration = ReadAccepted(common);
   const Service& service = RequireService(configuration, name.getValue());
   Table table = {{"field", "value"}, {"service", service.name}};
--- a/apps/hawthornctl/sheet_check.cc
+++ b/apps/hawthornctl/sheet_check.cc
@@ -31,13 +31,13 @@
 
 }  // namespace
 
-auto RunSheetCheck(Words words) -> int {
+auto RunSheetCheck(const Words& words) -> int {
   TCLAP::CmdLine command("Checks a sheet and names all its faults.", ' ',
                          transport::Version());
   TCLAP::SwitchArg as_json("", "json", "Answer as JSON", command);
   TCLAP::UnlabeledValueArg<std::string> file("file", "The sheet (CSV)", true,
                                              "", "FILE", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const std::string text = ReadFile(file.getValue());
   if (as_json.getValue()) {
     const auto checked = CheckSheet(text);
--- a/apps/hawthornctl/sheet_diff.cc
+++ b/apps/hawthornctl/sheet_diff.cc
@@ -5,13 +5,13 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunSheetDiff(Words words) -> int {
+auto RunSheetDiff(const Words& words) -> int {
   TCLAP::CmdLine command("Shows what importing a sheet would change.", ' ',
                          transport::Version());
   CommonArguments common(command);
   TCLAP::UnlabeledValueArg<std::string> file("file", "The sheet (CSV)", true,
                                              "", "FILE", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const Sheet sheet = ParseSheet(ReadFile(file.getValue()), file.getValue());
   const Configuration before = ReadAccepted(common);
   // Shown even where an import would ask for consent.
--- a/apps/hawthornctl/sheet_import.cc
+++ b/apps/hawthornctl/sheet_import.cc
@@ -6,7 +6,7 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunSheetImport(Words words) -> int {
+auto RunSheetImport(const Words& words) -> int {
   TCLAP::CmdLine command(
       "Makes a sheet's services and demand the configuration, whole or not at "
       "all. A service that the sheet drops, moves or halves must be named.",
@@ -21,7 +21,7 @@
                                       "SERVICE", command);
   TCLAP::UnlabeledValueArg<std::string> file("file", "The sheet (CSV)", true,
                                              "", "FILE", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const Sheet sheet = ParseSheet(ReadFile(file.getValue()), file.getValue());
   const SheetConsent consent{.drop = drop.getValue(),
                              .shrink = shrink.getValue()};
--- a/apps/hawthornctl/status.cc
+++ b/apps/hawthornctl/status.cc
@@ -162,14 +162,14 @@
 
 }  // namespace
 
-auto RunStatus(Words words) -> int {
+auto RunStatus(const Words& words) -> int {
   TCLAP::CmdLine command(
       "Says where the configuration is in force, who lags, what was refused "
       "and why, and what one balancer has counted.",
       ' ', transport::Version());
   CommonArguments common(command);
   AgentArguments agents(command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const auto overview = MakeOverview(common, agents);
   common.json.getValue() ? PrintJson(overview) : PrintText(overview);
   return 0;
--- a/apps/hawthornctl/target_drain.cc
+++ b/apps/hawthornctl/target_drain.cc
@@ -7,7 +7,7 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunTargetDrain(Words words) -> int {
+auto RunTargetDrain(const Words& words) -> int {
   TCLAP::CmdLine command(
       "Tells targets to take no new work; their flows go on until they end or "
       "reach the drain limit.",
@@ -17,7 +17,7 @@
   UncheckedArgument unchecked(command);
   TCLAP::UnlabeledMultiArg<std::string> names("names", "Names of the targets",
                                               true, "NAME", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   // The configuration names no targets, so only balancers know a typing error.
   CheckNames("target", names.getValue(), TargetNames, common, unchecked);
   return MakeChange(common, change, [&](const Configuration& before) {
--- a/apps/hawthornctl/target_list.cc
+++ b/apps/hawthornctl/target_list.cc
@@ -5,11 +5,11 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunTargetList(Words words) -> int {
+auto RunTargetList(const Words& words) -> int {
   TCLAP::CmdLine command("Lists the targets that a balancer knows.", ' ',
                          transport::Version());
   CommonArguments common(command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   const ProcessStatus status = FetchStatus(BalancerAddresses(common));
   Table table = {
       {"target", "service", "zone", "state", "connections", "slots_busy"}};
--- a/apps/hawthornctl/target_undrain.cc
+++ b/apps/hawthornctl/target_undrain.cc
@@ -5,14 +5,14 @@
 
 namespace hawthornbank::hawthornctl {
 
-auto RunTargetUndrain(Words words) -> int {
+auto RunTargetUndrain(const Words& words) -> int {
   TCLAP::CmdLine command("Lets draining targets take new work again.", ' ',
                          transport::Version());
   CommonArguments common(command);
   ChangeArguments change(command);
   TCLAP::UnlabeledMultiArg<std::string> names("names", "Names of the targets",
                                               true, "NAME", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
 
   return MakeChange(common, change, [&](const Configuration& before) {
     RequireNames("draining target", names.getValue(), before.draining);
--- a/apps/hawthornctl/watch.cc
+++ b/apps/hawthornctl/watch.cc
@@ -68,7 +68,7 @@
 
 }  // namespace
 
-auto RunWatch(Words words) -> int {
+auto RunWatch(const Words& words) -> int {
   TCLAP::CmdLine command(
       "Prints a line for each change: what is in force where and who lags, "
       "states of targets and balancers, refusals by reason as rates.",
@@ -78,7 +78,7 @@
   TCLAP::ValueArg<unsigned> limit("", "for",
                                   "How long; else until it is interrupted",
                                   false, 0, "SECONDS", command);
-  Parse(command, std::move(words));
+  Parse(command, words);
   auto processes = BalancerAddresses(common);
   const auto more = AgentAddresses(agents);
   processes.insert(processes.end(), more.begin(), more.end());
--- a/src/transport/command_line.cc
+++ b/src/transport/command_line.cc
@@ -74,8 +74,8 @@
 
 }  // namespace
 
-auto ParseCommandLine(TCLAP::CmdLine& command, std::vector<std::string> words)
-    -> void {
+auto ParseCommandLine(TCLAP::CmdLine& command,
+                      const std::vector<std::string>& words) -> void {
   command.setExceptionHandling(false);
   CheckOptions(command, words);
   CheckNumbers(words);
--- a/src/transport/command_line.h
+++ b/src/transport/command_line.h
@@ -18,8 +18,8 @@
 /// @param words The words, the first of which names the program.
 /// @throws Error kInvalidSettings naming the argument and the near match.
 /// @throws TCLAP::ExitException after --help and --version.
-auto ParseCommandLine(TCLAP::CmdLine& command, std::vector<std::string> words)
-    -> void;
+auto ParseCommandLine(TCLAP::CmdLine& command,
+                      const std::vector<std::string>& words) -> void;
 
 /// @param name Name of the program, without its path.
 /// @param argc Count of arguments, as main() has it.
--- a/support/hawthornctl-completion.bash
+++ b/support/hawthornctl-completion.bash
@@ -15,7 +15,7 @@
   COMPREPLY=()
   if [ "$COMP_CWORD" -eq 1 ]; then
     words="sheet service target balancer plan status watch metrics --help --version"
-  elif [ "$COMP_CWORD" -eq 2 ]; then
+  elif [ "$COMP_CWORD" -eq 2 ] && [[ $word != --* ]]; then
     case $group in
       sheet) words="check diff import" ;;
       service) words="list show set" ;;
