--- a/support/demo.sh
+++ b/support/demo.sh
@@ -16,10 +16,21 @@
 PLANSTORE_TARGETS=3
 
 KEEP=
-if [ "${1:-}" = --keep ]; then
-  KEEP=$2
-  mkdir -p "$KEEP"
-fi
+case "${1:-}" in
+  "") ;;
+  --keep)
+    KEEP=${2:?--keep needs a directory}
+    mkdir -p "$KEEP"
+    ;;
+  -h | --help)
+    sed -n '2,7s/^# \{0,1\}//p' "$0"
+    exit 0
+    ;;
+  *)
+    echo "demo.sh: '$1' is unknown; see --help" >&2
+    exit 2
+    ;;
+esac
 
 declare -A PID=()
 
