--- a/src/coordination/membership_internal.h
+++ b/src/coordination/membership_internal.h
@@ -97,6 +97,8 @@
                  TimePoint now,
                  Actions& out) -> void;
 
+/// @return Whether more than half of the watched members are silent.
+auto AreMostSilent(const Membership& membership, TimePoint now) -> bool;
 /// @return Whether nothing at all is heard: the fault is likelier on this side.
 auto IsDeaf(const Membership& membership, TimePoint now) -> bool;
 /// Doubts self one step more after it suspected a member wrongly.
