--- a/apps/hawthornctl/in_force.cc
+++ b/apps/hawthornctl/in_force.cc
@@ -31,23 +31,32 @@
 /// Asks once.
 /// @return Who lags, or nothing when no balancer answers.
 auto AskOnce(const std::vector<Endpoint>& balancers, Generation generation)
-    -> std::optional<InForce> {
-  try {
-    return CountInForce(FetchStatus(balancers), generation);
-  } catch (const Error&) {
-    return std::nullopt;
-  }
+    -> std::optional<Progress> {
+  const auto pages = FetchPages(balancers);
+  return pages.pages.empty() ? std::nullopt
+                             : std::optional(ReadProgress(pages, generation));
+}
+
+auto DescribePart(std::size_t done,
+                  std::size_t total,
+                  const std::string& of,
+                  const std::vector<std::string>& lagging) -> std::string {
+  return std::to_string(done) + " of " + std::to_string(total) + ' ' + of +
+         (lagging.empty() ? "" : "; missing: " + Join(lagging));
 }
 
-auto DescribeProgress(const std::optional<InForce>& in_force) -> std::string {
-  if (!in_force) {
+auto DescribeProgress(const std::optional<Progress>& progress) -> std::string {
+  if (!progress) {
     return "no balancer answers";
   }
-  const std::size_t done = in_force->total - in_force->lagging.size();
-  std::string text = "in force on " + std::to_string(done) + " of " +
-                     std::to_string(in_force->total);
-  if (!in_force->lagging.empty()) {
-    text += "; missing: " + Join(in_force->lagging);
+  const auto& [balancers, hosts] = *progress;
+  std::string text =
+      "in force on " + DescribePart(balancers.total - balancers.lagging.size(),
+                                    balancers.total, "balancers",
+                                    balancers.lagging);
+  if (hosts.total > 0) {
+    text += ", on " + DescribePart(hosts.in_force, hosts.total,
+                                   "balancers and agents", hosts.lagging);
   }
   return text;
 }
@@ -141,6 +150,22 @@
   return in_force;
 }
 
+auto ReadProgress(const StatusPages& pages, Generation generation) -> Progress {
+  Progress progress{.balancers = CountInForce(pages.pages.front(), generation)};
+  if (const auto* const root = FindRoot(pages)) {
+    progress.hosts = root->hosts;
+    if (root->hosts.generation < generation) {
+      progress.hosts.in_force = 0;
+    }
+  }
+  return progress;
+}
+
+auto IsEverywhere(const Progress& progress) -> bool {
+  return progress.balancers.lagging.empty() &&
+         progress.hosts.in_force == progress.hosts.total;
+}
+
 auto NewestGeneration(const ProcessStatus& status) -> Generation {
   Generation newest = status.generation;
   for (const auto& it : status.balancers) {
@@ -163,7 +188,7 @@
                 << " s: " << progress << '\n';
       last = progress;
     }
-    if (in_force && in_force->lagging.empty()) {
+    if (in_force && IsEverywhere(*in_force)) {
       return 0;
     }
     if (elapsed > limit) {
--- a/apps/hawthornctl/in_force.h
+++ b/apps/hawthornctl/in_force.h
@@ -56,6 +56,23 @@
   std::vector<std::string> lagging;  ///< "entry-3 (generation 4)".
 };
 
+/// Who has a generation in force, of balancers and of all hosts.
+struct Progress {
+  InForce balancers;
+  HostsStatus hosts;  ///< Its total is 0 when the root did not answer.
+};
+
+/// Reads off status pages how far a generation has come.
+/// @param pages What balancers answered; at least one page.
+/// @param generation The generation asked for.
+/// @return The progress; no host counts while the root knows an older one.
+auto ReadProgress(const StatusPages& pages, Generation generation) -> Progress;
+
+/// @param progress How far a generation has come.
+/// @return Whether it is in force on every balancer, and on every agent as far
+///     as the root answered.
+auto IsEverywhere(const Progress& progress) -> bool;
+
 /// Counts the balancers that have a generation in force. Those that are dead
 /// or have left don't count.
 /// @param status What one balancer knows.
@@ -69,7 +86,7 @@
 auto NewestGeneration(const ProcessStatus& status) -> Generation;
 
 /// Waits until a generation is in force everywhere, with progress on standard
-/// error.
+/// error. Agents are waited for when the root of the reports is asked too.
 /// @param balancers Whom to ask.
 /// @param generation What to wait for.
 /// @param limit Longest wait.
--- a/apps/hawthornctl/status.cc
+++ b/apps/hawthornctl/status.cc
@@ -61,11 +61,7 @@
       std::max({accepted, NewestGeneration(*first),
                 root != nullptr ? root->hosts.generation : Generation{}});
   overview.balancers = CountInForce(*first, overview.newest);
-  if (root != nullptr) {
-    overview.hosts = root->hosts;
-    overview.hosts.in_force =
-        root->hosts.generation < overview.newest ? 0 : root->hosts.in_force;
-  }
+  overview.hosts = ReadProgress(overview.pages, overview.newest).hosts;
   overview.refusals = SumRefusals(overview.pages);
   return overview;
 }
--- a/test/hawthornctl_test.cc
+++ b/test/hawthornctl_test.cc
@@ -352,6 +352,34 @@
   LONGS_EQUAL(4, value.at("refusals").at("drop_no_target").get<int>());
 }
 
+TEST(Hawthornctl, WaitsForAgentsToo) {
+  Tool("sheet import " + kSheet);
+  const FakeProcess balancer(EntryStatus());
+  const std::string drain =
+      "target drain fitquote-1 --wait --wait-limit-s 0 --balancer " +
+      balancer.Address();
+  const Ran lagging = Tool(drain);
+  STRCMP_CONTAINS(
+      "in force on 1 of 1 balancers, on 2 of 3 balancers and agents; missing: "
+      "fitquote-1",
+      lagging.text.c_str());
+  LONGS_EQUAL(4, lagging.code);
+  auto everywhere = EntryStatus();
+  everywhere.generation = Generation{3};
+  everywhere.balancers[0].generation = Generation{3};
+  everywhere.hosts = {.root = "entry-1",
+                      .generation = Generation{3},
+                      .total = 3,
+                      .in_force = 3,
+                      .lagging = {}};
+  const FakeProcess other(everywhere);
+  const Ran done =
+      Tool("target undrain fitquote-1 --wait --wait-limit-s 0 --balancer " +
+           other.Address());
+  STRCMP_CONTAINS("on 3 of 3 balancers and agents", done.text.c_str());
+  LONGS_EQUAL(0, done.code);
+}
+
 TEST(Hawthornctl, StatusNamesTheBalancerThatSumsUp) {
   auto status = EntryStatus();
   status.hosts.root = "entry-9";
