--- a/test/membership_fleet_test.cc
+++ b/test/membership_fleet_test.cc
@@ -23,24 +23,6 @@
   return fleet.now() - begin;
 }
 
-auto LossyNine(std::uint64_t seed) -> FleetOptions {
-  return FleetOptions{
-      .balancers = 9, .agents = 12, .jitter = 20ms, .loss = 0.01, .seed = seed};
-}
-
-/// Balancers that watch an agent's target.
-auto WatchersOfAgent(const MembershipFleet& fleet, std::size_t agent)
-    -> std::vector<std::size_t> {
-  std::vector<std::size_t> watchers;
-  for (std::size_t n = 0; n < 9; ++n) {
-    const auto& targets = fleet.balancer(n).targets;
-    if (targets.at(fleet.agent_id(agent)).status.watched) {
-      watchers.push_back(n);
-    }
-  }
-  return watchers;
-}
-
 /// Samples, ten a second, in which a balancer misses a live target.
 auto CountGaps(MembershipFleet& fleet, Duration duration) -> std::size_t {
   std::size_t gaps = 0;
@@ -59,14 +41,6 @@
       }));
 }
 
-auto CountAlive(const Membership& membership) -> std::size_t {
-  const auto balancers = Balancers(membership);
-  return static_cast<std::size_t>(std::count_if(
-      balancers.begin(), balancers.end(), [](const BalancerRecord& it) {
-        return it.state == BalancerState::kAlive;
-      }));
-}
-
 }  // namespace
 
 TEST_GROUP(MembershipFleet){};
@@ -103,13 +77,6 @@
   }
 }
 
-TEST(MembershipFleet, NoFalseDeathInAnHourOfLossAndJitter) {
-  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
-  fleet.Run(1h);
-  CHECK(fleet.IsWhole());
-  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
-}
-
 TEST(MembershipFleet, NewcomerServesWithinTwoSeconds) {
   MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
   fleet.Run(20s);
@@ -122,61 +89,6 @@
   CHECK(took <= 2s);
 }
 
-TEST(MembershipFleet, NewcomerIsNotReadyBeforeItKnowsAll) {
-  MembershipFleet fleet(FleetOptions{.balancers = 6, .agents = 600});
-  fleet.Run(30s);
-  CHECK(fleet.IsWhole());
-  fleet.KillBalancer(4);
-  fleet.Run(20s);
-  fleet.StartBalancer(4);
-  CHECK(!IsReady(fleet.balancer(4)));
-  const auto took =
-      RunUntil(fleet, 10s, [&] { return IsReady(fleet.balancer(4)); });
-  CHECK(took <= 2s);
-  CHECK(fleet.IsWhole());
-}
-
-TEST(MembershipFleet, EverybodyLearnsTheGenerationsInForce) {
-  MembershipFleet fleet(FleetOptions{
-      .balancers = 60, .agents = 60, .jitter = 100ms, .loss = 0.05});
-  fleet.Run(20s);
-  for (std::size_t n = 0; n < 60; ++n) {
-    fleet.SetGeneration(n, Generation{2});
-  }
-  const auto all_know = [&] {
-    for (std::size_t n = 0; n < 60; ++n) {
-      for (const auto& it : Balancers(fleet.balancer(n))) {
-        if (it.generation != Generation{2}) {
-          return false;
-        }
-      }
-    }
-    return true;
-  };
-  CHECK(RunUntil(fleet, 30s, all_know) <= 14s);
-}
-
-TEST(MembershipFleet, GenerationsCostLessThanRecords) {
-  MembershipFleet fleet(FleetOptions{.balancers = 60, .agents = 60});
-  const auto bytes_in = [&fleet](Duration duration) {
-    fleet.ResetTraffic();
-    fleet.Run(duration);
-    std::uint64_t bytes = 0;
-    for (std::size_t n = 0; n < 60; ++n) {
-      bytes += fleet.balancer_traffic(n).bytes;
-    }
-    return bytes / 60;
-  };
-  fleet.Run(20s);
-  const auto quiet = bytes_in(20s);
-  for (std::size_t n = 0; n < 60; ++n) {
-    fleet.SetGeneration(n, Generation{2});
-  }
-  // A record sent to two peers in two rounds, by each balancer.
-  const auto records = 60 * EncodedSize(fleet.balancer(0).self);
-  CHECK(bytes_in(20s) <= quiet + 4 * records);
-}
-
 TEST(MembershipFleet, TargetLostWithItsZoneWatchersIsStillFound) {
   MembershipFleet fleet(FleetOptions{.balancers = 9, .agents = 12});
   fleet.Run(20s);
@@ -286,85 +198,6 @@
   CHECK(fleet.events(MembershipEvent::kSelfDoubt) > 0);
 }
 
-TEST(MembershipFleet, DeafObserverTakesNothingAway) {
-  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
-  fleet.Run(20s);
-  fleet.Deafen(fleet.balancer_host(0), 1);
-  for (int n = 0; n < 600; ++n) {
-    fleet.Run(100ms);
-    CHECK(fleet.IsWhole());
-  }
-  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
-}
-
-TEST(MembershipFleet, HalfDeafObserverDeclaresNobodyDead) {
-  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    MembershipFleet fleet(
-        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
-    fleet.Run(20s);
-    fleet.Deafen(fleet.balancer_host(0), 0.5);
-    fleet.Run(5min);
-    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
-  }
-}
-
-TEST(MembershipFleet, WatcherThatNoLongerHearsATargetLetsOthersVouch) {
-  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    MembershipFleet fleet(LossyNine(seed));
-    fleet.Run(20s);
-    for (const auto watcher : WatchersOfAgent(fleet, 4)) {
-      const auto suspicions = fleet.events(MembershipEvent::kSuspected);
-      fleet.CutOneWay(fleet.agent_host(4), fleet.balancer_host(watcher));
-      LONGS_EQUAL(0, CountGaps(fleet, 2min));
-      fleet.EndOneWayCuts();
-      CHECK(fleet.events(MembershipEvent::kSuspected) <= suspicions + 2);
-    }
-    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
-  }
-}
-
-TEST(MembershipFleet, TargetThatNoLongerHearsAWatcherKeepsServing) {
-  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    MembershipFleet fleet(LossyNine(seed));
-    fleet.Run(20s);
-    for (const auto watcher : WatchersOfAgent(fleet, 4)) {
-      fleet.CutOneWay(fleet.balancer_host(watcher), fleet.agent_host(4));
-      LONGS_EQUAL(0, CountGaps(fleet, 2min));
-      fleet.EndOneWayCuts();
-    }
-    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
-  }
-}
-
-TEST(MembershipFleet, BalancersWithALinkCutOneWayKeepEachOther) {
-  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    MembershipFleet fleet(LossyNine(seed));
-    fleet.Run(20s);
-    for (std::size_t n = 1; n < 9; ++n) {
-      fleet.CutOneWay(fleet.balancer_host(0), fleet.balancer_host(n));
-      std::size_t gaps = CountGaps(fleet, 1min);
-      fleet.EndOneWayCuts();
-      LONGS_EQUAL(0, gaps);
-      LONGS_EQUAL(9, CountAlive(fleet.balancer(n)));
-    }
-    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
-  }
-}
-
-TEST(MembershipFleet, CrashBehindAOneWayCutIsStillFound) {
-  MembershipFleet fleet(LossyNine(1));
-  fleet.Run(20s);
-  for (const auto watcher : WatchersOfAgent(fleet, 4)) {
-    fleet.CutOneWay(fleet.agent_host(4), fleet.balancer_host(watcher));
-    break;
-  }
-  fleet.Run(30s);
-  fleet.KillAgent(4);
-  const auto took =
-      RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
-  CHECK(took <= 5s);
-}
-
 TEST(MembershipFleet, SuspicionOfALiveTargetIsRefuted) {
   MembershipFleet fleet(FleetOptions{});
   fleet.Run(20s);
@@ -391,20 +224,6 @@
   CHECK(took <= 10s);
 }
 
-TEST(MembershipFleet, TrafficStaysInTheBudget) {
-  MembershipFleet fleet(FleetOptions{
-      .balancers = 20, .agents = 200, .jitter = 100ms, .loss = 0.05});
-  fleet.Run(30s);
-  fleet.ResetTraffic();
-  fleet.Run(60s);
-  for (std::size_t n = 0; n < 20; ++n) {
-    CHECK(fleet.balancer_traffic(n).bytes <= 60UL * 3072);
-  }
-  for (std::size_t n = 0; n < 200; ++n) {
-    CHECK(fleet.agent_traffic(n).bytes <= 60UL * 3072);
-  }
-}
-
 TEST(MembershipFleet, InsignificantLoadIsNotGossiped) {
   MembershipFleet fleet(FleetOptions{});
   fleet.Run(20s);
--- /dev/null
+++ b/test/membership_links_test.cc
@@ -0,0 +1,144 @@
+#include "common/membership_fleet.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+using bench::FleetOptions;
+using bench::MembershipFleet;
+
+namespace {
+
+/// Runs until a condition holds.
+/// @return How long that took, or the limit.
+template <class Condition>
+auto RunUntil(MembershipFleet& fleet, Duration limit, Condition condition)
+    -> Duration {
+  const auto begin = fleet.now();
+  while (!condition() && fleet.now() - begin < limit) {
+    fleet.Run(10ms);
+  }
+  return fleet.now() - begin;
+}
+
+auto LossyNine(std::uint64_t seed) -> FleetOptions {
+  return FleetOptions{
+      .balancers = 9, .agents = 12, .jitter = 20ms, .loss = 0.01, .seed = seed};
+}
+
+/// Balancers that watch an agent's target.
+auto WatchersOfAgent(const MembershipFleet& fleet, std::size_t agent)
+    -> std::vector<std::size_t> {
+  std::vector<std::size_t> watchers;
+  for (std::size_t n = 0; n < 9; ++n) {
+    const auto& targets = fleet.balancer(n).targets;
+    if (targets.at(fleet.agent_id(agent)).status.watched) {
+      watchers.push_back(n);
+    }
+  }
+  return watchers;
+}
+
+/// Samples, ten a second, in which a balancer misses a live target.
+auto CountGaps(MembershipFleet& fleet, Duration duration) -> std::size_t {
+  std::size_t gaps = 0;
+  const auto end = fleet.now() + duration;
+  while (fleet.now() < end) {
+    fleet.Run(100ms);
+    gaps += fleet.IsWhole() ? 0 : 1;
+  }
+  return gaps;
+}
+
+auto CountAlive(const Membership& membership) -> std::size_t {
+  const auto balancers = Balancers(membership);
+  return static_cast<std::size_t>(std::count_if(
+      balancers.begin(), balancers.end(), [](const BalancerRecord& it) {
+        return it.state == BalancerState::kAlive;
+      }));
+}
+
+}  // namespace
+
+TEST_GROUP(MembershipLinks){};
+
+TEST(MembershipLinks, DeafObserverTakesNothingAway) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  fleet.Deafen(fleet.balancer_host(0), 1);
+  for (int n = 0; n < 600; ++n) {
+    fleet.Run(100ms);
+    CHECK(fleet.IsWhole());
+  }
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+}
+
+TEST(MembershipLinks, HalfDeafObserverDeclaresNobodyDead) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    MembershipFleet fleet(
+        FleetOptions{.jitter = 100ms, .loss = 0.05, .seed = seed});
+    fleet.Run(20s);
+    fleet.Deafen(fleet.balancer_host(0), 0.5);
+    fleet.Run(5min);
+    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  }
+}
+
+TEST(MembershipLinks, WatcherThatNoLongerHearsATargetLetsOthersVouch) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    MembershipFleet fleet(LossyNine(seed));
+    fleet.Run(20s);
+    for (const auto watcher : WatchersOfAgent(fleet, 4)) {
+      const auto suspicions = fleet.events(MembershipEvent::kSuspected);
+      fleet.CutOneWay(fleet.agent_host(4), fleet.balancer_host(watcher));
+      LONGS_EQUAL(0, CountGaps(fleet, 2min));
+      fleet.EndOneWayCuts();
+      CHECK(fleet.events(MembershipEvent::kSuspected) <= suspicions + 2);
+    }
+    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  }
+}
+
+TEST(MembershipLinks, TargetThatNoLongerHearsAWatcherKeepsServing) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    MembershipFleet fleet(LossyNine(seed));
+    fleet.Run(20s);
+    for (const auto watcher : WatchersOfAgent(fleet, 4)) {
+      fleet.CutOneWay(fleet.balancer_host(watcher), fleet.agent_host(4));
+      LONGS_EQUAL(0, CountGaps(fleet, 2min));
+      fleet.EndOneWayCuts();
+    }
+    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  }
+}
+
+TEST(MembershipLinks, BalancersWithALinkCutOneWayKeepEachOther) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    MembershipFleet fleet(LossyNine(seed));
+    fleet.Run(20s);
+    for (std::size_t n = 1; n < 9; ++n) {
+      fleet.CutOneWay(fleet.balancer_host(0), fleet.balancer_host(n));
+      std::size_t gaps = CountGaps(fleet, 1min);
+      fleet.EndOneWayCuts();
+      LONGS_EQUAL(0, gaps);
+      LONGS_EQUAL(9, CountAlive(fleet.balancer(n)));
+    }
+    LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+  }
+}
+
+TEST(MembershipLinks, CrashBehindAOneWayCutIsStillFound) {
+  MembershipFleet fleet(LossyNine(1));
+  fleet.Run(20s);
+  for (const auto watcher : WatchersOfAgent(fleet, 4)) {
+    fleet.CutOneWay(fleet.agent_host(4), fleet.balancer_host(watcher));
+    break;
+  }
+  fleet.Run(30s);
+  fleet.KillAgent(4);
+  const auto took =
+      RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+  CHECK(took <= 5s);
+}
--- /dev/null
+++ b/test/membership_size_test.cc
@@ -0,0 +1,102 @@
+#include "common/membership_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+using bench::FleetOptions;
+using bench::MembershipFleet;
+
+namespace {
+
+/// Runs until a condition holds.
+/// @return How long that took, or the limit.
+template <class Condition>
+auto RunUntil(MembershipFleet& fleet, Duration limit, Condition condition)
+    -> Duration {
+  const auto begin = fleet.now();
+  while (!condition() && fleet.now() - begin < limit) {
+    fleet.Run(10ms);
+  }
+  return fleet.now() - begin;
+}
+
+}  // namespace
+
+TEST_GROUP(MembershipSize){};
+
+TEST(MembershipSize, NoFalseDeathInAnHourOfLossAndJitter) {
+  MembershipFleet fleet(FleetOptions{.jitter = 100ms, .loss = 0.05});
+  fleet.Run(1h);
+  CHECK(fleet.IsWhole());
+  LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
+}
+
+TEST(MembershipSize, NewcomerIsNotReadyBeforeItKnowsAll) {
+  MembershipFleet fleet(FleetOptions{.balancers = 6, .agents = 600});
+  fleet.Run(30s);
+  CHECK(fleet.IsWhole());
+  fleet.KillBalancer(4);
+  fleet.Run(20s);
+  fleet.StartBalancer(4);
+  CHECK(!IsReady(fleet.balancer(4)));
+  const auto took =
+      RunUntil(fleet, 10s, [&] { return IsReady(fleet.balancer(4)); });
+  CHECK(took <= 2s);
+  CHECK(fleet.IsWhole());
+}
+
+TEST(MembershipSize, EverybodyLearnsTheGenerationsInForce) {
+  MembershipFleet fleet(FleetOptions{
+      .balancers = 60, .agents = 60, .jitter = 100ms, .loss = 0.05});
+  fleet.Run(20s);
+  for (std::size_t n = 0; n < 60; ++n) {
+    fleet.SetGeneration(n, Generation{2});
+  }
+  const auto all_know = [&] {
+    for (std::size_t n = 0; n < 60; ++n) {
+      for (const auto& it : Balancers(fleet.balancer(n))) {
+        if (it.generation != Generation{2}) {
+          return false;
+        }
+      }
+    }
+    return true;
+  };
+  CHECK(RunUntil(fleet, 30s, all_know) <= 14s);
+}
+
+TEST(MembershipSize, GenerationsCostLessThanRecords) {
+  MembershipFleet fleet(FleetOptions{.balancers = 60, .agents = 60});
+  const auto bytes_in = [&fleet](Duration duration) {
+    fleet.ResetTraffic();
+    fleet.Run(duration);
+    std::uint64_t bytes = 0;
+    for (std::size_t n = 0; n < 60; ++n) {
+      bytes += fleet.balancer_traffic(n).bytes;
+    }
+    return bytes / 60;
+  };
+  fleet.Run(20s);
+  const auto quiet = bytes_in(20s);
+  for (std::size_t n = 0; n < 60; ++n) {
+    fleet.SetGeneration(n, Generation{2});
+  }
+  // A record sent to two peers in two rounds, by each balancer.
+  const auto records = 60 * EncodedSize(fleet.balancer(0).self);
+  CHECK(bytes_in(20s) <= quiet + 4 * records);
+}
+
+TEST(MembershipSize, TrafficStaysInTheBudget) {
+  MembershipFleet fleet(FleetOptions{
+      .balancers = 20, .agents = 200, .jitter = 100ms, .loss = 0.05});
+  fleet.Run(30s);
+  fleet.ResetTraffic();
+  fleet.Run(60s);
+  for (std::size_t n = 0; n < 20; ++n) {
+    CHECK(fleet.balancer_traffic(n).bytes <= 60UL * 3072);
+  }
+  for (std::size_t n = 0; n < 200; ++n) {
+    CHECK(fleet.agent_traffic(n).bytes <= 60UL * 3072);
+  }
+}
