--- a/bench/routing.cc
+++ b/bench/routing.cc
@@ -173,6 +173,13 @@
         .crowded_factor = 3,
         .cold_period = seconds{100}}},
       {"lying_7_at_70", {.targets = 7, .load = 0.70, .report_error = 0.5}},
+      {"crowded_7_at_85", {.targets = 7, .load = 0.85, .crowded_factor = 3}},
+      {"cold_7_at_85",
+       {.targets = 7,
+        .load = 0.85,
+        .crowded_factor = 3,
+        .cold_period = seconds{100}}},
+      {"lying_7_at_85", {.targets = 7, .load = 0.85, .report_error = 0.5}},
   };
 }
 
