Run a fleet until a condition holds, and tell of a drain, in one place each

Splitting the fleets' tests had left three copies of RunUntil beside a fourth in bench_membership; it is a member of the fleet now, as RecoveryFleet has one. An agent told its gate and announcer of a drain in two places; TellDrain() does.

--- a/bench/common/membership_fleet.cc
+++ b/bench/common/membership_fleet.cc
@@ -60,6 +60,17 @@
   network_.RunUntil(now() + duration);
 }
 
+auto MembershipFleet::RunUntil(Duration limit,
+                               const std::function<bool()>& condition)
+    -> Duration {
+  constexpr std::chrono::milliseconds kStep{10};
+  const auto begin = now();
+  while (!condition() && now() - begin < limit) {
+    Run(kStep);
+  }
+  return now() - begin;
+}
+
 auto MembershipFleet::balancer(std::size_t n) const -> const Membership& {
   return *balancers_[n].core;
 }
--- a/bench/common/membership_fleet.h
+++ b/bench/common/membership_fleet.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -52,6 +53,10 @@
   [[nodiscard]] auto now() const -> TimePoint { return network_.now(); }
   /// Runs the fleet for some time.
   auto Run(Duration duration) -> void;
+  /// Runs until a condition holds.
+  /// @return How long that took, or the limit.
+  auto RunUntil(Duration limit, const std::function<bool()>& condition)
+      -> Duration;
 
   [[nodiscard]] auto balancer(std::size_t n) const -> const Membership&;
   auto agent(std::size_t n) -> Announcer&;
--- a/bench/membership.cc
+++ b/bench/membership.cc
@@ -31,11 +31,7 @@
 template <class Condition>
 auto SecondsUntil(MembershipFleet& fleet, Condition condition) -> double {
   constexpr Duration kLimit = 60s;
-  const auto begin = fleet.now();
-  while (!condition() && fleet.now() - begin < kLimit) {
-    fleet.Run(10ms);
-  }
-  return ToSeconds(fleet.now() - begin);
+  return ToSeconds(fleet.RunUntil(kLimit, condition));
 }
 
 auto PrintFigure(const std::string& name,
--- a/src/transport/agent_daemon.cc
+++ b/src/transport/agent_daemon.cc
@@ -131,6 +131,11 @@
         {{"target", settings_.name}, {"order", OrderName(order)}});
     const TimePoint now = MonotonicNow();
     Follow(agent_, order, now);
+    TellDrain(now);
+  }
+
+  // The gate and the balancers follow what the agent does.
+  auto TellDrain(TimePoint now) -> void {
     agent_.draining ? link_.BeginDrain() : link_.EndDrain();
     if (announcer_) {
       std::vector<AnnouncerAction> actions;
@@ -347,13 +352,9 @@
     }
     Log(Layer::kCoordination, LogLevel::kInfo, "drain_started",
         {{"target", settings_.name}, {"reason", reason}});
-    BeginDrain(agent_, MonotonicNow());
-    link_.BeginDrain();
-    if (announcer_) {
-      std::vector<AnnouncerAction> actions;
-      BeginDrain(*announcer_, MonotonicNow(), actions);
-      PerformAnnouncer(actions);
-    }
+    const TimePoint now = MonotonicNow();
+    BeginDrain(agent_, now);
+    TellDrain(now);
   }
 
   auto Leave() -> void {
--- a/test/membership_fleet_test.cc
+++ b/test/membership_fleet_test.cc
@@ -11,18 +11,6 @@
 
 namespace {
 
-/// Runs until a condition holds.
-/// @return How long that took, or the limit.
-template <class Condition>
-auto RunUntil(MembershipFleet& fleet, Duration limit, Condition condition)
-    -> Duration {
-  const auto begin = fleet.now();
-  while (!condition() && fleet.now() - begin < limit) {
-    fleet.Run(10ms);
-  }
-  return fleet.now() - begin;
-}
-
 /// Samples, ten a second, in which a balancer misses a live target.
 auto CountGaps(MembershipFleet& fleet, Duration duration) -> std::size_t {
   std::size_t gaps = 0;
@@ -47,7 +35,7 @@
 
 TEST(MembershipFleet, EverybodyLearnsOfEverybody) {
   MembershipFleet fleet(FleetOptions{});
-  const auto took = RunUntil(fleet, 10s, [&] { return fleet.IsWhole(); });
+  const auto took = fleet.RunUntil(10s, [&] { return fleet.IsWhole(); });
   CHECK(took <= 4s);
   LONGS_EQUAL(3, Balancers(fleet.balancer(0)).size());
 }
@@ -60,7 +48,7 @@
     CHECK(fleet.IsWhole());
     fleet.KillAgent(4);
     const auto took =
-        RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+        fleet.RunUntil(20s, [&] { return fleet.RoutingCount(4) == 0; });
     CHECK(took <= 5s);
   }
 }
@@ -72,7 +60,7 @@
     fleet.Run(20s);
     fleet.Drain(4);
     const auto took =
-        RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+        fleet.RunUntil(20s, [&] { return fleet.RoutingCount(4) == 0; });
     CHECK(took <= 3s);
   }
 }
@@ -83,9 +71,8 @@
   fleet.KillBalancer(0);
   fleet.Run(20s);
   fleet.StartBalancer(0);
-  const auto took = RunUntil(fleet, 10s, [&] {
-    return IsReady(fleet.balancer(0)) && fleet.IsWhole();
-  });
+  const auto took = fleet.RunUntil(
+      10s, [&] { return IsReady(fleet.balancer(0)) && fleet.IsWhole(); });
   CHECK(took <= 2s);
 }
 
@@ -99,7 +86,7 @@
   fleet.KillAgent(0);
   LONGS_EQUAL(0, fleet.zone_of_agent(0));
   const auto took =
-      RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(0) == 0; });
+      fleet.RunUntil(20s, [&] { return fleet.RoutingCount(0) == 0; });
   CHECK(took <= 5s);
 }
 
@@ -109,9 +96,8 @@
   // Service 2 has the agents 1, 3, 5, 7 and 9.
   fleet.KillAgent(1);
   fleet.KillAgent(7);
-  const auto took = RunUntil(fleet, 20s, [&] {
-    return fleet.RoutingCount(1) + fleet.RoutingCount(7) == 0;
-  });
+  const auto took = fleet.RunUntil(
+      20s, [&] { return fleet.RoutingCount(1) + fleet.RoutingCount(7) == 0; });
   CHECK(took <= 5s);
   LONGS_EQUAL(3, RoutableTargets(fleet.balancer(0), ServiceId{2}).size());
 }
@@ -153,7 +139,7 @@
   }
   LONGS_EQUAL(0, fleet.events(MembershipEvent::kDeclaredDead));
   fleet.EndCut();
-  CHECK(RunUntil(fleet, 20s, [&] { return fleet.IsWhole(); }) <= 10s);
+  CHECK(fleet.RunUntil(20s, [&] { return fleet.IsWhole(); }) <= 10s);
   for (int n = 0; n < 600; ++n) {
     fleet.Run(100ms);
     CHECK(fleet.IsWhole());
@@ -179,7 +165,7 @@
       LONGS_EQUAL(0, CountDeadTargets(fleet.balancer(5)));
     }
     fleet.EndCut();
-    CHECK(RunUntil(fleet, 60s, [&] { return fleet.IsWhole(); }) <= 14s);
+    CHECK(fleet.RunUntil(60s, [&] { return fleet.IsWhole(); }) <= 14s);
     fleet.Run(5s);
     LONGS_EQUAL(0, CountGaps(fleet, 60s));
   }
@@ -218,9 +204,8 @@
     fleet.KillBalancer(n);
     fleet.StartBalancer(n);
   }
-  const auto took = RunUntil(fleet, 20s, [&] {
-    return IsReady(fleet.balancer(0)) && fleet.IsWhole();
-  });
+  const auto took = fleet.RunUntil(
+      20s, [&] { return IsReady(fleet.balancer(0)) && fleet.IsWhole(); });
   CHECK(took <= 10s);
 }
 
--- a/test/membership_links_test.cc
+++ b/test/membership_links_test.cc
@@ -11,18 +11,6 @@
 
 namespace {
 
-/// Runs until a condition holds.
-/// @return How long that took, or the limit.
-template <class Condition>
-auto RunUntil(MembershipFleet& fleet, Duration limit, Condition condition)
-    -> Duration {
-  const auto begin = fleet.now();
-  while (!condition() && fleet.now() - begin < limit) {
-    fleet.Run(10ms);
-  }
-  return fleet.now() - begin;
-}
-
 auto LossyNine(std::uint64_t seed) -> FleetOptions {
   return FleetOptions{
       .balancers = 9, .agents = 12, .jitter = 20ms, .loss = 0.01, .seed = seed};
@@ -139,6 +127,6 @@
   fleet.Run(30s);
   fleet.KillAgent(4);
   const auto took =
-      RunUntil(fleet, 20s, [&] { return fleet.RoutingCount(4) == 0; });
+      fleet.RunUntil(20s, [&] { return fleet.RoutingCount(4) == 0; });
   CHECK(took <= 5s);
 }
--- a/test/membership_size_test.cc
+++ b/test/membership_size_test.cc
@@ -7,22 +7,6 @@
 using bench::FleetOptions;
 using bench::MembershipFleet;
 
-namespace {
-
-/// Runs until a condition holds.
-/// @return How long that took, or the limit.
-template <class Condition>
-auto RunUntil(MembershipFleet& fleet, Duration limit, Condition condition)
-    -> Duration {
-  const auto begin = fleet.now();
-  while (!condition() && fleet.now() - begin < limit) {
-    fleet.Run(10ms);
-  }
-  return fleet.now() - begin;
-}
-
-}  // namespace
-
 TEST_GROUP(MembershipSize){};
 
 TEST(MembershipSize, NoFalseDeathInAnHourOfLossAndJitter) {
@@ -41,7 +25,7 @@
   fleet.StartBalancer(4);
   CHECK(!IsReady(fleet.balancer(4)));
   const auto took =
-      RunUntil(fleet, 10s, [&] { return IsReady(fleet.balancer(4)); });
+      fleet.RunUntil(10s, [&] { return IsReady(fleet.balancer(4)); });
   CHECK(took <= 2s);
   CHECK(fleet.IsWhole());
 }
@@ -63,7 +47,7 @@
     }
     return true;
   };
-  CHECK(RunUntil(fleet, 30s, all_know) <= 14s);
+  CHECK(fleet.RunUntil(30s, all_know) <= 14s);
 }
 
 TEST(MembershipSize, GenerationsCostLessThanRecords) {
