Run as a node on the users' platform: thin path

Targets' heartbeats and loads reach the balancers as announces over UDP; the store is only watched for routes.

--- /dev/null
+++ b/include/hawthornbank/fleet.h
@@ -0,0 +1,153 @@
+#ifndef HAWTHORNBANK_FLEET_H_
+#define HAWTHORNBANK_FLEET_H_
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "hawthornbank/types.h"
+
+/// @file
+/// What a process knows of the others: who runs where, which targets take new
+/// flows and how busy they are.
+///
+/// Each process announces its own record; others pass it on but never change
+/// it. Records are ordered by (incarnation, revision), so that merging them in
+/// any order gives the same result.
+namespace hawthornbank {
+
+/// What a process of the system does on its host.
+enum class HostRole : std::uint8_t { kBalancer, kAgent };
+
+/// Whether a target takes new flows.
+enum class TargetState : std::uint8_t { kUnknown, kReady, kDraining, kGone };
+
+/// What an agent says of its target.
+struct TargetStatus {
+  TargetState state = TargetState::kUnknown;
+  std::uint64_t born = 0;  ///< Start of the target, Unix milliseconds.
+  std::uint16_t slots = 1;
+  std::uint32_t warmup_ms = 0;  ///< How much longer it is slow.
+
+  auto operator==(const TargetStatus&) const -> bool = default;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(state, born, slots, warmup_ms);
+  }
+};
+
+/// How busy a target is, as its agent sees it in the packets.
+struct TargetLoad {
+  std::uint16_t running = 0;  ///< Requests without an answer yet.
+  std::uint16_t flows = 0;    ///< Open flows.
+  /// Running requests averaged over the last seconds, in sixteenths.
+  std::uint16_t average_x16 = 0;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(running, flows, average_x16);
+  }
+};
+
+/// What a process says of itself.
+struct HostRecord {
+  Endpoint control;  ///< Where other processes reach it.
+  HostRole role = HostRole::kBalancer;
+  bool leaving = false;       ///< Takes no new flows, as the process stops.
+  std::uint32_t service = 0;  ///< HashName of the target's service; agents.
+  std::string zone;
+  std::uint64_t incarnation = 0;  ///< Grows with each start.
+  std::uint32_t revision = 0;     ///< Grows with each change of the record.
+  TargetStatus target;            ///< Agents only.
+
+  auto operator==(const HostRecord&) const -> bool = default;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(control, role, leaving, service, zone, incarnation, revision,
+            target);
+  }
+};
+
+/// Time without a word from a host after which it is doubted. Three announces
+/// and the delay between zones.
+inline constexpr Duration kSilentAfter = std::chrono::milliseconds{1600};
+
+/// Time for which a host stays known without a word. Covers a host that is
+/// dark or cut off and comes back at its address.
+inline constexpr Duration kForgetAfter = std::chrono::seconds{60};
+
+/// Time for which a host that left an opening unanswered isn't asked first.
+/// Longer than a restart of its process, unless it is heard before.
+inline constexpr Duration kDoubtTime = std::chrono::milliseconds{800};
+
+/// Another process, as this one knows it.
+struct KnownHost {
+  HostRecord record;
+  TargetLoad load;
+  TimePoint heard{};             ///< Last word from the host itself or of it.
+  TimePoint doubted_until{};     ///< It left something unanswered.
+  TimePoint load_at{};           ///< When `load` was said.
+  std::uint16_t sent_since = 0;  ///< Openings sent to it since then.
+};
+
+/// All hosts that a process knows, itself left out.
+struct Fleet {
+  HostRecord self;
+  std::unordered_map<Endpoint, KnownHost> hosts;
+  std::uint64_t digest = 0;  ///< Of all records, its own included.
+};
+
+/// What became of a record that was heard.
+enum class MergeOutcome : std::uint8_t {
+  kOld,       ///< A newer one is known.
+  kSame,      ///< It was known.
+  kChanged,   ///< It is new, or replaces an older one.
+  kOutranked  ///< Others hold a newer start of this very process.
+};
+
+/// Merges a record that was heard, from its host or from another.
+/// @param fleet What is known.
+/// @param record The record.
+/// @param age Time since its host was last heard.
+/// @param now The present instant.
+/// @return What became of it. After kOutranked the own record has a larger
+/// incarnation and is to be announced.
+auto MergeRecord(Fleet& fleet,
+                 const HostRecord& record,
+                 Duration age,
+                 TimePoint now) -> MergeOutcome;
+
+/// Notes what a host said of its target's load.
+/// @param host The host.
+/// @param load What it said.
+/// @param now The present instant.
+auto NoteLoad(KnownHost& host, const TargetLoad& load, TimePoint now) -> void;
+
+/// Notes that a host left something unanswered.
+/// @param host The host.
+/// @param now The present instant.
+auto DoubtHost(KnownHost& host, TimePoint now) -> void;
+
+/// @param host A host.
+/// @param now The present instant.
+/// @return Whether it was heard lately and answers.
+auto IsAnswering(const KnownHost& host, TimePoint now) -> bool;
+
+/// Replaces the own record, with a new revision when it differs.
+/// @param fleet What is known.
+/// @param record The new record; its incarnation and revision don't matter.
+/// @return Whether it differs.
+auto UpdateSelf(Fleet& fleet, HostRecord record) -> bool;
+
+/// Forgets hosts that were silent for long.
+/// @param fleet What is known.
+/// @param now The present instant.
+/// @return The hosts that were forgotten.
+auto ForgetSilentHosts(Fleet& fleet, TimePoint now) -> std::vector<Endpoint>;
+
+}  // namespace hawthornbank
+
+#endif  // HAWTHORNBANK_FLEET_H_
--- /dev/null
+++ b/src/coordination/fleet.cc
@@ -0,0 +1,110 @@
+#include "hawthornbank/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornbank {
+namespace {
+
+// Order-independent, so that it can be kept up to date record by record.
+auto DigestOf(const HostRecord& record) -> std::uint64_t {
+  std::uint64_t hash =
+      (std::uint64_t{record.control.address} << 16U) | record.control.port;
+  hash ^= record.incarnation * 0x9E3779B97F4A7C15ULL;
+  hash ^= std::uint64_t{record.revision} * 0xD1B54A32D192ED03ULL;
+  hash = (hash ^ (hash >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+  hash = (hash ^ (hash >> 27U)) * 0x94D049BB133111EBULL;
+  return hash ^ (hash >> 31U);
+}
+
+auto IsNewer(const HostRecord& a, const HostRecord& b) -> bool {
+  return std::pair(a.incarnation, a.revision) >
+         std::pair(b.incarnation, b.revision);
+}
+
+}  // namespace
+
+auto MergeRecord(Fleet& fleet,
+                 const HostRecord& record,
+                 Duration age,
+                 TimePoint now) -> MergeOutcome {
+  if (record.control == fleet.self.control) {
+    if (!IsNewer(record, fleet.self)) {
+      return MergeOutcome::kSame;
+    }
+    // The wall clock went back between two starts of this process.
+    fleet.digest -= DigestOf(fleet.self);
+    fleet.self.incarnation = record.incarnation + 1;
+    fleet.digest += DigestOf(fleet.self);
+    return MergeOutcome::kOutranked;
+  }
+  if (age > kForgetAfter) {
+    return MergeOutcome::kOld;
+  }
+  const auto [it, added] = fleet.hosts.try_emplace(record.control);
+  KnownHost& known = it->second;
+  if (added) {
+    known.record = record;
+    known.heard = now - age;
+    fleet.digest += DigestOf(record);
+    return MergeOutcome::kChanged;
+  }
+  if (IsNewer(known.record, record)) {
+    return MergeOutcome::kOld;
+  }
+  known.heard = std::max(known.heard, now - age);
+  if (!IsNewer(record, known.record)) {
+    return MergeOutcome::kSame;
+  }
+  if (record.incarnation != known.record.incarnation) {
+    // A new process has no load yet, and no doubt hangs over it.
+    known.load = {};
+    known.doubted_until = {};
+  }
+  fleet.digest += DigestOf(record) - DigestOf(known.record);
+  known.record = record;
+  return MergeOutcome::kChanged;
+}
+
+auto NoteLoad(KnownHost& host, const TargetLoad& load, TimePoint now) -> void {
+  host.load = load;
+  host.load_at = now;
+  host.sent_since = 0;
+  host.doubted_until = {};
+}
+
+auto DoubtHost(KnownHost& host, TimePoint now) -> void {
+  host.doubted_until = now + kDoubtTime;
+}
+
+auto IsAnswering(const KnownHost& host, TimePoint now) -> bool {
+  return now - host.heard < kSilentAfter && now >= host.doubted_until;
+}
+
+auto UpdateSelf(Fleet& fleet, HostRecord record) -> bool {
+  record.incarnation = fleet.self.incarnation;
+  record.revision = fleet.self.revision;
+  if (record == fleet.self) {
+    return false;
+  }
+  fleet.digest -= DigestOf(fleet.self);
+  fleet.self = std::move(record);
+  ++fleet.self.revision;
+  fleet.digest += DigestOf(fleet.self);
+  return true;
+}
+
+auto ForgetSilentHosts(Fleet& fleet, TimePoint now) -> std::vector<Endpoint> {
+  std::vector<Endpoint> forgotten;
+  std::erase_if(fleet.hosts, [&](const auto& it) {
+    if (now - it.second.heard < kForgetAfter) {
+      return false;
+    }
+    fleet.digest -= DigestOf(it.second.record);
+    forgotten.push_back(it.first);
+    return true;
+  });
+  return forgotten;
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/protocol/node_message.cc
@@ -0,0 +1,78 @@
+#include "protocol/node_message.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <istream>
+#include <ostream>
+#include <streambuf>
+
+namespace hawthornbank {
+namespace {
+
+constexpr std::uint8_t kMagic = 0x4E;
+constexpr std::size_t kUsualBytes = 96;
+
+// Writes to a vector; a string stream would copy it once more.
+class VectorBuffer : public std::streambuf {
+ public:
+  explicit VectorBuffer(Bytes& bytes) : bytes_(bytes) {}
+
+ protected:
+  auto xsputn(const char* text, std::streamsize count)
+      -> std::streamsize override {
+    bytes_.insert(bytes_.end(), text, text + count);
+    return count;
+  }
+
+  auto overflow(int_type byte) -> int_type override {
+    bytes_.push_back(static_cast<std::uint8_t>(byte));
+    return byte;
+  }
+
+ private:
+  Bytes& bytes_;
+};
+
+// Reads a datagram in place.
+class ViewBuffer : public std::streambuf {
+ public:
+  explicit ViewBuffer(ByteView bytes) {
+    auto* const start =
+        reinterpret_cast<char*>(const_cast<std::uint8_t*>(bytes.data()));
+    setg(start, start, start + bytes.size());
+  }
+};
+
+}  // namespace
+
+auto EncodeNodeMessage(const NodeMessage& message) -> Bytes {
+  Bytes datagram;
+  datagram.reserve(kUsualBytes);
+  datagram.push_back(kMagic);
+  VectorBuffer buf(datagram);
+  std::ostream stream(&buf);
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(message);
+  return datagram;
+}
+
+auto DecodeNodeMessage(ByteView datagram) -> std::optional<NodeMessage> {
+  if (datagram.empty() || datagram[0] != kMagic) {
+    return std::nullopt;
+  }
+  try {
+    ViewBuffer buf(datagram.subspan(1));
+    std::istream stream(&buf);
+    cereal::PortableBinaryInputArchive archive(stream);
+    NodeMessage message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;  // The caller counts and logs it.
+  }
+}
+
+}  // namespace hawthornbank
--- /dev/null
+++ b/src/protocol/node_message.h
@@ -0,0 +1,68 @@
+#ifndef HAWTHORNBANK_SRC_PROTOCOL_NODE_MESSAGE_H_
+#define HAWTHORNBANK_SRC_PROTOCOL_NODE_MESSAGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "hawthornbank/fleet.h"
+#include "hawthornbank/packet.h"
+#include "hawthornbank/relay.h"
+
+/// @file
+/// Messages between the processes of a fleet: cereal in one datagram.
+namespace hawthornbank {
+
+/// A process's word of itself.
+struct HostAnnounce {
+  HostRecord record;
+  TargetLoad load;
+  std::uint64_t digest = 0;   ///< Of all records that it knows.
+  std::uint64_t version = 0;  ///< Of the routes that it has in force.
+  bool wants_reply = false;   ///< It knows too few others.
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(record, load, digest, version, wants_reply);
+  }
+};
+
+/// A record that is passed on.
+struct PassedRecord {
+  HostRecord record;
+  std::uint32_t age_ms = 0;  ///< Since its host was heard.
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(record, age_ms);
+  }
+};
+
+/// Records that the receiver may lack.
+struct RosterPart {
+  std::vector<PassedRecord> records;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(records);
+  }
+};
+
+/// Every message.
+using NodeMessage = std::variant<HostAnnounce, RosterPart, FlowNote>;
+
+/// Records in one RosterPart, so that it fits a datagram of 1,400 bytes.
+inline constexpr std::size_t kRecordsPerPart = 16;
+
+/// @param message A message.
+/// @return The datagram.
+auto EncodeNodeMessage(const NodeMessage& message) -> Bytes;
+
+/// @param datagram A datagram between processes.
+/// @return The message, or nothing when it can't be decoded.
+auto DecodeNodeMessage(ByteView datagram) -> std::optional<NodeMessage>;
+
+}  // namespace hawthornbank
+
+#endif  // HAWTHORNBANK_SRC_PROTOCOL_NODE_MESSAGE_H_
--- /dev/null
+++ b/src/transport/balancer_node.cc
@@ -0,0 +1,365 @@
+#include <memory>
+#include <utility>
+
+#include "hawthornbank/route_follower.h"
+#include "hawthornbank/steering.h"
+#include "transport/clock.h"
+#include "transport/http_client.h"
+#include "transport/node.h"
+#include "transport/node_host.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+// Interval at which unconfirmed openings are looked at, while there are any.
+constexpr Duration kOpeningTick = std::chrono::milliseconds{10};
+// Interval at which the store and peers are looked at.
+constexpr Duration kFollowTick = std::chrono::milliseconds{50};
+// Slack of a watch's deadline over the time that the store holds it.
+constexpr Duration kWatchSlack = std::chrono::seconds{2};
+// Longest time for a peer's routes; the largest take 256 KB.
+constexpr Duration kPeerTime = std::chrono::milliseconds{800};
+// Packets cease for this long before a stopping balancer ends: routers look
+// twice a second and let go after two misses.
+constexpr Duration kQuietTime = std::chrono::milliseconds{1200};
+constexpr Duration kQuietTick = std::chrono::milliseconds{100};
+// Left of the grace when a stopping balancer ends all the same.
+constexpr Duration kGraceSlack = std::chrono::milliseconds{700};
+
+constexpr const char* kRoutesPath = "/routes";
+
+class BalancerNode {
+ public:
+  BalancerNode(const NodeSettings& settings, const NodeCodec& codec)
+      : host_(settings, codec, steering_.fleet),
+        data_(host_.io(), settings.data),
+        store_(std::make_unique<HttpClient>(host_.io(), settings.store)),
+        opening_timer_(host_.io()),
+        follow_timer_(host_.io()),
+        stop_timer_(host_.io()),
+        routes_server_(
+            host_.io(),
+            settings.control,
+            [this](const HttpCall& call) { return OnPeerCall(call); }) {}
+
+  auto Run() -> int {
+    data_.Receive([this](Endpoint, ByteView datagram) {
+      OnData(datagram, MonotonicNow());
+    });
+    FollowTimer();
+    return host_.Run(NodeRole{
+        .describe = [this](HostRecord& record,
+                           TargetLoad&) { record.leaving = host_.stopping(); },
+        .on_relay = [this](ByteView datagram,
+                           TimePoint now) { OnRelay(datagram, now); },
+        .on_note = [this](const FlowNote& note,
+                          TimePoint now) { OnNote(note, now); },
+        .on_announce =
+            [this](const HostAnnounce& announce, TimePoint now) {
+              OnPeerVersion(follower_, announce.record.control,
+                            announce.version, steering_.routes.version, now);
+            },
+        .on_call = [this](const HttpCall& call) { return OnCall(call); },
+        .on_slow_tick =
+            [this](TimePoint now) { ForgetIdleFlows(steering_, now); },
+        .on_stop = [this](TimePoint now) { Stop(now); },
+        .on_settings =
+            [this](const NodeSettings& settings) { OnSettings(settings); },
+        .version = [this] { return steering_.routes.version; },
+    });
+  }
+
+ private:
+  auto OnData(ByteView datagram, TimePoint now) -> void {
+    last_packet_ = now;
+    const auto packet = host_.codec().decode_packet(datagram);
+    if (!packet.has_value()) {
+      ++steering_.counts[static_cast<std::size_t>(SteeringReason::kMalformed)];
+      host_.log().Write(EventKind::kInput, now, "packet_malformed bytes={}",
+                        datagram.size());
+      return;
+    }
+    actions_.clear();
+    OnCallerPacket(steering_, *packet, datagram, now, actions_);
+    Perform(datagram, now);
+  }
+
+  auto OnRelay(ByteView datagram, TimePoint now) -> void {
+    std::size_t size = 0;
+    auto header = DecodeRelayHeader(datagram, size);
+    if (!header.has_value() || !header->sent_back) {
+      host_.log().Write(EventKind::kInput, now, "datagram_malformed bytes={}",
+                        datagram.size());
+      return;
+    }
+    const ByteView bytes = datagram.subspan(size);
+    const auto packet = host_.codec().decode_packet(bytes);
+    if (!packet.has_value()) {
+      return;
+    }
+    actions_.clear();
+    OnSentBack(steering_, std::move(*header), *packet, now, actions_);
+    Perform(bytes, now);
+  }
+
+  auto OnNote(const FlowNote& note, TimePoint now) -> void {
+    const Duration took = OnFlowNote(steering_, note, now);
+    if (took > Duration::zero()) {
+      host_.log().Write(
+          EventKind::kFlow, now, "flow_confirmed flow={} agent={} took_us={}",
+          FlowText(note.flow), ToString(note.agent),
+          std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+    }
+  }
+
+  auto Perform(ByteView bytes, TimePoint now) -> void {
+    for (const auto& it : actions_) {
+      switch (it.kind) {
+        case SteeringAction::Kind::kRelay:
+          Relay(it, it.opening.empty() ? bytes : ByteView(it.opening));
+          LogRelay(it, now);
+          break;
+        case SteeringAction::Kind::kReset: {
+          const ResetPacket reset =
+              host_.codec().encode_reset(it.flow, it.acknowledgement);
+          data_.Send(Endpoint{.address = it.flow.caller.address,
+                              .port = host_.settings().data.port},
+                     reset);
+          host_.log().Write(EventKind::kRefusal, now,
+                            "flow_reset flow={} reason={} version={}",
+                            FlowText(it.flow), ToString(it.reason),
+                            steering_.routes.version);
+          break;
+        }
+        case SteeringAction::Kind::kDrop:
+          host_.log().Write(EventKind::kRefusal, now,
+                            "packet_dropped flow={} reason={} version={}",
+                            FlowText(it.flow), ToString(it.reason),
+                            steering_.routes.version);
+          break;
+      }
+    }
+    if (!steering_.openings.empty() && !opening_armed_) {
+      opening_armed_ = true;
+      OpeningTimer();
+    }
+  }
+
+  auto Relay(const SteeringAction& action, ByteView bytes) -> void {
+    buf_.clear();
+    EncodeRelayHeader(action.header, buf_);
+    buf_.insert(buf_.end(), bytes.begin(), bytes.end());
+    host_.Send(action.to, buf_);
+  }
+
+  auto LogRelay(const SteeringAction& action, TimePoint now) -> void {
+    if (action.reason == SteeringReason::kRemembered) {
+      return;  // A line for each packet of a flow would say nothing new.
+    }
+    host_.log().Write(
+        EventKind::kFlow, now,
+        "flow_relayed flow={} agent={} reason={} asked={} score={:.2f} "
+        "load_age_ms={} version={}",
+        FlowText(action.flow), ToString(action.to), ToString(action.reason),
+        action.header.asked.size(), action.load_score,
+        std::chrono::duration_cast<std::chrono::milliseconds>(action.load_age)
+            .count(),
+        steering_.routes.version);
+  }
+
+  auto OpeningTimer() -> void {
+    NodeHost::After(opening_timer_, kOpeningTick, [this](TimePoint now) {
+      actions_.clear();
+      OnSteeringTick(steering_, now, actions_);
+      Perform({}, now);
+      opening_armed_ = !steering_.openings.empty();
+      if (opening_armed_) {
+        OpeningTimer();
+      }
+    });
+  }
+
+  // Routes ------------------------------------------------------------------
+
+  auto FollowTimer() -> void {
+    const TimePoint now = MonotonicNow();
+    switch (NextStoreCall(follower_, now)) {
+      case FollowCall::kList:
+        store_->Get(host_.codec().list_routes(), follower_.options.answer_time,
+                    [this](const HttpReply& reply) { OnStoreReply(reply); });
+        break;
+      case FollowCall::kWatch:
+        store_->Get(host_.codec().watch_routes(follower_.revision,
+                                               follower_.options.watch_time),
+                    follower_.options.watch_time + kWatchSlack,
+                    [this](const HttpReply& reply) { OnStoreReply(reply); });
+        break;
+      case FollowCall::kNone:
+        break;
+    }
+    if (ShouldAskPeer(follower_, steering_.routes.version, now)) {
+      AskPeer(now);
+    }
+    NodeHost::After(follow_timer_, kFollowTick,
+                    [this](TimePoint) { FollowTimer(); });
+  }
+
+  auto OnStoreReply(const HttpReply& reply) -> void {
+    const TimePoint now = MonotonicNow();
+    const RoutesAnswer answer =
+        host_.codec().decode_routes(reply.status, reply.body);
+    if (answer.history_gone) {
+      host_.log().Write(EventKind::kDependency, now,
+                        "store_history_gone revision={}", follower_.revision);
+      OnHistoryGone(follower_);
+    } else if (!answer.understood) {
+      OnStoreFailure(follower_, now, host_.random());
+      if (follower_.failures == 1) {
+        host_.log().Write(EventKind::kDependency, now,
+                          "store_lost status={} reason=\"{}{}\"", reply.status,
+                          reply.failure, answer.failure);
+      }
+    } else {
+      if (follower_.failures > 0) {
+        host_.log().Write(EventKind::kDependency, now,
+                          "store_regained failures={} revision={}",
+                          follower_.failures, answer.revision);
+      }
+      OnStoreAnswer(follower_, answer.revision);
+      if (answer.routes.has_value()) {
+        Adopt(*answer.routes, answer.document, "store", now);
+      }
+    }
+    FollowSoon();
+  }
+
+  // The next call goes out at once, but not from within a reply.
+  auto FollowSoon() -> void {
+    NodeHost::After(follow_timer_, Duration::zero(),
+                    [this](TimePoint) { FollowTimer(); });
+  }
+
+  auto AskPeer(TimePoint now) -> void {
+    host_.log().Write(EventKind::kBelief, now,
+                      "routes_asked peer={} version={} in_force={}",
+                      ToString(follower_.peer), follower_.peer_version,
+                      steering_.routes.version);
+    peer_ = std::make_unique<HttpClient>(host_.io(), follower_.peer);
+    peer_->Get(kRoutesPath, kPeerTime, [this](const HttpReply& reply) {
+      const auto routes = reply.status == 200
+                              ? host_.codec().decode_document(reply.body)
+                              : std::nullopt;
+      if (routes.has_value()) {
+        Adopt(*routes, reply.body, "peer", MonotonicNow());
+      }
+    });
+  }
+
+  auto Adopt(const RouteSet& routes,
+             const std::string& document,
+             const char* source,
+             TimePoint now) -> void {
+    const std::uint64_t before = steering_.routes.version;
+    if (!PutInForce(steering_.routes, routes)) {
+      return;
+    }
+    document_ = document;
+    host_.log().Write(EventKind::kBelief, now,
+                      "routes_in_force version={} before={} routes={} "
+                      "source={}",
+                      routes.version, before, routes.routes.size(), source);
+    host_.Announce(now);
+  }
+
+  auto OnPeerCall(const HttpCall& call) -> HttpAnswer {
+    if (call.target != kRoutesPath || document_.empty()) {
+      return HttpAnswer{.status = 404};
+    }
+    return HttpAnswer{.body = document_};
+  }
+
+  // The platform ------------------------------------------------------------
+
+  auto OnCall(const HttpCall& call) -> HttpAnswer {
+    if (call.target == host_.settings().metrics_path) {
+      return HttpAnswer{.type = "text/plain", .body = Metrics()};
+    }
+    const NodeCall decoded =
+        host_.codec().decode_call(call.method, call.target, call.body);
+    if (std::holds_alternative<ReadyCall>(decoded)) {
+      return HttpAnswer{.status = IsReady() ? 200 : 503, .body = "{}"};
+    }
+    const auto* const invalid = std::get_if<InvalidCall>(&decoded);
+    return HttpAnswer{.status = invalid != nullptr ? invalid->status : 404,
+                      .body = "{}"};
+  }
+
+  auto IsReady() -> bool {
+    return !host_.stopping() && steering_.routes.version != 0;
+  }
+
+  auto Metrics() -> std::string {
+    std::string text;
+    for (std::size_t n = 0; n < kSteeringReasonCount; ++n) {
+      text += fmt::format("hawthornbank_packets_total{{reason=\"{}\"}} {}\n",
+                          ToString(static_cast<SteeringReason>(n)),
+                          steering_.counts.at(n));
+    }
+    text += fmt::format("hawthornbank_flows {}\n", steering_.flows.size());
+    text +=
+        fmt::format("hawthornbank_hosts {}\n", steering_.fleet.hosts.size());
+    text += fmt::format("hawthornbank_routes_version {}\n",
+                        steering_.routes.version);
+    return text;
+  }
+
+  auto OnSettings(const NodeSettings& settings) -> void {
+    if (settings.store != store_->server()) {
+      store_ = std::make_unique<HttpClient>(host_.io(), settings.store);
+      OnStoreFailure(follower_, MonotonicNow(), host_.random());
+    }
+  }
+
+  auto Stop(TimePoint now) -> void {
+    stop_by_ = now + host_.settings().grace - kGraceSlack;
+    last_packet_ = now;
+    host_.Announce(now);
+    StopTimer();
+  }
+
+  auto StopTimer() -> void {
+    NodeHost::After(stop_timer_, kQuietTick, [this](TimePoint now) {
+      if (now - last_packet_ > kQuietTime || now > stop_by_) {
+        host_.Exit();
+      } else {
+        StopTimer();
+      }
+    });
+  }
+
+  Steering steering_;
+  NodeHost host_;
+  UdpSocket data_;
+  RouteFollower follower_;
+  std::unique_ptr<HttpClient> store_;
+  std::unique_ptr<HttpClient> peer_;
+  asio::steady_timer opening_timer_;
+  asio::steady_timer follow_timer_;
+  asio::steady_timer stop_timer_;
+  HttpServer routes_server_;
+  std::vector<SteeringAction> actions_;
+  Bytes buf_;
+  std::string document_;
+  TimePoint last_packet_{};
+  TimePoint stop_by_{};
+  bool opening_armed_ = false;
+};
+
+}  // namespace
+
+auto RunBalancerNode(const NodeSettings& settings, const NodeCodec& codec)
+    -> int {
+  return BalancerNode(settings, codec).Run();
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,76 @@
+#ifndef HAWTHORNBANK_SRC_TRANSPORT_HTTP_CLIENT_H_
+#define HAWTHORNBANK_SRC_TRANSPORT_HTTP_CLIENT_H_
+
+#include <array>
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "hawthornbank/types.h"
+
+/// @file
+/// HTTP/1.1 client on the daemon's own loop, over http_parser. One call at a
+/// time, each with a deadline; nothing waits for it.
+namespace hawthornbank::transport {
+
+/// The answer to a call.
+struct HttpReply {
+  int status = 0;  ///< 0: there was no answer.
+  std::string body;
+  std::string failure;  ///< Why there was none.
+};
+
+/// Largest answer, in bytes: a value of the platform and its envelope.
+inline constexpr std::size_t kMaxReplyBytes = 4 * 1024 * 1024;
+
+/// Makes calls to one server over one connection.
+class HttpClient {
+ public:
+  using Handler = std::function<void(const HttpReply& reply)>;
+
+  /// @param io Where it runs.
+  /// @param server Whom it calls.
+  HttpClient(asio::io_context& io, Endpoint server);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  auto operator=(const HttpClient&) -> HttpClient& = delete;
+
+  /// Makes a GET call; the one under way, if any, is given up.
+  /// @param target Path and query.
+  /// @param deadline Longest time for the whole call.
+  /// @param handler Called once, never from within Get.
+  auto Get(const std::string& target, Duration deadline, Handler handler)
+      -> void;
+
+  /// Gives the call under way up; its handler isn't called.
+  auto Cancel() -> void;
+
+  /// @return Whether a call is under way.
+  [[nodiscard]] auto busy() const -> bool;
+
+  /// @return Whom it calls.
+  [[nodiscard]] auto server() const -> Endpoint { return server_; }
+
+ private:
+  struct Call;
+  auto Start(const std::shared_ptr<Call>& call) -> void;
+  auto Connect(const std::shared_ptr<Call>& call) -> void;
+  auto Send(const std::shared_ptr<Call>& call) -> void;
+  auto Receive(const std::shared_ptr<Call>& call) -> void;
+  auto Fail(const std::shared_ptr<Call>& call, const std::string& reason)
+      -> void;
+  auto Finish(const std::shared_ptr<Call>& call) -> void;
+  auto CloseSocket() -> void;
+
+  asio::io_context& io_;
+  Endpoint server_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer deadline_;
+  std::shared_ptr<Call> call_;
+};
+
+}  // namespace hawthornbank::transport
+
+#endif  // HAWTHORNBANK_SRC_TRANSPORT_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/transport/http_server.cc
@@ -0,0 +1,185 @@
+#include "transport/http_server.h"
+
+#include <http_parser.h>
+
+#include <array>
+#include <utility>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+constexpr std::size_t kReadBytes = 2048;
+
+auto StatusText(int status) -> const char* {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+// One connection; it lives as long as one of its handlers waits.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(asio::ip::tcp::socket socket,
+             HttpServer::Handler handler,
+             std::shared_ptr<std::size_t> open)
+      : socket_(std::move(socket)),
+        idle_(socket_.get_executor()),
+        handler_(std::move(handler)),
+        open_(std::move(open)) {
+    ++*open_;
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+  }
+
+  Connection(const Connection&) = delete;
+  auto operator=(const Connection&) -> Connection& = delete;
+  ~Connection() { --*open_; }
+
+  auto Read() -> void {
+    idle_.expires_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            kConnectionIdle));
+    idle_.async_wait([weak = weak_from_this()](const asio::error_code& ec) {
+      const auto self = weak.lock();
+      if (!ec && self != nullptr) {
+        self->Close();
+      }
+    });
+    socket_.async_read_some(
+        asio::buffer(buf_),
+        [self = shared_from_this()](const asio::error_code& ec, std::size_t n) {
+          if (ec) {
+            self->Close();
+          } else {
+            self->Parse(n);
+          }
+        });
+  }
+
+ private:
+  static auto Self(http_parser* parser) -> Connection& {
+    return *static_cast<Connection*>(parser->data);
+  }
+
+  static auto Settings() -> const http_parser_settings& {
+    static const http_parser_settings settings = [] {
+      http_parser_settings it{};
+      it.on_url = [](http_parser* parser, const char* text, std::size_t n) {
+        Self(parser).call_.target.append(text, n);
+        return 0;
+      };
+      it.on_body = [](http_parser* parser, const char* text, std::size_t n) {
+        auto& body = Self(parser).call_.body;
+        body.append(text, n);
+        return body.size() > kMaxCallBytes ? 1 : 0;
+      };
+      it.on_message_complete = [](http_parser* parser) {
+        Self(parser).Answer();
+        return 0;
+      };
+      return it;
+    }();
+    return settings;
+  }
+
+  auto Parse(std::size_t n) -> void {
+    const std::size_t parsed =
+        http_parser_execute(&parser_, &Settings(), buf_.data(), n);
+    if (parsed != n || parser_.http_errno != HPE_OK) {
+      output_ =
+          "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+          "Content-Length: 0\r\n\r\n";
+      closing_ = true;
+    }
+    if (output_.empty()) {
+      Read();
+    } else {
+      Write();
+    }
+  }
+
+  auto Answer() -> void {
+    call_.method = http_method_str(static_cast<http_method>(parser_.method));
+    const HttpAnswer answer = handler_(call_);
+    closing_ = http_should_keep_alive(&parser_) == 0;
+    output_ += "HTTP/1.1 " + std::to_string(answer.status) + ' ' +
+               StatusText(answer.status) + "\r\nContent-Type: " + answer.type +
+               "\r\nContent-Length: " + std::to_string(answer.body.size()) +
+               (closing_ ? "\r\nConnection: close" : "") + "\r\n\r\n" +
+               answer.body;
+    call_ = {};
+  }
+
+  auto Write() -> void {
+    asio::async_write(
+        socket_, asio::buffer(output_),
+        [self = shared_from_this()](const asio::error_code& ec, std::size_t) {
+          self->output_.clear();
+          if (ec || self->closing_) {
+            self->Close();
+          } else {
+            self->Read();
+          }
+        });
+  }
+
+  auto Close() -> void {
+    idle_.cancel();
+    asio::error_code ec;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+    socket_.close(ec);
+  }
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer idle_;
+  HttpServer::Handler handler_;
+  std::shared_ptr<std::size_t> open_;
+  std::array<char, kReadBytes> buf_{};
+  http_parser parser_{};
+  HttpCall call_;
+  std::string output_;
+  bool closing_ = false;
+};
+
+}  // namespace
+
+HttpServer::HttpServer(asio::io_context& io, Endpoint local, Handler handler)
+    : acceptor_(io), handler_(std::move(handler)) {
+  asio::error_code ec;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(local.address),
+                                         local.port);
+  acceptor_.open(endpoint.protocol(), ec);
+  acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+  acceptor_.bind(endpoint, ec);
+  if (!ec) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    throw Error(ErrorKind::kInvalidSettings,
+                "can't listen on " + ToString(local) + ": " + ec.message());
+  }
+  Accept();
+}
+
+auto HttpServer::local() const -> Endpoint {
+  const auto endpoint = acceptor_.local_endpoint();
+  return Endpoint{.address = endpoint.address().to_v4().to_uint(),
+                  .port = endpoint.port()};
+}
+
+auto HttpServer::Accept() -> void {
+  acceptor_.async_accept([this](const asio::error_code& ec,
+                                asio::ip::tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) {
+      return;
+    }
+    if (!ec && *open_ < kMaxConnections) {
+      asio::error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      std::make_shared<Connection>(std::move(socket), handler_, open_)->Read();
+    }
+    Accept();
+  });
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/node_host.cc
@@ -0,0 +1,276 @@
+#include "transport/node_host.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+#include "hawthornbank/error.h"
+#include "transport/clock.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+auto ToSteady(Duration duration) -> std::chrono::steady_clock::duration {
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+      duration);
+}
+
+auto ToMilliseconds(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+auto RoleName(HostRole role) -> const char* {
+  return role == HostRole::kBalancer ? "balancer" : "agent";
+}
+
+}  // namespace
+
+NodeHost::NodeHost(NodeSettings settings, NodeCodec codec, Fleet& fleet)
+    : settings_(std::move(settings)),
+      codec_(std::move(codec)),
+      fleet_(fleet),
+      log_(STDOUT_FILENO, settings_.name),
+      random_(static_cast<std::uint64_t>(
+          WallNow().time_since_epoch().count() ^
+          (std::int64_t{settings_.control.address} << 20))),
+      control_(io_, settings_.control),
+      announce_timer_(io_),
+      slow_timer_(io_),
+      signals_(io_, SIGTERM, SIGHUP) {
+  fleet_.self.control = settings_.control;
+  fleet_.self.role = settings_.role;
+  fleet_.self.zone = settings_.zone;
+  fleet_.self.incarnation = ToInteger(MakeIncarnation());
+}
+
+auto NodeHost::Run(NodeRole role) -> int {
+  role_ = std::move(role);
+  const TimePoint now = MonotonicNow();
+  log_.Write(EventKind::kProcess, now,
+             "start role={} zone={} control={} seeds={}",
+             RoleName(settings_.role), settings_.zone,
+             ToString(settings_.control), settings_.seeds.size());
+  control_.Receive([this](Endpoint, ByteView datagram) {
+    OnDatagram(datagram, MonotonicNow());
+  });
+  for (const auto it : settings_.http) {
+    servers_.push_back(std::make_unique<HttpServer>(
+        io_, it, [this](const HttpCall& call) { return role_.on_call(call); }));
+  }
+  if (codec_.settings_stamp) {
+    settings_stamp_ = codec_.settings_stamp();
+  }
+  WaitForSignal();
+  AnnounceTimer();
+  SlowTimer();
+  io_.run();
+  log_.Write(EventKind::kProcess, MonotonicNow(), "stop log_lines_left_out={}",
+             log_.dropped());
+  return 0;
+}
+
+auto NodeHost::Exit() -> void {
+  io_.stop();
+}
+
+auto NodeHost::Send(Endpoint to, ByteView datagram) -> void {
+  control_.Send(to, datagram);
+}
+
+auto NodeHost::After(asio::steady_timer& timer,
+                     Duration pause,
+                     std::function<void(TimePoint now)> handler) -> void {
+  timer.expires_after(ToSteady(pause));
+  timer.async_wait([handler = std::move(handler)](const asio::error_code& ec) {
+    if (!ec) {
+      handler(MonotonicNow());
+    }
+  });
+}
+
+// All balancers, and seeds that haven't been heard of.
+auto NodeHost::Receivers() const -> std::vector<Endpoint> {
+  std::vector<Endpoint> receivers;
+  for (const auto& [control, host] : fleet_.hosts) {
+    if (host.record.role == HostRole::kBalancer) {
+      receivers.push_back(control);
+    }
+  }
+  for (const auto it : settings_.seeds) {
+    if (it != settings_.control && !fleet_.hosts.contains(it)) {
+      receivers.push_back(it);
+    }
+  }
+  return receivers;
+}
+
+auto NodeHost::Announce(TimePoint now) -> void {
+  HostRecord record = fleet_.self;
+  HostAnnounce announce;
+  role_.describe(record, announce.load);
+  if (UpdateSelf(fleet_, record)) {
+    log_.Write(EventKind::kBelief, now,
+               "own_record revision={} leaving={} target={} born={}",
+               fleet_.self.revision, fleet_.self.leaving,
+               ToString(fleet_.self.target.state), fleet_.self.target.born);
+  }
+  announce.record = fleet_.self;
+  announce.digest = fleet_.digest;
+  announce.version = role_.version();
+  announce.wants_reply = fleet_.hosts.empty();
+  const Bytes datagram = EncodeNodeMessage(announce);
+  for (const auto it : Receivers()) {
+    Send(it, datagram);
+  }
+}
+
+auto NodeHost::AnnounceTimer() -> void {
+  Announce(MonotonicNow());
+  const bool searching = std::none_of(
+      fleet_.hosts.begin(), fleet_.hosts.end(), [](const auto& it) {
+        return it.second.record.role == HostRole::kBalancer;
+      });
+  After(announce_timer_, searching ? kSearchInterval : kAnnounceInterval,
+        [this](TimePoint) { AnnounceTimer(); });
+}
+
+auto NodeHost::SlowTimer() -> void {
+  const TimePoint now = MonotonicNow();
+  for (const auto it : ForgetSilentHosts(fleet_, now)) {
+    log_.Write(EventKind::kBelief, now, "host_forgotten host={}", ToString(it));
+    roster_sent_.erase(it);
+  }
+  if (codec_.settings_stamp && codec_.settings_stamp() != settings_stamp_) {
+    ReloadSettings(now, "file");
+  }
+  role_.on_slow_tick(now);
+  log_.Flush();
+  After(slow_timer_, kSlowInterval, [this](TimePoint) { SlowTimer(); });
+}
+
+auto NodeHost::WaitForSignal() -> void {
+  signals_.async_wait([this](const asio::error_code& ec, int signal) {
+    if (ec) {
+      return;
+    }
+    const TimePoint now = MonotonicNow();
+    if (signal == SIGHUP) {
+      ReloadSettings(now, "signal");
+    } else if (!stopping_) {
+      stopping_ = true;
+      log_.Write(EventKind::kProcess, now, "stopping grace_ms={}",
+                 ToMilliseconds(settings_.grace));
+      role_.on_stop(now);
+    }
+    WaitForSignal();
+  });
+}
+
+auto NodeHost::ReloadSettings(TimePoint now, const char* cause) -> void {
+  settings_stamp_ = codec_.settings_stamp ? codec_.settings_stamp() : 0;
+  try {
+    NodeSettings changed = codec_.load_settings();
+    // Addresses that are bound stay until the next start.
+    settings_.seeds = changed.seeds;
+    settings_.store = changed.store;
+    settings_.grace = changed.grace;
+    settings_.heartbeat = changed.heartbeat;
+    log_.Write(EventKind::kProcess, now, "reload cause={} seeds={} store={}",
+               cause, settings_.seeds.size(), ToString(settings_.store));
+    role_.on_settings(settings_);
+  } catch (const Error& error) {
+    log_.Write(EventKind::kInput, now, "reload_failed cause={} error=\"{}\"",
+               cause, error.what());
+  }
+}
+
+auto NodeHost::OnDatagram(ByteView datagram, TimePoint now) -> void {
+  const auto message = DecodeNodeMessage(datagram);
+  if (!message.has_value()) {
+    role_.on_relay(datagram, now);
+    return;
+  }
+  if (const auto* const announce = std::get_if<HostAnnounce>(&*message)) {
+    OnAnnounce(*announce, now);
+  } else if (const auto* const part = std::get_if<RosterPart>(&*message)) {
+    OnRoster(*part, now);
+  } else {
+    role_.on_note(std::get<FlowNote>(*message), now);
+  }
+}
+
+auto NodeHost::NoteMerge(const HostRecord& record,
+                         MergeOutcome outcome,
+                         TimePoint now) -> void {
+  if (outcome == MergeOutcome::kChanged) {
+    log_.Write(EventKind::kBelief, now,
+               "host_changed host={} role={} zone={} incarnation={} "
+               "revision={} leaving={} target={} born={} slots={}",
+               ToString(record.control), RoleName(record.role), record.zone,
+               record.incarnation, record.revision, record.leaving,
+               ToString(record.target.state), record.target.born,
+               record.target.slots);
+  } else if (outcome == MergeOutcome::kOutranked) {
+    log_.Write(EventKind::kBelief, now, "own_record_outranked incarnation={}",
+               fleet_.self.incarnation);
+    Announce(now);
+  }
+}
+
+auto NodeHost::OnAnnounce(const HostAnnounce& announce, TimePoint now) -> void {
+  const auto outcome =
+      MergeRecord(fleet_, announce.record, Duration::zero(), now);
+  NoteMerge(announce.record, outcome, now);
+  const auto host = fleet_.hosts.find(announce.record.control);
+  if (host == fleet_.hosts.end()) {
+    return;
+  }
+  if (outcome != MergeOutcome::kOld) {
+    host->second.heard = now;
+    NoteLoad(host->second, announce.load, now);
+    role_.on_announce(announce, now);
+  }
+  const bool differs = announce.digest != fleet_.digest;
+  if (settings_.role == HostRole::kBalancer &&
+      (differs || announce.wants_reply)) {
+    SendRoster(announce.record.control, now);
+  }
+}
+
+auto NodeHost::SendRoster(Endpoint to, TimePoint now) -> void {
+  TimePoint& sent = roster_sent_[to];
+  if (sent != TimePoint{} && now - sent < kRosterInterval) {
+    return;
+  }
+  sent = now;
+  RosterPart part;
+  part.records.push_back(PassedRecord{.record = fleet_.self});
+  const auto flush = [&] {
+    Send(to, EncodeNodeMessage(part));
+    part.records.clear();
+  };
+  for (const auto& [control, host] : fleet_.hosts) {
+    part.records.push_back(PassedRecord{.record = host.record,
+                                        .age_ms = static_cast<std::uint32_t>(
+                                            ToMilliseconds(now - host.heard))});
+    if (part.records.size() == kRecordsPerPart) {
+      flush();
+    }
+  }
+  if (!part.records.empty()) {
+    flush();
+  }
+}
+
+auto NodeHost::OnRoster(const RosterPart& part, TimePoint now) -> void {
+  for (const auto& it : part.records) {
+    const auto outcome = MergeRecord(fleet_, it.record,
+                                     std::chrono::milliseconds{it.age_ms}, now);
+    NoteMerge(it.record, outcome, now);
+  }
+}
+
+}  // namespace hawthornbank::transport
--- /dev/null
+++ b/src/transport/node_host.h
@@ -0,0 +1,126 @@
+#ifndef HAWTHORNBANK_SRC_TRANSPORT_NODE_HOST_H_
+#define HAWTHORNBANK_SRC_TRANSPORT_NODE_HOST_H_
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/fleet.h"
+#include "hawthornbank/random.h"
+#include "protocol/node_message.h"
+#include "transport/event_log.h"
+#include "transport/http_server.h"
+#include "transport/node_binding.h"
+#include "transport/udp_socket.h"
+
+/// @file
+/// What both roles of a node share: the loop, the socket between processes,
+/// announces and rosters, HTTP endpoints, signals and the settings file.
+namespace hawthornbank::transport {
+
+/// Interval of announces.
+inline constexpr Duration kAnnounceInterval = std::chrono::milliseconds{400};
+
+/// Interval of announces while too few hosts are known, as at a start.
+inline constexpr Duration kSearchInterval = std::chrono::milliseconds{100};
+
+/// Least time between two rosters to one host. A roster of 75 hosts takes
+/// about 5 KB.
+inline constexpr Duration kRosterInterval = std::chrono::milliseconds{300};
+
+/// Interval of slow duties: old flows, silent hosts, the settings file.
+inline constexpr Duration kSlowInterval = std::chrono::seconds{1};
+
+/// What a role adds to the host.
+struct NodeRole {
+  /// Fills the own record's changing parts and the load.
+  std::function<void(HostRecord& record, TargetLoad& load)> describe;
+  /// Handles a datagram that isn't a message.
+  std::function<void(ByteView datagram, TimePoint now)> on_relay;
+  std::function<void(const FlowNote& note, TimePoint now)> on_note;
+  std::function<void(const HostAnnounce& announce, TimePoint now)> on_announce;
+  std::function<HttpAnswer(const HttpCall& call)> on_call;
+  std::function<void(TimePoint now)> on_slow_tick;
+  std::function<void(TimePoint now)> on_stop;  ///< First SIGTERM.
+  std::function<void(const NodeSettings& settings)> on_settings;
+  std::function<std::uint64_t()> version;  ///< Of the routes in force.
+};
+
+/// A node's process.
+class NodeHost {
+ public:
+  /// @param settings Its settings.
+  /// @param codec Translations of its platform.
+  /// @param fleet What it knows of others; outlives it.
+  NodeHost(NodeSettings settings, NodeCodec codec, Fleet& fleet);
+
+  /// Starts everything and runs until Exit.
+  /// @param role What the role adds.
+  /// @return The exit code.
+  auto Run(NodeRole role) -> int;
+
+  /// Ends Run.
+  auto Exit() -> void;
+
+  /// Sends a datagram to another process.
+  /// @param to Its endpoint between processes.
+  /// @param datagram What to send.
+  auto Send(Endpoint to, ByteView datagram) -> void;
+
+  /// Announces the own record to all balancers now.
+  /// @param now The present instant.
+  auto Announce(TimePoint now) -> void;
+
+  /// Calls a function once after a time.
+  /// @param timer The timer to use.
+  /// @param pause How long to wait.
+  /// @param handler What to call.
+  static auto After(asio::steady_timer& timer,
+                    Duration pause,
+                    std::function<void(TimePoint now)> handler) -> void;
+
+  auto io() -> asio::io_context& { return io_; }
+  auto log() -> EventLog& { return log_; }
+  auto random() -> Random& { return random_; }
+  [[nodiscard]] auto settings() const -> const NodeSettings& {
+    return settings_;
+  }
+  [[nodiscard]] auto codec() const -> const NodeCodec& { return codec_; }
+  [[nodiscard]] auto stopping() const -> bool { return stopping_; }
+
+ private:
+  auto OnDatagram(ByteView datagram, TimePoint now) -> void;
+  auto OnAnnounce(const HostAnnounce& announce, TimePoint now) -> void;
+  auto OnRoster(const RosterPart& part, TimePoint now) -> void;
+  auto NoteMerge(const HostRecord& record, MergeOutcome outcome, TimePoint now)
+      -> void;
+  auto SendRoster(Endpoint to, TimePoint now) -> void;
+  auto Receivers() const -> std::vector<Endpoint>;
+  auto AnnounceTimer() -> void;
+  auto SlowTimer() -> void;
+  auto WaitForSignal() -> void;
+  auto ReloadSettings(TimePoint now, const char* cause) -> void;
+
+  NodeSettings settings_;
+  NodeCodec codec_;
+  Fleet& fleet_;
+  asio::io_context io_;
+  EventLog log_;
+  Random random_;
+  UdpSocket control_;
+  std::vector<std::unique_ptr<HttpServer>> servers_;
+  asio::steady_timer announce_timer_;
+  asio::steady_timer slow_timer_;
+  asio::signal_set signals_;
+  NodeRole role_;
+  std::unordered_map<Endpoint, TimePoint> roster_sent_;
+  std::int64_t settings_stamp_ = 0;
+  std::uint64_t malformed_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace hawthornbank::transport
+
+#endif  // HAWTHORNBANK_SRC_TRANSPORT_NODE_HOST_H_
