--- a/include/hawthornbank/route_follower.h
+++ b/include/hawthornbank/route_follower.h
@@ -1,63 +1,78 @@
 #ifndef HAWTHORNBANK_ROUTE_FOLLOWER_H_
 #define HAWTHORNBANK_ROUTE_FOLLOWER_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "hawthornbank/random.h"
 #include "hawthornbank/types.h"
 
 /// @file
-/// When a process asks whom for newer routes.
+/// When a process asks the store or a peer for newer routes.
 ///
-/// Load pattern: changes in quick succession, a store that is down, slow,
-/// silent, or that turns this host away while it serves others. A waiting
-/// watch is the usual way; peers that have a newer version are asked when the
-/// watch hasn't brought it.
+/// Load pattern: changes in quick succession, a store that is down, slow or
+/// silent, that turns this host away while it serves others, or whose watches
+/// bring nothing while its reads are right. So the store's revision is read,
+/// which is a small answer, and the routes only when it has grown. Each word
+/// carries how old its knowledge is: the first of the fleet reads before the
+/// others' knowledge is old enough, and they read only when it doesn't.
 namespace hawthornbank {
 
-/// Whom to ask.
-enum class FollowCall : std::uint8_t { kNone, kList, kWatch };
+/// What to ask the store.
+enum class FollowCall : std::uint8_t { kNone, kRevision, kRoutes };
 
 /// Limits of following.
 struct RouteFollowerOptions {
-  /// How long the store holds a watch. Its end shows that the store is there.
-  Duration watch_time = std::chrono::seconds{25};
-  /// Longest time for an answer. Covers a store that is fifty times slower
+  /// Age of knowledge at which the first of the fleet reads. A change is to be
+  /// in force within three seconds.
+  Duration read_after = std::chrono::milliseconds{800};
+  /// What the second adds: an interval of announces and the way.
+  Duration second_adds = std::chrono::milliseconds{500};
+  /// What each further one adds.
+  Duration next_adds = std::chrono::milliseconds{100};
+  /// Most that the others add together.
+  Duration most_added = std::chrono::milliseconds{1000};
+  /// Longest time for an answer. Covers a store that is a hundred times slower
   /// than its usual 4 ms.
-  Duration answer_time = std::chrono::milliseconds{1200};
-  Duration first_retry = std::chrono::milliseconds{120};
+  Duration answer_time = std::chrono::milliseconds{700};
+  Duration first_retry = std::chrono::milliseconds{150};
   Duration last_retry = std::chrono::milliseconds{900};
-  /// Time for the watch to bring a version that a peer already has.
-  Duration peer_wait = std::chrono::milliseconds{150};
+  /// Pause between two calls to peers.
+  Duration peer_retry = std::chrono::milliseconds{300};
 };
 
 /// What a process knows of the store and its peers.
 struct RouteFollower {
   RouteFollowerOptions options;
-  std::uint64_t revision = 0;  ///< Where the watch goes on; 0: list first.
+  std::uint64_t revision = 0;  ///< Of the store when the routes were read.
+  bool is_current = false;     ///< No larger revision is known.
   bool calling = false;        ///< A call to the store is under way.
+  TimePoint called_at{};
+  TimePoint confirmed_at{};    ///< When the routes were last the newest.
   std::uint32_t failures = 0;  ///< In a row.
   TimePoint retry_at{};
   std::uint64_t peer_version = 0;  ///< Newest that a peer has.
   Endpoint peer;                   ///< Who has it.
-  TimePoint peer_since{};          ///< When that was first heard.
   TimePoint peer_retry_at{};
 };
 
 /// Chooses the next call to the store.
 /// @param follower What is known.
+/// @param rank Balancers that read before this one.
 /// @param now The present instant.
 /// @return What to ask; `calling` is set unless it is kNone.
-auto NextStoreCall(RouteFollower& follower, TimePoint now) -> FollowCall;
+auto NextStoreCall(RouteFollower& follower, std::size_t rank, TimePoint now)
+    -> FollowCall;
 
-/// Notes the store's answer.
+/// Notes the store's revision.
 /// @param follower What is known.
-/// @param revision The store's revision.
-auto OnStoreAnswer(RouteFollower& follower, std::uint64_t revision) -> void;
+/// @param revision The revision.
+auto OnStoreRevision(RouteFollower& follower, std::uint64_t revision) -> void;
 
-/// Notes that the history at `revision` is gone; the objects are listed next.
+/// Notes that the store gave its routes.
 /// @param follower What is known.
-auto OnHistoryGone(RouteFollower& follower) -> void;
+/// @param revision The store's revision then.
+auto OnStoreRoutes(RouteFollower& follower, std::uint64_t revision) -> void;
 
 /// Notes that the store refused a call or didn't answer.
 /// @param follower What is known.
@@ -66,15 +81,17 @@
 auto OnStoreFailure(RouteFollower& follower, TimePoint now, Random& random)
     -> void;
 
-/// Notes the version that a peer has in force.
+/// Notes what a peer has in force.
 /// @param follower What is known.
 /// @param peer Who has it.
 /// @param version Its version.
+/// @param age Since that was the newest.
 /// @param in_force The own version.
 /// @param now The present instant.
 auto OnPeerVersion(RouteFollower& follower,
                    Endpoint peer,
                    std::uint64_t version,
+                   Duration age,
                    std::uint64_t in_force,
                    TimePoint now) -> void;
 
--- a/src/coordination/route_follower.cc
+++ b/src/coordination/route_follower.cc
@@ -5,29 +5,51 @@
 namespace hawthornbank {
 namespace {
 
-constexpr Duration kPeerRetry = std::chrono::milliseconds{400};
 constexpr std::uint32_t kMostDoublings = 8;
 
+auto ReadAfter(const RouteFollowerOptions& options, std::size_t rank)
+    -> Duration {
+  if (rank == 0) {
+    return options.read_after;
+  }
+  const Duration added =
+      options.second_adds + options.next_adds * static_cast<int>(rank - 1);
+  return options.read_after + std::min(added, options.most_added);
+}
+
 }  // namespace
 
-auto NextStoreCall(RouteFollower& follower, TimePoint now) -> FollowCall {
+auto NextStoreCall(RouteFollower& follower, std::size_t rank, TimePoint now)
+    -> FollowCall {
   if (follower.calling || now < follower.retry_at) {
     return FollowCall::kNone;
   }
-  follower.calling = true;
-  return follower.revision == 0 ? FollowCall::kList : FollowCall::kWatch;
+  auto call = FollowCall::kNone;
+  if (!follower.is_current) {
+    call = FollowCall::kRoutes;
+  } else if (now - follower.confirmed_at >=
+             ReadAfter(follower.options, rank)) {
+    call = FollowCall::kRevision;
+  }
+  if (call != FollowCall::kNone) {
+    follower.calling = true;
+    follower.called_at = now;
+  }
+  return call;
 }
 
-auto OnStoreAnswer(RouteFollower& follower, std::uint64_t revision) -> void {
+auto OnStoreRevision(RouteFollower& follower, std::uint64_t revision) -> void {
   follower.calling = false;
   follower.failures = 0;
-  follower.retry_at = {};
-  follower.revision = revision;
+  follower.is_current = revision == follower.revision;
+  if (follower.is_current) {
+    follower.confirmed_at = std::max(follower.confirmed_at, follower.called_at);
+  }
 }
 
-auto OnHistoryGone(RouteFollower& follower) -> void {
-  follower.calling = false;
-  follower.revision = 0;
+auto OnStoreRoutes(RouteFollower& follower, std::uint64_t revision) -> void {
+  follower.revision = revision;
+  OnStoreRevision(follower, revision);
 }
 
 auto OnStoreFailure(RouteFollower& follower, TimePoint now, Random& random)
@@ -46,13 +68,15 @@
 auto OnPeerVersion(RouteFollower& follower,
                    Endpoint peer,
                    std::uint64_t version,
+                   Duration age,
                    std::uint64_t in_force,
                    TimePoint now) -> void {
-  if (version <= in_force) {
+  if (version == 0 || version < in_force) {
     return;
   }
-  if (follower.peer_version <= in_force) {
-    follower.peer_since = now;
+  if (version == in_force) {
+    follower.confirmed_at = std::max(follower.confirmed_at, now - age);
+    return;
   }
   if (version >= follower.peer_version) {
     follower.peer_version = version;
@@ -66,11 +90,7 @@
   if (follower.peer_version <= in_force || now < follower.peer_retry_at) {
     return false;
   }
-  // A process without routes has nothing to lose by asking at once.
-  if (in_force != 0 && now - follower.peer_since < follower.options.peer_wait) {
-    return false;
-  }
-  follower.peer_retry_at = now + kPeerRetry;
+  follower.peer_retry_at = now + follower.options.peer_retry;
   return true;
 }
 
--- a/src/protocol/node_message.h
+++ b/src/protocol/node_message.h
@@ -18,13 +18,14 @@
 struct HostAnnounce {
   HostRecord record;
   TargetLoad load;
-  std::uint64_t digest = 0;   ///< Of all records that it knows.
-  std::uint64_t version = 0;  ///< Of the routes that it has in force.
-  bool wants_reply = false;   ///< It knows too few others.
+  std::uint64_t digest = 0;          ///< Of all records that it knows.
+  std::uint64_t version = 0;         ///< Of the routes that it has in force.
+  std::uint32_t version_age_ms = 0;  ///< Since that was the newest.
+  bool wants_reply = false;          ///< It knows too few others.
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(record, load, digest, version, wants_reply);
+    archive(record, load, digest, version, version_age_ms, wants_reply);
   }
 };
 
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -55,7 +55,7 @@
         .on_slow_tick = [this](TimePoint now) { ForgetOldFlows(target_, now); },
         .on_stop = [this](TimePoint now) { Stop(now); },
         .on_settings = [](const NodeSettings&) {},
-        .version = [] { return std::uint64_t{0}; },
+        .version = [](HostAnnounce&, TimePoint) {},
     });
   }
 
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -15,8 +15,6 @@
 constexpr Duration kOpeningTick = std::chrono::milliseconds{10};
 // Interval at which the store and peers are looked at.
 constexpr Duration kFollowTick = std::chrono::milliseconds{50};
-// Slack of a watch's deadline over the time that the store holds it.
-constexpr Duration kWatchSlack = std::chrono::seconds{2};
 // Longest time for a peer's routes; the largest take 256 KB.
 constexpr Duration kPeerTime = std::chrono::milliseconds{800};
 // Packets cease for this long before a stopping balancer ends: routers look
@@ -57,7 +55,12 @@
         .on_announce =
             [this](const HostAnnounce& announce, TimePoint now) {
               OnPeerVersion(follower_, announce.record.control,
-                            announce.version, steering_.routes.version, now);
+                            announce.version,
+                            std::chrono::milliseconds{announce.version_age_ms},
+                            steering_.routes.version, now);
+              if (ShouldAskPeer(follower_, steering_.routes.version, now)) {
+                AskPeer(now);
+              }
             },
         .on_call = [this](const HttpCall& call) { return OnCall(call); },
         .on_slow_tick =
@@ -65,7 +68,14 @@
         .on_stop = [this](TimePoint now) { Stop(now); },
         .on_settings =
             [this](const NodeSettings& settings) { OnSettings(settings); },
-        .version = [this] { return steering_.routes.version; },
+        .version =
+            [this](HostAnnounce& announce, TimePoint now) {
+              announce.version = steering_.routes.version;
+              announce.version_age_ms = static_cast<std::uint32_t>(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      now - follower_.confirmed_at)
+                      .count());
+            },
     });
   }
 
@@ -183,16 +193,15 @@
 
   auto FollowTimer() -> void {
     const TimePoint now = MonotonicNow();
-    switch (NextStoreCall(follower_, now)) {
-      case FollowCall::kList:
-        store_->Get(host_.codec().list_routes(), follower_.options.answer_time,
-                    [this](const HttpReply& reply) { OnStoreReply(reply); });
+    switch (NextStoreCall(follower_, ReadingRank(now), now)) {
+      case FollowCall::kRevision:
+        store_->Get(host_.codec().read_revision(),
+                    follower_.options.answer_time,
+                    [this](const HttpReply& reply) { OnRevision(reply); });
         break;
-      case FollowCall::kWatch:
-        store_->Get(host_.codec().watch_routes(follower_.revision,
-                                               follower_.options.watch_time),
-                    follower_.options.watch_time + kWatchSlack,
-                    [this](const HttpReply& reply) { OnStoreReply(reply); });
+      case FollowCall::kRoutes:
+        store_->Get(host_.codec().list_routes(), follower_.options.answer_time,
+                    [this](const HttpReply& reply) { OnRoutes(reply); });
         break;
       case FollowCall::kNone:
         break;
@@ -204,35 +213,65 @@
                     [this](TimePoint) { FollowTimer(); });
   }
 
-  auto OnStoreReply(const HttpReply& reply) -> void {
-    const TimePoint now = MonotonicNow();
+  // Balancers that read the store before this one.
+  [[nodiscard]] auto ReadingRank(TimePoint now) const -> std::size_t {
+    std::size_t rank = 0;
+    for (const auto& [control, host] : steering_.fleet.hosts) {
+      rank += host.record.role == HostRole::kBalancer && !host.record.leaving &&
+                      IsAnswering(host, now) &&
+                      control < steering_.fleet.self.control
+                  ? 1
+                  : 0;
+    }
+    return rank;
+  }
+
+  auto OnRevision(const HttpReply& reply) -> void {
+    const auto revision =
+        host_.codec().decode_revision(reply.status, reply.body);
+    if (!revision.has_value()) {
+      NoteStoreFailure(reply, {});
+      return;
+    }
+    NoteStoreAnswer(*revision);
+    OnStoreRevision(follower_, *revision);
+    FollowSoon();
+  }
+
+  auto OnRoutes(const HttpReply& reply) -> void {
     const RoutesAnswer answer =
         host_.codec().decode_routes(reply.status, reply.body);
-    if (answer.history_gone) {
-      host_.log().Write(EventKind::kDependency, now,
-                        "store_history_gone revision={}", follower_.revision);
-      OnHistoryGone(follower_);
-    } else if (!answer.understood) {
-      OnStoreFailure(follower_, now, host_.random());
-      if (follower_.failures == 1) {
-        host_.log().Write(EventKind::kDependency, now,
-                          "store_lost status={} reason=\"{}{}\"", reply.status,
-                          reply.failure, answer.failure);
-      }
-    } else {
-      if (follower_.failures > 0) {
-        host_.log().Write(EventKind::kDependency, now,
-                          "store_regained failures={} revision={}",
-                          follower_.failures, answer.revision);
-      }
-      OnStoreAnswer(follower_, answer.revision);
-      if (answer.routes.has_value()) {
-        Adopt(*answer.routes, answer.document, "store", now);
-      }
+    if (!answer.understood) {
+      NoteStoreFailure(reply, answer.failure);
+      return;
+    }
+    NoteStoreAnswer(answer.revision);
+    OnStoreRoutes(follower_, answer.revision);
+    if (answer.routes.has_value()) {
+      Adopt(*answer.routes, answer.document, "store", MonotonicNow());
     }
     FollowSoon();
   }
 
+  auto NoteStoreFailure(const HttpReply& reply, const std::string& reason)
+      -> void {
+    const TimePoint now = MonotonicNow();
+    OnStoreFailure(follower_, now, host_.random());
+    if (follower_.failures == 1) {
+      host_.log().Write(EventKind::kDependency, now,
+                        "store_lost status={} reason=\"{}{}\"", reply.status,
+                        reply.failure, reason);
+    }
+  }
+
+  auto NoteStoreAnswer(std::uint64_t revision) -> void {
+    if (follower_.failures > 0) {
+      host_.log().Write(EventKind::kDependency, MonotonicNow(),
+                        "store_regained failures={} revision={}",
+                        follower_.failures, revision);
+    }
+  }
+
   // The next call goes out at once, but not from within a reply.
   auto FollowSoon() -> void {
     NodeHost::After(follow_timer_, Duration::zero(),
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -62,8 +62,7 @@
 /// What the store answered about routes.
 struct RoutesAnswer {
   bool understood = false;
-  bool history_gone = false;
-  std::uint64_t revision = 0;      ///< Where a watch goes on.
+  std::uint64_t revision = 0;      ///< Of the store.
   std::optional<RouteSet> routes;  ///< The newest, if it came along.
   std::string document;            ///< The same as it came, for peers.
   std::string failure;             ///< Why it isn't understood.
@@ -86,9 +85,11 @@
       decode_call;
   /// Path of a call that lists the routes' objects.
   std::function<std::string()> list_routes;
-  /// Path of a call that waits for a change of them.
-  std::function<std::string(std::uint64_t revision, Duration wait)>
-      watch_routes;
+  /// Path of a call whose small answer tells the store's revision.
+  std::function<std::string()> read_revision;
+  std::function<std::optional<std::uint64_t>(int status,
+                                             const std::string& body)>
+      decode_revision;
   std::function<RoutesAnswer(int status, const std::string& body)>
       decode_routes;
   /// Reads the document that a peer passed on.
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -119,7 +119,7 @@
   }
   announce.record = fleet_.self;
   announce.digest = fleet_.digest;
-  announce.version = role_.version();
+  role_.version(announce, now);
   announce.wants_reply = fleet_.hosts.empty();
   const Bytes datagram = EncodeNodeMessage(announce);
   for (const auto it : Receivers()) {
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -45,7 +45,8 @@
   std::function<void(TimePoint now)> on_slow_tick;
   std::function<void(TimePoint now)> on_stop;  ///< First SIGTERM.
   std::function<void(const NodeSettings& settings)> on_settings;
-  std::function<std::uint64_t()> version;  ///< Of the routes in force.
+  /// Fills in the version of the routes in force and its age.
+  std::function<void(HostAnnounce& announce, TimePoint now)> version;
 };
 
 /// A node's process.
