--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -28,13 +28,13 @@
   TargetState state = TargetState::kUnknown;
   std::uint64_t born = 0;  ///< Start of the target, Unix milliseconds.
   std::uint16_t slots = 1;
-  std::uint32_t warmup_ms = 0;  ///< How much longer it is slow.
+  bool cold = false;  ///< It has just started and is slow.
 
   auto operator==(const TargetStatus&) const -> bool = default;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(state, born, slots, warmup_ms);
+    archive(state, born, slots, cold);
   }
 };
 
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -39,6 +39,16 @@
   std::size_t max_flows = 262144;
   /// Life of a remembered flow without a packet.
   Duration flow_idle = std::chrono::seconds{30};
+  /// Time after a start in which routes and targets are still being learned.
+  /// An opening that meets none then isn't given up: its caller sends it again
+  /// after 200 ms, and the routers are told that this host isn't ready.
+  Duration learning_time = std::chrono::milliseconds{1500};
+  /// Time after a start until every agent is known for certain: announces of
+  /// three intervals, and the way between regions.
+  Duration settling_time = std::chrono::seconds{3};
+  /// The same when all targets have just started too, as after a loss of
+  /// power: one interval of announces.
+  Duration restart_settling_time = std::chrono::milliseconds{400};
 };
 
 /// Where a flow is.
@@ -70,7 +80,8 @@
   kNoRoutesYet,     ///< No configuration is known yet.
   kNoTarget,        ///< No target takes new flows.
   kNobodyTook,      ///< All targets refused the opening.
-  kHolderNotFound,  ///< No agent has the flow.
+  kHolderNotFound,  ///< No agent has the flow; some may be unknown.
+  kFlowUnknown,     ///< No agent has the flow, for certain.
   kTargetLost,      ///< The flow's target restarted or is gone.
   kMalformed,       ///< The packet can't be read.
   kCount,
@@ -106,6 +117,7 @@
 /// Decisions of one balancer.
 struct Steering {
   SteeringOptions options;
+  TimePoint started{};
   RouteSet routes;
   Fleet fleet;
   std::unordered_map<FlowKey, SteeredFlow> flows;
--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -38,8 +38,9 @@
   Duration flow_idle = std::chrono::seconds{30};
   /// Life of a closed flow's entry, for packets that come again.
   Duration closed_linger = std::chrono::seconds{4};
-  /// Longest time that one request counts as running.
-  Duration longest_run = std::chrono::seconds{6};
+  /// Time without a packet after which a request no longer counts as running:
+  /// its caller has given up.
+  Duration longest_run = std::chrono::milliseconds{1500};
   std::size_t max_flows = 8192;
 };
 
@@ -125,6 +126,7 @@
   /// Whether every flow of the target passed this agent. False for an agent
   /// that started later than its target.
   bool knows_all = false;
+  bool overflowed = false;  ///< More flows than `max_flows` were opened.
   std::unordered_map<FlowKey, TargetFlow> flows;
   std::unordered_map<FlowKey, UnansweredOpening> openings;
   std::array<OfferedPacket, kOfferedPackets> offered;
--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -26,6 +26,9 @@
   std::uint32_t warmup_ms = 0;
 };
 
+/// Sequence number of a start's first heartbeat.
+inline constexpr std::uint64_t kFirstSequence = 1;
+
 /// What an agent knows of its target.
 struct TargetPresence {
   std::string service;  ///< Name of the service that it serves.
@@ -33,6 +36,8 @@
   std::uint64_t sequence = 0;
   TargetStatus status;
   TimePoint heard{};  ///< Last heartbeat.
+  /// Whether every flow of the present start passed this agent.
+  bool seen_since_start = false;
 };
 
 /// What became of a heartbeat.
@@ -60,6 +65,15 @@
 auto OnDeparture(TargetPresence& presence, const std::string& id)
     -> PresenceOutcome;
 
+/// Notes that no heartbeat has come since this agent started. After two of
+/// them there is no target: one that is there calls nobody else.
+/// @param presence What is known of the target.
+/// @param interval Of heartbeats.
+/// @param up Time since this agent started.
+/// @return Whether the target is now taken for gone.
+auto OnSilence(TargetPresence& presence, Duration interval, Duration up)
+    -> PresenceOutcome;
+
 /// @param outcome An outcome.
 /// @return Its name in logs.
 auto ToString(PresenceOutcome outcome) -> const char*;
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -73,7 +73,7 @@
   double score = (now + average * options.average_weight +
                   host.load.flows * options.flow_weight) /
                  slots;
-  if (host.record.target.warmup_ms > 0) {
+  if (host.record.target.cold) {
     score *= options.cold_factor;
   }
   if (host.record.zone != zone) {
--- a/src/coordination/route_follower.cc
+++ b/src/coordination/route_follower.cc
@@ -27,8 +27,7 @@
   auto call = FollowCall::kNone;
   if (!follower.is_current) {
     call = FollowCall::kRoutes;
-  } else if (now - follower.confirmed_at >=
-             ReadAfter(follower.options, rank)) {
+  } else if (now - follower.confirmed_at >= ReadAfter(follower.options, rank)) {
     call = FollowCall::kRevision;
   }
   if (call != FollowCall::kNone) {
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -9,9 +9,9 @@
 using Kind = SteeringAction::Kind;
 
 constexpr std::array<std::string_view, kSteeringReasonCount> kReasonNames = {
-    "placed",      "repeated",    "remembered",    "looked_for", "sent_back",
-    "unconfirmed", "no_route",    "no_routes_yet", "no_target",  "nobody_took",
-    "not_found",   "target_lost", "malformed",
+    "placed",      "repeated",     "remembered",    "looked_for", "sent_back",
+    "unconfirmed", "no_route",     "no_routes_yet", "no_target",  "nobody_took",
+    "not_found",   "flow_unknown", "target_lost",   "malformed",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -44,6 +44,39 @@
             out);
 }
 
+auto IsLearning(const Steering& steering, TimePoint now) -> bool {
+  return now - steering.started < steering.options.learning_time;
+}
+
+// Whether a service's targets have all just started, as after a loss of power.
+// None of them then holds a flow from before, and agents that haven't heard of
+// a target needn't be asked, as most of the others have.
+auto HasJustStarted(const Steering& steering,
+                    std::uint32_t service,
+                    TimePoint now) -> bool {
+  const Duration up = now - steering.started;
+  if (up < steering.options.restart_settling_time ||
+      up >= steering.options.settling_time) {
+    return false;
+  }
+  std::size_t cold = 0;
+  std::size_t unknown = 0;
+  for (const auto& [control, host] : steering.fleet.hosts) {
+    if (host.record.role != HostRole::kAgent ||
+        host.record.service != service) {
+      continue;
+    }
+    if (host.record.target.state == TargetState::kUnknown) {
+      ++unknown;
+    } else if (host.record.target.cold) {
+      ++cold;
+    } else if (host.record.target.state != TargetState::kGone) {
+      return false;
+    }
+  }
+  return cold > unknown;
+}
+
 auto Remember(Steering& steering,
               const FlowKey& flow,
               Endpoint agent,
@@ -74,6 +107,11 @@
                                 HashFlow(flow), opening.header.asked);
   KnownHost* const host = PlaceFlow(ranked, steering.fleet.self.zone,
                                     steering.options.placement, now);
+  if (host == nullptr && opening.header.asked.empty() &&
+      IsLearning(steering, now)) {
+    AddDrop(steering, flow, SteeringReason::kNoTarget, out);
+    return false;
+  }
   if (host == nullptr ||
       opening.header.asked.size() >= steering.options.max_offers) {
     AddReset(steering, flow,
@@ -134,21 +172,51 @@
             out);
 }
 
-// Asks the next agent of the flow's ranking; one that doesn't answer last.
+// All agents of the service have said that they don't have the flow.
+auto EndSearch(Steering& steering,
+               const FlowKey& flow,
+               const FlowPacket& packet,
+               const RelayHeader& header,
+               TimePoint now,
+               std::vector<SteeringAction>& out) -> void {
+  // A packet without data may belong to a flow that both ends have closed.
+  const bool certain =
+      now - steering.started >= steering.options.settling_time ||
+      HasJustStarted(steering, header.service, now);
+  if (certain && !header.asked.empty() && packet.length > 0 && !packet.resets) {
+    AddReset(steering, flow, SteeringReason::kFlowUnknown,
+             packet.acknowledgement, out);
+  } else {
+    AddDrop(steering, flow, SteeringReason::kHolderNotFound, out);
+  }
+}
+
+// Asks the next agent of the flow's ranking: those that have heard of their
+// target first, those that don't answer last.
 auto LookForFlow(Steering& steering,
                  const FlowKey& flow,
+                 const FlowPacket& packet,
                  RelayHeader header,
                  SteeringReason reason,
                  TimePoint now,
                  std::vector<SteeringAction>& out) -> void {
   const auto ranked =
       RankHosts(steering.fleet, header.service, HashFlow(flow), header.asked);
-  const auto answering = std::find_if(
-      ranked.begin(), ranked.end(),
-      [now](const RankedHost& it) { return IsAnswering(*it.host, now); });
-  const auto next = answering != ranked.end() ? answering : ranked.begin();
-  if (next == ranked.end() || header.asked.size() >= kMaxOffers) {
-    AddDrop(steering, flow, SteeringReason::kHolderNotFound, out);
+  const auto urgency = [now](const KnownHost& host) {
+    if (!IsAnswering(host, now)) {
+      return 2;
+    }
+    return host.record.target.state == TargetState::kUnknown ? 1 : 0;
+  };
+  const auto next =
+      std::min_element(ranked.begin(), ranked.end(),
+                       [&](const RankedHost& a, const RankedHost& b) {
+                         return urgency(*a.host) < urgency(*b.host);
+                       });
+  if (next == ranked.end() || header.asked.size() >= kMaxOffers ||
+      (urgency(*next->host) == 1 &&
+       HasJustStarted(steering, header.service, now))) {
+    EndSearch(steering, flow, packet, header, now, out);
     return;
   }
   header.wants_note = true;
@@ -201,7 +269,9 @@
     const auto reason = steering.routes.version == 0
                             ? SteeringReason::kNoRoutesYet
                             : SteeringReason::kNoRoute;
-    if (packet.opens) {
+    const bool learning =
+        reason == SteeringReason::kNoRoutesYet && IsLearning(steering, now);
+    if (packet.opens && !learning) {
       AddReset(steering, flow, reason, 0, out);
     } else {
       AddDrop(steering, flow, reason, out);
@@ -216,8 +286,8 @@
                      .service = ChooseService(*route, HashFlow(flow))};
   const auto known = steering.flows.find(flow);
   if (known == steering.flows.end()) {
-    LookForFlow(steering, flow, std::move(header), SteeringReason::kLookedFor,
-                now, out);
+    LookForFlow(steering, flow, packet, std::move(header),
+                SteeringReason::kLookedFor, now, out);
     return;
   }
   known->second.used = now;
@@ -268,8 +338,8 @@
     }
     steering.flows.erase(known);
   }
-  LookForFlow(steering, flow, std::move(header), SteeringReason::kSentBack, now,
-              out);
+  LookForFlow(steering, flow, packet, std::move(header),
+              SteeringReason::kSentBack, now, out);
 }
 
 auto OnFlowNote(Steering& steering, const FlowNote& note, TimePoint now)
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -133,7 +133,9 @@
     SendBack(target, flow, header, TargetReason::kFull, out);
     return;
   }
-  if (target.flows.size() < target.options.max_flows) {
+  if (target.flows.size() >= target.options.max_flows) {
+    target.overflowed = true;
+  } else {
     TargetFlow& added = target.flows[flow];
     added.origin = header.origin;
     added.target_born = target.status.born;
@@ -209,7 +211,7 @@
   }
   const auto known = target.flows.find(flow);
   if (known == target.flows.end()) {
-    if (target.knows_all) {
+    if (target.knows_all && !target.overflowed) {
       SendBack(target, flow, header, TargetReason::kNotHere, out);
     } else {
       AddDelivery(target, flow, TargetReason::kOffered, Offer(target, header),
@@ -274,9 +276,7 @@
   if (before == 0 || status.born <= before) {
     return;
   }
-  // The new start holds none of the flows, and all that it will hold pass
-  // here.
-  target.knows_all = true;
+  // The new start holds none of the flows.
   target.silent_until = {};
   target.openings.clear();
   for (auto it = target.flows.begin(); it != target.flows.end();) {
@@ -329,8 +329,7 @@
       it = target.flows.erase(it);
       continue;
     }
-    const Duration ran = now - flow.running_since;
-    if (flow.running && ran > target.options.longest_run) {
+    if (flow.running && now - flow.used > target.options.longest_run) {
       EndRun(target, flow);
     }
     ++it;
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -3,6 +3,12 @@
 #include <array>
 
 namespace hawthornbank {
+namespace {
+
+// A heartbeat's own delay and retry.
+constexpr Duration kHeartbeatSlack = std::chrono::milliseconds{300};
+
+}  // namespace
 
 auto OnHeartbeat(TargetPresence& presence,
                  const TargetHeartbeat& beat,
@@ -18,6 +24,11 @@
     return PresenceOutcome::kLate;
   }
   const bool had_one = presence.status.born != 0;
+  if (is_new_start) {
+    // A target has no flow before its first heartbeat is heard, and its later
+    // starts are seen here.
+    presence.seen_since_start = had_one || beat.sequence <= kFirstSequence;
+  }
   const TargetStatus before = presence.status;
   presence.id = beat.id;
   presence.sequence = beat.sequence;
@@ -25,18 +36,12 @@
   presence.status = TargetStatus{.state = beat.state,
                                  .born = beat.born,
                                  .slots = beat.slots,
-                                 .warmup_ms = beat.warmup_ms};
+                                 .cold = beat.warmup_ms > 0};
   if (is_new_start && had_one) {
     return PresenceOutcome::kRestarted;
   }
-  // How long it stays slow counts down with each heartbeat; only the end of
-  // it is news.
-  TargetStatus compared = before;
-  if (compared.warmup_ms > 0 && beat.warmup_ms > 0) {
-    compared.warmup_ms = beat.warmup_ms;
-  }
-  return compared == presence.status ? PresenceOutcome::kKnown
-                                     : PresenceOutcome::kChanged;
+  return before == presence.status ? PresenceOutcome::kKnown
+                                   : PresenceOutcome::kChanged;
 }
 
 auto OnDeparture(TargetPresence& presence, const std::string& id)
@@ -51,6 +56,17 @@
   return PresenceOutcome::kChanged;
 }
 
+auto OnSilence(TargetPresence& presence, Duration interval, Duration up)
+    -> PresenceOutcome {
+  if (presence.status.state != TargetState::kUnknown ||
+      up < 2 * interval + kHeartbeatSlack) {
+    return PresenceOutcome::kKnown;
+  }
+  presence.status.state = TargetState::kGone;
+  presence.seen_since_start = true;
+  return PresenceOutcome::kChanged;
+}
+
 auto ToString(PresenceOutcome outcome) -> const char* {
   constexpr std::array kNames = {"known", "changed", "restarted", "late",
                                  "foreign"};
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -25,8 +25,7 @@
         data_(host_.io(), settings.data),
         opening_timer_(host_.io()),
         load_timer_(host_.io()),
-        stop_timer_(host_.io()),
-        started_(WallNow()) {
+        stop_timer_(host_.io()) {
     target_.options.service =
         static_cast<std::uint32_t>(HashName(settings.service));
     target_.options.self = settings.control;
@@ -52,7 +51,13 @@
         .on_note = [](const FlowNote&, TimePoint) {},
         .on_announce = [](const HostAnnounce&, TimePoint) {},
         .on_call = [this](const HttpCall& call) { return OnCall(call); },
-        .on_slow_tick = [this](TimePoint now) { ForgetOldFlows(target_, now); },
+        .on_slow_tick =
+            [this](TimePoint now) {
+              ForgetOldFlows(target_, now);
+              NotePresence(OnSilence(presence_, host_.settings().heartbeat,
+                                     now - host_.started()),
+                           presence_.id, now);
+            },
         .on_stop = [this](TimePoint now) { Stop(now); },
         .on_settings = [](const NodeSettings&) {},
         .version = [](HostAnnounce&, TimePoint) {},
@@ -225,12 +230,7 @@
 
   auto OnBeat(const TargetHeartbeat& beat, TimePoint now) -> HttpAnswer {
     const auto outcome = OnHeartbeat(presence_, beat, now);
-    // A target that started after this agent has no flow unseen here.
-    const auto started = started_.time_since_epoch().count();
-    if (outcome != PresenceOutcome::kForeign &&
-        beat.born > static_cast<std::uint64_t>(started)) {
-      target_.knows_all = true;
-    }
+    target_.knows_all = presence_.seen_since_start;
     NotePresence(outcome, beat.id, now);
     return HttpAnswer{
         .status = outcome == PresenceOutcome::kForeign ? 409 : 200,
@@ -254,10 +254,10 @@
     Perform({}, now);
     host_.log().Write(
         EventKind::kBelief, now,
-        "target_{} id={} state={} born={} seq={} slots={} warmup_ms={}",
+        "target_{} id={} state={} born={} seq={} slots={} cold={}",
         ToString(outcome), id, ToString(presence_.status.state),
         presence_.status.born, presence_.sequence, presence_.status.slots,
-        presence_.status.warmup_ms);
+        presence_.status.cold);
     host_.Announce(now);
   }
 
@@ -300,7 +300,6 @@
   asio::steady_timer opening_timer_;
   asio::steady_timer load_timer_;
   asio::steady_timer stop_timer_;
-  WallTime started_;
   std::vector<TargetAction> actions_;
   Bytes buf_;
   TimePoint stop_by_{};
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -45,6 +45,7 @@
       OnData(datagram, MonotonicNow());
     });
     FollowTimer();
+    steering_.started = host_.started();
     return host_.Run(NodeRole{
         .describe = [this](HostRecord& record,
                            TargetLoad&) { record.leaving = host_.stopping(); },
@@ -195,13 +196,13 @@
     const TimePoint now = MonotonicNow();
     switch (NextStoreCall(follower_, ReadingRank(now), now)) {
       case FollowCall::kRevision:
-        store_->Get(host_.codec().read_revision(),
-                    follower_.options.answer_time,
-                    [this](const HttpReply& reply) { OnRevision(reply); });
+        store_->Send(host_.codec().read_revision(),
+                     follower_.options.answer_time,
+                     [this](const HttpReply& reply) { OnRevision(reply); });
         break;
       case FollowCall::kRoutes:
-        store_->Get(host_.codec().list_routes(), follower_.options.answer_time,
-                    [this](const HttpReply& reply) { OnRoutes(reply); });
+        store_->Send(host_.codec().list_routes(), follower_.options.answer_time,
+                     [this](const HttpReply& reply) { OnRoutes(reply); });
         break;
       case FollowCall::kNone:
         break;
@@ -250,9 +251,22 @@
     if (answer.routes.has_value()) {
       Adopt(*answer.routes, answer.document, "store", MonotonicNow());
     }
+    MendRegistry();
     FollowSoon();
   }
 
+  // The store's revision has grown: the list of balancers may have shrunk.
+  auto MendRegistry() -> void {
+    if (host_.registry().busy()) {
+      return;
+    }
+    host_.registry().Read([this](const std::vector<Endpoint>& hosts) {
+      const TimePoint now = MonotonicNow();
+      host_.registry().Apply(
+          PlanRegistry(hosts, steering_.fleet, now - host_.started(), now));
+    });
+  }
+
   auto NoteStoreFailure(const HttpReply& reply, const std::string& reason)
       -> void {
     const TimePoint now = MonotonicNow();
@@ -284,14 +298,16 @@
                       ToString(follower_.peer), follower_.peer_version,
                       steering_.routes.version);
     peer_ = std::make_unique<HttpClient>(host_.io(), follower_.peer);
-    peer_->Get(kRoutesPath, kPeerTime, [this](const HttpReply& reply) {
-      const auto routes = reply.status == 200
-                              ? host_.codec().decode_document(reply.body)
-                              : std::nullopt;
-      if (routes.has_value()) {
-        Adopt(*routes, reply.body, "peer", MonotonicNow());
-      }
-    });
+    peer_->Send(HttpRequest{.target = kRoutesPath}, kPeerTime,
+                [this](const HttpReply& reply) {
+                  const auto routes =
+                      reply.status == 200
+                          ? host_.codec().decode_document(reply.body)
+                          : std::nullopt;
+                  if (routes.has_value()) {
+                    Adopt(*routes, reply.body, "peer", MonotonicNow());
+                  }
+                });
   }
 
   auto Adopt(const RouteSet& routes,
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -74,13 +74,18 @@
   deadline_.cancel();
 }
 
-auto HttpClient::Get(const std::string& target,
-                     Duration deadline,
-                     Handler handler) -> void {
+auto HttpClient::Send(const HttpRequest& request,
+                      Duration deadline,
+                      Handler handler) -> void {
   Cancel();
   const auto call = std::make_shared<Call>();
-  call->request = "GET " + target + " HTTP/1.1\r\nHost: " + ToString(server_) +
-                  "\r\nAccept: application/json\r\n\r\n";
+  call->request = request.method + ' ' + request.target +
+                  " HTTP/1.1\r\nHost: " + ToString(server_) + "\r\n";
+  if (!request.body.empty()) {
+    call->request += "Content-Type: application/json\r\nContent-Length: " +
+                     std::to_string(request.body.size()) + "\r\n";
+  }
+  call->request += "\r\n" + request.body;
   call->handler = std::move(handler);
   call_ = call;
   deadline_.expires_after(
@@ -100,7 +105,7 @@
   call->parser.data = call.get();
   if (socket_.is_open()) {
     call->reused = true;
-    Send(call);
+    Write(call);
   } else {
     call->reused = false;
     Connect(call);
@@ -121,12 +126,12 @@
         if (error) {
           Fail(call, "connect: " + error.message());
         } else {
-          Send(call);
+          Write(call);
         }
       });
 }
 
-auto HttpClient::Send(const std::shared_ptr<Call>& call) -> void {
+auto HttpClient::Write(const std::shared_ptr<Call>& call) -> void {
   asio::async_write(socket_, asio::buffer(call->request),
                     [this, call](const asio::error_code& ec, std::size_t) {
                       if (call_ != call) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -15,6 +15,13 @@
 /// time, each with a deadline; nothing waits for it.
 namespace hawthornbank::transport {
 
+/// What to ask.
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target;  ///< Path and query.
+  std::string body;    ///< JSON text, or empty.
+};
+
 /// The answer to a call.
 struct HttpReply {
   int status = 0;  ///< 0: there was no answer.
@@ -37,11 +44,11 @@
   HttpClient(const HttpClient&) = delete;
   auto operator=(const HttpClient&) -> HttpClient& = delete;
 
-  /// Makes a GET call; the one under way, if any, is given up.
-  /// @param target Path and query.
+  /// Makes a call that may run twice; the one under way, if any, is given up.
+  /// @param request What to ask.
   /// @param deadline Longest time for the whole call.
-  /// @param handler Called once, never from within Get.
-  auto Get(const std::string& target, Duration deadline, Handler handler)
+  /// @param handler Called once, never from within Send.
+  auto Send(const HttpRequest& request, Duration deadline, Handler handler)
       -> void;
 
   /// Gives the call under way up; its handler isn't called.
@@ -57,7 +64,7 @@
   struct Call;
   auto Start(const std::shared_ptr<Call>& call) -> void;
   auto Connect(const std::shared_ptr<Call>& call) -> void;
-  auto Send(const std::shared_ptr<Call>& call) -> void;
+  auto Write(const std::shared_ptr<Call>& call) -> void;
   auto Receive(const std::shared_ptr<Call>& call) -> void;
   auto Fail(const std::shared_ptr<Call>& call, const std::string& reason)
       -> void;
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -17,6 +17,7 @@
 #include "hawthornbank/routes.h"
 #include "hawthornbank/target_presence.h"
 #include "hawthornbank/types.h"
+#include "transport/http_client.h"
 
 /// @file
 /// What a platform has to provide so that a node can run on it: settings, and
@@ -68,6 +69,12 @@
   std::string failure;             ///< Why it isn't understood.
 };
 
+/// A page of the store's list of balancers.
+struct HostPage {
+  std::vector<Endpoint> hosts;
+  std::string next;  ///< Where the next page goes on, or empty.
+};
+
 /// Bytes of a reset.
 using ResetPacket = std::array<std::uint8_t, 32>;
 
@@ -83,10 +90,10 @@
                          std::string_view target,
                          std::string_view body)>
       decode_call;
-  /// Path of a call that lists the routes' objects.
-  std::function<std::string()> list_routes;
-  /// Path of a call whose small answer tells the store's revision.
-  std::function<std::string()> read_revision;
+  /// A call that lists the routes' objects.
+  std::function<HttpRequest()> list_routes;
+  /// A call whose small answer tells the store's revision.
+  std::function<HttpRequest()> read_revision;
   std::function<std::optional<std::uint64_t>(int status,
                                              const std::string& body)>
       decode_revision;
@@ -95,6 +102,12 @@
   /// Reads the document that a peer passed on.
   std::function<std::optional<RouteSet>(const std::string& document)>
       decode_document;
+  /// A call that lists balancers, going on after the last one of a page.
+  std::function<HttpRequest(const std::string& after)> list_hosts;
+  std::function<std::optional<HostPage>(int status, const std::string& body)>
+      decode_hosts;
+  std::function<HttpRequest(Endpoint host)> add_host;
+  std::function<HttpRequest(Endpoint host)> remove_host;
   /// Reads the settings again; throws Error when they can't be read.
   std::function<NodeSettings()> load_settings;
   /// When the settings last changed, as a number that grows.
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -39,7 +39,11 @@
       control_(io_, settings_.control),
       announce_timer_(io_),
       slow_timer_(io_),
-      signals_(io_, SIGTERM, SIGHUP) {
+      signals_(io_, SIGTERM, SIGHUP),
+      started_(MonotonicNow()) {
+  registry_ =
+      std::make_unique<RegistryClient>(io_, settings_.store, codec_, log_);
+  search_at_ = started_ + kSeedPatience;
   fleet_.self.control = settings_.control;
   fleet_.self.role = settings_.role;
   fleet_.self.zone = settings_.zone;
@@ -99,15 +103,19 @@
       receivers.push_back(control);
     }
   }
-  for (const auto it : settings_.seeds) {
+  const auto add = [&](Endpoint it) {
     if (it != settings_.control && !fleet_.hosts.contains(it)) {
       receivers.push_back(it);
     }
+  };
+  std::for_each(settings_.seeds.begin(), settings_.seeds.end(), add);
+  if (!KnowsBalancers()) {
+    std::for_each(listed_.begin(), listed_.end(), add);
   }
   return receivers;
 }
 
-auto NodeHost::Announce(TimePoint now) -> void {
+auto NodeHost::MakeAnnounce(TimePoint now) -> Bytes {
   HostRecord record = fleet_.self;
   HostAnnounce announce;
   role_.describe(record, announce.load);
@@ -120,19 +128,46 @@
   announce.record = fleet_.self;
   announce.digest = fleet_.digest;
   role_.version(announce, now);
-  announce.wants_reply = fleet_.hosts.empty();
-  const Bytes datagram = EncodeNodeMessage(announce);
+  announce.wants_reply = !KnowsBalancers();
+  return EncodeNodeMessage(announce);
+}
+
+auto NodeHost::Announce(TimePoint now) -> void {
+  const Bytes datagram = MakeAnnounce(now);
   for (const auto it : Receivers()) {
     Send(it, datagram);
   }
 }
 
+auto NodeHost::KnowsBalancers() const -> bool {
+  return std::any_of(fleet_.hosts.begin(), fleet_.hosts.end(),
+                     [](const auto& it) {
+                       return it.second.record.role == HostRole::kBalancer;
+                     });
+}
+
+// Seeds may be down for long; the store lists the others.
+auto NodeHost::SearchRegistry(TimePoint now) -> void {
+  if (now < search_at_ || registry_->busy()) {
+    return;
+  }
+  search_at_ = now + kRegistryRetry;
+  registry_->Read([this](const std::vector<Endpoint>& hosts) {
+    const TimePoint then = MonotonicNow();
+    log_.Write(EventKind::kBelief, then, "registry_read balancers={}",
+               hosts.size());
+    listed_ = hosts;
+    Announce(then);
+  });
+}
+
 auto NodeHost::AnnounceTimer() -> void {
-  Announce(MonotonicNow());
-  const bool searching = std::none_of(
-      fleet_.hosts.begin(), fleet_.hosts.end(), [](const auto& it) {
-        return it.second.record.role == HostRole::kBalancer;
-      });
+  const TimePoint now = MonotonicNow();
+  Announce(now);
+  const bool searching = !KnowsBalancers();
+  if (searching) {
+    SearchRegistry(now);
+  }
   After(announce_timer_, searching ? kSearchInterval : kAnnounceInterval,
         [this](TimePoint) { AnnounceTimer(); });
 }
@@ -175,7 +210,11 @@
     NodeSettings changed = codec_.load_settings();
     // Addresses that are bound stay until the next start.
     settings_.seeds = changed.seeds;
-    settings_.store = changed.store;
+    if (settings_.store != changed.store) {
+      settings_.store = changed.store;
+      registry_ =
+          std::make_unique<RegistryClient>(io_, settings_.store, codec_, log_);
+    }
     settings_.grace = changed.grace;
     settings_.heartbeat = changed.heartbeat;
     log_.Write(EventKind::kProcess, now, "reload cause={} seeds={} store={}",
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -13,6 +13,7 @@
 #include "transport/event_log.h"
 #include "transport/http_server.h"
 #include "transport/node_binding.h"
+#include "transport/registry_client.h"
 #include "transport/udp_socket.h"
 
 /// @file
@@ -24,7 +25,13 @@
 inline constexpr Duration kAnnounceInterval = std::chrono::milliseconds{400};
 
 /// Interval of announces while too few hosts are known, as at a start.
-inline constexpr Duration kSearchInterval = std::chrono::milliseconds{100};
+inline constexpr Duration kSearchInterval = std::chrono::milliseconds{50};
+
+/// Time for seeds to answer before the list of balancers is read.
+inline constexpr Duration kSeedPatience = std::chrono::milliseconds{40};
+
+/// Pause between two readings of that list while no balancer answers.
+inline constexpr Duration kRegistryRetry = std::chrono::milliseconds{900};
 
 /// Least time between two rosters to one host. A roster of 75 hosts takes
 /// about 5 KB.
@@ -84,6 +91,8 @@
 
   auto io() -> asio::io_context& { return io_; }
   auto log() -> EventLog& { return log_; }
+  auto registry() -> RegistryClient& { return *registry_; }
+  [[nodiscard]] auto started() const -> TimePoint { return started_; }
   auto random() -> Random& { return random_; }
   [[nodiscard]] auto settings() const -> const NodeSettings& {
     return settings_;
@@ -99,6 +108,9 @@
       -> void;
   auto SendRoster(Endpoint to, TimePoint now) -> void;
   auto Receivers() const -> std::vector<Endpoint>;
+  [[nodiscard]] auto MakeAnnounce(TimePoint now) -> Bytes;
+  [[nodiscard]] auto KnowsBalancers() const -> bool;
+  auto SearchRegistry(TimePoint now) -> void;
   auto AnnounceTimer() -> void;
   auto SlowTimer() -> void;
   auto WaitForSignal() -> void;
@@ -111,12 +123,16 @@
   EventLog log_;
   Random random_;
   UdpSocket control_;
+  std::unique_ptr<RegistryClient> registry_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   asio::steady_timer announce_timer_;
   asio::steady_timer slow_timer_;
   asio::signal_set signals_;
   NodeRole role_;
   std::unordered_map<Endpoint, TimePoint> roster_sent_;
+  std::vector<Endpoint> listed_;  ///< Balancers by the store's list.
+  TimePoint started_;
+  TimePoint search_at_{};
   std::int64_t settings_stamp_ = 0;
   std::uint64_t malformed_ = 0;
   bool stopping_ = false;
