Reset the flows of a target that has left

Cause: feeds that paused through a drain found out at their next request's deadline. The agent resets what is open 200 ms after the target's last word, a balancer that remembers such a flow does so at its next packet.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -90,6 +90,7 @@
   TimePoint heard{};             ///< Last word from the host itself or of it.
   TimePoint doubted_until{};     ///< It left something unanswered.
   TimePoint load_at{};           ///< When `load` was said.
+  TimePoint changed{};           ///< When the record was heard first.
   std::uint16_t sent_since = 0;  ///< Openings sent to it since then.
 };
 
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -39,6 +39,8 @@
   std::size_t max_flows = 262144;
   /// Life of a remembered flow without a packet.
   Duration flow_idle = std::chrono::seconds{30};
+  /// Time for a target to end after its last word.
+  Duration exit_time = std::chrono::milliseconds{500};
   /// Time after a start in which routes and targets are still being learned.
   /// An opening that meets none then isn't given up: its caller sends it again
   /// after 200 ms, and the routers are told that this host isn't ready.
--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -35,6 +35,8 @@
   double full_factor = 1.5;
   /// Agents that refused an opening before one that is full takes it.
   std::size_t max_passes = 2;
+  /// Time for a target to end after its last word.
+  Duration exit_time = std::chrono::milliseconds{200};
   Duration flow_idle = std::chrono::seconds{30};
   /// Life of a closed flow's entry, for packets that come again.
   Duration closed_linger = std::chrono::seconds{4};
@@ -48,6 +50,7 @@
 struct TargetFlow {
   Endpoint origin;  ///< Balancer that was told last who has it.
   std::uint64_t target_born = 0;
+  std::uint32_t acknowledgement = 0;  ///< The caller's last one.
   TimePoint used{};
   TimePoint running_since{};
   TimePoint closed_at{};
@@ -83,6 +86,7 @@
   kReturned,         ///< The target returned it.
   kSilent,           ///< The target didn't answer an opening.
   kTargetRestarted,  ///< The flow's target has restarted since.
+  kTargetGone,       ///< The flow's target has left.
   kMalformed,        ///< The packet can't be read.
   kCount,
 };
@@ -135,6 +139,7 @@
   double average_running = 0;
   TimePoint averaged{};
   TimePoint silent_until{};  ///< The target left openings unanswered.
+  TimePoint gone_at{};       ///< When the target said that it goes.
   std::array<std::uint64_t, kTargetReasonCount> counts{};
 };
 
@@ -165,12 +170,15 @@
 /// Takes a new status of the target. A new start ends all flows of the last.
 /// @param target The agent.
 /// @param status The status.
+/// @param now The present instant.
 /// @param out Receives resets of flows that the target lost.
 auto SetTargetStatus(TargetFlows& target,
                      const TargetStatus& status,
+                     TimePoint now,
                      std::vector<TargetAction>& out) -> void;
 
-/// Sends back unanswered openings, averages the load, forgets old flows.
+/// Sends back unanswered openings, ends the flows of a target that has left
+/// and averages the load.
 /// @param target The agent.
 /// @param now The present instant.
 /// @param out Receives the actions.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -46,6 +46,7 @@
   if (added) {
     known.record = record;
     known.heard = now - age;
+    known.changed = now;
     fleet.digest += DigestOf(record);
     return MergeOutcome::kChanged;
   }
@@ -63,6 +64,7 @@
   }
   fleet.digest += DigestOf(record) - DigestOf(known.record);
   known.record = record;
+  known.changed = now;
   return MergeOutcome::kChanged;
 }
 
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -157,6 +157,19 @@
   }
 }
 
+// Whether the target that took a flow has said that it goes, and has had the
+// time to end.
+auto HasTargetLeft(const Steering& steering,
+                   const SteeredFlow& flow,
+                   TimePoint now) -> bool {
+  const auto host = steering.fleet.hosts.find(flow.agent);
+  return host != steering.fleet.hosts.end() && flow.confirmed &&
+         host->second.record.target.state == TargetState::kGone &&
+         host->second.record.target.born == flow.target_born &&
+         flow.target_born != 0 &&
+         now - host->second.changed >= steering.options.exit_time;
+}
+
 auto RelayTo(Steering& steering,
              const FlowKey& flow,
              Endpoint agent,
@@ -179,11 +192,10 @@
                const RelayHeader& header,
                TimePoint now,
                std::vector<SteeringAction>& out) -> void {
-  // A packet without data may belong to a flow that both ends have closed.
   const bool certain =
       now - steering.started >= steering.options.settling_time ||
       HasJustStarted(steering, header.service, now);
-  if (certain && !header.asked.empty() && packet.length > 0 && !packet.resets) {
+  if (certain && !header.asked.empty() && !packet.resets) {
     AddReset(steering, flow, SteeringReason::kFlowUnknown,
              packet.acknowledgement, out);
   } else {
@@ -290,6 +302,12 @@
                 SteeringReason::kLookedFor, now, out);
     return;
   }
+  if (HasTargetLeft(steering, known->second, now)) {
+    steering.flows.erase(known);
+    AddReset(steering, flow, SteeringReason::kTargetLost,
+             packet.acknowledgement, out);
+    return;
+  }
   known->second.used = now;
   header.wants_note = !known->second.confirmed;
   RelayTo(steering, flow, known->second.agent, std::move(header),
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -15,9 +15,9 @@
 constexpr Duration kSilentTime = std::chrono::milliseconds{400};
 
 constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
-    "delivered",        "opened",    "offered",  "answered", "wrong_service",
-    "not_ready",        "full",      "not_here", "returned", "silent",
-    "target_restarted", "malformed",
+    "delivered",        "opened",      "offered",   "answered", "wrong_service",
+    "not_ready",        "full",        "not_here",  "returned", "silent",
+    "target_restarted", "target_gone", "malformed",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -168,11 +168,38 @@
   SendBack(target, key, offered.header, TargetReason::kReturned, out);
 }
 
+// Ends the open flows of targets that started before an instant.
+auto ResetFlows(TargetFlows& target,
+                std::uint64_t born_before,
+                TargetReason reason,
+                std::vector<TargetAction>& out) -> void {
+  for (auto it = target.flows.begin(); it != target.flows.end();) {
+    TargetFlow& flow = it->second;
+    if (flow.target_born >= born_before) {
+      ++it;
+      continue;
+    }
+    EndRun(target, flow);
+    if (flow.answered && flow.closed_at == TimePoint{}) {
+      AddAction(target,
+                TargetAction{.kind = Kind::kReset,
+                             .reason = reason,
+                             .flow = it->first,
+                             .acknowledgement = flow.acknowledgement},
+                out);
+    }
+    it = target.flows.erase(it);
+  }
+}
+
 auto NoteCallersPacket(TargetFlows& target,
                        TargetFlow& flow,
                        const FlowPacket& packet,
                        TimePoint now) -> void {
   flow.used = now;
+  if (packet.acknowledges) {
+    flow.acknowledgement = packet.acknowledgement;
+  }
   if (packet.length > 0) {
     StartRun(target, flow, now);
   }
@@ -270,31 +297,22 @@
 
 auto SetTargetStatus(TargetFlows& target,
                      const TargetStatus& status,
+                     TimePoint now,
                      std::vector<TargetAction>& out) -> void {
   const std::uint64_t before = target.status.born;
   target.status = status;
+  if (status.state != TargetState::kGone) {
+    target.gone_at = {};
+  } else if (target.gone_at == TimePoint{}) {
+    target.gone_at = now;
+  }
   if (before == 0 || status.born <= before) {
     return;
   }
   // The new start holds none of the flows.
   target.silent_until = {};
   target.openings.clear();
-  for (auto it = target.flows.begin(); it != target.flows.end();) {
-    TargetFlow& flow = it->second;
-    if (flow.target_born >= status.born) {
-      ++it;
-      continue;
-    }
-    EndRun(target, flow);
-    if (flow.answered && flow.closed_at == TimePoint{}) {
-      AddAction(target,
-                TargetAction{.kind = Kind::kReset,
-                             .reason = TargetReason::kTargetRestarted,
-                             .flow = it->first},
-                out);
-    }
-    it = target.flows.erase(it);
-  }
+  ResetFlows(target, status.born, TargetReason::kTargetRestarted, out);
 }
 
 auto OnTargetTick(TargetFlows& target,
@@ -312,6 +330,10 @@
     out.back().opening = std::move(it->second.packet);
     it = target.openings.erase(it);
   }
+  if (target.gone_at != TimePoint{} && !target.flows.empty() &&
+      now - target.gone_at >= target.options.exit_time) {
+    ResetFlows(target, UINT64_MAX, TargetReason::kTargetGone, out);
+  }
   const std::chrono::duration<double> step = now - target.averaged;
   const double kept = std::exp(-step / kAverageTime);
   target.average_running =
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -250,7 +250,7 @@
       return;
     }
     actions_.clear();
-    SetTargetStatus(target_, presence_.status, actions_);
+    SetTargetStatus(target_, presence_.status, now, actions_);
     Perform({}, now);
     host_.log().Write(
         EventKind::kBelief, now,
