--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -83,14 +83,20 @@
 /// Longer than a restart of its process, unless it is heard before.
 inline constexpr Duration kDoubtTime = std::chrono::milliseconds{800};
 
+/// Time for a host to answer what it was asked: twice the longest way between
+/// zones, and its own work.
+inline constexpr Duration kAnswerTime = std::chrono::milliseconds{60};
+
 /// Another process, as this one knows it.
 struct KnownHost {
   HostRecord record;
   TargetLoad load;
-  TimePoint heard{};             ///< Last word from the host itself or of it.
-  TimePoint doubted_until{};     ///< It left something unanswered.
-  TimePoint load_at{};           ///< When `load` was said.
-  TimePoint changed{};           ///< When the record was heard first.
+  TimePoint heard{};          ///< Last word from the host itself or of it.
+  TimePoint doubted_until{};  ///< It left something unanswered.
+  TimePoint load_at{};        ///< When `load` was said.
+  TimePoint changed{};        ///< When the record was heard first.
+  /// When it was asked what it hasn\'t answered yet; zero: it answered all.
+  TimePoint unanswered_since{};
   std::uint16_t sent_since = 0;  ///< Openings sent to it since then.
 };
 
@@ -127,6 +133,16 @@
 /// @param now The present instant.
 auto NoteLoad(KnownHost& host, const TargetLoad& load, TimePoint now) -> void;
 
+/// Notes that a host is asked something that it answers.
+/// @param host The host.
+/// @param now The present instant.
+auto NoteAsked(KnownHost& host, TimePoint now) -> void;
+
+/// Notes a word from a host itself.
+/// @param host The host.
+/// @param now The present instant.
+auto NoteHeard(KnownHost& host, TimePoint now) -> void;
+
 /// Notes that a host left something unanswered.
 /// @param host The host.
 /// @param now The present instant.
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -141,11 +141,13 @@
 
 /// Handles a packet that an agent sent back.
 /// @param steering The balancer.
+/// @param agent The agent.
 /// @param header Its relay header.
 /// @param packet The head of the caller's packet.
 /// @param now The present instant.
 /// @param out Receives the actions; they refer to the packet's bytes.
 auto OnSentBack(Steering& steering,
+                Endpoint agent,
                 RelayHeader header,
                 const FlowPacket& packet,
                 TimePoint now,
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -72,6 +72,17 @@
   host.load = load;
   host.load_at = now;
   host.sent_since = 0;
+}
+
+auto NoteAsked(KnownHost& host, TimePoint now) -> void {
+  if (host.unanswered_since == TimePoint{}) {
+    host.unanswered_since = now;
+  }
+}
+
+auto NoteHeard(KnownHost& host, TimePoint now) -> void {
+  host.heard = now;
+  host.unanswered_since = {};
   host.doubted_until = {};
 }
 
@@ -80,7 +91,10 @@
 }
 
 auto IsAnswering(const KnownHost& host, TimePoint now) -> bool {
-  return now - host.heard < kSilentAfter && now >= host.doubted_until;
+  const bool owes_answer = host.unanswered_since != TimePoint{} &&
+                           now - host.unanswered_since >= kAnswerTime;
+  return now - host.heard < kSilentAfter && now >= host.doubted_until &&
+         !owes_answer;
 }
 
 auto UpdateSelf(Fleet& fleet, HostRecord record) -> bool {
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -123,6 +123,7 @@
   const double score =
       LoadScore(*host, steering.fleet.self.zone, steering.options.placement);
   ++host->sent_since;
+  NoteAsked(*host, now);
   opening.agent = host->record.control;
   opening.asked_at = now;
   Remember(steering, flow, opening.agent, false, now);
@@ -212,8 +213,13 @@
                  SteeringReason reason,
                  TimePoint now,
                  std::vector<SteeringAction>& out) -> void {
-  const auto ranked =
+  auto ranked =
       RankHosts(steering.fleet, header.service, HashFlow(flow), header.asked);
+  // A target that is gone holds no flow.
+  std::erase_if(ranked, [&](const RankedHost& it) {
+    return it.host->record.target.state == TargetState::kGone &&
+           now - it.host->changed >= steering.options.exit_time;
+  });
   const auto urgency = [now](const KnownHost& host) {
     if (!IsAnswering(host, now)) {
       return 2;
@@ -232,6 +238,7 @@
     return;
   }
   header.wants_note = true;
+  NoteAsked(*next->host, now);
   RelayTo(steering, flow, next->host->record.control, std::move(header), reason,
           out);
 }
@@ -315,10 +322,15 @@
 }
 
 auto OnSentBack(Steering& steering,
+                Endpoint agent,
                 RelayHeader header,
                 const FlowPacket& packet,
                 TimePoint now,
                 std::vector<SteeringAction>& out) -> void {
+  const auto sender = steering.fleet.hosts.find(agent);
+  if (sender != steering.fleet.hosts.end()) {
+    NoteHeard(sender->second, now);
+  }
   const FlowKey flow = FlowFromCaller(packet);
   header.sent_back = false;
   const auto opening = steering.openings.find(flow);
@@ -364,7 +376,7 @@
     -> Duration {
   const auto host = steering.fleet.hosts.find(note.agent);
   if (host != steering.fleet.hosts.end()) {
-    host->second.heard = now;
+    NoteHeard(host->second, now);
     NoteLoad(host->second, note.load, now);
   }
   Remember(steering, note.flow, note.agent, true, now);
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -46,7 +46,7 @@
               record.target = presence_.status;
               load = LoadOf(target_);
             },
-        .on_relay = [this](ByteView datagram,
+        .on_relay = [this](Endpoint, ByteView datagram,
                            TimePoint now) { OnRelay(datagram, now); },
         .on_note = [](const FlowNote&, TimePoint) {},
         .on_announce = [](const HostAnnounce&, TimePoint) {},
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -49,8 +49,8 @@
     return host_.Run(NodeRole{
         .describe = [this](HostRecord& record,
                            TargetLoad&) { record.leaving = host_.stopping(); },
-        .on_relay = [this](ByteView datagram,
-                           TimePoint now) { OnRelay(datagram, now); },
+        .on_relay = [this](Endpoint from, ByteView datagram,
+                           TimePoint now) { OnRelay(from, datagram, now); },
         .on_note = [this](const FlowNote& note,
                           TimePoint now) { OnNote(note, now); },
         .on_announce =
@@ -95,7 +95,7 @@
     Perform(datagram, now);
   }
 
-  auto OnRelay(ByteView datagram, TimePoint now) -> void {
+  auto OnRelay(Endpoint from, ByteView datagram, TimePoint now) -> void {
     std::size_t size = 0;
     auto header = DecodeRelayHeader(datagram, size);
     if (!header.has_value() || !header->sent_back) {
@@ -109,7 +109,7 @@
       return;
     }
     actions_.clear();
-    OnSentBack(steering_, std::move(*header), *packet, now, actions_);
+    OnSentBack(steering_, from, std::move(*header), *packet, now, actions_);
     Perform(bytes, now);
   }
 
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -57,8 +57,8 @@
              "start role={} zone={} control={} seeds={}",
              RoleName(settings_.role), settings_.zone,
              ToString(settings_.control), settings_.seeds.size());
-  control_.Receive([this](Endpoint, ByteView datagram) {
-    OnDatagram(datagram, MonotonicNow());
+  control_.Receive([this](Endpoint from, ByteView datagram) {
+    OnDatagram(from, datagram, MonotonicNow());
   });
   for (const auto it : settings_.http) {
     servers_.push_back(std::make_unique<HttpServer>(
@@ -226,10 +226,11 @@
   }
 }
 
-auto NodeHost::OnDatagram(ByteView datagram, TimePoint now) -> void {
+auto NodeHost::OnDatagram(Endpoint from, ByteView datagram, TimePoint now)
+    -> void {
   const auto message = DecodeNodeMessage(datagram);
   if (!message.has_value()) {
-    role_.on_relay(datagram, now);
+    role_.on_relay(from, datagram, now);
     return;
   }
   if (const auto* const announce = std::get_if<HostAnnounce>(&*message)) {
@@ -268,7 +269,7 @@
     return;
   }
   if (outcome != MergeOutcome::kOld) {
-    host->second.heard = now;
+    NoteHeard(host->second, now);
     NoteLoad(host->second, announce.load, now);
     role_.on_announce(announce, now);
   }
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -45,7 +45,7 @@
   /// Fills the own record's changing parts and the load.
   std::function<void(HostRecord& record, TargetLoad& load)> describe;
   /// Handles a datagram that isn't a message.
-  std::function<void(ByteView datagram, TimePoint now)> on_relay;
+  std::function<void(Endpoint from, ByteView datagram, TimePoint now)> on_relay;
   std::function<void(const FlowNote& note, TimePoint now)> on_note;
   std::function<void(const HostAnnounce& announce, TimePoint now)> on_announce;
   std::function<HttpAnswer(const HttpCall& call)> on_call;
@@ -101,7 +101,7 @@
   [[nodiscard]] auto stopping() const -> bool { return stopping_; }
 
  private:
-  auto OnDatagram(ByteView datagram, TimePoint now) -> void;
+  auto OnDatagram(Endpoint from, ByteView datagram, TimePoint now) -> void;
   auto OnAnnounce(const HostAnnounce& announce, TimePoint now) -> void;
   auto OnRoster(const RosterPart& part, TimePoint now) -> void;
   auto NoteMerge(const HostRecord& record, MergeOutcome outcome, TimePoint now)
