--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hawthornbank/types.h"
+#include "hawthornbank/wire.h"
 
 /// @file
 /// What a process knows of the others: who runs where, which targets take new
@@ -34,7 +35,9 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(state, born, slots, cold);
+    archive(state, slots, cold);
+    wire::Varint(archive, born);
+    wire::CheckRange(state, TargetState::kGone);
   }
 };
 
@@ -66,8 +69,11 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(control, role, leaving, service, zone, incarnation, revision,
-            target);
+    archive(control, role, leaving, service, target);
+    wire::Text(archive, zone);
+    wire::Varint(archive, incarnation);
+    wire::Varint(archive, revision);
+    wire::CheckRange(role, HostRole::kAgent);
   }
 };
 
--- a/include/hawthornbank/wire.h
+++ b/include/hawthornbank/wire.h
@@ -60,6 +60,17 @@
   return size;
 }
 
+/// Refuses a loaded enumeration that isn't one of its values.
+/// @param value The value.
+/// @param last The enumeration's last value.
+/// @throws Error kMalformed when it is larger.
+template <class Value>
+auto CheckRange(Value value, Value last) -> void {
+  if (value > last) {
+    throw Error(ErrorKind::kMalformed, "value out of its range");
+  }
+}
+
 /// Serialises a length and checks it.
 /// @param archive A cereal binary archive.
 /// @param size The length; set when loading.
--- a/src/protocol/node_message.cc
+++ b/src/protocol/node_message.cc
@@ -1,9 +1,7 @@
 #include "protocol/node_message.h"
 
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
 #include <exception>
 #include <istream>
 #include <ostream>
--- a/src/protocol/node_message.h
+++ b/src/protocol/node_message.h
@@ -9,6 +9,7 @@
 #include "hawthornbank/fleet.h"
 #include "hawthornbank/packet.h"
 #include "hawthornbank/relay.h"
+#include "hawthornbank/wire.h"
 
 /// @file
 /// Messages between the processes of a fleet: cereal in one datagram.
@@ -25,7 +26,9 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(record, load, digest, version, version_age_ms, wants_reply);
+    archive(record, load, digest, wants_reply);
+    wire::Varint(archive, version);
+    wire::Varint(archive, version_age_ms);
   }
 };
 
@@ -36,7 +39,8 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(record, age_ms);
+    archive(record);
+    wire::Varint(archive, age_ms);
   }
 };
 
@@ -46,7 +50,7 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(records);
+    wire::List(archive, records);
   }
 };
 
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -230,7 +230,6 @@
 
   auto OnBeat(const TargetHeartbeat& beat, TimePoint now) -> HttpAnswer {
     const auto outcome = OnHeartbeat(presence_, beat, now);
-    target_.knows_all = presence_.seen_since_start;
     NotePresence(outcome, beat.id, now);
     return HttpAnswer{
         .status = outcome == PresenceOutcome::kForeign ? 409 : 200,
@@ -240,6 +239,7 @@
   auto NotePresence(PresenceOutcome outcome,
                     const std::string& id,
                     TimePoint now) -> void {
+    target_.knows_all = presence_.seen_since_start;
     if (outcome != PresenceOutcome::kChanged &&
         outcome != PresenceOutcome::kRestarted) {
       if (outcome != PresenceOutcome::kKnown) {
--- /dev/null
+++ b/test/fleet_test.cc
@@ -0,0 +1,104 @@
+#include "hawthornbank/fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Endpoint kSelf{.address = 0x0A000001, .port = 7000};
+const Endpoint kOther{.address = 0x0A000002, .port = 7000};
+const TimePoint kNow{std::chrono::seconds{1000}};
+
+auto MakeFleet() -> Fleet {
+  return Fleet{.self = {.control = kSelf, .incarnation = 50}};
+}
+
+auto Record(std::uint64_t incarnation, std::uint32_t revision) -> HostRecord {
+  return HostRecord{.control = kOther,
+                    .role = HostRole::kAgent,
+                    .incarnation = incarnation,
+                    .revision = revision};
+}
+
+}  // namespace
+
+TEST_GROUP(Fleet){};
+
+TEST(Fleet, RecordsMergeToTheSameInAnyOrder) {
+  Fleet one = MakeFleet();
+  Fleet other = MakeFleet();
+  MergeRecord(one, Record(1, 2), 0s, kNow);
+  MergeRecord(one, Record(2, 0), 0s, kNow);
+  MergeRecord(other, Record(2, 0), 0s, kNow);
+  CHECK(MergeRecord(other, Record(1, 2), 0s, kNow) == MergeOutcome::kOld);
+  CHECK(one.digest == other.digest);
+  CHECK(one.hosts.at(kOther).record == other.hosts.at(kOther).record);
+  LONGS_EQUAL(2, one.hosts.at(kOther).record.incarnation);
+}
+
+TEST(Fleet, KnownRecordsChangeNothingButTheTimeOfTheLastWord) {
+  Fleet fleet = MakeFleet();
+  CHECK(MergeRecord(fleet, Record(1, 1), 500ms, kNow) ==
+        MergeOutcome::kChanged);
+  const auto digest = fleet.digest;
+  CHECK(MergeRecord(fleet, Record(1, 1), 0s, kNow) == MergeOutcome::kSame);
+  CHECK(fleet.digest == digest);
+  CHECK(fleet.hosts.at(kOther).heard == kNow);
+  // An older word of it doesn't move the time back.
+  MergeRecord(fleet, Record(1, 1), 3s, kNow);
+  CHECK(fleet.hosts.at(kOther).heard == kNow);
+}
+
+TEST(Fleet, AProcessWhoseClockWentBackOutranksItsLastStart) {
+  Fleet fleet = MakeFleet();
+  HostRecord last{.control = kSelf, .incarnation = 70, .revision = 4};
+  CHECK(MergeRecord(fleet, last, 0s, kNow) == MergeOutcome::kOutranked);
+  LONGS_EQUAL(71, fleet.self.incarnation);
+  CHECK(MergeRecord(fleet, last, 0s, kNow) == MergeOutcome::kSame);
+}
+
+TEST(Fleet, ANewStartIsNotDoubtedForWhatTheLastOneLeft) {
+  Fleet fleet = MakeFleet();
+  MergeRecord(fleet, Record(1, 0), 0s, kNow);
+  DoubtHost(fleet.hosts.at(kOther), kNow);
+  CHECK_FALSE(IsAnswering(fleet.hosts.at(kOther), kNow));
+  MergeRecord(fleet, Record(2, 0), 0s, kNow);
+  CHECK(IsAnswering(fleet.hosts.at(kOther), kNow));
+}
+
+TEST(Fleet, AHostThatOwesAnAnswerIsNotAnswering) {
+  Fleet fleet = MakeFleet();
+  MergeRecord(fleet, Record(1, 0), 0s, kNow);
+  KnownHost& host = fleet.hosts.at(kOther);
+  NoteAsked(host, kNow);
+  NoteAsked(host, kNow + kAnswerTime / 2);  // The first question counts.
+  CHECK(IsAnswering(host, kNow + kAnswerTime / 2));
+  CHECK_FALSE(IsAnswering(host, kNow + kAnswerTime));
+  NoteHeard(host, kNow + kAnswerTime);
+  CHECK(IsAnswering(host, kNow + kAnswerTime));
+}
+
+TEST(Fleet, SilentHostsAreDoubtedThenForgotten) {
+  Fleet fleet = MakeFleet();
+  const auto alone = fleet.digest;
+  MergeRecord(fleet, Record(1, 0), 0s, kNow);
+  CHECK_FALSE(IsAnswering(fleet.hosts.at(kOther), kNow + kSilentAfter));
+  CHECK(ForgetSilentHosts(fleet, kNow + kForgetAfter - 1ms).empty());
+  LONGS_EQUAL(1, ForgetSilentHosts(fleet, kNow + kForgetAfter).size());
+  CHECK(fleet.digest == alone);
+  // Nor is it learned again from one that still remembers it.
+  CHECK(MergeRecord(fleet, Record(1, 0), kForgetAfter + 1s, kNow) ==
+        MergeOutcome::kOld);
+}
+
+TEST(Fleet, TheOwnRecordGetsARevisionOnlyWhenItChanges) {
+  Fleet fleet = MakeFleet();
+  HostRecord record = fleet.self;
+  CHECK_FALSE(UpdateSelf(fleet, record));
+  record.leaving = true;
+  CHECK(UpdateSelf(fleet, record));
+  LONGS_EQUAL(1, fleet.self.revision);
+  CHECK_FALSE(UpdateSelf(fleet, record));
+}
--- /dev/null
+++ b/test/node_message_test.cc
@@ -0,0 +1,101 @@
+#include "protocol/node_message.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "hawthornbank/random.h"
+
+using namespace hawthornbank;
+
+namespace {
+
+auto Record(std::uint32_t n) -> HostRecord {
+  return HostRecord{
+      .control = {.address = 0x0A000000 + n, .port = 7000},
+      .role = HostRole::kAgent,
+      .service = 77,
+      .zone = "depot-north",
+      .incarnation = 1777777777777,
+      .revision = 3,
+      .target = {
+          .state = TargetState::kReady, .born = 1777777777000, .slots = 3}};
+}
+
+}  // namespace
+
+TEST_GROUP(NodeMessage){};
+
+TEST(NodeMessage, AnAnnounceComesBackAsItWas) {
+  const HostAnnounce sent{.record = Record(1),
+                          .load = {.running = 2, .flows = 40},
+                          .digest = 99,
+                          .version = 7,
+                          .version_age_ms = 120};
+  const auto datagram = EncodeNodeMessage(sent);
+  const auto message = DecodeNodeMessage(datagram);
+  CHECK(message.has_value());
+  const auto& received = std::get<HostAnnounce>(*message);
+  CHECK(received.record == sent.record);
+  LONGS_EQUAL(40, received.load.flows);
+  LONGS_EQUAL(120, received.version_age_ms);
+}
+
+TEST(NodeMessage, AFullPartOfARosterFitsADatagram) {
+  RosterPart part;
+  for (std::uint32_t n = 0; n < kRecordsPerPart; ++n) {
+    part.records.push_back(PassedRecord{.record = Record(n), .age_ms = 5});
+  }
+  CHECK(EncodeNodeMessage(part).size() <= 1400);
+}
+
+TEST(NodeMessage, ANoteNamesTheFlowAndItsAgent) {
+  const FlowNote sent{.flow = {.caller = {.address = 1, .port = 2},
+                               .address = {.address = 3, .port = 4}},
+                      .agent = {.address = 5, .port = 6}};
+  const auto message = DecodeNodeMessage(EncodeNodeMessage(sent));
+  const auto& received = std::get<FlowNote>(*message);
+  CHECK(received.flow == sent.flow);
+  CHECK(received.agent == sent.agent);
+}
+
+TEST(NodeMessage, BrokenDatagramsAreRefused) {
+  Random random{5};
+  const auto whole = EncodeNodeMessage(HostAnnounce{.record = Record(1)});
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    CHECK_FALSE(DecodeNodeMessage(ByteView(whole).first(n)).has_value());
+  }
+  for (int n = 0; n < 20000; ++n) {
+    Bytes bytes = whole;
+    for (int flips = 0; flips < 3; ++flips) {
+      bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+    }
+    (void)DecodeNodeMessage(bytes);  // No crash, no large allocation.
+  }
+}
+
+TEST(NodeMessage, ARelayHeaderComesBackAsItWas) {
+  const RelayHeader sent{.origin = {.address = 0x0A000001, .port = 7000},
+                         .service = 77,
+                         .wants_note = true,
+                         .sent_back = true,
+                         .asked = {1, 2, 3}};
+  Bytes bytes;
+  EncodeRelayHeader(sent, bytes);
+  const std::size_t head = bytes.size();
+  bytes.resize(head + 32);
+  std::size_t size = 0;
+  const auto received = DecodeRelayHeader(bytes, size);
+  CHECK(received.has_value());
+  CHECK(*received == sent);
+  LONGS_EQUAL(head, size);
+}
+
+TEST(NodeMessage, ARelayHeaderThatIsCutShortIsRefused) {
+  Bytes bytes;
+  EncodeRelayHeader(RelayHeader{.asked = {1, 2, 3}}, bytes);
+  std::size_t size = 0;
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    CHECK_FALSE(DecodeRelayHeader(ByteView(bytes).first(n), size).has_value());
+  }
+  bytes[2] = 255;
+  CHECK_FALSE(DecodeRelayHeader(bytes, size).has_value());
+}
--- /dev/null
+++ b/test/route_follower_test.cc
@@ -0,0 +1,114 @@
+#include "hawthornbank/route_follower.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "hawthornbank/routes.h"
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{std::chrono::seconds{1000}};
+const Endpoint kPeer{.address = 0x0A000002, .port = 7000};
+
+// A follower that read revision 7 at kNow.
+auto MakeFollower() -> RouteFollower {
+  RouteFollower follower;
+  (void)NextStoreCall(follower, 0, kNow);
+  OnStoreRoutes(follower, 7);
+  return follower;
+}
+
+}  // namespace
+
+TEST_GROUP(RouteFollower) {
+  Random random{1};
+};
+
+TEST(RouteFollower, AProcessWithoutRoutesReadsThemAtOnce) {
+  RouteFollower follower;
+  CHECK(NextStoreCall(follower, 9, kNow) == FollowCall::kRoutes);
+  CHECK(NextStoreCall(follower, 9, kNow) == FollowCall::kNone);
+}
+
+// The load pattern of platform_compact: a watch brought nothing for six
+// seconds, while reads were right.
+TEST(RouteFollower, TheFirstReadsTheRevisionWithinASecond) {
+  RouteFollower follower = MakeFollower();
+  CHECK(NextStoreCall(follower, 0, kNow + 790ms) == FollowCall::kNone);
+  CHECK(NextStoreCall(follower, 0, kNow + 800ms) == FollowCall::kRevision);
+  OnStoreRevision(follower, 8);
+  CHECK(NextStoreCall(follower, 0, kNow + 810ms) == FollowCall::kRoutes);
+}
+
+TEST(RouteFollower, OthersReadOnlyWhenTheFirstSaysNothing) {
+  RouteFollower second = MakeFollower();
+  // The first reads each 0.8 s and its announces come each 0.4 s.
+  for (auto at = 0ms; at < 20s; at += 400ms) {
+    CHECK(NextStoreCall(second, 1, kNow + at) == FollowCall::kNone);
+    OnPeerVersion(second, kPeer, 5, 800ms, 5, kNow + at + 10ms);
+  }
+  CHECK(NextStoreCall(second, 1, kNow + 20s + 1300ms) == FollowCall::kRevision);
+}
+
+TEST(RouteFollower, AllReadWithinTheBoundOfAChange) {
+  for (std::size_t rank = 0; rank < 500; ++rank) {
+    RouteFollower follower = MakeFollower();
+    CHECK(NextStoreCall(follower, rank, kNow + 1800ms) ==
+          FollowCall::kRevision);
+  }
+}
+
+TEST(RouteFollower, FailuresAreRetriedSoonThenEachSecond) {
+  RouteFollower follower;
+  TimePoint now = kNow;
+  int calls = 0;
+  while (now < kNow + 10s) {
+    if (NextStoreCall(follower, 0, now) != FollowCall::kNone) {
+      ++calls;
+      OnStoreFailure(follower, now, random);
+    }
+    now += 10ms;
+  }
+  CHECK(calls >= 10);
+  CHECK(calls <= 26);
+  // The store is back: a process without routes asks within 0.9 s.
+  OnStoreRoutes(follower, 3);
+  LONGS_EQUAL(0, follower.failures);
+}
+
+TEST(RouteFollower, APeersNewerRoutesAreFetchedAtOnceAndAgainAfterAWhile) {
+  RouteFollower follower = MakeFollower();
+  OnPeerVersion(follower, kPeer, 9, 0ms, 5, kNow);
+  CHECK(ShouldAskPeer(follower, 5, kNow));
+  CHECK_FALSE(ShouldAskPeer(follower, 5, kNow + 10ms));
+  CHECK(ShouldAskPeer(follower, 5, kNow + 300ms));
+  CHECK_FALSE(ShouldAskPeer(follower, 9, kNow + 600ms));
+}
+
+TEST(RouteFollower, OlderVersionsOfPeersSayNothing) {
+  RouteFollower follower = MakeFollower();
+  OnPeerVersion(follower, kPeer, 4, 0ms, 5, kNow + 700ms);
+  CHECK_FALSE(ShouldAskPeer(follower, 5, kNow + 700ms));
+  CHECK(NextStoreCall(follower, 0, kNow + 800ms) == FollowCall::kRevision);
+}
+
+TEST(RouteFollower, AVersionInForceNeverGoesBack) {
+  RouteSet in_force;
+  CHECK(PutInForce(in_force, RouteSet{.version = 4}));
+  CHECK_FALSE(PutInForce(in_force, RouteSet{.version = 4}));
+  CHECK_FALSE(PutInForce(in_force, RouteSet{.version = 3}));
+  LONGS_EQUAL(4, in_force.version);
+}
+
+TEST(RouteFollower, NewFlowsAreSplitByWeight) {
+  const Route route{
+      .shares = {{.service = 1, .weight = 90}, {.service = 2, .weight = 10}}};
+  int second = 0;
+  for (std::uint64_t n = 0; n < 10000; ++n) {
+    second += ChooseService(route, n * 0x9E3779B97F4A7C15ULL) == 2 ? 1 : 0;
+  }
+  CHECK(second > 800 && second < 1200);
+  LONGS_EQUAL(0, ChooseService(Route{}, 1));
+}
--- /dev/null
+++ b/test/steering_test.cc
@@ -0,0 +1,292 @@
+#include "hawthornbank/steering.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Kind = SteeringAction::Kind;
+
+constexpr std::uint32_t kService = 77;
+const Endpoint kSelf{.address = 0x0A000001, .port = 7000};
+const Endpoint kAddress{.address = 0xC6120001, .port = 443};
+const TimePoint kStart{std::chrono::seconds{1000}};
+const TimePoint kNow = kStart + 10s;
+
+auto Agent(std::uint32_t n) -> Endpoint {
+  return Endpoint{.address = 0x0A010000 + n, .port = 7000};
+}
+
+auto Packet(std::uint16_t port, bool opens) -> FlowPacket {
+  return FlowPacket{.source = {.address = 0x64400007, .port = port},
+                    .destination = kAddress,
+                    .opens = opens,
+                    .acknowledges = !opens,
+                    .acknowledgement = opens ? 0U : 900U,
+                    .length = static_cast<std::uint16_t>(opens ? 0 : 100)};
+}
+
+}  // namespace
+
+TEST_GROUP(Steering) {
+  Steering steering{.started = kStart};
+  std::vector<SteeringAction> out;
+  const std::vector<std::uint8_t> bytes = std::vector<std::uint8_t>(32, 7);
+
+  void setup() override {
+    steering.fleet.self = {.control = kSelf, .zone = "a", .incarnation = 1};
+    steering.routes.version = 3;
+    steering.routes.routes[kAddress] =
+        Route{.name = "r", .shares = {{.service = kService}}};
+    for (std::uint32_t n = 1; n <= 5; ++n) {
+      AddAgent(n, TargetState::kReady);
+    }
+  }
+
+  auto AddAgent(std::uint32_t n, TargetState state, bool cold = false,
+                std::uint32_t revision = 1)
+      ->void {
+    MergeRecord(
+        steering.fleet,
+        HostRecord{
+            .control = Agent(n),
+            .role = HostRole::kAgent,
+            .service = kService,
+            .zone = "a",
+            .incarnation = 1,
+            .revision = revision,
+            .target = {.state = state, .born = 500, .slots = 3, .cold = cold}},
+        0s, kNow);
+  }
+
+  auto Hear(TimePoint now)->void {
+    for (auto& [control, host] : steering.fleet.hosts) {
+      NoteHeard(host, now);
+    }
+  }
+
+  auto Send(const FlowPacket& packet, TimePoint now)->SteeringAction {
+    out.clear();
+    OnCallerPacket(steering, packet, bytes, now, out);
+    LONGS_EQUAL(1, out.size());
+    return out[0];
+  }
+
+  auto SendBack(const SteeringAction& action, const FlowPacket& packet,
+                TimePoint now)
+      ->SteeringAction {
+    RelayHeader header = action.header;
+    header.sent_back = true;
+    header.asked.push_back(action.to.address);
+    out.clear();
+    OnSentBack(steering, action.to, header, packet, now, out);
+    LONGS_EQUAL(1, out.size());
+    return out[0];
+  }
+
+  auto Confirm(const SteeringAction& action, TimePoint now)->void {
+    OnFlowNote(steering, FlowNote{.flow = action.flow, .agent = action.to},
+               now);
+  }
+
+  // Lets every agent refuse a packet of an unknown flow.
+  auto AskAll(const FlowPacket& packet, TimePoint now)->SteeringAction {
+    SteeringAction action = Send(packet, now);
+    while (action.kind == Kind::kRelay) {
+      action = SendBack(action, packet, now);
+    }
+    return action;
+  }
+};
+
+TEST(Steering, AnOpeningGoesToOneTargetAndItsFlowFollows) {
+  const auto opening = Send(Packet(1, true), kNow);
+  CHECK(opening.kind == Kind::kRelay);
+  CHECK(opening.header.wants_note);
+  Confirm(opening, kNow + 5ms);
+  const auto next = Send(Packet(1, false), kNow + 6ms);
+  CHECK(next.to == opening.to);
+  CHECK(next.reason == SteeringReason::kRemembered);
+  CHECK_FALSE(next.header.wants_note);
+  CHECK(steering.openings.empty());
+}
+
+TEST(Steering, AnOpeningThatIsNotConfirmedGoesToTheNext) {
+  const auto first = Send(Packet(1, true), kNow);
+  out.clear();
+  OnSteeringTick(steering, kNow + 44ms, out);
+  LONGS_EQUAL(0, out.size());
+  OnSteeringTick(steering, kNow + 45ms, out);
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].reason == SteeringReason::kUnconfirmed);
+  CHECK(out[0].to != first.to);
+  CHECK(out[0].opening == bytes);
+  // The silent one isn't chosen for others until it is heard.
+  for (std::uint16_t port = 2; port < 40; ++port) {
+    CHECK(Send(Packet(port, true), kNow + 46ms).to != first.to);
+  }
+}
+
+TEST(Steering, AnOpeningThatNobodyTakesIsResetAtOnce) {
+  auto action = Send(Packet(1, true), kNow);
+  int offers = 0;
+  while (action.kind == Kind::kRelay) {
+    ++offers;
+    action = SendBack(action, Packet(1, true), kNow);
+  }
+  LONGS_EQUAL(5, offers);
+  CHECK(action.kind == Kind::kReset);
+  CHECK(action.reason == SteeringReason::kNobodyTook);
+  CHECK(steering.openings.empty());
+}
+
+TEST(Steering, DrainingAndLeavingTargetsGetNoNewFlows) {
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    AddAgent(n, TargetState::kDraining, false, 2);
+  }
+  for (std::uint16_t port = 1; port < 20; ++port) {
+    CHECK(Send(Packet(port, true), kNow).to == Agent(5));
+  }
+}
+
+TEST(Steering, ACopyOfAnOpeningFollowsTheFirst) {
+  const auto first = Send(Packet(1, true), kNow);
+  Confirm(first, kNow + 5ms);
+  const auto copy = Send(Packet(1, true), kNow + 200ms);
+  CHECK(copy.to == first.to);
+  CHECK(copy.reason == SteeringReason::kRepeated);
+}
+
+TEST(Steering, ABalancerWithoutMemoryAsksTheAgentsInTheFlowsOrder) {
+  const auto opening = Send(Packet(1, true), kNow);
+  Confirm(opening, kNow);
+  steering.flows.clear();
+  auto action = Send(Packet(1, false), kNow);
+  CHECK(action.reason == SteeringReason::kLookedFor);
+  int hops = 1;
+  while (action.to != opening.to) {
+    action = SendBack(action, Packet(1, false), kNow);
+    ++hops;
+  }
+  // A flow is placed among the first four of its ranking.
+  CHECK(hops <= 4);
+  Confirm(action, kNow + 5ms);
+  CHECK(Send(Packet(1, false), kNow + 6ms).reason ==
+        SteeringReason::kRemembered);
+}
+
+TEST(Steering, AFlowThatNobodyHasIsResetNearTheCallersAcknowledgement) {
+  const auto end = AskAll(Packet(1, false), kNow);
+  CHECK(end.kind == Kind::kReset);
+  CHECK(end.reason == SteeringReason::kFlowUnknown);
+  LONGS_EQUAL(900, end.acknowledgement);
+}
+
+TEST(Steering, AFreshBalancerDoesNotResetWhatItMayNotKnow) {
+  steering.started = kNow - 2s;
+  const auto end = AskAll(Packet(1, false), kNow);
+  CHECK(end.kind == Kind::kDrop);
+  CHECK(end.reason == SteeringReason::kHolderNotFound);
+}
+
+TEST(Steering, AnAgentThatIsSilentMayHaveTheFlow) {
+  const auto later = kNow + 5s;
+  Hear(later);
+  steering.fleet.hosts.at(Agent(3)).heard = kNow;
+  auto action = Send(Packet(1, false), later);
+  for (int n = 0; n < 4; ++n) {
+    CHECK(action.kind == Kind::kRelay);
+    CHECK(action.to != Agent(3));
+    action = SendBack(action, Packet(1, false), later);
+  }
+  // It is asked last and says nothing, so there is no reset.
+  CHECK(action.kind == Kind::kRelay);
+  CHECK(action.to == Agent(3));
+}
+
+TEST(Steering, AfterALossOfPowerOldFlowsAreResetSoon) {
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    AddAgent(n, TargetState::kReady, true, 2);
+  }
+  AddAgent(5, TargetState::kUnknown, false, 2);
+  steering.started = kNow - 300ms;
+  CHECK(AskAll(Packet(1, false), kNow).kind == Kind::kDrop);
+  steering.started = kNow - 500ms;
+  CHECK(AskAll(Packet(1, false), kNow).kind == Kind::kReset);
+  // One target that was there before may have the flow.
+  AddAgent(5, TargetState::kReady, false, 3);
+  CHECK(AskAll(Packet(1, false), kNow).kind == Kind::kDrop);
+}
+
+TEST(Steering, ATargetThatIsGoneIsNotAskedForFlows) {
+  AddAgent(1, TargetState::kGone, false, 2);
+  const auto later = kNow + 600ms;
+  for (std::uint16_t port = 1; port < 20; ++port) {
+    auto action = Send(Packet(port, false), later);
+    while (action.kind == Kind::kRelay) {
+      CHECK(action.to != Agent(1));
+      action = SendBack(action, Packet(port, false), later);
+    }
+  }
+}
+
+TEST(Steering, AFlowOfATargetThatIsGoneIsReset) {
+  const auto opening = Send(Packet(1, true), kNow);
+  Confirm(opening, kNow);
+  AddAgent(opening.to.address & 0xFF, TargetState::kGone, false, 2);
+  CHECK(Send(Packet(1, false), kNow + 100ms).kind == Kind::kRelay);
+  const auto end = Send(Packet(1, false), kNow + 500ms);
+  CHECK(end.kind == Kind::kReset);
+  CHECK(end.reason == SteeringReason::kTargetLost);
+}
+
+TEST(Steering, WhatIsNotKnownYetAfterAStartIsNotRefused) {
+  steering.routes = {};
+  steering.started = kNow - 100ms;
+  CHECK(Send(Packet(1, true), kNow).kind == Kind::kDrop);
+  CHECK(Send(Packet(1, true), kNow + 2s).kind == Kind::kReset);
+}
+
+TEST(Steering, AnAddressWithoutARouteIsResetAtOnce) {
+  FlowPacket packet = Packet(1, true);
+  packet.destination.port = 444;
+  const auto action = Send(packet, kNow);
+  CHECK(action.kind == Kind::kReset);
+  CHECK(action.reason == SteeringReason::kNoRoute);
+}
+
+TEST(Steering, NewFlowsGoWhereThereIsRoom) {
+  for (std::uint32_t n = 1; n <= 5; ++n) {
+    NoteLoad(steering.fleet.hosts.at(Agent(n)),
+             TargetLoad{.running = static_cast<std::uint16_t>(n == 2 ? 0 : 9)},
+             kNow);
+  }
+  int there = 0;
+  for (std::uint16_t port = 1; port <= 50; ++port) {
+    there += Send(Packet(port, true), kNow).to == Agent(2) ? 1 : 0;
+    // The openings sent since count until the agent has said more.
+    steering.fleet.hosts.at(Agent(2)).sent_since = 0;
+  }
+  // It is among the first four of five for four flows of five.
+  CHECK(there >= 30);
+}
+
+TEST(Steering, ManyOpeningsAtOnceAreSpreadBeforeAnyReport) {
+  std::vector<int> counts(6);
+  for (std::uint16_t port = 1; port <= 50; ++port) {
+    ++counts.at(Send(Packet(port, true), kNow).to.address & 0xFF);
+  }
+  CHECK(*std::max_element(counts.begin(), counts.end()) <= 14);
+}
+
+TEST(Steering, IdleFlowsAreForgotten) {
+  Confirm(Send(Packet(1, true), kNow), kNow);
+  ForgetIdleFlows(steering, kNow + 29s);
+  LONGS_EQUAL(1, steering.flows.size());
+  ForgetIdleFlows(steering, kNow + 31s);
+  LONGS_EQUAL(0, steering.flows.size());
+}
--- /dev/null
+++ b/test/target_presence_test.cc
@@ -0,0 +1,81 @@
+#include "hawthornbank/target_presence.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hawthornbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{std::chrono::seconds{1000}};
+
+auto Beat(std::uint64_t born, std::uint64_t sequence, TargetState state)
+    -> TargetHeartbeat {
+  return TargetHeartbeat{.id = "i-1",
+                         .service = "s",
+                         .born = born,
+                         .sequence = sequence,
+                         .state = state,
+                         .slots = 3};
+}
+
+}  // namespace
+
+TEST_GROUP(TargetPresence) {
+  TargetPresence presence{.service = "s"};
+
+  auto Hear(std::uint64_t born, std::uint64_t sequence, TargetState state)
+      ->PresenceOutcome {
+    return OnHeartbeat(presence, Beat(born, sequence, state), kNow);
+  }
+};
+
+TEST(TargetPresence, OnlyStartAndSequenceTellOldFromNew) {
+  CHECK(Hear(100, 1, TargetState::kReady) == PresenceOutcome::kChanged);
+  CHECK(Hear(100, 3, TargetState::kDraining) == PresenceOutcome::kChanged);
+  CHECK(Hear(100, 2, TargetState::kReady) == PresenceOutcome::kLate);
+  CHECK(Hear(100, 3, TargetState::kReady) == PresenceOutcome::kLate);
+  CHECK(presence.status.state == TargetState::kDraining);
+  // A new start under the same id counts anew.
+  CHECK(Hear(200, 1, TargetState::kReady) == PresenceOutcome::kRestarted);
+  CHECK(Hear(100, 9, TargetState::kDraining) == PresenceOutcome::kLate);
+  CHECK(presence.status.state == TargetState::kReady);
+}
+
+TEST(TargetPresence, AnotherServicesHeartbeatIsRefused) {
+  auto beat = Beat(100, 1, TargetState::kReady);
+  beat.service = "other";
+  CHECK(OnHeartbeat(presence, beat, kNow) == PresenceOutcome::kForeign);
+  CHECK(presence.status.state == TargetState::kUnknown);
+}
+
+TEST(TargetPresence, ADepartureOfAnotherIdChangesNothing) {
+  Hear(100, 1, TargetState::kReady);
+  CHECK(OnDeparture(presence, "i-0") == PresenceOutcome::kLate);
+  CHECK(OnDeparture(presence, "i-1") == PresenceOutcome::kChanged);
+  CHECK(presence.status.state == TargetState::kGone);
+  CHECK(OnDeparture(presence, "i-1") == PresenceOutcome::kKnown);
+}
+
+TEST(TargetPresence, AllFlowsWereSeenOnlyFromTheFirstHeartbeatOn) {
+  Hear(100, 2, TargetState::kReady);  // This agent started later.
+  CHECK_FALSE(presence.seen_since_start);
+  Hear(100, 3, TargetState::kReady);
+  CHECK_FALSE(presence.seen_since_start);
+  Hear(200, 2, TargetState::kReady);  // The restart was seen here.
+  CHECK(presence.seen_since_start);
+
+  TargetPresence fresh{.service = "s"};
+  OnHeartbeat(fresh, Beat(100, 1, TargetState::kReady), kNow);
+  CHECK(fresh.seen_since_start);
+}
+
+TEST(TargetPresence, ATargetThatSaysNothingIsTakenForGoneAfterTwoHeartbeats) {
+  CHECK(OnSilence(presence, 1s, 2200ms) == PresenceOutcome::kKnown);
+  CHECK(OnSilence(presence, 1s, 2300ms) == PresenceOutcome::kChanged);
+  CHECK(presence.status.state == TargetState::kGone);
+  // It was only late.
+  Hear(100, 4, TargetState::kReady);
+  CHECK(presence.status.state == TargetState::kReady);
+  CHECK_FALSE(presence.seen_since_start);
+}
