--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -5,6 +5,7 @@
 #include "hawthornbank/steering.h"
 #include "transport/clock.h"
 #include "transport/http_client.h"
+#include "transport/latency_histogram.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
 
@@ -26,6 +27,10 @@
 
 constexpr const char* kRoutesPath = "/routes";
 
+auto IsBefore(Endpoint a, Endpoint b) -> bool {
+  return a.address != b.address ? a.address < b.address : a.port < b.port;
+}
+
 class BalancerNode {
  public:
   BalancerNode(const NodeSettings& settings, const NodeCodec& codec)
@@ -116,6 +121,7 @@
   auto OnNote(const FlowNote& note, TimePoint now) -> void {
     const Duration took = OnFlowNote(steering_, note, now);
     if (took > Duration::zero()) {
+      placing_.Add(took);
       host_.log().Write(
           EventKind::kFlow, now, "flow_confirmed flow={} agent={} took_us={}",
           FlowText(note.flow), ToString(note.agent),
@@ -220,7 +226,7 @@
     for (const auto& [control, host] : steering_.fleet.hosts) {
       rank += host.record.role == HostRole::kBalancer && !host.record.leaving &&
                       IsAnswering(host, now) &&
-                      control < steering_.fleet.self.control
+                      IsBefore(control, steering_.fleet.self.control)
                   ? 1
                   : 0;
     }
@@ -271,6 +277,7 @@
       -> void {
     const TimePoint now = MonotonicNow();
     OnStoreFailure(follower_, now, host_.random());
+    ++store_failures_;
     if (follower_.failures == 1) {
       host_.log().Write(EventKind::kDependency, now,
                         "store_lost status={} reason=\"{}{}\"", reply.status,
@@ -279,6 +286,7 @@
   }
 
   auto NoteStoreAnswer(std::uint64_t revision) -> void {
+    store_calls_.Add(MonotonicNow() - follower_.called_at);
     if (follower_.failures > 0) {
       host_.log().Write(EventKind::kDependency, MonotonicNow(),
                         "store_regained failures={} revision={}",
@@ -360,6 +368,12 @@
                           ToString(static_cast<SteeringReason>(n)),
                           steering_.counts.at(n));
     }
+    text += placing_.Lines("hawthornbank_placing");
+    text += store_calls_.Lines("hawthornbank_store_call");
+    text +=
+        fmt::format("hawthornbank_store_failures_total {}\n", store_failures_);
+    text += fmt::format("hawthornbank_log_lines_left_out_total {}\n",
+                        host_.log().dropped());
     text += fmt::format("hawthornbank_flows {}\n", steering_.flows.size());
     text +=
         fmt::format("hawthornbank_hosts {}\n", steering_.fleet.hosts.size());
@@ -405,6 +419,9 @@
   std::vector<SteeringAction> actions_;
   Bytes buf_;
   std::string document_;
+  LatencyHistogram placing_;
+  LatencyHistogram store_calls_;
+  std::uint64_t store_failures_ = 0;
   TimePoint last_packet_{};
   TimePoint stop_by_{};
   bool opening_armed_ = false;
--- a/src/transport/event_log.h
+++ b/src/transport/event_log.h
@@ -39,7 +39,7 @@
 inline constexpr std::uint32_t kLinesPerSecond = 100;
 
 /// Bytes that wait for a reader. Further lines are counted and left out.
-inline constexpr std::size_t kLogBufferBytes = 32 * 1024;
+inline constexpr std::size_t kLogBufferBytes = std::size_t{32} * 1024;
 
 /// Writes log lines.
 class EventLog {
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -9,7 +9,7 @@
 namespace hawthornbank::transport {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 
 // A connection that went silent is noticed within about three seconds, also
 // while a watch waits.
@@ -51,7 +51,7 @@
 };
 
 HttpClient::HttpClient(asio::io_context& io, Endpoint server)
-    : io_(io), server_(server), socket_(io), deadline_(io) {}
+    : server_(server), socket_(io), deadline_(io) {}
 
 HttpClient::~HttpClient() {
   Cancel();
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -30,7 +30,7 @@
 };
 
 /// Largest answer, in bytes: a value of the platform and its envelope.
-inline constexpr std::size_t kMaxReplyBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxReplyBytes = std::size_t{4} * 1024 * 1024;
 
 /// Makes calls to one server over one connection.
 class HttpClient {
@@ -71,7 +71,6 @@
   auto Finish(const std::shared_ptr<Call>& call) -> void;
   auto CloseSocket() -> void;
 
-  asio::io_context& io_;
   Endpoint server_;
   asio::ip::tcp::socket socket_;
   asio::steady_timer deadline_;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -28,7 +28,7 @@
 };
 
 /// Largest body of a call, in bytes. Heartbeats take a few hundred.
-inline constexpr std::size_t kMaxCallBytes = 64 * 1024;
+inline constexpr std::size_t kMaxCallBytes = std::size_t{64} * 1024;
 
 /// Connections at a time; further ones are closed at once.
 inline constexpr std::size_t kMaxConnections = 64;
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -134,7 +134,6 @@
   TimePoint started_;
   TimePoint search_at_{};
   std::int64_t settings_stamp_ = 0;
-  std::uint64_t malformed_ = 0;
   bool stopping_ = false;
 };
 
