--- /dev/null
+++ b/test/node_path_test.cc
@@ -0,0 +1,344 @@
+#include <CppUTest/TestHarness.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <asio.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "hawthornbank/flow_packet.h"
+#include "packet_head.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/udp_socket.h"
+
+// The real program on loopback between stand-ins of the platform: its store,
+// its routers, two targets and a caller. Hosts are addresses of 127.0.0.0/8.
+
+using namespace hawthornbank;
+using namespace hawthornbank::transport;
+using namespace std::chrono_literals;
+
+extern char** environ;
+
+namespace {
+
+constexpr const char* kService = "s";
+const Endpoint kRoute = ParseEndpoint("198.18.0.1:443");
+const Endpoint kNoRoute = ParseEndpoint("198.18.0.1:444");
+constexpr std::uint32_t kStoreHost = 0x7F000102;
+constexpr std::uint32_t kBalancerHost = 0x7F000103;
+constexpr std::uint32_t kCallerHost = 0x7F000109;
+// Far above what any step takes; a test that gets there has failed.
+constexpr auto kPatience = 30s;
+
+// Ports that the hosts share, as those of a platform's hosts do.
+struct Ports {
+  std::uint16_t data = 0;
+  std::uint16_t internal = 0;
+  std::uint16_t control = 0;
+  std::uint16_t ready = 0;
+  std::uint16_t outbound = 0;
+  std::uint16_t app = 0;
+  std::uint16_t store = 0;
+};
+
+auto FreePorts() -> Ports {
+  asio::io_context io;
+  std::vector<asio::ip::tcp::acceptor> held;
+  const auto next = [&] {
+    held.emplace_back(
+        io, asio::ip::tcp::endpoint(asio::ip::address_v4(kStoreHost), 0));
+    return held.back().local_endpoint().port();
+  };
+  return Ports{.data = next(),
+               .internal = next(),
+               .control = next(),
+               .ready = next(),
+               .outbound = next(),
+               .app = next(),
+               .store = next()};
+}
+
+auto Head(const FlowPacket& packet, std::uint8_t flags) -> Bytes {
+  const FlowKey towards{.caller = packet.destination, .address = packet.source};
+  const auto reset = platform::EncodeReset(towards, packet.sequence);
+  Bytes bytes(reset.begin(), reset.end());
+  bytes[0] = flags;
+  return bytes;
+}
+
+constexpr std::uint8_t kSyn = 64;
+constexpr std::uint8_t kAck = 1;
+constexpr std::uint8_t kBounced = 8;
+
+// A process that ends with this object.
+class Node {
+ public:
+  Node(const std::string& settings, const std::string& name)
+      : log_(std::filesystem::temp_directory_path() /
+             (name + std::to_string(::getpid()) + ".log")) {
+    const auto file = log_.string() + ".toml";
+    std::ofstream(file) << settings;
+    std::string variable = "HAWTHORNBANK_NODE_FILE=" + file;
+    std::array<char*, 2> environment = {variable.data(), nullptr};
+    std::string program = HAWTHORNNODE;
+    std::array<char*, 2> arguments = {program.data(), nullptr};
+    posix_spawn_file_actions_t actions{};
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, log_.c_str(),
+                                     O_CREAT | O_TRUNC | O_WRONLY, 0600);
+    LONGS_EQUAL(0, ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                                 arguments.data(), environment.data()));
+    posix_spawn_file_actions_destroy(&actions);
+  }
+
+  Node(const Node&) = delete;
+  auto operator=(const Node&) -> Node& = delete;
+  ~Node() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    std::filesystem::remove(log_);
+    std::filesystem::remove(log_.string() + ".toml");
+  }
+
+  auto Signal(int signal) -> void { ::kill(pid_, signal); }
+
+  /// @return The exit code, once it has ended.
+  auto TryWait() -> std::optional<int> {
+    int status = 0;
+    if (::waitpid(pid_, &status, WNOHANG) != pid_) {
+      return std::nullopt;
+    }
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  [[nodiscard]] auto Log() const -> std::string {
+    std::ostringstream text;
+    text << std::ifstream(log_).rdbuf();
+    return text.str();
+  }
+
+ private:
+  std::filesystem::path log_;
+  pid_t pid_ = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(NodePath) {
+  Ports ports = FreePorts();
+  asio::io_context io;
+  std::unique_ptr<HttpServer> store;
+  std::uint64_t version = 3;
+
+  auto At(std::uint32_t host, std::uint16_t port)->std::string {
+    return '"' + ToString(Endpoint{.address = host, .port = port}) + '"';
+  }
+
+  auto Settings(std::uint32_t host, bool is_agent)->std::string {
+    const std::string ip = At(host, 0);
+    std::ostringstream text;
+    text << "node = \"n" << (host & 0xFF)
+         << "\"\nzone = \"a\"\nip = " << ip.substr(0, ip.find(':'))
+         << "\"\ninternal_ports = [" << ports.internal
+         << "]\nheartbeat_ms = 200\nseeds = ["
+         << At(kBalancerHost, ports.control) << "]\n";
+    if (is_agent) {
+      text << "service = \"" << kService << "\"\napp = " << At(host, ports.app)
+           << '\n';
+    }
+    text << "[listen]\ndata_addr = " << At(host, ports.data)
+         << "\nready = " << At(host, ports.ready)
+         << "\ncontrol = " << At(host, ports.control) << '\n';
+    if (is_agent) {
+      text << "outbound = " << At(host, ports.outbound) << '\n';
+    }
+    text << "[bounds]\ngrace_s = 6\n[platform]\naddr = "
+         << At(kStoreHost, ports.store) << '\n';
+    return text.str();
+  }
+
+  auto AnswerStore(const HttpCall& call)->HttpAnswer {
+    nlohmann::json reply = {
+        {"items", nlohmann::json::array()}, {"has_more", false}, {"as_of", 9}};
+    if (call.target == "/api/objects/config") {
+      reply["items"].push_back({{"meta", {{"name", "main"}, {"revision", 9}}},
+                                {"spec",
+                                 {{"version", version},
+                                  {"routes",
+                                   {{{"name", "r"},
+                                     {"host", "198.18.0.1"},
+                                     {"path_prefix", "/443/"},
+                                     {"service", kService}}}}}}});
+    }
+    return HttpAnswer{.body = reply.dump()};
+  }
+
+  void setup() override {
+    store = std::make_unique<HttpServer>(
+        io, Endpoint{.address = kStoreHost, .port = ports.store},
+        [this](const HttpCall& call) { return AnswerStore(call); });
+  }
+
+  // Runs handlers until a condition holds, doing something each 50 ms.
+  auto Until(const std::function<bool()>& condition,
+             const std::function<void()>& step)
+      ->bool {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      step();
+      io.run_for(50ms);
+      io.restart();
+    }
+    return true;
+  }
+};
+
+namespace {
+
+// A target that takes every opening, echoes data and can drain.
+struct Target {
+  Target(asio::io_context& io, std::uint32_t host, const Ports& ports)
+      : outbound{.address = host, .port = ports.outbound},
+        socket(io, Endpoint{.address = host, .port = ports.app}),
+        client(io, Endpoint{.address = host, .port = ports.control}) {
+    socket.Receive([this](Endpoint, ByteView bytes) { OnPacket(bytes); });
+  }
+
+  auto Beat() -> void {
+    if (client.busy()) {
+      return;
+    }
+    const nlohmann::json body = {{"service", kService}, {"slots", 3},
+                                 {"state", state},      {"warmup_ms", 0},
+                                 {"seq", ++sequence},   {"born", 1000}};
+    client.Send(
+        {.method = "PUT", .target = "/api/instances/i-1", .body = body.dump()},
+        1s, [this](const HttpReply& reply) {
+          acknowledged += reply.status == 200 ? 1 : 0;
+        });
+  }
+
+  auto OnPacket(ByteView bytes) -> void {
+    const auto packet = platform::DecodePacket(bytes);
+    const FlowKey flow = FlowFromCaller(*packet);
+    if (packet->opens) {
+      ++openings;
+    } else if (!flows.contains(flow)) {
+      Bytes back(bytes.begin(), bytes.end());
+      back[0] |= kBounced;
+      socket.Send(outbound, back);
+      return;
+    }
+    flows[flow] = true;
+    const FlowPacket answer{.source = packet->destination,
+                            .destination = packet->source};
+    Bytes reply = Head(answer, packet->opens ? kSyn | kAck : kAck);
+    socket.Send(outbound, reply);
+  }
+
+  Endpoint outbound;
+  UdpSocket socket;
+  HttpClient client;
+  std::map<FlowKey, bool> flows;
+  std::string state = "ready";
+  int sequence = 0;
+  int acknowledged = 0;
+  int openings = 0;
+};
+
+}  // namespace
+
+TEST(NodePath, FlowsAreServedDrainedAndResetWithALineForEach) {
+  constexpr std::uint32_t kFirst = 0x7F000104;
+  constexpr std::uint32_t kSecond = 0x7F000105;
+  Node balancer(Settings(kBalancerHost, false), "balancer");
+  Node first_agent(Settings(kFirst, true), "first");
+  Node second_agent(Settings(kSecond, true), "second");
+  Target first(io, kFirst, ports);
+  Target second(io, kSecond, ports);
+  const Endpoint entry{.address = kBalancerHost, .port = ports.data};
+  UdpSocket caller(io, Endpoint{.address = kCallerHost, .port = ports.data});
+  std::map<std::uint16_t, FlowPacket> answers;
+  caller.Receive([&](Endpoint, ByteView bytes) {
+    const auto packet = platform::DecodePacket(bytes);
+    answers[packet->destination.port] = *packet;
+  });
+  const auto send = [&](std::uint16_t port, Endpoint to, std::uint8_t flags) {
+    caller.Send(
+        entry, Head(FlowPacket{.source = {.address = kCallerHost, .port = port},
+                               .destination = to},
+                    flags));
+  };
+  const auto beat = [&] {
+    first.Beat();
+    second.Beat();
+  };
+
+  // Openings are served once heartbeats have reached the balancer.
+  CHECK(Until([&] { return answers.contains(1000) && answers[1000].opens; },
+              [&] {
+                beat();
+                send(1000, kRoute, kSyn);
+              }));
+  // The flow stays at its target.
+  const int openings = first.openings + second.openings;
+  answers.clear();
+  CHECK(Until([&] { return answers.contains(1000); },
+              [&] { send(1000, kRoute, kAck); }));
+  CHECK_FALSE(answers[1000].opens);
+
+  // An address without a route is reset.
+  CHECK(Until([&] { return answers.contains(1001); },
+              [&] { send(1001, kNoRoute, kSyn); }));
+  CHECK(answers[1001].resets);
+
+  // A draining target gets no new flow.
+  first.state = "draining";
+  const int before = first.acknowledged;
+  CHECK(Until([&] { return first.acknowledged >= before + 2; }, beat));
+  const int refused_from = first.openings;
+  for (std::uint16_t port = 2000; port < 2020; ++port) {
+    CHECK(Until([&] { return answers.contains(port); },
+                [&] { send(port, kRoute, kSyn); }));
+  }
+  LONGS_EQUAL(refused_from, first.openings);
+  CHECK(first.openings + second.openings > openings);
+
+  // A stopping balancer leaves when packets have ceased.
+  balancer.Signal(SIGTERM);
+  std::optional<int> code;
+  CHECK(Until(
+      [&] {
+        code = code.has_value() ? code : balancer.TryWait();
+        return code.has_value();
+      },
+      beat));
+  LONGS_EQUAL(0, *code);
+  // Each decision that the caller saw has its line.
+  const std::string log = balancer.Log();
+  STRCMP_CONTAINS("event=start role=balancer", log.c_str());
+  STRCMP_CONTAINS(
+      "event=flow_reset flow=127.0.1.9:1001>198.18.0.1:444 "
+      "reason=no_route",
+      log.c_str());
+  STRCMP_CONTAINS("event=routes_in_force version=3", log.c_str());
+  STRCMP_CONTAINS("event=stop ", log.c_str());
+}
