Pace announces by the number of balancers, send only recent changes between rosters

An announce to each of 470 balancers every 0.4 s would take 117 KB/s; the interval now keeps it within 2,400 B/s, and the time of silence goes with it. A roster was sent whole at each differing digest, 4 KB at 75 hosts up to three times a second.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -77,9 +77,33 @@
   }
 };
 
-/// Time without a word from a host after which it is doubted. Three announces
-/// and the delay between zones.
-inline constexpr Duration kSilentAfter = std::chrono::milliseconds{1600};
+/// Shortest interval of announces. A change of a target's load matters within
+/// some tens of requests.
+inline constexpr Duration kAnnounceInterval = std::chrono::milliseconds{400};
+
+/// Bytes that a process may send a second as announces; the rest of its 3 KB
+/// is for rosters and notes.
+inline constexpr std::uint32_t kAnnounceBytesPerSecond = 2400;
+
+/// Bytes of one announce, with its IPv4 and UDP heads.
+inline constexpr std::uint32_t kAnnounceBytes = 100;
+
+/// Announces that may be lost or late before a host is doubted.
+inline constexpr int kMissedAnnounces = 4;
+
+/// Interval of announces that keeps within the bytes allowed.
+/// @param balancers Receivers of an announce.
+/// @return The interval.
+constexpr auto AnnounceInterval(std::size_t balancers) -> Duration {
+  const Duration paced = Duration{std::chrono::seconds{1}} * kAnnounceBytes *
+                         static_cast<std::int64_t>(balancers) /
+                         kAnnounceBytesPerSecond;
+  return paced > kAnnounceInterval ? paced : kAnnounceInterval;
+}
+
+/// Time without a word from a host after which it is doubted, in a fleet whose
+/// announces come at the shortest interval.
+inline constexpr Duration kSilentAfter = kMissedAnnounces * kAnnounceInterval;
 
 /// Time for which a host stays known without a word. Covers a host that is
 /// dark or cut off and comes back at its address.
@@ -101,6 +125,7 @@
   TimePoint doubted_until{};  ///< It left something unanswered.
   TimePoint load_at{};        ///< When `load` was said.
   TimePoint changed{};        ///< When the record was heard first.
+  Duration silent_after = kSilentAfter;  ///< Then it is doubted.
   /// When it was asked what it hasn\'t answered yet; zero: it answered all.
   TimePoint unanswered_since{};
   std::uint16_t sent_since = 0;  ///< Openings sent to it since then.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -93,7 +93,7 @@
 auto IsAnswering(const KnownHost& host, TimePoint now) -> bool {
   const bool owes_answer = host.unanswered_since != TimePoint{} &&
                            now - host.unanswered_since >= kAnswerTime;
-  return now - host.heard < kSilentAfter && now >= host.doubted_until &&
+  return now - host.heard < host.silent_after && now >= host.doubted_until &&
          !owes_answer;
 }
 
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -139,11 +139,16 @@
   }
 }
 
+auto NodeHost::CountBalancers() const -> std::size_t {
+  const auto count = std::count_if(
+      fleet_.hosts.begin(), fleet_.hosts.end(), [](const auto& it) {
+        return it.second.record.role == HostRole::kBalancer;
+      });
+  return static_cast<std::size_t>(count);
+}
+
 auto NodeHost::KnowsBalancers() const -> bool {
-  return std::any_of(fleet_.hosts.begin(), fleet_.hosts.end(),
-                     [](const auto& it) {
-                       return it.second.record.role == HostRole::kBalancer;
-                     });
+  return CountBalancers() > 0;
 }
 
 // Seeds may be down for long; the store lists the others.
@@ -168,7 +173,8 @@
   if (searching) {
     SearchRegistry(now);
   }
-  After(announce_timer_, searching ? kSearchInterval : kAnnounceInterval,
+  After(announce_timer_,
+        searching ? kSearchInterval : AnnounceInterval(CountBalancers()),
         [this](TimePoint) { AnnounceTimer(); });
 }
 
@@ -270,22 +276,29 @@
   }
   if (outcome != MergeOutcome::kOld) {
     NoteHeard(host->second, now);
+    host->second.silent_after =
+        kMissedAnnounces * AnnounceInterval(CountBalancers());
     NoteLoad(host->second, announce.load, now);
     role_.on_announce(announce, now);
   }
   const bool differs = announce.digest != fleet_.digest;
   if (settings_.role == HostRole::kBalancer &&
       (differs || announce.wants_reply)) {
-    SendRoster(announce.record.control, now);
+    SendRoster(announce.record.control, announce.wants_reply, now);
   }
 }
 
-auto NodeHost::SendRoster(Endpoint to, TimePoint now) -> void {
-  TimePoint& sent = roster_sent_[to];
-  if (sent != TimePoint{} && now - sent < kRosterInterval) {
+auto NodeHost::SendRoster(Endpoint to, bool is_new, TimePoint now) -> void {
+  RosterTimes& sent = roster_sent_[to];
+  if (!is_new && sent.any != TimePoint{} && now - sent.any < kRosterInterval) {
     return;
   }
-  sent = now;
+  const bool whole = is_new || sent.whole == TimePoint{} ||
+                     now - sent.whole >= kWholeRosterInterval;
+  sent.any = now;
+  if (whole) {
+    sent.whole = now;
+  }
   RosterPart part;
   part.records.push_back(PassedRecord{.record = fleet_.self});
   const auto flush = [&] {
@@ -293,6 +306,9 @@
     part.records.clear();
   };
   for (const auto& [control, host] : fleet_.hosts) {
+    if (!whole && now - host.changed > kRecentChange) {
+      continue;
+    }
     part.records.push_back(PassedRecord{.record = host.record,
                                         .age_ms = static_cast<std::uint32_t>(
                                             ToMilliseconds(now - host.heard))});
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -21,9 +21,6 @@
 /// announces and rosters, HTTP endpoints, signals and the settings file.
 namespace hawthornbank::transport {
 
-/// Interval of announces.
-inline constexpr Duration kAnnounceInterval = std::chrono::milliseconds{400};
-
 /// Interval of announces while too few hosts are known, as at a start.
 inline constexpr Duration kSearchInterval = std::chrono::milliseconds{50};
 
@@ -33,10 +30,16 @@
 /// Pause between two readings of that list while no balancer answers.
 inline constexpr Duration kRegistryRetry = std::chrono::milliseconds{900};
 
-/// Least time between two rosters to one host. A roster of 75 hosts takes
-/// about 5 KB.
+/// Least time between two parts of a roster to one host.
 inline constexpr Duration kRosterInterval = std::chrono::milliseconds{300};
 
+/// Least time between two whole rosters to one host; between them only what
+/// has changed lately is sent. A roster of 75 hosts takes about 4 KB.
+inline constexpr Duration kWholeRosterInterval = std::chrono::seconds{3};
+
+/// How long a change is sent to those that may lack it.
+inline constexpr Duration kRecentChange = std::chrono::seconds{4};
+
 /// Interval of slow duties: old flows, silent hosts, the settings file.
 inline constexpr Duration kSlowInterval = std::chrono::seconds{1};
 
@@ -101,12 +104,19 @@
   [[nodiscard]] auto stopping() const -> bool { return stopping_; }
 
  private:
+  // When a host was last sent records.
+  struct RosterTimes {
+    TimePoint any{};
+    TimePoint whole{};
+  };
+
+  [[nodiscard]] auto CountBalancers() const -> std::size_t;
   auto OnDatagram(Endpoint from, ByteView datagram, TimePoint now) -> void;
   auto OnAnnounce(const HostAnnounce& announce, TimePoint now) -> void;
   auto OnRoster(const RosterPart& part, TimePoint now) -> void;
   auto NoteMerge(const HostRecord& record, MergeOutcome outcome, TimePoint now)
       -> void;
-  auto SendRoster(Endpoint to, TimePoint now) -> void;
+  auto SendRoster(Endpoint to, bool is_new, TimePoint now) -> void;
   auto Receivers() const -> std::vector<Endpoint>;
   [[nodiscard]] auto MakeAnnounce(TimePoint now) -> Bytes;
   [[nodiscard]] auto KnowsBalancers() const -> bool;
@@ -129,7 +139,7 @@
   asio::steady_timer slow_timer_;
   asio::signal_set signals_;
   NodeRole role_;
-  std::unordered_map<Endpoint, TimePoint> roster_sent_;
+  std::unordered_map<Endpoint, RosterTimes> roster_sent_;
   std::vector<Endpoint> listed_;  ///< Balancers by the store's list.
   TimePoint started_;
   TimePoint search_at_{};
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -102,3 +102,22 @@
   LONGS_EQUAL(1, fleet.self.revision);
   CHECK_FALSE(UpdateSelf(fleet, record));
 }
+
+TEST(Fleet, AnnouncesKeepWithinTheirBytesAtAnySize) {
+  CHECK(AnnounceInterval(6) == kAnnounceInterval);
+  for (const std::size_t balancers : {21U, 60U, 470U}) {
+    const auto interval =
+        std::chrono::duration<double>(AnnounceInterval(balancers)).count();
+    CHECK(static_cast<double>(balancers) * kAnnounceBytes / interval <=
+          kAnnounceBytesPerSecond + 1);
+  }
+}
+
+TEST(Fleet, HostsOfALargeFleetMayBeSilentForLonger) {
+  Fleet fleet = MakeFleet();
+  MergeRecord(fleet, Record(1, 0), 0s, kNow);
+  KnownHost& host = fleet.hosts.at(kOther);
+  host.silent_after = kMissedAnnounces * AnnounceInterval(100);
+  CHECK(IsAnswering(host, kNow + 10s));
+  CHECK_FALSE(IsAnswering(host, kNow + 20s));
+}
