Send back a flow that its caller opened at another target

An opening that wasn't confirmed within 45 ms went to a second target and both took it; the second agent's note came last, so the balancer sent the caller's packets there, and that target neither served nor returned them for 7.7 s. The agent compares the caller's first acknowledgement with the sequence number that its target offered. Ruled out: a lost flow table (the agent had an entry).

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -55,6 +56,8 @@
   TimePoint running_since{};
   TimePoint closed_at{};
   bool answered = false;  ///< The target took it.
+  /// Sequence number with which it did, until the caller acknowledges it.
+  std::optional<std::uint32_t> offered_sequence;
   bool running = false;   ///< A request has no answer yet.
   bool caller_ended = false;
   bool target_ended = false;
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -11,6 +11,8 @@
 
 // Time constant of the averaged load: long enough for a feed's pauses.
 constexpr std::chrono::duration<double> kAverageTime{1.5};
+// Bytes that a target may have sent before the caller's first packet arrives.
+constexpr std::uint32_t kSequenceWindow = 76'800;
 // Openings go elsewhere for as long after one was left unanswered.
 constexpr Duration kSilentTime = std::chrono::milliseconds{400};
 
@@ -192,6 +194,20 @@
   }
 }
 
+// Two targets may have taken the same opening. The caller's first packet
+// acknowledges the one that it chose.
+auto WasOpenedElsewhere(TargetFlow& flow, const FlowPacket& packet) -> bool {
+  if (!flow.offered_sequence.has_value() || !packet.acknowledges) {
+    return false;
+  }
+  const std::uint32_t offset = packet.acknowledgement - *flow.offered_sequence;
+  if (offset > kSequenceWindow) {
+    return true;
+  }
+  flow.offered_sequence.reset();
+  return false;
+}
+
 auto NoteCallersPacket(TargetFlows& target,
                        TargetFlow& flow,
                        const FlowPacket& packet,
@@ -246,6 +262,11 @@
     }
     return;
   }
+  if (WasOpenedElsewhere(known->second, packet)) {
+    EraseFlow(target, flow);
+    SendBack(target, flow, header, TargetReason::kNotHere, out);
+    return;
+  }
   NoteCallersPacket(target, known->second, packet, now);
   AddDelivery(target, flow, TargetReason::kDelivered, Offer(target, header),
               out);
@@ -275,6 +296,9 @@
     target.openings.erase(key);
     AddNote(key, flow.origin, out);
   }
+  if (packet.opens) {
+    flow.offered_sequence = packet.sequence;
+  }
   if (packet.length > 0) {
     EndRun(target, flow);
   }
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -172,6 +172,37 @@
   CHECK(out[0].reason == TargetReason::kDelivered);
 }
 
+// Load pattern: an opening that wasn't confirmed in time goes to a second
+// target, and both take it. The caller acknowledges one of them; the other
+// target neither serves nor returns the caller's packets.
+TEST(TargetFlows, AFlowThatTheCallerOpenedElsewhereIsSentBack) {
+  Relay(FromCaller(1, true));
+  FlowPacket answer = FromTarget(1);
+  answer.opens = true;
+  answer.sequence = 5'000'000;
+  Answer(answer);
+  FlowPacket packet = FromCaller(1, false, 100);
+  packet.acknowledgement = 70'000;
+  CHECK(Relay(packet) == Kind::kSendBack);
+  CHECK(out[0].reason == TargetReason::kNotHere);
+  LONGS_EQUAL(0, target.flows.size());
+  LONGS_EQUAL(0, target.running);
+}
+
+TEST(TargetFlows, AFlowThatTheCallerOpenedHereStays) {
+  Relay(FromCaller(1, true));
+  FlowPacket answer = FromTarget(1);
+  answer.opens = true;
+  answer.sequence = 0xFFFFFFFF;  // The next number is zero.
+  Answer(answer);
+  FlowPacket packet = FromCaller(1, false, 100);
+  packet.acknowledgement = 0;
+  CHECK(Relay(packet) == Kind::kDeliver);
+  // Later acknowledgements may be far away.
+  packet.acknowledgement = 900'000;
+  CHECK(Relay(packet) == Kind::kDeliver);
+}
+
 TEST(TargetFlows, AnotherBalancerIsToldOnceWhereTheFlowIs) {
   Open(1);
   Relay(FromCaller(1, false, 10), RelayHeader{.origin = kOtherBalancer});
