--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -293,12 +293,12 @@
   }
   if (!flow.answered) {
     flow.answered = true;
+    if (packet.opens) {
+      flow.offered_sequence = packet.sequence;
+    }
     target.openings.erase(key);
     AddNote(key, flow.origin, out);
   }
-  if (packet.opens) {
-    flow.offered_sequence = packet.sequence;
-  }
   if (packet.length > 0) {
     EndRun(target, flow);
   }
