Don't search at an agent that was stopped and hasn't come back

For 60 s each search of an unknown flow ended with it (286 times at 10.3.0.5), so its flows were never reset (42 requests failed in seconds 38 to 42). Ruled out: an incomplete roster (all others had answered).

--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -31,6 +31,10 @@
 /// balancer with one, announces itself with the next, and any may be lost.
 inline constexpr int kSettlingAnnounces = 8;
 
+/// Time in which a stopped agent is back when it is only restarted: its grace
+/// is over by then, and its process started again.
+inline constexpr Duration kReturnTime = std::chrono::seconds{6};
+
 /// Limits of a balancer's decisions.
 struct SteeringOptions {
   PlacementOptions placement;
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -171,16 +171,22 @@
 }
 
 // Whether a host's target has ended: it has said that it goes, which it
-// outlives by up to two seconds, and its agent has been stopped after it.
-auto HasTargetEnded(const HostRecord& record) -> bool {
-  return record.target.state == TargetState::kGone &&
-         (record.leaving || record.target.born == 0);
+// outlives by up to two seconds, and its agent has been stopped after it; or
+// its agent has been stopped and hasn't come back.
+auto HasTargetEnded(const KnownHost& host, TimePoint now) -> bool {
+  const HostRecord& record = host.record;
+  if (record.target.state == TargetState::kGone) {
+    return record.leaving || record.target.born == 0;
+  }
+  return record.leaving && now - host.heard >= kReturnTime;
 }
 
-auto HasTargetLeft(const Steering& steering, const SteeredFlow& flow) -> bool {
+auto HasTargetLeft(const Steering& steering,
+                   const SteeredFlow& flow,
+                   TimePoint now) -> bool {
   const auto host = steering.fleet.hosts.find(flow.agent);
   return host != steering.fleet.hosts.end() && flow.confirmed &&
-         HasTargetEnded(host->second.record) && flow.target_born != 0 &&
+         HasTargetEnded(host->second, now) && flow.target_born != 0 &&
          host->second.record.target.born == flow.target_born;
 }
 
@@ -228,8 +234,8 @@
                  std::vector<SteeringAction>& out) -> void {
   auto ranked =
       RankHosts(steering.fleet, header.service, HashFlow(flow), header.asked);
-  std::erase_if(ranked, [](const RankedHost& it) {
-    return HasTargetEnded(it.host->record);
+  std::erase_if(ranked, [now](const RankedHost& it) {
+    return HasTargetEnded(*it.host, now);
   });
   const auto urgency = [now](const KnownHost& host) {
     if (!IsAnswering(host, now)) {
@@ -320,7 +326,7 @@
                 SteeringReason::kLookedFor, now, out);
     return;
   }
-  if (HasTargetLeft(steering, known->second)) {
+  if (HasTargetLeft(steering, known->second, now)) {
     steering.flows.erase(known);
     AddReset(steering, flow, SteeringReason::kTargetLost,
              packet.acknowledgement, out);
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -323,3 +323,21 @@
   steering.started = kNow - 30s;
   CHECK(AskAll(Packet(1, false), kNow).kind == Kind::kReset);
 }
+
+// An agent that started beside no target was stopped. Every search ended with
+// it, as it answers no more, and no flow was reset.
+TEST(Steering, AnAgentThatLeftAndDidNotComeBackIsNotAsked) {
+  AddAgent(5, TargetState::kUnknown, false, 2, true);
+  const auto soon = kNow + 5s;
+  const auto later = kNow + 6s;
+  for (const auto now : {soon, later}) {
+    for (std::uint32_t n = 1; n <= 4; ++n) {
+      NoteHeard(steering.fleet.hosts.at(Agent(n)), now);
+    }
+    auto action = Send(Packet(1, false), now);
+    while (action.kind == Kind::kRelay && action.to != Agent(5)) {
+      action = SendBack(action, Packet(1, false), now);
+    }
+    CHECK(action.kind == (now == soon ? Kind::kRelay : Kind::kReset));
+  }
+}
