Leave flows where they are when a route's weights change

Found by reading: a remembered flow was relayed under the service that the weights in force choose, so a change of weights sent it to an agent that refuses that service, and a search looked at that service only and could end in a reset. The test failed before.

--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -223,6 +223,47 @@
   }
 }
 
+// Ranks the agents that may have a flow and haven't been asked. When a route's
+// weights change, the flow may be at another one of its services.
+auto RankSearch(Steering& steering,
+                const FlowKey& flow,
+                RelayHeader& header,
+                TimePoint now) -> std::vector<RankedHost> {
+  const auto rank = [&](std::uint32_t service) {
+    auto ranked =
+        RankHosts(steering.fleet, service, HashFlow(flow), header.asked);
+    std::erase_if(ranked, [now](const RankedHost& it) {
+      return HasTargetEnded(*it.host, now);
+    });
+    return ranked;
+  };
+  auto ranked = rank(header.service);
+  const Route* const route = FindRoute(steering.routes, flow.address);
+  if (!ranked.empty() || route == nullptr) {
+    return ranked;
+  }
+  for (const auto& it : route->shares) {
+    ranked = rank(it.service);
+    if (!ranked.empty()) {
+      header.service = it.service;
+      break;
+    }
+  }
+  return ranked;
+}
+
+// The service of a flow that an agent has: the agent's own. The route's weights
+// may have changed since the flow was placed.
+auto ServiceOf(const Steering& steering,
+               const FlowKey& flow,
+               const Route& route,
+               Endpoint agent) -> std::uint32_t {
+  const auto host = steering.fleet.hosts.find(agent);
+  return host != steering.fleet.hosts.end()
+             ? host->second.record.service
+             : ChooseService(route, HashFlow(flow));
+}
+
 // Asks the next agent of the flow's ranking: those that have heard of their
 // target first, those that don't answer last.
 auto LookForFlow(Steering& steering,
@@ -232,11 +273,7 @@
                  SteeringReason reason,
                  TimePoint now,
                  std::vector<SteeringAction>& out) -> void {
-  auto ranked =
-      RankHosts(steering.fleet, header.service, HashFlow(flow), header.asked);
-  std::erase_if(ranked, [now](const RankedHost& it) {
-    return HasTargetEnded(*it.host, now);
-  });
+  const auto ranked = RankSearch(steering, flow, header, now);
   const auto urgency = [now](const KnownHost& host) {
     if (!IsAnswering(host, now)) {
       return 2;
@@ -282,9 +319,10 @@
   }
   known->second.used = now;
   RelayTo(steering, flow, known->second.agent,
-          RelayHeader{.origin = steering.fleet.self.control,
-                      .service = ChooseService(route, HashFlow(flow)),
-                      .wants_note = true},
+          RelayHeader{
+              .origin = steering.fleet.self.control,
+              .service = ServiceOf(steering, flow, route, known->second.agent),
+              .wants_note = true},
           SteeringReason::kRepeated, out);
 }
 
@@ -333,6 +371,7 @@
     return;
   }
   known->second.used = now;
+  header.service = ServiceOf(steering, flow, *route, known->second.agent);
   header.wants_note = !known->second.confirmed;
   RelayTo(steering, flow, known->second.agent, std::move(header),
           SteeringReason::kRemembered, out);
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -341,3 +341,31 @@
     CHECK(action.kind == (now == soon ? Kind::kRelay : Kind::kReset));
   }
 }
+
+// Load pattern: the weights of a route's services change while flows are open.
+TEST(Steering, ChangedWeightsLeaveFlowsWhereTheyAre) {
+  constexpr std::uint32_t kOther = kService + 1;
+  MergeRecord(steering.fleet,
+              HostRecord{.control = Agent(9),
+                         .role = HostRole::kAgent,
+                         .service = kOther,
+                         .incarnation = 1,
+                         .target = {.state = TargetState::kReady, .born = 500}},
+              0s, kNow);
+  const auto opening = Send(Packet(1, true), kNow);
+  Confirm(opening, kNow);
+  steering.routes.routes[kAddress].shares = {
+      {.service = kOther, .weight = 1}, {.service = kService, .weight = 0}};
+  const auto next = Send(Packet(1, false), kNow);
+  CHECK(next.to == opening.to);
+  LONGS_EQUAL(kService, next.header.service);
+  // A balancer without memory looks at both services.
+  steering.flows.clear();
+  auto action = Send(Packet(1, false), kNow);
+  CHECK(action.to == Agent(9));
+  while (action.kind == Kind::kRelay && action.to != opening.to) {
+    action = SendBack(action, Packet(1, false), kNow);
+  }
+  CHECK(action.to == opening.to);
+  LONGS_EQUAL(kService, action.header.service);
+}
