--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -35,7 +35,8 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(state, slots, cold);
+    archive(state, slots);
+    wire::Flag(archive, cold);
     wire::Varint(archive, born);
     wire::CheckRange(state, TargetState::kGone);
   }
@@ -69,7 +70,8 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(control, role, leaving, service, target);
+    archive(control, role, service, target);
+    wire::Flag(archive, leaving);
     wire::Text(archive, zone);
     wire::Varint(archive, incarnation);
     wire::Varint(archive, revision);
--- a/include/hawthornbank/wire.h
+++ b/include/hawthornbank/wire.h
@@ -60,6 +60,20 @@
   return size;
 }
 
+/// Serialises a flag as one byte.
+/// @param archive A cereal binary archive.
+/// @param value The flag.
+/// @throws Error kMalformed when a loaded byte is neither 0 nor 1.
+template <class Archive>
+auto Flag(Archive& archive, bool& value) -> void {
+  auto byte = static_cast<std::uint8_t>(value ? 1 : 0);
+  archive(byte);
+  if (byte > 1) {
+    throw Error(ErrorKind::kMalformed, "flag that is neither 0 nor 1");
+  }
+  value = byte == 1;
+}
+
 /// Refuses a loaded enumeration that isn't one of its values.
 /// @param value The value.
 /// @param last The enumeration's last value.
--- a/src/protocol/node_message.h
+++ b/src/protocol/node_message.h
@@ -26,7 +26,8 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(record, load, digest, wants_reply);
+    archive(record, load, digest);
+    wire::Flag(archive, wants_reply);
     wire::Varint(archive, version);
     wire::Varint(archive, version_age_ms);
   }
