Let no handler touch an HTTP client that is gone

Found by reading: handlers of a call under way compared it with the client's present call, but a client is replaced while it waits (a peer asked again, another store in the settings), so an aborted handler read freed memory. The call itself says now that it is over. Checked by http_exchange_test and node_path_test; a test of a client that is destroyed while it waits is still owed.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -47,6 +47,9 @@
   bool reused = false;  ///< On a connection of an earlier call.
   bool answering = false;
   bool complete = false;
+  /// Answered or given up. Its handlers then no longer touch the client, which
+  /// may be gone.
+  bool done = false;
   bool keep = false;  ///< The connection may serve another call.
 };
 
@@ -68,6 +71,7 @@
 
 auto HttpClient::Cancel() -> void {
   if (call_ != nullptr) {
+    call_->done = true;
     call_.reset();
     CloseSocket();
   }
@@ -92,7 +96,7 @@
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(
           deadline));
   deadline_.async_wait([this, call](const asio::error_code& ec) {
-    if (!ec && call_ == call) {
+    if (!ec && !call->done) {
       call->reused = false;
       Fail(call, "deadline");
     }
@@ -120,7 +124,7 @@
       asio::ip::tcp::endpoint(asio::ip::address_v4(server_.address),
                               server_.port),
       [this, call](const asio::error_code& error) {
-        if (call_ != call) {
+        if (call->done) {
           return;
         }
         if (error) {
@@ -134,7 +138,7 @@
 auto HttpClient::Write(const std::shared_ptr<Call>& call) -> void {
   asio::async_write(socket_, asio::buffer(call->request),
                     [this, call](const asio::error_code& ec, std::size_t) {
-                      if (call_ != call) {
+                      if (call->done) {
                         return;
                       }
                       if (ec) {
@@ -164,7 +168,7 @@
   socket_.async_read_some(
       asio::buffer(call->buf),
       [this, call](const asio::error_code& ec, std::size_t n) {
-        if (call_ != call) {
+        if (call->done) {
           return;
         }
         if (ec && ec != asio::error::eof) {
@@ -193,6 +197,7 @@
     return;
   }
   call->reply = HttpReply{.failure = reason};
+  call->done = true;
   call_.reset();
   deadline_.cancel();
   call->handler(call->reply);
@@ -203,6 +208,7 @@
   if (!call->keep) {
     CloseSocket();
   }
+  call->done = true;
   call_.reset();
   deadline_.cancel();
   call->handler(call->reply);
