--- a/test/http_exchange_test.cc
+++ b/test/http_exchange_test.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <asio.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "hawthornbank/types.h"
@@ -85,6 +86,15 @@
   CHECK_FALSE(client.busy());
 }
 
+TEST(HttpExchange, AClientMayBeDestroyedWhileItWaits) {
+  HttpServer server(io, kAnywhere,
+                    [](const HttpCall&) { return HttpAnswer{}; });
+  auto client = std::make_unique<HttpClient>(io, server.local());
+  client->Send({.target = "/"}, 5s, [](const HttpReply&) { FAIL("answered"); });
+  client.reset();
+  io.poll();  // Its handlers run now; the sanitizers watch them.
+}
+
 TEST(HttpExchange, NonsenseIsAnsweredWith400AndTheConnectionClosed) {
   HttpServer server(io, kAnywhere,
                     [](const HttpCall&) { return HttpAnswer{}; });
