Refuse a part of heavy flows while a balancer's link is nearly full

Cause: routers spread flows evenly over balancers with 200 and with 10 or 12 Mbit/s. When others of a zone are restarted, a small link has to carry more than it can; its queue grows past 200 ms, callers repeat their packets, and the link stays full when the others are back.

The balancer measures its link's use (the busier way, averaged over 300 ms) and the mean bytes of each address's flows. From 65% on it resets a growing part of openings to addresses with heavy flows at once, nine of ten at most; their callers try again with another flow, which may reach another balancer. Nothing ran, open flows go on, light flows are never refused.

Datagrams, bytes and refused sends of both sockets are metrics now.

--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -12,7 +12,9 @@
 #include "hawthornbank/flow_key.h"
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/flow_search.h"
+#include "hawthornbank/link_budget.h"
 #include "hawthornbank/placement.h"
+#include "hawthornbank/random.h"
 #include "hawthornbank/relay.h"
 #include "hawthornbank/routes.h"
 #include "hawthornbank/types.h"
@@ -94,6 +96,7 @@
   kNoRoutesYet,     ///< No configuration is known yet.
   kNoTarget,        ///< No target takes new flows.
   kNobodyTook,      ///< All targets refused the opening.
+  kLinkFull,        ///< This host's link is nearly full.
   kHolderNotFound,  ///< No agent has the flow; some may be unknown.
   kFlowUnknown,     ///< No agent has the flow, for certain.
   kTargetLost,      ///< The flow's target restarted or is gone.
@@ -140,6 +143,8 @@
   std::unordered_map<FlowKey, SteeredFlow> flows;
   std::unordered_map<FlowKey, PendingOpening> openings;
   FlowSearches searches;
+  LinkBudget link;
+  Random random{1};  ///< Chooses whom a full link refuses.
   std::array<std::uint64_t, kSteeringReasonCount> counts{};
 };
 
--- /dev/null
+++ b/src/coordination/link_budget.cc
@@ -0,0 +1,69 @@
+#include "hawthornbank/link_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornbank {
+namespace {
+
+// Openings of an address at which its figures are halved.
+constexpr double kMostOpenings = 256;
+
+}  // namespace
+
+auto MeasureLink(LinkBudget& link,
+                 std::uint64_t received,
+                 std::uint64_t sent,
+                 TimePoint now) -> void {
+  const Duration step = now - link.measured;
+  if (link.options.bytes_per_second == 0 || step < link.options.interval) {
+    return;
+  }
+  const std::chrono::duration<double> seconds = step;
+  const auto capacity =
+      static_cast<double>(link.options.bytes_per_second) * seconds.count();
+  const auto moved =
+      static_cast<double>(std::max(received - link.received, sent - link.sent));
+  const double kept = std::exp(
+      -seconds / std::chrono::duration<double>(link.options.average_time));
+  link.use = link.use * kept + moved / capacity * (1 - kept);
+  link.received = received;
+  link.sent = sent;
+  link.measured = now;
+}
+
+auto NoteTraffic(LinkBudget& link,
+                 Endpoint address,
+                 bool opens,
+                 std::size_t bytes) -> void {
+  auto it = link.addresses.find(address);
+  if (it == link.addresses.end()) {
+    if (link.addresses.size() >= link.options.max_addresses) {
+      return;
+    }
+    it = link.addresses.emplace(address, AddressTraffic{}).first;
+  }
+  AddressTraffic& traffic = it->second;
+  traffic.bytes += static_cast<double>(bytes);
+  traffic.openings += opens ? 1 : 0;
+  if (traffic.openings >= kMostOpenings) {
+    traffic.bytes /= 2;
+    traffic.openings /= 2;
+  }
+}
+
+auto RefusesFlow(const LinkBudget& link, Endpoint address, double chance)
+    -> bool {
+  const LinkBudgetOptions& options = link.options;
+  const auto it = link.addresses.find(address);
+  if (options.bytes_per_second == 0 || it == link.addresses.end() ||
+      it->second.openings < options.least_openings ||
+      it->second.bytes < options.heavy_bytes * it->second.openings) {
+    return false;
+  }
+  const double excess = (link.use - options.refuse_from) /
+                        (options.refuse_most_at - options.refuse_from);
+  return chance < std::clamp(excess, 0.0, options.most_refused);
+}
+
+}  // namespace hawthornbank
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -98,11 +98,10 @@
 using Kind = SteeringAction::Kind;
 
 constexpr std::array<std::string_view, kSteeringReasonCount> kReasonNames = {
-    "placed",      "repeated",    "remembered", "looked_for",
-    "held",        "found",       "unsure",     "search_limit",
-    "sent_back",   "unconfirmed", "no_route",   "no_routes_yet",
-    "no_target",   "nobody_took", "not_found",  "flow_unknown",
-    "target_lost", "malformed",
+    "placed",    "repeated",      "remembered",   "looked_for",  "held",
+    "found",     "unsure",        "search_limit", "sent_back",   "unconfirmed",
+    "no_route",  "no_routes_yet", "no_target",    "nobody_took", "link_full",
+    "not_found", "flow_unknown",  "target_lost",  "malformed",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -221,6 +220,11 @@
                std::vector<SteeringAction>& out) -> void {
   const auto known = steering.flows.find(flow);
   if (known == steering.flows.end()) {
+    if (RefusesFlow(steering.link, flow.address,
+                    NextFraction(steering.random))) {
+      AddReset(steering, flow, SteeringReason::kLinkFull, 0, out);
+      return;
+    }
     OpenFlow(steering, flow, route, bytes, now, out);
     return;
   }
@@ -268,6 +272,7 @@
     }
     return;
   }
+  NoteTraffic(steering.link, flow.address, packet.opens, bytes.size());
   if (packet.opens) {
     OnOpening(steering, flow, *route, bytes, now, out);
     return;
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -28,10 +28,29 @@
 
 constexpr const char* kRoutesPath = "/routes";
 
+// Bytes of datagrams with their IPv4 and UDP heads.
+auto WireBytes(std::uint64_t datagrams, std::uint64_t bytes) -> std::uint64_t {
+  constexpr std::uint64_t kHeads = 28;
+  return bytes + datagrams * kHeads;
+}
+
 auto IsBefore(Endpoint a, Endpoint b) -> bool {
   return a.address != b.address ? a.address < b.address : a.port < b.port;
 }
 
+// What passed a socket, in the metrics' format.
+auto TrafficLines(const char* socket, const UdpTraffic& traffic)
+    -> std::string {
+  return fmt::format(
+      "hawthornbank_datagrams_total{{socket=\"{0}\",way=\"in\"}} {1}\n"
+      "hawthornbank_datagrams_total{{socket=\"{0}\",way=\"out\"}} {2}\n"
+      "hawthornbank_bytes_total{{socket=\"{0}\",way=\"in\"}} {3}\n"
+      "hawthornbank_bytes_total{{socket=\"{0}\",way=\"out\"}} {4}\n"
+      "hawthornbank_datagrams_unsent_total{{socket=\"{0}\"}} {5}\n",
+      socket, traffic.received, traffic.sent, traffic.received_bytes,
+      traffic.sent_bytes, traffic.unsent);
+}
+
 class BalancerNode {
  public:
   BalancerNode(const NodeSettings& settings, const NodeCodec& codec)
@@ -52,6 +71,10 @@
     });
     FollowTimer();
     steering_.started = host_.started();
+    steering_.link.options.bytes_per_second =
+        host_.settings().link_bytes_per_second;
+    steering_.link.measured = host_.started();
+    steering_.random = host_.random();
     return host_.Run(NodeRole{
         .describe = [this](HostRecord& record,
                            TargetLoad&) { record.leaving = host_.stopping(); },
@@ -97,11 +120,24 @@
                         datagram.size());
       return;
     }
+    MeasureLink(now);
     actions_.clear();
     OnCallerPacket(steering_, *packet, datagram, now, actions_);
     Perform(datagram, now);
   }
 
+  auto MeasureLink(TimePoint now) -> void {
+    const UdpTraffic& data = data_.traffic();
+    const UdpTraffic& control = host_.control().traffic();
+    hawthornbank::MeasureLink(
+        steering_.link,
+        WireBytes(data.received, data.received_bytes) +
+            WireBytes(control.received, control.received_bytes),
+        WireBytes(data.sent, data.sent_bytes) +
+            WireBytes(control.sent, control.sent_bytes),
+        now);
+  }
+
   auto OnRelay(Endpoint from, ByteView datagram, TimePoint now) -> void {
     std::size_t size = 0;
     auto header = DecodeRelayHeader(datagram, size);
@@ -400,6 +436,11 @@
     text += store_calls_.Lines("hawthornbank_store_call");
     text +=
         fmt::format("hawthornbank_store_failures_total {}\n", store_failures_);
+    text += TrafficLines("callers", data_.traffic());
+    text += TrafficLines("processes", host_.control().traffic());
+    text += fmt::format("hawthornbank_link_use {:.3f}\n", steering_.link.use);
+    text += fmt::format("hawthornbank_searches {}\n",
+                        steering_.searches.flows.size());
     text += fmt::format("hawthornbank_log_lines_left_out_total {}\n",
                         host_.log().dropped());
     text += fmt::format("hawthornbank_flows {}\n", steering_.flows.size());
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -38,6 +38,8 @@
   Endpoint store;               ///< The platform's store.
   std::string service;          ///< Agents: the target's service.
   std::string metrics_path = "/metrics";
+  /// Bytes a second that the host's link carries each way; 0: not known.
+  std::uint64_t link_bytes_per_second = 0;
   Duration heartbeat = std::chrono::seconds{1};  ///< Of targets.
   Duration grace = std::chrono::seconds{6};      ///< From SIGTERM to SIGKILL.
 };
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -95,6 +95,8 @@
 
   auto io() -> asio::io_context& { return io_; }
   auto log() -> EventLog& { return log_; }
+  /// @return The socket between processes.
+  [[nodiscard]] auto control() const -> const UdpSocket& { return control_; }
   auto registry() -> RegistryClient& { return *registry_; }
   [[nodiscard]] auto started() const -> TimePoint { return started_; }
   auto random() -> Random& { return random_; }
--- a/src/transport/udp_socket.cc
+++ b/src/transport/udp_socket.cc
@@ -79,6 +79,8 @@
         on_error_(ec);
       }
     } else {
+      ++traffic_.received;
+      traffic_.received_bytes += size;
       on_datagram_(FromAsio(from_), ByteView(buf).first(size));
     }
     if (!socket_.is_open()) {
@@ -92,11 +94,22 @@
   asio::error_code ec;
   socket_.send_to(asio::buffer(datagram.data(), datagram.size()), ToAsio(to), 0,
                   ec);
+  NoteSent(datagram.size(), ec);
 }
 
 auto UdpSocket::Send(ByteView datagram) -> void {
   asio::error_code ec;
   socket_.send(asio::buffer(datagram.data(), datagram.size()), 0, ec);
+  NoteSent(datagram.size(), ec);
+}
+
+auto UdpSocket::NoteSent(std::size_t size, const asio::error_code& ec) -> void {
+  if (ec) {
+    ++traffic_.unsent;
+    return;
+  }
+  ++traffic_.sent;
+  traffic_.sent_bytes += size;
 }
 
 auto UdpSocket::Close() -> void {
--- a/src/transport/udp_socket.h
+++ b/src/transport/udp_socket.h
@@ -22,6 +22,15 @@
 /// @return The same for the core.
 auto FromAsio(const asio::ip::udp::endpoint& endpoint) -> Endpoint;
 
+/// What passed a socket.
+struct UdpTraffic {
+  std::uint64_t received = 0;        ///< Datagrams.
+  std::uint64_t received_bytes = 0;  ///< Their payload.
+  std::uint64_t sent = 0;            ///< Datagrams.
+  std::uint64_t sent_bytes = 0;      ///< Their payload.
+  std::uint64_t unsent = 0;          ///< Datagrams that the system refused.
+};
+
 /// A UDP socket with a receive loop. All calls are made on its io_context.
 class UdpSocket {
  public:
@@ -63,9 +72,13 @@
   /// @return The local endpoint.
   [[nodiscard]] auto local() const -> Endpoint;
 
+  /// @return What has passed it so far.
+  [[nodiscard]] auto traffic() const -> const UdpTraffic& { return traffic_; }
+
  private:
   auto ReceiveNext() -> void;
   auto Drain() -> void;
+  auto NoteSent(std::size_t size, const asio::error_code& ec) -> void;
 
   // Datagrams taken in one go before other handlers get their turn.
   static constexpr int kBatch = 64;
@@ -74,6 +87,7 @@
   asio::ip::udp::endpoint from_;
   ReceiveHandler on_datagram_;
   ErrorHandler on_error_;
+  UdpTraffic traffic_;
 };
 
 }  // namespace hawthornbank::transport
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -96,6 +96,16 @@
   LONGS_EQUAL(2, settings.http.size());
 }
 
+TEST(Platform, TheLinkIsGivenInMegabitsAndMayBeMissing) {
+  LONGS_EQUAL(
+      0, ParseNodeSettings(kEdgeSettings, "local.toml").link_bytes_per_second);
+  const std::string limits = "[limits]\nlink_mbps = 12.0\n[platform]";
+  LONGS_EQUAL(1'500'000,
+              ParseNodeSettings(Replace(kEdgeSettings, "[platform]", limits),
+                                "local.toml")
+                  .link_bytes_per_second);
+}
+
 TEST(Platform, SettingsOfAnAgent) {
   const auto settings = ParseNodeSettings(kSideSettings, "local.toml");
   CHECK(settings.role == HostRole::kAgent);
