Give a target that fails most requests probes only

Three targets reset each request while their heartbeats were good (lying health). They looked idle, so that balancers sent them more flows than others, and a quote isn't tried again once its flow was open.

The agent sees how its target's requests end: an answer, a reset while a request is under way, no answer, or a caller that gave up after eight times the usual. TargetHealth, which the request gate of hawthornd uses, judges them; its header is public now. A failing target's agent sends openings back, except for a probe each second or two and those that two others have refused. The word of it travels with the load, and placement takes such targets last.

Ruled out: health checks (priced, and false here), tries by balancers.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -48,10 +48,12 @@
   std::uint16_t flows = 0;    ///< Open flows.
   /// Running requests averaged over the last seconds, in sixteenths.
   std::uint16_t average_x16 = 0;
+  bool failing = false;  ///< Most requests end without an answer.
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
     archive(running, flows, average_x16);
+    wire::Flag(archive, failing);
   }
 };
 
--- a/include/hawthornbank/placement.h
+++ b/include/hawthornbank/placement.h
@@ -30,6 +30,9 @@
   double flow_weight = 0.02;
   /// How much slower a target is that has just started.
   double cold_factor = 1.6;
+  /// What a failing target costs, in requests a slot: more than any other is
+  /// busy, so that it is chosen when all others fail too.
+  double failing = 100;
 };
 
 /// A target that a flow may go to.
--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -12,7 +12,9 @@
 #include "hawthornbank/fleet.h"
 #include "hawthornbank/flow_key.h"
 #include "hawthornbank/flow_packet.h"
+#include "hawthornbank/random.h"
 #include "hawthornbank/relay.h"
+#include "hawthornbank/target_health.h"
 #include "hawthornbank/types.h"
 
 /// @file
@@ -20,7 +22,9 @@
 /// flows it doesn't hold.
 ///
 /// Load pattern: openings while all slots are taken, a target that falls
-/// silent or restarts, an agent that restarts beside a target that doesn't.
+/// silent or restarts, one that resets or never answers requests while its
+/// heartbeats are good and it looks idle, an agent that restarts beside a
+/// target that doesn't.
 /// The agent knows the target's flows from the packets that pass it. One that
 /// it can't know, as it started later than the flow, it offers to the target
 /// once.
@@ -59,7 +63,8 @@
   bool answered = false;  ///< The target took it.
   /// Sequence number with which it did, until the caller acknowledges it.
   std::optional<std::uint32_t> offered_sequence;
-  bool running = false;  ///< A request has no answer yet.
+  bool running = false;    ///< A slot is taken; by an opening at first.
+  bool requested = false;  ///< A request has no answer yet.
   bool caller_ended = false;
   bool target_ended = false;
 };
@@ -86,6 +91,7 @@
   kWrongService,     ///< For a service that isn't here.
   kNotReady,         ///< The target takes no new flows.
   kFull,             ///< All slots are taken.
+  kFailing,          ///< Most of the target's requests have failed.
   kNotHere,          ///< The target doesn't have the flow.
   kReturned,         ///< The target returned it.
   kSilent,           ///< The target didn't answer an opening.
@@ -143,6 +149,8 @@
   std::uint16_t running = 0;
   double average_running = 0;
   TimePoint averaged{};
+  TargetHealth health;       ///< Judged by how its requests end.
+  Random random{1};          ///< Spreads probes of a failing target.
   TimePoint silent_until{};  ///< The target left openings unanswered.
   TimePoint gone_at{};       ///< When the target said that it goes.
   TimePoint last_from_target{};
--- a/src/coordination/target_health.h
+++ b/include/hawthornbank/target_health.h
@@ -1,5 +1,5 @@
-#ifndef HAWTHORNBANK_COORDINATION_TARGET_HEALTH_H_
-#define HAWTHORNBANK_COORDINATION_TARGET_HEALTH_H_
+#ifndef HAWTHORNBANK_TARGET_HEALTH_H_
+#define HAWTHORNBANK_TARGET_HEALTH_H_
 
 #include <chrono>
 #include <cstdint>
@@ -65,4 +65,4 @@
 
 }  // namespace hawthornbank
 
-#endif  // HAWTHORNBANK_COORDINATION_TARGET_HEALTH_H_
+#endif  // HAWTHORNBANK_TARGET_HEALTH_H_
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -76,6 +76,9 @@
   if (host.record.target.cold) {
     score *= options.cold_factor;
   }
+  if (host.load.failing) {
+    score += options.failing;
+  }
   if (host.record.zone != zone) {
     score += options.other_zone;
   }
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -17,9 +17,10 @@
 constexpr Duration kSilentTime = std::chrono::milliseconds{400};
 
 constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
-    "delivered",        "opened",      "offered",   "answered", "wrong_service",
-    "not_ready",        "full",        "not_here",  "returned", "silent",
-    "target_restarted", "target_gone", "malformed",
+    "delivered",     "opened",    "offered", "answered",
+    "wrong_service", "not_ready", "full",    "failing",
+    "not_here",      "returned",  "silent",  "target_restarted",
+    "target_gone",   "malformed",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -69,7 +70,26 @@
   }
 }
 
+// A request has had an answer. One that took long counts as well: packets may
+// have been lost on the way.
+auto NoteAnswer(TargetFlows& target, const TargetFlow& flow, TimePoint now)
+    -> void {
+  if (flow.requested) {
+    RecordSuccess(target.health,
+                  std::min(now - flow.running_since, StallTime(target.health)),
+                  now);
+  }
+}
+
+auto NoteFailure(TargetFlows& target, const TargetFlow& flow, TimePoint now)
+    -> void {
+  if (flow.requested) {
+    RecordFailure(target.health, now);
+  }
+}
+
 auto EndRun(TargetFlows& target, TargetFlow& flow) -> void {
+  flow.requested = false;
   if (flow.running) {
     flow.running = false;
     --target.running;
@@ -111,6 +131,21 @@
          target.running >= target.status.slots * target.options.full_factor;
 }
 
+// Whether an opening goes elsewhere, as the target fails. It gets one now and
+// then, and those that others have refused.
+auto IsFailing(TargetFlows& target, const RelayHeader& header, TimePoint now)
+    -> bool {
+  if (!IsDown(target.health) ||
+      header.asked.size() >= target.options.max_passes) {
+    return false;
+  }
+  if (AllowedSlots(target.health, now) == 0) {
+    return true;
+  }
+  RecordStart(target.health, now, target.random);
+  return false;
+}
+
 auto OnOpening(TargetFlows& target,
                const RelayHeader& header,
                const FlowKey& flow,
@@ -133,6 +168,10 @@
     SendBack(target, flow, header, TargetReason::kSilent, out);
     return;
   }
+  if (IsFailing(target, header, now)) {
+    SendBack(target, flow, header, TargetReason::kFailing, out);
+    return;
+  }
   if (IsFull(target, header)) {
     SendBack(target, flow, header, TargetReason::kFull, out);
     return;
@@ -221,11 +260,15 @@
   }
   if (packet.length > 0) {
     StartRun(target, flow, now);
+    flow.requested = true;
   }
   if (packet.ends) {
     flow.caller_ended = true;
   }
   if (packet.resets) {
+    if (IsStall(target.health, now - flow.running_since)) {
+      NoteFailure(target, flow, now);  // The caller has waited for long.
+    }
     flow.caller_ended = flow.target_ended = true;
     EndRun(target, flow);
   }
@@ -333,12 +376,14 @@
     AddNote(key, flow.origin, FlowHolding::kHeld, out);
   }
   if (packet.length > 0) {
+    NoteAnswer(target, flow, now);
     EndRun(target, flow);
   }
   if (packet.ends) {
     flow.target_ended = true;
   }
   if (packet.resets) {
+    NoteFailure(target, flow, now);
     flow.caller_ended = flow.target_ended = true;
     EndRun(target, flow);
   }
@@ -367,6 +412,7 @@
     return;
   }
   // The new start holds none of the flows.
+  target.health = {};
   target.silent_until = {};
   target.openings.clear();
   ResetFlows(target, status.born, TargetReason::kTargetRestarted, out);
@@ -414,6 +460,7 @@
       continue;
     }
     if (flow.running && now - flow.used > target.options.longest_run) {
+      NoteFailure(target, flow, now);
       EndRun(target, flow);
     }
     ++it;
@@ -427,7 +474,8 @@
       .running = target.running,
       .flows = static_cast<std::uint16_t>(std::min(target.flows.size(), kMost)),
       .average_x16 =
-          static_cast<std::uint16_t>(target.average_running * kSixteenths)};
+          static_cast<std::uint16_t>(target.average_running * kSixteenths),
+      .failing = IsDown(target.health)};
 }
 
 }  // namespace hawthornbank
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -30,6 +30,7 @@
         static_cast<std::uint32_t>(HashName(settings.service));
     target_.options.self = settings.control;
     target_.averaged = MonotonicNow();
+    target_.random = host_.random();
     presence_.service = settings.service;
     fleet_.self.service = target_.options.service;
   }
@@ -277,6 +278,8 @@
                           ToString(static_cast<TargetReason>(n)),
                           target_.counts.at(n));
     }
+    text += fmt::format("hawthornbank_target_failure {:.3f}\n",
+                        target_.health.failure);
     text += fmt::format("hawthornbank_target_running {}\n", target_.running);
     text += fmt::format("hawthornbank_flows {}\n", target_.flows.size());
     return text;
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -45,13 +45,15 @@
   std::vector<TargetAction> out;
   const std::vector<std::uint8_t> bytes = std::vector<std::uint8_t>(32, 7);
 
-  auto Relay(const FlowPacket& packet, RelayHeader header = {})->Kind {
+  auto Relay(const FlowPacket& packet, RelayHeader header = {},
+             TimePoint now = kNow)
+      ->Kind {
     header.service = kService;
     if (header.origin.port == 0) {
       header.origin = kBalancer;
     }
     out.clear();
-    OnRelayedPacket(target, header, packet, bytes, kNow, out);
+    OnRelayedPacket(target, header, packet, bytes, now, out);
     return out.empty() ? Kind::kDrop : out[0].kind;
   }
 
@@ -80,6 +82,18 @@
     Relay(FromCaller(port, false, 100));
   }
 
+  // Lets the target reset requests.
+  auto FailRequests(std::uint16_t count)->void {
+    for (std::uint16_t port = 1; port <= count; ++port) {
+      Relay(FromCaller(port, true), {.asked = {1, 2}});
+      Answer(FromTarget(port));
+      Relay(FromCaller(port, false, 100));
+      FlowPacket reset = FromTarget(port);
+      reset.resets = true;
+      Answer(reset);
+    }
+  }
+
   auto SetStatus(TargetState state, std::uint64_t born, TimePoint now)->void {
     out.clear();
     SetTargetStatus(target, {.state = state, .born = born, .slots = 2}, now,
@@ -346,3 +360,68 @@
   LONGS_EQUAL(1, load.running);
   CHECK(load.average_x16 >= 9 && load.average_x16 <= 11);
 }
+
+// Load pattern: a target resets each request while its heartbeats are good. It
+// looks idle, so that it was sent more and more flows.
+TEST(TargetFlows, ATargetThatResetsRequestsGetsProbesOnly) {
+  FailRequests(10);
+  CHECK(LoadOf(target).failing);
+  CHECK(Relay(FromCaller(100, true)) == Kind::kSendBack);
+  CHECK(out[0].reason == TargetReason::kFailing);
+  // One now and then tells whether it has recovered.
+  CHECK(Relay(FromCaller(101, true), {}, kNow + 3s) == Kind::kDeliver);
+  CHECK(Relay(FromCaller(102, true), {}, kNow + 3s) == Kind::kSendBack);
+  // When others refuse as well, it is tried.
+  CHECK(Relay(FromCaller(103, true), {.asked = {1, 2}}) == Kind::kDeliver);
+}
+
+TEST(TargetFlows, ATargetThatAnswersAgainGetsFlowsAgain) {
+  FailRequests(10);
+  for (std::uint16_t port = 200; port < 204; ++port) {
+    Relay(FromCaller(port, true), {.asked = {1, 2}});
+    Answer(FromTarget(port));
+    Relay(FromCaller(port, false, 100));
+    Answer(FromTarget(port, 50));
+  }
+  CHECK_FALSE(LoadOf(target).failing);
+  CHECK(Relay(FromCaller(300, true)) == Kind::kDeliver);
+}
+
+TEST(TargetFlows, ATargetThatNeverAnswersIsFailing) {
+  for (std::uint16_t port = 1; port <= 10; ++port) {
+    Open(port);
+  }
+  ForgetOldFlows(target, kNow + 1600ms);
+  CHECK(LoadOf(target).failing);
+}
+
+TEST(TargetFlows, CallersThatGiveUpAfterLongSpeakAgainstTheTarget) {
+  for (std::uint16_t port = 1; port <= 10; ++port) {
+    Open(port);
+    FlowPacket reset = FromCaller(port, false);
+    reset.resets = true;
+    Relay(reset, {}, kNow + (port <= 5 ? 10ms : 1200ms));
+    CHECK_FALSE(port <= 5 && target.health.failure > 0);
+  }
+  CHECK(LoadOf(target).failing);
+}
+
+TEST(TargetFlows, IdleFlowsAndTheirEndsAreNoFailures) {
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    Relay(FromCaller(port, true));
+    Answer(FromTarget(port));
+    FlowPacket reset = FromTarget(port);
+    reset.resets = true;
+    if (port <= 10) {
+      Answer(reset);
+    }
+  }
+  ForgetOldFlows(target, kNow + 2s);
+  DOUBLES_EQUAL(0, target.health.failure, 0);
+}
+
+TEST(TargetFlows, ANewStartIsNotJudgedByTheLast) {
+  FailRequests(10);
+  SetStatus(TargetState::kReady, 600, kNow);
+  CHECK_FALSE(LoadOf(target).failing);
+}
--- a/test/target_health_test.cc
+++ b/test/target_health_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/target_health.h"
+#include "hawthornbank/target_health.h"
 
 #include "coordination/retry_budget.h"
 
