Let the last target that is left take an opening though it is full

A target passes openings on until two others have refused; with fewer than three there were none.

The balancer says when no other target is left for an opening; the agent then takes it, also when it is full or failing. Ruled out: processes that were still starting (all calm for ten seconds), routes.

--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -29,6 +29,7 @@
   std::uint32_t service = 0;  ///< Service that the flow belongs to.
   bool wants_note = false;    ///< The balancer doesn't know who has the flow.
   bool sent_back = false;     ///< From an agent to the origin.
+  bool last_offer = false;    ///< No other target is left for an opening.
   std::vector<std::uint32_t> asked;  ///< Addresses of agents that refused it.
 
   auto operator==(const RelayHeader&) const -> bool = default;
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -133,6 +133,11 @@
              0, out);
     return false;
   }
+  const auto takers =
+      std::count_if(ranked.begin(), ranked.end(),
+                    [](const RankedHost& it) { return TakesFlows(*it.host); });
+  opening.header.last_offer = takers == 1 || opening.header.asked.size() + 1 ==
+                                                 steering.options.max_offers;
   const double score =
       LoadScore(*host, steering.fleet.self.zone, steering.options.placement);
   ++host->sent_since;
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -126,8 +126,13 @@
             out);
 }
 
+// Whether a busy target's opening goes to another one.
+auto MayPass(const TargetFlows& target, const RelayHeader& header) -> bool {
+  return !header.last_offer && header.asked.size() < target.options.max_passes;
+}
+
 auto IsFull(const TargetFlows& target, const RelayHeader& header) -> bool {
-  return header.asked.size() < target.options.max_passes &&
+  return MayPass(target, header) &&
          target.running >= target.status.slots * target.options.full_factor;
 }
 
@@ -135,8 +140,7 @@
 // then, and those that others have refused.
 auto IsFailing(TargetFlows& target, const RelayHeader& header, TimePoint now)
     -> bool {
-  if (!IsDown(target.health) ||
-      header.asked.size() >= target.options.max_passes) {
+  if (!IsDown(target.health) || !MayPass(target, header)) {
     return false;
   }
   if (AllowedSlots(target.health, now) == 0) {
--- a/src/protocol/relay.cc
+++ b/src/protocol/relay.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kAddressBytes = 4;
 constexpr std::uint8_t kWantsNote = 1;
 constexpr std::uint8_t kSentBack = 2;
+constexpr std::uint8_t kLastOffer = 4;
 
 }  // namespace
 
@@ -24,7 +25,8 @@
   auto* it = out.data() + start;
   it[0] = kMagic;
   it[1] = static_cast<std::uint8_t>((header.wants_note ? kWantsNote : 0) |
-                                    (header.sent_back ? kSentBack : 0));
+                                    (header.sent_back ? kSentBack : 0) |
+                                    (header.last_offer ? kLastOffer : 0));
   it[2] = static_cast<std::uint8_t>(count);
   it[3] = 0;
   detail::Store32(it + 4, header.service);
@@ -52,6 +54,7 @@
       .service = detail::Load32(bytes.data() + 4),
       .wants_note = (bytes[1] & kWantsNote) != 0,
       .sent_back = (bytes[1] & kSentBack) != 0,
+      .last_offer = (bytes[1] & kLastOffer) != 0,
   };
   header.asked.reserve(count);
   for (std::size_t n = 0; n < count; ++n) {
--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -94,6 +94,7 @@
                          .service = 77,
                          .wants_note = true,
                          .sent_back = true,
+                         .last_offer = true,
                          .asked = {1, 2, 3}};
   Bytes bytes;
   EncodeRelayHeader(sent, bytes);
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -174,6 +174,19 @@
   CHECK(steering.openings.empty());
 }
 
+TEST(Steering, TheLastTargetLeftIsTold) {
+  auto action = Send(Packet(1, true), kNow);
+  for (int offers = 1; offers < 5; ++offers) {
+    CHECK_FALSE(action.header.last_offer);
+    action = SendBack(action, Packet(1, true), kNow);
+  }
+  CHECK(action.header.last_offer);
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    AddAgent(n, TargetState::kDraining, false, 2);
+  }
+  CHECK(Send(Packet(2, true), kNow).header.last_offer);
+}
+
 TEST(Steering, DrainingAndLeavingTargetsGetNoNewFlows) {
   for (std::uint32_t n = 1; n <= 4; ++n) {
     AddAgent(n, TargetState::kDraining, false, 2);
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -154,6 +154,19 @@
   LONGS_EQUAL(2, target.running);
 }
 
+// Found by a soak: one target of a service was left, and each opening that met
+// a busy moment was reset.
+TEST(TargetFlows, AFullTargetTakesAnOpeningThatNoOtherCanTake) {
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    Open(port);
+  }
+  CHECK(Relay(FromCaller(10, true)) == Kind::kSendBack);
+  CHECK(out[0].reason == TargetReason::kFull);
+  CHECK(Relay(FromCaller(10, true), {.last_offer = true}) == Kind::kDeliver);
+  FailRequests(10);
+  CHECK(Relay(FromCaller(11, true), {.last_offer = true}) == Kind::kDeliver);
+}
+
 TEST(TargetFlows, AReturnedOpeningGoesBackWithItsHeader) {
   Relay(FromCaller(1, true), RelayHeader{.asked = {5}});
   FlowPacket returned = FromCaller(1, true);
