--- /dev/null
+++ b/soak/node_process.cc
@@ -0,0 +1,83 @@
+#include "soak/node_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include "hawthornbank/error.h"
+
+namespace hawthornbank::soak {
+
+NodeProcess::NodeProcess(const std::string& program,
+                         const std::string& settings,
+                         const std::string& name) {
+  const auto base = std::filesystem::temp_directory_path() /
+                    (name + '-' + std::to_string(::getpid()));
+  log_ = base.string() + ".log";
+  settings_ = base.string() + ".toml";
+  WriteSettings(settings);
+  std::string path = program;
+  std::string variable = "HAWTHORNBANK_NODE_FILE=" + settings_.string();
+  std::array<char*, 2> environment = {variable.data(), nullptr};
+  std::array<char*, 2> arguments = {path.data(), nullptr};
+  posix_spawn_file_actions_t actions{};
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_.c_str(),
+                                   O_CREAT | O_APPEND | O_WRONLY, 0600);
+  const int ec = ::posix_spawn(&pid_, path.c_str(), &actions, nullptr,
+                               arguments.data(), environment.data());
+  posix_spawn_file_actions_destroy(&actions);
+  if (ec != 0) {
+    throw Error(ErrorKind::kInternal, program + ": can't be started");
+  }
+}
+
+NodeProcess::~NodeProcess() {
+  if (pid_ > 0) {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  std::error_code ec;
+  if (!keep_log_) {
+    std::filesystem::remove(log_, ec);
+  }
+  std::filesystem::remove(settings_, ec);
+}
+
+auto NodeProcess::Signal(int signal) const -> void {
+  if (pid_ > 0) {
+    ::kill(pid_, signal);
+  }
+}
+
+auto NodeProcess::WriteSettings(const std::string& settings) const -> void {
+  std::ofstream(settings_) << settings;
+}
+
+auto NodeProcess::TryWait() -> std::optional<int> {
+  int status = 0;
+  if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) {
+    return std::nullopt;
+  }
+  pid_ = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+auto NodeProcess::Log() const -> std::string {
+  std::ostringstream text;
+  text << std::ifstream(log_).rdbuf();
+  return text.str();
+}
+
+auto NodeProcess::KeepLog() -> std::string {
+  keep_log_ = true;
+  return log_.string();
+}
+
+}  // namespace hawthornbank::soak
--- /dev/null
+++ b/soak/node_settings.cc
@@ -0,0 +1,57 @@
+#include "soak/node_settings.h"
+
+#include <fmt/format.h>
+
+#include <asio.hpp>
+
+namespace hawthornbank::soak {
+
+auto FreePorts(std::uint32_t host) -> Ports {
+  asio::io_context io;
+  std::vector<asio::ip::tcp::acceptor> held;
+  const auto next = [&] {
+    held.emplace_back(io,
+                      asio::ip::tcp::endpoint(asio::ip::address_v4(host), 0));
+    return held.back().local_endpoint().port();
+  };
+  return Ports{.data = next(),
+               .internal = next(),
+               .control = next(),
+               .ready = next(),
+               .outbound = next(),
+               .app = next(),
+               .store = next()};
+}
+
+auto SettingsText(const Ports& ports, const NodePlace& place) -> std::string {
+  const auto at = [&](std::uint16_t port) {
+    return ToString(Endpoint{.address = place.host, .port = port});
+  };
+  std::string seeds;
+  for (const auto it : place.seeds) {
+    seeds +=
+        fmt::format("{}\"{}\"", seeds.empty() ? "" : ",",
+                    ToString(Endpoint{.address = it, .port = ports.control}));
+  }
+  const std::string address = at(0);
+  const bool is_agent = !place.service.empty();
+  std::string text = fmt::format(
+      "node = \"{}\"\nzone = \"a\"\nip = \"{}\"\ninternal_ports = [{}]\n"
+      "heartbeat_ms = 200\nseeds = [{}]\n",
+      place.name, address.substr(0, address.find(':')), ports.internal, seeds);
+  if (is_agent) {
+    text += fmt::format("service = \"{}\"\napp = \"{}\"\n", place.service,
+                        at(ports.app));
+  }
+  text += fmt::format(
+      "[listen]\ndata_addr = \"{}\"\nready = \"{}\"\ncontrol = \"{}\"\n",
+      at(ports.data), at(ports.ready), at(ports.control));
+  if (is_agent) {
+    text += fmt::format("outbound = \"{}\"\n", at(ports.outbound));
+  }
+  return text +
+         fmt::format("[bounds]\ngrace_s = 6\n[platform]\naddr = \"{}\"\n",
+                     ToString(place.store));
+}
+
+}  // namespace hawthornbank::soak
--- /dev/null
+++ b/soak/store_standin.cc
@@ -0,0 +1,107 @@
+#include "soak/store_standin.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace hawthornbank::soak {
+namespace {
+
+using nlohmann::json;
+using transport::HttpAnswer;
+using transport::HttpCall;
+
+constexpr std::string_view kObjects = "/api/objects/";
+
+auto ConfigurationObject(const StoreStandin& store) -> json {
+  json routes = json::array();
+  for (const auto& it : store.routes) {
+    const std::string text = ToString(it.address);
+    routes.push_back(
+        {{"name", text},
+         {"host", text.substr(0, text.find(':'))},
+         {"path_prefix", '/' + text.substr(text.find(':') + 1) + '/'},
+         {"service", it.service}});
+  }
+  return {{"meta", {{"name", "main"}, {"revision", store.revision}}},
+          {"spec", {{"version", store.version}, {"routes", routes}}}};
+}
+
+auto List(const StoreStandin& store, const std::string& kind) -> HttpAnswer {
+  json items = json::array();
+  if (kind == "config" && store.version != 0) {
+    items.push_back(ConfigurationObject(store));
+  }
+  const auto it = store.kinds.find(kind);
+  if (it != store.kinds.end()) {
+    for (const auto& [name, text] : it->second) {
+      items.push_back(json::parse(text));
+    }
+  }
+  const json reply = {
+      {"items", items}, {"has_more", false}, {"as_of", store.revision}};
+  return HttpAnswer{.body = reply.dump()};
+}
+
+auto Create(StoreStandin& store,
+            const std::string& kind,
+            const std::string& body) -> HttpAnswer {
+  const json object = json::parse(body, nullptr, false);
+  if (!object.is_object()) {
+    return HttpAnswer{.status = 400, .body = "{}"};
+  }
+  const auto name = object["meta"]["name"].get<std::string>();
+  if (!store.kinds[kind].emplace(name, body).second) {
+    return HttpAnswer{.status = 409, .body = "{}"};
+  }
+  ++store.revision;
+  return HttpAnswer{.status = 201, .body = body};
+}
+
+auto Remove(StoreStandin& store,
+            const std::string& kind,
+            const std::string& name) -> HttpAnswer {
+  if (store.kinds[kind].erase(name) == 0) {
+    return HttpAnswer{.status = 404, .body = "{}"};
+  }
+  ++store.revision;
+  return HttpAnswer{.body = "{}"};
+}
+
+}  // namespace
+
+auto Configure(StoreStandin& store, std::vector<StoredRoute> routes)
+    -> std::uint64_t {
+  store.routes = std::move(routes);
+  ++store.revision;
+  return store.version += 2;
+}
+
+auto Lapse(StoreStandin& store) -> void {
+  store.kinds.clear();
+  ++store.revision;
+}
+
+auto AnswerCall(StoreStandin& store, const HttpCall& call) -> HttpAnswer {
+  if (store.busy) {
+    return HttpAnswer{.status = 503, .body = "{}"};
+  }
+  const std::string path = call.target.substr(0, call.target.find('?'));
+  if (!path.starts_with(kObjects)) {
+    return HttpAnswer{.status = 404, .body = "{}"};
+  }
+  const std::string rest = path.substr(kObjects.size());
+  const auto slash = rest.find('/');
+  const std::string kind = rest.substr(0, slash);
+  if (call.method == "GET" && slash == std::string::npos) {
+    return List(store, kind);
+  }
+  if (call.method == "POST" && slash == std::string::npos) {
+    return Create(store, kind, call.body);
+  }
+  if (call.method == "DELETE" && slash != std::string::npos) {
+    return Remove(store, kind, rest.substr(slash + 1));
+  }
+  return HttpAnswer{.status = 404, .body = "{}"};
+}
+
+}  // namespace hawthornbank::soak
--- a/test/node_path_test.cc
+++ b/test/node_path_test.cc
@@ -1,23 +1,18 @@
 #include <CppUTest/TestHarness.h>
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <asio.hpp>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include "hawthornbank/flow_packet.h"
 #include "packet_head.h"
+#include "soak/node_process.h"
+#include "soak/node_settings.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/udp_socket.h"
@@ -29,8 +24,6 @@
 using namespace hawthornbank::transport;
 using namespace std::chrono_literals;
 
-extern char** environ;
-
 namespace {
 
 constexpr const char* kService = "s";
@@ -42,34 +35,6 @@
 // Far above what any step takes; a test that gets there has failed.
 constexpr auto kPatience = 30s;
 
-// Ports that the hosts share, as those of a platform's hosts do.
-struct Ports {
-  std::uint16_t data = 0;
-  std::uint16_t internal = 0;
-  std::uint16_t control = 0;
-  std::uint16_t ready = 0;
-  std::uint16_t outbound = 0;
-  std::uint16_t app = 0;
-  std::uint16_t store = 0;
-};
-
-auto FreePorts() -> Ports {
-  asio::io_context io;
-  std::vector<asio::ip::tcp::acceptor> held;
-  const auto next = [&] {
-    held.emplace_back(
-        io, asio::ip::tcp::endpoint(asio::ip::address_v4(kStoreHost), 0));
-    return held.back().local_endpoint().port();
-  };
-  return Ports{.data = next(),
-               .internal = next(),
-               .control = next(),
-               .ready = next(),
-               .outbound = next(),
-               .app = next(),
-               .store = next()};
-}
-
 auto Head(const FlowPacket& packet, std::uint8_t flags) -> Bytes {
   const FlowKey towards{.caller = packet.destination, .address = packet.source};
   const auto reset = platform::EncodeReset(towards, packet.sequence);
@@ -82,94 +47,22 @@
 constexpr std::uint8_t kAck = 1;
 constexpr std::uint8_t kBounced = 8;
 
-// A process that ends with this object.
-class Node {
- public:
-  Node(const std::string& settings, const std::string& name)
-      : log_(std::filesystem::temp_directory_path() /
-             (name + std::to_string(::getpid()) + ".log")) {
-    const auto file = log_.string() + ".toml";
-    std::ofstream(file) << settings;
-    std::string variable = "HAWTHORNBANK_NODE_FILE=" + file;
-    std::array<char*, 2> environment = {variable.data(), nullptr};
-    std::string program = HAWTHORNNODE;
-    std::array<char*, 2> arguments = {program.data(), nullptr};
-    posix_spawn_file_actions_t actions{};
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, log_.c_str(),
-                                     O_CREAT | O_TRUNC | O_WRONLY, 0600);
-    LONGS_EQUAL(0, ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
-                                 arguments.data(), environment.data()));
-    posix_spawn_file_actions_destroy(&actions);
-  }
-
-  Node(const Node&) = delete;
-  auto operator=(const Node&) -> Node& = delete;
-  ~Node() {
-    if (pid_ > 0) {
-      ::kill(pid_, SIGKILL);
-      ::waitpid(pid_, nullptr, 0);
-    }
-    std::filesystem::remove(log_);
-    std::filesystem::remove(log_.string() + ".toml");
-  }
-
-  auto Signal(int signal) -> void { ::kill(pid_, signal); }
-
-  /// @return The exit code, once it has ended.
-  auto TryWait() -> std::optional<int> {
-    int status = 0;
-    if (::waitpid(pid_, &status, WNOHANG) != pid_) {
-      return std::nullopt;
-    }
-    pid_ = 0;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-  }
-
-  [[nodiscard]] auto Log() const -> std::string {
-    std::ostringstream text;
-    text << std::ifstream(log_).rdbuf();
-    return text.str();
-  }
-
- private:
-  std::filesystem::path log_;
-  pid_t pid_ = 0;
-};
-
 }  // namespace
 
 TEST_GROUP(NodePath) {
-  Ports ports = FreePorts();
+  soak::Ports ports = soak::FreePorts(kStoreHost);
   asio::io_context io;
   std::unique_ptr<HttpServer> store;
   std::uint64_t version = 3;
 
-  auto At(std::uint32_t host, std::uint16_t port)->std::string {
-    return '"' + ToString(Endpoint{.address = host, .port = port}) + '"';
-  }
-
   auto Settings(std::uint32_t host, bool is_agent)->std::string {
-    const std::string ip = At(host, 0);
-    std::ostringstream text;
-    text << "node = \"n" << (host & 0xFF)
-         << "\"\nzone = \"a\"\nip = " << ip.substr(0, ip.find(':'))
-         << "\"\ninternal_ports = [" << ports.internal
-         << "]\nheartbeat_ms = 200\nseeds = ["
-         << At(kBalancerHost, ports.control) << "]\n";
-    if (is_agent) {
-      text << "service = \"" << kService << "\"\napp = " << At(host, ports.app)
-           << '\n';
-    }
-    text << "[listen]\ndata_addr = " << At(host, ports.data)
-         << "\nready = " << At(host, ports.ready)
-         << "\ncontrol = " << At(host, ports.control) << '\n';
-    if (is_agent) {
-      text << "outbound = " << At(host, ports.outbound) << '\n';
-    }
-    text << "[bounds]\ngrace_s = 6\n[platform]\naddr = "
-         << At(kStoreHost, ports.store) << '\n';
-    return text.str();
+    return soak::SettingsText(
+        ports,
+        soak::NodePlace{.name = "n" + std::to_string(host & 0xFF),
+                        .host = host,
+                        .seeds = {kBalancerHost},
+                        .store = {.address = kStoreHost, .port = ports.store},
+                        .service = is_agent ? kService : ""});
   }
 
   auto AnswerStore(const HttpCall& call)->HttpAnswer {
@@ -215,7 +108,7 @@
 
 // A target that takes every opening, echoes data and can drain.
 struct Target {
-  Target(asio::io_context& io, std::uint32_t host, const Ports& ports)
+  Target(asio::io_context& io, std::uint32_t host, const soak::Ports& ports)
       : outbound{.address = host, .port = ports.outbound},
         socket(io, Endpoint{.address = host, .port = ports.app}),
         client(io, Endpoint{.address = host, .port = ports.control}) {
@@ -269,9 +162,11 @@
 TEST(NodePath, FlowsAreServedDrainedAndResetWithALineForEach) {
   constexpr std::uint32_t kFirst = 0x7F000104;
   constexpr std::uint32_t kSecond = 0x7F000105;
-  Node balancer(Settings(kBalancerHost, false), "balancer");
-  Node first_agent(Settings(kFirst, true), "first");
-  Node second_agent(Settings(kSecond, true), "second");
+  soak::NodeProcess balancer(HAWTHORNNODE, Settings(kBalancerHost, false),
+                             "balancer");
+  soak::NodeProcess first_agent(HAWTHORNNODE, Settings(kFirst, true), "first");
+  soak::NodeProcess second_agent(HAWTHORNNODE, Settings(kSecond, true),
+                                 "second");
   Target first(io, kFirst, ports);
   Target second(io, kSecond, ports);
   const Endpoint entry{.address = kBalancerHost, .port = ports.data};
