Let a few agents keep the routes for balancers that start without the store

Cause: when all balancers were restarted while the store was down, nobody knew the routes and no opening was served until the store was back, though the agents and their targets lived on.

The first four agents that answer are told of the newest version and fetch it from a balancer; their announces name it, so that a balancer without routes fetches them as from a peer. What is kept says nothing about how new it is. A version never goes back in a process, as before. RoutePeers now holds the exchange for both roles. The agent no longer binds a data socket, which it didn't use.

Ruled out: guessing a route's service; faster calls to the store, which is down.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -133,6 +133,7 @@
   /// When it was asked what it hasn\'t answered yet; zero: it answered all.
   TimePoint unanswered_since{};
   std::uint16_t sent_since = 0;  ///< Openings sent to it since then.
+  std::uint64_t version = 0;     ///< Of the routes that it said it has.
 };
 
 /// All hosts that a process knows, itself left out.
@@ -191,6 +192,19 @@
 /// @return Whether it is an agent that is to be told of this balancer.
 auto NeedsIntroduction(const KnownHost& host, TimePoint now) -> bool;
 
+/// Agents that keep the newest routes for balancers that start while nobody
+/// else has them.
+inline constexpr std::size_t kRouteKeepers = 4;
+
+/// Lists the agents that are to be told of the routes in force: the first ones
+/// that answer, as far as they have an older version.
+/// @param fleet What this balancer knows.
+/// @param version Of the routes in force.
+/// @param now The present instant.
+/// @return Whom to tell.
+auto KeepersToTell(const Fleet& fleet, std::uint64_t version, TimePoint now)
+    -> std::vector<Endpoint>;
+
 /// Notes what a host said of its target's load.
 /// @param host The host.
 /// @param load What it said.
--- a/soak/world.h
+++ b/soak/world.h
@@ -78,6 +78,7 @@
   auto Apply(const Fault& fault, TimePoint now) -> void;
   auto ApplyToProcess(const Fault& fault, TimePoint now) -> bool;
   auto ApplyToStore(const Fault& fault, TimePoint now) -> bool;
+  [[nodiscard]] auto CountOf(const std::string& service) const -> std::size_t;
   auto ApplyToTarget(const Fault& fault, TimePoint now) -> void;
   auto Kill(Node& node, TimePoint now) -> void;
   auto Stop(Node& node, TimePoint now) -> void;
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -81,6 +81,33 @@
           now - host.load_at >= host.silent_after);
 }
 
+auto KeepersToTell(const Fleet& fleet, std::uint64_t version, TimePoint now)
+    -> std::vector<Endpoint> {
+  std::vector<const KnownHost*> agents;
+  for (const auto& [control, host] : fleet.hosts) {
+    if (host.record.role == HostRole::kAgent && !host.record.leaving &&
+        IsAnswering(host, now)) {
+      agents.push_back(&host);
+    }
+  }
+  const auto count = std::min(agents.size(), kRouteKeepers);
+  const auto rank = [](const KnownHost* host) {
+    return std::pair(host->record.control.address, host->record.control.port);
+  };
+  std::partial_sort(agents.begin(),
+                    agents.begin() + static_cast<std::ptrdiff_t>(count),
+                    agents.end(), [&](const KnownHost* a, const KnownHost* b) {
+                      return rank(a) < rank(b);
+                    });
+  std::vector<Endpoint> keepers;
+  for (std::size_t n = 0; n < count; ++n) {
+    if (agents[n]->version < version) {
+      keepers.push_back(agents[n]->record.control);
+    }
+  }
+  return keepers;
+}
+
 auto NoteLoad(KnownHost& host, const TargetLoad& load, TimePoint now) -> void {
   host.load = load;
   host.load_at = now;
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -5,6 +5,7 @@
 #include "transport/clock.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
+#include "transport/route_peers.h"
 
 namespace hawthornbank::transport {
 namespace {
@@ -16,16 +17,23 @@
 // A stopping agent waits for running requests for this long.
 constexpr Duration kFinishTime = std::chrono::milliseconds{600};
 constexpr Duration kFinishTick = std::chrono::milliseconds{20};
+// Routes that are kept say nothing about how new they are.
+constexpr std::uint32_t kUnconfirmedAge = 3'600'000;
 
 class AgentNode {
  public:
   AgentNode(const NodeSettings& settings, const NodeCodec& codec)
       : host_(settings, codec, fleet_),
         outbound_(host_.io(), settings.outbound),
-        data_(host_.io(), settings.data),
+
         opening_timer_(host_.io()),
         load_timer_(host_.io()),
-        stop_timer_(host_.io()) {
+        stop_timer_(host_.io()),
+        peers_(host_,
+               follower_,
+               [this](const RouteSet& routes, const std::string& document) {
+                 Keep(routes, document, MonotonicNow());
+               }) {
     target_.options.service =
         static_cast<std::uint32_t>(HashName(settings.service));
     target_.options.self = settings.control;
@@ -52,7 +60,10 @@
         .on_note = [](const FlowNote&, TimePoint) {},
         .on_query = [this](const FlowQuery& query,
                            TimePoint now) { OnQuery(query, now); },
-        .on_announce = [](const HostAnnounce&, TimePoint) {},
+        .on_announce =
+            [this](const HostAnnounce& announce, TimePoint now) {
+              peers_.OnAnnounce(announce, version_, now);
+            },
         .on_call = [this](const HttpCall& call) { return OnCall(call); },
         .on_slow_tick =
             [this](TimePoint now) {
@@ -63,7 +74,11 @@
             },
         .on_stop = [this](TimePoint now) { Stop(now); },
         .on_settings = [](const NodeSettings&) {},
-        .version = [](HostAnnounce&, TimePoint) {},
+        .version =
+            [this](HostAnnounce& announce, TimePoint) {
+              announce.version = version_;
+              announce.version_age_ms = kUnconfirmedAge;
+            },
     });
   }
 
@@ -271,6 +286,21 @@
     host_.Announce(now);
   }
 
+  // An agent needs no routes. It keeps them for balancers that start while the
+  // store is down.
+  auto Keep(const RouteSet& routes, const std::string& document, TimePoint now)
+      -> void {
+    if (routes.version <= version_) {
+      return;
+    }
+    version_ = routes.version;
+    peers_.SetDocument(document);
+    host_.log().Write(EventKind::kBelief, now,
+                      "routes_kept version={} bytes={}", version_,
+                      document.size());
+    host_.Announce(now);
+  }
+
   auto Metrics() -> std::string {
     std::string text;
     for (std::size_t n = 0; n < kTargetReasonCount; ++n) {
@@ -314,10 +344,13 @@
   TargetPresence presence_;
   NodeHost host_;
   UdpSocket outbound_;
-  UdpSocket data_;
+
   asio::steady_timer opening_timer_;
   asio::steady_timer load_timer_;
   asio::steady_timer stop_timer_;
+  RouteFollower follower_;
+  RoutePeers peers_;
+  std::uint64_t version_ = 0;  ///< Of the routes that are kept.
   std::vector<TargetAction> actions_;
   Bytes buf_;
   TimePoint stop_by_{};
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -8,6 +8,7 @@
 #include "transport/latency_histogram.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
+#include "transport/route_peers.h"
 
 namespace hawthornbank::transport {
 namespace {
@@ -17,8 +18,6 @@
 constexpr Duration kOpeningTick = std::chrono::milliseconds{10};
 // Interval at which the store and peers are looked at.
 constexpr Duration kFollowTick = std::chrono::milliseconds{50};
-// Longest time for a peer's routes; the largest take 256 KB.
-constexpr Duration kPeerTime = std::chrono::milliseconds{800};
 // Packets cease for this long before a stopping balancer ends: routers look
 // twice a second and let go after two misses.
 constexpr Duration kQuietTime = std::chrono::milliseconds{1200};
@@ -26,8 +25,6 @@
 // Left of the grace when a stopping balancer ends all the same.
 constexpr Duration kGraceSlack = std::chrono::milliseconds{700};
 
-constexpr const char* kRoutesPath = "/routes";
-
 // Bytes of datagrams with their IPv4 and UDP heads.
 auto WireBytes(std::uint64_t datagrams, std::uint64_t bytes) -> std::uint64_t {
   constexpr std::uint64_t kHeads = 28;
@@ -60,10 +57,11 @@
         opening_timer_(host_.io()),
         follow_timer_(host_.io()),
         stop_timer_(host_.io()),
-        routes_server_(
-            host_.io(),
-            settings.control,
-            [this](const HttpCall& call) { return OnPeerCall(call); }) {}
+        peers_(host_,
+               follower_,
+               [this](const RouteSet& routes, const std::string& document) {
+                 Adopt(routes, document, "peer", MonotonicNow());
+               }) {}
 
   auto Run() -> int {
     data_.Receive([this](Endpoint, ByteView datagram) {
@@ -85,13 +83,7 @@
         .on_query = [](const FlowQuery&, TimePoint) {},
         .on_announce =
             [this](const HostAnnounce& announce, TimePoint now) {
-              OnPeerVersion(follower_, announce.record.control,
-                            announce.version,
-                            std::chrono::milliseconds{announce.version_age_ms},
-                            steering_.routes.version, now);
-              if (ShouldAskPeer(follower_, steering_.routes.version, now)) {
-                AskPeer(now);
-              }
+              peers_.OnAnnounce(announce, steering_.routes.version, now);
             },
         .on_call = [this](const HttpCall& call) { return OnCall(call); },
         .on_slow_tick =
@@ -277,9 +269,7 @@
       case FollowCall::kNone:
         break;
     }
-    if (ShouldAskPeer(follower_, steering_.routes.version, now)) {
-      AskPeer(now);
-    }
+    peers_.Fetch(steering_.routes.version, now);
     NodeHost::After(follow_timer_, kFollowTick,
                     [this](TimePoint) { FollowTimer(); });
   }
@@ -364,24 +354,6 @@
                     [this](TimePoint) { FollowTimer(); });
   }
 
-  auto AskPeer(TimePoint now) -> void {
-    host_.log().Write(EventKind::kBelief, now,
-                      "routes_asked peer={} version={} in_force={}",
-                      ToString(follower_.peer), follower_.peer_version,
-                      steering_.routes.version);
-    peer_ = std::make_unique<HttpClient>(host_.io(), follower_.peer);
-    peer_->Send(HttpRequest{.target = kRoutesPath}, kPeerTime,
-                [this](const HttpReply& reply) {
-                  const auto routes =
-                      reply.status == 200
-                          ? host_.codec().decode_document(reply.body)
-                          : std::nullopt;
-                  if (routes.has_value()) {
-                    Adopt(*routes, reply.body, "peer", MonotonicNow());
-                  }
-                });
-  }
-
   auto Adopt(const RouteSet& routes,
              const std::string& document,
              const char* source,
@@ -390,7 +362,7 @@
     if (!PutInForce(steering_.routes, routes)) {
       return;
     }
-    document_ = document;
+    peers_.SetDocument(document);
     host_.log().Write(EventKind::kBelief, now,
                       "routes_in_force version={} before={} routes={} "
                       "source={}",
@@ -398,13 +370,6 @@
     host_.Announce(now);
   }
 
-  auto OnPeerCall(const HttpCall& call) -> HttpAnswer {
-    if (call.target != kRoutesPath || document_.empty()) {
-      return HttpAnswer{.status = 404};
-    }
-    return HttpAnswer{.body = document_};
-  }
-
   // The platform ------------------------------------------------------------
 
   auto OnCall(const HttpCall& call) -> HttpAnswer {
@@ -480,14 +445,14 @@
   UdpSocket data_;
   RouteFollower follower_;
   std::unique_ptr<HttpClient> store_;
-  std::unique_ptr<HttpClient> peer_;
+
   asio::steady_timer opening_timer_;
   asio::steady_timer follow_timer_;
   asio::steady_timer stop_timer_;
-  HttpServer routes_server_;
+  RoutePeers peers_;
   std::vector<SteeringAction> actions_;
   Bytes buf_;
-  std::string document_;
+
   LatencyHistogram placing_;
   LatencyHistogram store_calls_;
   std::uint64_t store_failures_ = 0;
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -128,6 +128,7 @@
   announce.record = fleet_.self;
   announce.digest = fleet_.digest;
   role_.version(announce, now);
+  version_ = announce.version;
   announce.wants_reply = !KnowsBalancers();
   return EncodeNodeMessage(announce);
 }
@@ -138,16 +139,19 @@
     Send(it, datagram);
   }
   if (settings_.role == HostRole::kBalancer) {
-    IntroduceToAgents(datagram, now);
+    TellAgents(datagram, now);
   }
 }
 
-auto NodeHost::IntroduceToAgents(ByteView announce, TimePoint now) -> void {
+auto NodeHost::TellAgents(ByteView announce, TimePoint now) -> void {
   for (const auto& [control, host] : fleet_.hosts) {
     if (NeedsIntroduction(host, now)) {
       Send(control, announce);
     }
   }
+  for (const auto it : KeepersToTell(fleet_, version_, now)) {
+    Send(it, announce);
+  }
 }
 
 auto NodeHost::CountBalancers() const -> std::size_t {
@@ -292,6 +296,7 @@
     host->second.silent_after =
         kMissedAnnounces * AnnounceInterval(CountBalancers());
     NoteLoad(host->second, announce.load, now);
+    host->second.version = announce.version;
     role_.on_announce(announce, now);
   }
   if (settings_.role == HostRole::kBalancer &&
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -117,7 +117,7 @@
   auto OnDatagram(Endpoint from, ByteView datagram, TimePoint now) -> void;
   auto OnAnnounce(const HostAnnounce& announce, TimePoint now) -> void;
   auto OnRoster(const RosterPart& part, TimePoint now) -> void;
-  auto IntroduceToAgents(ByteView announce, TimePoint now) -> void;
+  auto TellAgents(ByteView announce, TimePoint now) -> void;
   auto NoteMerge(const HostRecord& record, MergeOutcome outcome, TimePoint now)
       -> void;
   auto SendRoster(const HostRecord& receiver, bool is_new, TimePoint now)
@@ -149,6 +149,7 @@
   TimePoint started_;
   TimePoint search_at_{};
   std::int64_t settings_stamp_ = 0;
+  std::uint64_t version_ = 0;  ///< Of the routes that were announced last.
   bool stopping_ = false;
 };
 
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -155,3 +155,27 @@
   CHECK_FALSE(
       NeedsIntroduction(fleet.hosts.at({.address = 9, .port = 1}), kNow));
 }
+
+// Load pattern: all balancers start again while the store is down.
+TEST(Fleet, AFewAgentsAreToldOfNewerRoutes) {
+  Fleet fleet = MakeFleet();
+  const auto agent = [](std::uint32_t n) {
+    return Endpoint{.address = 0x0A010000 + n, .port = 7000};
+  };
+  for (std::uint32_t n = 1; n <= 9; ++n) {
+    MergeRecord(fleet,
+                HostRecord{.control = agent(n), .role = HostRole::kAgent}, 0s,
+                kNow);
+  }
+  MergeRecord(fleet, HostRecord{.control = {.address = 9, .port = 1}}, 0s,
+              kNow);
+  fleet.hosts.at(agent(2)).version = 7;
+  fleet.hosts.at(agent(3)).version = 6;
+  const std::vector expected = {agent(1), agent(3), agent(4)};
+  CHECK(KeepersToTell(fleet, 7, kNow) == expected);
+  // One that is silent is replaced.
+  DoubtHost(fleet.hosts.at(agent(1)), kNow);
+  const std::vector others = {agent(3), agent(4), agent(5)};
+  CHECK(KeepersToTell(fleet, 7, kNow) == others);
+  CHECK(KeepersToTell(fleet, 0, kNow).empty());
+}
--- a/test/node_path_test.cc
+++ b/test/node_path_test.cc
@@ -237,3 +237,42 @@
   STRCMP_CONTAINS("event=routes_in_force version=3", log.c_str());
   STRCMP_CONTAINS("event=stop ", log.c_str());
 }
+
+// Load pattern: every balancer starts again while the store is down. Agents
+// that live on keep the routes.
+TEST(NodePath, ABalancerThatStartsWithoutTheStoreGetsRoutesFromAnAgent) {
+  constexpr std::uint32_t kHost = 0x7F000106;
+  auto balancer = std::make_unique<soak::NodeProcess>(
+      HAWTHORNNODE, Settings(kBalancerHost, false), "balancer-first");
+  const soak::NodeProcess agent(HAWTHORNNODE, Settings(kHost, true), "keeper");
+  Target target(io, kHost, ports);
+  const Endpoint entry{.address = kBalancerHost, .port = ports.data};
+  UdpSocket caller(io, Endpoint{.address = kCallerHost, .port = ports.data});
+  bool answered = false;
+  caller.Receive([&](Endpoint, ByteView bytes) {
+    answered = answered || platform::DecodePacket(bytes)->opens;
+  });
+  CHECK(Until(
+      [&] {
+        return agent.Log().find("routes_kept version=3") != std::string::npos;
+      },
+      [&] { target.Beat(); }));
+  store.reset();
+  balancer = std::make_unique<soak::NodeProcess>(
+      HAWTHORNNODE, Settings(kBalancerHost, false), "balancer-second");
+  CHECK(Until([&] { return answered; },
+              [&] {
+                target.Beat();
+                caller.Send(entry,
+                            Head(FlowPacket{.source = {.address = kCallerHost,
+                                                       .port = 1000},
+                                            .destination = kRoute},
+                                 kSyn));
+              }));
+  STRCMP_CONTAINS("source=peer", balancer->Log().c_str());
+  CHECK(Until(
+      [&] {
+        return balancer->Log().find("event=store_lost") != std::string::npos;
+      },
+      [&] { target.Beat(); }));
+}
