--- a/support/check.sh
+++ b/support/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The README's test command: format, lint, unit tests, sanitizers, fuzzing,
-# benchmark bounds in virtual time and the demo.
+# benchmark bounds in virtual time, the demo and a short soak.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 LOGS=build/check
@@ -16,14 +16,14 @@
 
 # step NAME COMMAND...: runs a step, shows its log only when it fails.
 step() {
-  local name=$1
+  local name=$1 start=$SECONDS
   shift
   if ! "$@" >"$LOGS/$name.log" 2>&1; then
     echo "FAILED: $name"
     tail -n 60 "$LOGS/$name.log"
     return 1
   fi
-  echo "ok: $name"
+  echo "ok: $name, $((SECONDS - start)) s"
 }
 
 # Steps that KNOWN-RED.txt lists are run and shown, and don't fail the check.
@@ -86,6 +86,8 @@
 cat "$LOGS/benches.log"
 [ "$BENCHES" != failed ]
 step demo support/demo.sh
+step soak build/release/soak/soak --seed 1 --seconds 6
+tail -n 1 "$LOGS/soak.log"
 sed -n '/what callers saw/,$p' "$LOGS/demo.log"
 if [ -s KNOWN-RED.txt ]; then
   echo "known failures, passed over:"
