Reset lost flows though agents have vanished; ask all others at once

Agents beside targets that had ended started again, were heard once and were removed; each search ended with one of them silent, and as it might have had the flow nothing was reset. They would have been forgotten after a minute. Searches were slow as well: five rounds.

- An agent that doesn't know its target isn't asked after a loss of power, also when it is silent.
- That a service's targets have all just started holds until a fleet of this size is settled, not only while targets are cold.
- An agent that hasn't been heard for three seconds holds up no reset, if most others answer: callers don't wait that long.
- The agents beyond the first four are asked in one round.

Ruled out: lost answers (0.1%), searches at the limit (none), reset packets of callers. The line of a dropped packet names the silent agents now.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -134,6 +134,8 @@
   TimePoint unanswered_since{};
   std::uint16_t sent_since = 0;  ///< Openings sent to it since then.
   std::uint64_t version = 0;     ///< Of the routes that it said it has.
+  /// Start of its target, if that has been heard of while it was cold.
+  std::uint64_t cold_start = 0;
 };
 
 /// All hosts that a process knows, itself left out.
@@ -231,6 +233,10 @@
 /// @return Whether it was heard lately and answers.
 auto IsAnswering(const KnownHost& host, TimePoint now) -> bool;
 
+/// @param host A host of an agent.
+/// @return Whether its target was cold at some time since it became known.
+auto WasSeenCold(const KnownHost& host) -> bool;
+
 /// Replaces the own record, with a new revision when it differs.
 /// @param fleet What is known.
 /// @param record The new record; its incarnation and revision don't matter.
--- a/include/hawthornbank/flow_search.h
+++ b/include/hawthornbank/flow_search.h
@@ -24,10 +24,14 @@
 struct FlowSearchOptions {
   /// Agents asked first: as many as a flow's opening is weighed for.
   std::size_t first_agents = 4;
-  /// Agents asked next, each time that none has the flow.
-  std::size_t next_agents = 8;
+  /// Agents asked next, each time that none has the flow: all of most services
+  /// at once, as the caller of a lost flow waits for its reset.
+  std::size_t next_agents = 64;
   /// Agents asked for one flow.
   std::size_t max_agents = 256;
+  /// Silence of an agent after which its flows are given up, if most others
+  /// answer: longer than callers wait for an answer.
+  Duration lost_after = std::chrono::seconds{3};
   /// Packets that wait for one flow: a sender has 16 in flight, and as many
   /// again when it repeats them.
   std::size_t max_packets = 32;
@@ -42,7 +46,8 @@
   std::vector<Endpoint> unanswered;   ///< Of these, who hasn't answered.
   std::vector<Endpoint> unsure;       ///< Agents whose targets may have it.
   Endpoint offered_to;                ///< Such a target was sent a packet.
-  bool missed = false;                ///< An agent didn't answer in time.
+  std::vector<Endpoint> silent;       ///< Who didn't answer in time.
+  std::vector<Endpoint> lost;         ///< Who hasn't been heard for long.
   std::uint32_t acknowledgement = 0;  ///< Of the first packet.
   bool acknowledges = false;          ///< It has such a number.
   bool resets = false;                ///< The caller gives the flow up.
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -127,7 +127,8 @@
   RelayHeader header;
   std::vector<std::uint8_t> kept;  ///< The packet, when it was kept here.
   FlowQuery query;
-  std::vector<Endpoint> receivers;  ///< Of the query.
+  /// Of the query; of a search that found nobody, those that were silent.
+  std::vector<Endpoint> receivers;
   /// Acknowledgement number of the caller's packet, for a reset.
   std::uint32_t acknowledgement = 0;
   double load_score = 0;  ///< Of the chosen target.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -22,6 +22,12 @@
          std::pair(b.incarnation, b.revision);
 }
 
+auto NoteCold(KnownHost& host) -> void {
+  if (host.record.target.cold) {
+    host.cold_start = host.record.target.born;
+  }
+}
+
 }  // namespace
 
 auto MergeRecord(Fleet& fleet,
@@ -45,6 +51,7 @@
   KnownHost& known = it->second;
   if (added) {
     known.record = record;
+    NoteCold(known);
     known.heard = now - age;
     known.changed = now;
     fleet.digest += DigestOf(record);
@@ -64,6 +71,7 @@
   }
   fleet.digest += DigestOf(record) - DigestOf(known.record);
   known.record = record;
+  NoteCold(known);
   known.changed = now;
   return MergeOutcome::kChanged;
 }
@@ -137,6 +145,10 @@
          !owes_answer;
 }
 
+auto WasSeenCold(const KnownHost& host) -> bool {
+  return host.cold_start != 0 && host.cold_start == host.record.target.born;
+}
+
 auto UpdateSelf(Fleet& fleet, HostRecord record) -> bool {
   record.incarnation = fleet.self.incarnation;
   record.revision = fleet.self.revision;
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -31,7 +31,7 @@
                     TimePoint now) -> bool {
   const Duration up = now - steering.started;
   if (up < steering.options.restart_settling_time ||
-      up >= steering.options.settling_time) {
+      up >= SettlingTime(steering)) {
     return false;
   }
   std::size_t cold = 0;
@@ -43,7 +43,7 @@
     }
     if (host.record.target.state == TargetState::kUnknown) {
       ++unknown;
-    } else if (host.record.target.cold) {
+    } else if (WasSeenCold(host)) {
       ++cold;
     } else if (host.record.target.state != TargetState::kGone) {
       return false;
@@ -95,8 +95,8 @@
                      return UrgencyOf(*a.host, now) < UrgencyOf(*b.host, now);
                    });
   if (HasJustStarted(steering, search.service, now)) {
-    std::erase_if(ranked, [now](const RankedHost& it) {
-      return UrgencyOf(*it.host, now) == Urgency::kKnowsNone;
+    std::erase_if(ranked, [](const RankedHost& it) {
+      return it.host->record.target.state == TargetState::kUnknown;
     });
   }
   return ranked;
@@ -115,14 +115,17 @@
   const FlowSearch& search = entry->second;
   const bool settled = now - steering.started >= SettlingTime(steering) ||
                        HasJustStarted(steering, search.service, now);
+  // When most are lost the fault may be here.
+  const bool heard_most = search.lost.size() * 2 <= search.asked.size();
   const bool asked_all =
-      !search.asked.empty() && !search.missed &&
+      !search.asked.empty() && search.silent.empty() && heard_most &&
       search.asked.size() < steering.options.search.max_agents;
   if (settled && asked_all && !search.resets) {
     AddReset(steering, entry->first, SteeringReason::kFlowUnknown,
              search.acknowledgement, out);
   } else {
     AddDrop(steering, entry->first, SteeringReason::kHolderNotFound, out);
+    out.back().receivers = search.silent;
   }
   RemoveSearch(steering, entry);
 }
@@ -168,6 +171,16 @@
           SteeringReason::kUnsureAgent, search.packets.front(), out);
 }
 
+// Whether an agent has been silent for longer than any caller waits for an
+// answer. What its target still holds can't be reached from here.
+auto IsLost(const Steering& steering, Endpoint agent, TimePoint now) -> bool {
+  const auto host = steering.fleet.hosts.find(agent);
+  return host == steering.fleet.hosts.end() ||
+         now - host->second.heard >=
+             std::max(steering.options.search.lost_after,
+                      host->second.silent_after);
+}
+
 // Asks the next agents, or ends the search when none is left.
 auto AskNext(Steering& steering,
              SearchEntry entry,
@@ -325,7 +338,10 @@
       SendWaiting(steering, entry, agent, 1, false, out);
       continue;
     }
-    search.missed = search.missed || !search.unanswered.empty();
+    for (const auto agent : search.unanswered) {
+      (IsLost(steering, agent, now) ? search.lost : search.silent)
+          .push_back(agent);
+    }
     search.unanswered.clear();
     AskNext(steering, entry, now, out);
   }
--- a/src/coordination/request_gate_state.h
+++ b/src/coordination/request_gate_state.h
@@ -10,8 +10,8 @@
 
 #include "coordination/request_queue.h"
 #include "coordination/retry_budget.h"
-#include "hawthornbank/target_health.h"
 #include "hawthornbank/request_gate.h"
+#include "hawthornbank/target_health.h"
 #include "state/latency_distribution.h"
 #include "state/request_ledger.h"
 
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -186,10 +186,12 @@
           break;
         }
         case SteeringAction::Kind::kDrop:
-          host_.log().Write(EventKind::kRefusal, now,
-                            "packet_dropped flow={} reason={} version={}",
-                            FlowText(it.flow), ToString(it.reason),
-                            steering_.routes.version);
+          host_.log().Write(
+              EventKind::kRefusal, now,
+              "packet_dropped flow={} reason={} version={} silent={} first={}",
+              FlowText(it.flow), ToString(it.reason), steering_.routes.version,
+              it.receivers.size(),
+              it.receivers.empty() ? "-" : ToString(it.receivers.front()));
           break;
       }
     }
