--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -4,9 +4,9 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/random.h"
@@ -92,7 +92,7 @@
   TargetEvents events_;
   std::string service_;
   Random random_;
-  std::map<FlowKey, Flow> flows_;
+  std::unordered_map<FlowKey, Flow> flows_;
   std::uint64_t born_ = 0;
   std::uint64_t sequence_ = 0;
   TimePoint drain_acknowledged_{};
