Don't reset flows that a restarted target took before its heartbeat was heard

The agent counted the flow to the last start and reset it, though the target holds it.

Flows that the target accepted within 300 ms before a new start's heartbeat are now taken for unsure: their next packet goes to the target, which returns it if it doesn't have the flow. All older ones are reset as before. No clocks are compared, as a host's time of day may jump.

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -43,6 +43,9 @@
   /// Silence of a target that has said that it goes, after which it has ended.
   /// It goes on serving its flows for up to two seconds.
   Duration exit_time = std::chrono::seconds{3};
+  /// Time from a target's start until its first heartbeat is heard: it
+  /// announces itself as it starts; covers the call's delay.
+  Duration first_heartbeat = std::chrono::milliseconds{300};
   Duration flow_idle = std::chrono::seconds{30};
   /// Life of a closed flow's entry, for packets that come again.
   Duration closed_linger = std::chrono::seconds{4};
@@ -58,6 +61,7 @@
   std::uint64_t target_born = 0;
   std::uint32_t acknowledgement = 0;  ///< The caller's last one.
   TimePoint used{};
+  TimePoint accepted_at{};  ///< When the target took it.
   TimePoint running_since{};
   TimePoint closed_at{};
   bool answered = false;  ///< The target took it.
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -239,6 +239,18 @@
   }
 }
 
+// The new start may have taken flows before its first heartbeat was heard. The
+// target returns their next packets if it hasn't.
+auto DoubtYoungFlows(TargetFlows& target, TimePoint now) -> void {
+  for (auto& [key, flow] : target.flows) {
+    if (flow.answered &&
+        now - flow.accepted_at < target.options.first_heartbeat) {
+      flow.answered = false;
+      flow.target_born = target.status.born;
+    }
+  }
+}
+
 // Two targets may have taken the same opening. The caller's first packet
 // acknowledges the one that it chose.
 auto WasOpenedElsewhere(TargetFlow& flow,
@@ -373,6 +385,7 @@
   }
   if (!flow.answered) {
     flow.answered = true;
+    flow.accepted_at = now;
     if (packet.opens) {
       flow.offered_sequence = packet.sequence;
     }
@@ -419,6 +432,7 @@
   target.health = {};
   target.silent_until = {};
   target.openings.clear();
+  DoubtYoungFlows(target, now);
   ResetFlows(target, status.born, TargetReason::kTargetRestarted, out);
 }
 
