Keep resets to callers and counters by reason in one place for both roles

The agent and the balancer each built a reset and its receiver, and each wrote the lines of packets by reason. NodeHost sends resets now, ReasonLines writes the lines.

--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -136,9 +136,7 @@
           SendPrepared(it.to, packet);
           break;
         case TargetAction::Kind::kToCaller:
-          outbound_.Send(Endpoint{.address = it.flow.caller.address,
-                                  .port = host_.settings().data.port},
-                         packet);
+          outbound_.Send(host_.CallerOf(it.flow), packet);
           break;
         case TargetAction::Kind::kNote:
           host_.Send(it.to, EncodeNodeMessage(
@@ -147,14 +145,9 @@
                                          .load = LoadOf(target_),
                                          .holding = it.holding}));
           break;
-        case TargetAction::Kind::kReset: {
-          const ResetPacket reset =
-              host_.codec().encode_reset(it.flow, it.acknowledgement);
-          outbound_.Send(Endpoint{.address = it.flow.caller.address,
-                                  .port = host_.settings().data.port},
-                         reset);
+        case TargetAction::Kind::kReset:
+          host_.SendReset(outbound_, it.flow, it.acknowledgement);
           break;
-        }
         case TargetAction::Kind::kDrop:
           break;
       }
@@ -302,12 +295,7 @@
   }
 
   auto Metrics() -> std::string {
-    std::string text;
-    for (std::size_t n = 0; n < kTargetReasonCount; ++n) {
-      text += fmt::format("hawthornbank_packets_total{{reason=\"{}\"}} {}\n",
-                          ToString(static_cast<TargetReason>(n)),
-                          target_.counts.at(n));
-    }
+    std::string text = ReasonLines<TargetReason>(target_.counts);
     text += fmt::format("hawthornbank_target_failure {:.3f}\n",
                         target_.health.failure);
     text += fmt::format("hawthornbank_target_running {}\n", target_.running);
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -173,18 +173,13 @@
           Ask(it);
           LogQuery(it, now);
           break;
-        case SteeringAction::Kind::kReset: {
-          const ResetPacket reset =
-              host_.codec().encode_reset(it.flow, it.acknowledgement);
-          data_.Send(Endpoint{.address = it.flow.caller.address,
-                              .port = host_.settings().data.port},
-                     reset);
+        case SteeringAction::Kind::kReset:
+          host_.SendReset(data_, it.flow, it.acknowledgement);
           host_.log().Write(EventKind::kRefusal, now,
                             "flow_reset flow={} reason={} version={}",
                             FlowText(it.flow), ToString(it.reason),
                             steering_.routes.version);
           break;
-        }
         case SteeringAction::Kind::kDrop:
           host_.log().Write(
               EventKind::kRefusal, now,
@@ -393,12 +388,7 @@
   }
 
   auto Metrics() -> std::string {
-    std::string text;
-    for (std::size_t n = 0; n < kSteeringReasonCount; ++n) {
-      text += fmt::format("hawthornbank_packets_total{{reason=\"{}\"}} {}\n",
-                          ToString(static_cast<SteeringReason>(n)),
-                          steering_.counts.at(n));
-    }
+    std::string text = ReasonLines<SteeringReason>(steering_.counts);
     text += placing_.Lines("hawthornbank_placing");
     text += store_calls_.Lines("hawthornbank_store_call");
     text +=
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -84,6 +84,16 @@
   control_.Send(to, datagram);
 }
 
+auto NodeHost::CallerOf(const FlowKey& flow) const -> Endpoint {
+  return Endpoint{.address = flow.caller.address, .port = settings_.data.port};
+}
+
+auto NodeHost::SendReset(UdpSocket& socket,
+                         const FlowKey& flow,
+                         std::uint32_t acknowledgement) const -> void {
+  socket.Send(CallerOf(flow), codec_.encode_reset(flow, acknowledgement));
+}
+
 auto NodeHost::After(asio::steady_timer& timer,
                      Duration pause,
                      std::function<void(TimePoint now)> handler) -> void {
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -1,6 +1,9 @@
 #ifndef HAWTHORNBANK_SRC_TRANSPORT_NODE_HOST_H_
 #define HAWTHORNBANK_SRC_TRANSPORT_NODE_HOST_H_
 
+#include <fmt/format.h>
+
+#include <array>
 #include <asio.hpp>
 #include <functional>
 #include <memory>
@@ -60,6 +63,18 @@
   std::function<void(HostAnnounce& announce, TimePoint now)> version;
 };
 
+/// @param counts Packets by reason.
+/// @return A line for each reason, in the metrics' format.
+template <class Reason, std::size_t size>
+auto ReasonLines(const std::array<std::uint64_t, size>& counts) -> std::string {
+  std::string text;
+  for (std::size_t n = 0; n < size; ++n) {
+    text += fmt::format("hawthornbank_packets_total{{reason=\"{}\"}} {}\n",
+                        ToString(static_cast<Reason>(n)), counts.at(n));
+  }
+  return text;
+}
+
 /// A node's process.
 class NodeHost {
  public:
@@ -81,6 +96,18 @@
   /// @param datagram What to send.
   auto Send(Endpoint to, ByteView datagram) -> void;
 
+  /// @param flow A flow.
+  /// @return Where its caller receives packets.
+  [[nodiscard]] auto CallerOf(const FlowKey& flow) const -> Endpoint;
+
+  /// Tells a flow's caller that it is over.
+  /// @param socket Sends it; callers take packets from either role.
+  /// @param flow The flow.
+  /// @param acknowledgement Of the caller's last packet.
+  auto SendReset(UdpSocket& socket,
+                 const FlowKey& flow,
+                 std::uint32_t acknowledgement) const -> void;
+
   /// Announces the own record to all balancers now.
   /// @param now The present instant.
   auto Announce(TimePoint now) -> void;
