--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -84,48 +84,24 @@
   }
 };
 
-/// Minimum interval between announcements of a process. The interval is short
-/// because a change of a target's load affects placement within some tens of
-/// requests.
-inline constexpr Duration kMinAnnouncementInterval =
-    std::chrono::milliseconds{400};
-
-/// Maximum rate of a process's announcements, in bytes per second. The rest of
-/// the process's 3 KB/s is for rosters (lists of host records) and flow
-/// replies.
-inline constexpr std::uint32_t kMaxAnnouncementBytesPerSecond = 2400;
-
-/// Size of an announcement in bytes, with its IPv4 and UDP headers.
-inline constexpr std::uint32_t kAnnouncementBytes = 100;
-
-/// Number of consecutive announcements of a host that may be lost or late
-/// before the host is suspected.
-inline constexpr int kMaxMissedAnnouncements = 4;
-
-/// Computes the shortest announcement interval that keeps a process within
-/// kMaxAnnouncementBytesPerSecond.
-/// @param balancers Number of balancers that receive each announcement.
-/// @return The interval, at least kMinAnnouncementInterval.
-constexpr auto ComputeAnnouncementInterval(std::size_t balancers) -> Duration {
-  const Duration paced =
-      Duration{std::chrono::seconds{1}} * kAnnouncementBytes *
-      static_cast<std::int64_t>(balancers) / kMaxAnnouncementBytesPerSecond;
-  return paced > kMinAnnouncementInterval ? paced : kMinAnnouncementInterval;
-}
-
 /// Time without contact after which a host is suspected, in a fleet whose
-/// processes announce themselves at kMinAnnouncementInterval.
-inline constexpr Duration kUnresponsiveAfter =
-    kMaxMissedAnnouncements * kMinAnnouncementInterval;
+/// processes send their heartbeats to all balancers.
+inline constexpr Duration kUnresponsiveAfter = std::chrono::seconds{2};
 
 /// Time without contact after which the record of a host is erased. Allows for
 /// a host that is down or partitioned and returns at the same address.
 inline constexpr Duration kHostExpiryTime = std::chrono::seconds{60};
 
+/// Time without contact after which an agent erases the record of a balancer.
+inline constexpr Duration kBalancerExpiryTimeAtAgents =
+    std::chrono::minutes{10};
+
 /// Time for which a host that didn't answer an opening is suspected and isn't
 /// the first to be offered another opening. Longer than a restart of the host's
-/// process. A message from the host ends the suspicion earlier.
+/// process. Doubles with each further opening without an answer, up to
+/// kMaxSuspicionTime. A message from the host ends the suspicion earlier.
 inline constexpr Duration kSuspicionTime = std::chrono::milliseconds{800};
+inline constexpr Duration kMaxSuspicionTime = std::chrono::milliseconds{6400};
 
 /// Time within which a host must reply to a message: twice the longest one-way
 /// delay between availability zones, plus the host's processing time.
@@ -146,6 +122,14 @@
   /// When the oldest message without a reply was sent to the host; zero when
   /// the host has replied to all messages.
   TimePoint unanswered_since{};
+  /// When the host was last tried after messages without a reply, or
+  /// `unanswered_since`. The host counts as not live for kSuspicionTime from
+  /// kHostReplyTimeout after this time on.
+  TimePoint tried_at{};
+  /// Number of messages that require a reply since the last contact.
+  std::uint32_t unanswered_requests = 0;
+  /// Number of openings without an answer since the last contact.
+  std::uint32_t unanswered_openings = 0;
   /// Number of openings sent to the host since `load_reported_at`.
   std::uint16_t openings_since_load = 0;
   std::uint64_t version = 0;  ///< Routes version that the host reported.
@@ -159,8 +143,20 @@
   HostRecord self;
   std::unordered_map<Endpoint, KnownHost> hosts;
   std::uint64_t digest = 0;  ///< Digest of all records, `self` included.
+  /// Time without contact after which a record is erased.
+  Duration expiry_time = kHostExpiryTime;
 };
 
+/// @param record A record.
+/// @return Hash of the record's host, incarnation and revision.
+auto ComputeRecordDigest(const HostRecord& record) -> std::uint64_t;
+
+/// Tells whether a record replaces another one of the same host.
+/// @param a A record.
+/// @param b Another record of the same host.
+/// @return Whether `a` is newer than `b`.
+auto IsNewerRecord(const HostRecord& a, const HostRecord& b) -> bool;
+
 /// Result of merging a received record.
 enum class MergeOutcome : std::uint8_t {
   kOlderRecord,  ///< A newer record is known, or the record has expired.
@@ -191,42 +187,6 @@
   return role == HostRole::kBalancer || record.role == HostRole::kBalancer;
 }
 
-/// Tells whether a process that has announced itself to this balancer lacks
-/// host records. An agent lacks records only while the agent knows no balancer;
-/// balancers that start later introduce themselves to the agent.
-/// @param fleet Hosts known to this balancer.
-/// @param role Role of the process.
-/// @param digest Digest of the records that the process knows.
-/// @param wants_roster Whether the process knows no balancer.
-/// @return Whether to send records to the process.
-auto LacksHostRecords(const Fleet& fleet,
-                      HostRole role,
-                      std::uint64_t digest,
-                      bool wants_roster) -> bool;
-
-/// Tells whether a host is an agent that hasn't announced itself to this
-/// balancer for `unresponsive_after`, presumably because the agent doesn't know
-/// the balancer.
-/// @param host A host known to this balancer.
-/// @param now Current time.
-/// @return Whether this balancer must introduce itself to the host.
-auto MustIntroduceBalancer(const KnownHost& host, TimePoint now) -> bool;
-
-/// Number of agents that store the newest routes, for balancers that start
-/// when no other process has the newest routes.
-inline constexpr std::size_t kRouteHolderCount = 4;
-
-/// Lists the agents to notify of the routes in force: those with an older
-/// version among the first kRouteHolderCount agents, by address, that are live
-/// and aren't shutting down.
-/// @param fleet Hosts known to this balancer.
-/// @param version Version of the routes in force.
-/// @param now Current time.
-/// @return Addresses of the agents to notify.
-auto ListAgentsToNotifyOfRoutes(const Fleet& fleet,
-                                std::uint64_t version,
-                                TimePoint now) -> std::vector<Endpoint>;
-
 /// Records the load of a host's target and resets `openings_since_load`.
 /// @param host The host that reported the load.
 /// @param load The reported load.
@@ -244,19 +204,32 @@
 /// @param now Current time.
 auto RecordHostContact(KnownHost& host, TimePoint now) -> void;
 
-/// Marks a host as suspected for kSuspicionTime because the host didn't reply
-/// to a message.
+/// Marks a host as suspected because the host didn't confirm an opening.
 /// @param host The host.
 /// @param now Current time.
 auto MarkHostSuspected(KnownHost& host, TimePoint now) -> void;
 
 /// Tells whether a host is live: the host had recent contact, isn't suspected
-/// and has left no message unanswered for kHostReplyTimeout.
+/// and has left no message unanswered for kHostReplyTimeout. A host that has
+/// left messages unanswered for kSuspicionTime counts as live for another try.
 /// @param host The host.
 /// @param now Current time.
 /// @return Whether the host is live.
 auto IsHostLive(const KnownHost& host, TimePoint now) -> bool;
 
+/// Minimum number of messages without a reply after which a host can count as
+/// unreachable, because single datagrams are lost on working links.
+inline constexpr std::uint32_t kMinRequestsToUnreachable = 3;
+
+/// Tells whether a host has been silent for a time: heartbeats that are due
+/// haven't arrived, or several messages have had no reply.
+/// @param host The host.
+/// @param silence The time.
+/// @param now Current time.
+/// @return Whether the host counts as unreachable.
+auto IsHostUnreachable(const KnownHost& host, Duration silence, TimePoint now)
+    -> bool;
+
 /// Tells whether an agent's target has been announced as cold since the
 /// target's last start.
 /// @param host The host of the agent.
@@ -270,7 +243,7 @@
 /// @return Whether this process's record changed.
 auto UpdateOwnRecord(Fleet& fleet, HostRecord record) -> bool;
 
-/// Erases hosts without contact for kHostExpiryTime.
+/// Erases hosts without contact for Fleet::expiry_time.
 /// @param fleet Known hosts.
 /// @param now Current time.
 /// @return Addresses of the erased hosts.
--- a/include/hawthornbank/host_registry.h
+++ b/include/hawthornbank/host_registry.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "hawthornbank/fleet.h"
+#include "hawthornbank/gossip_plan.h"
 #include "hawthornbank/types.h"
 
 /// @file
@@ -13,7 +14,9 @@
 ///
 /// Load pattern: a power failure of many processes that restart in any order,
 /// entries that the store lost, entries of hosts that don't return and entries
-/// of processes that aren't balancers.
+/// of processes that aren't balancers. The balancer that reads the store for
+/// the fleet compares the registry with the balancers that it knows, so that
+/// each entry is written once.
 namespace hawthornbank {
 
 /// Minimum uptime of a process before the process removes registry entries. A
@@ -39,6 +42,34 @@
                          Duration uptime,
                          TimePoint now) -> RegistryChanges;
 
+/// Uptime of a process from which it knows most balancers of its fleet.
+inline constexpr Duration kMinUptimeBeforeRepair = std::chrono::seconds{1};
+
+/// Minimum time between two comparisons of the registry.
+inline constexpr Duration kMinRegistryRepairInterval = std::chrono::seconds{1};
+
+/// What a process compared the registry with.
+struct RegistryRepair {
+  TimePoint compared_at{};
+  std::uint64_t revision = 0;   ///< Revision of the store.
+  std::uint64_t balancers = 0;  ///< Digest of the known balancers' addresses.
+};
+
+/// Tells whether this process compares the registry now, and records that it
+/// does: the store's revision or the known balancers have changed since the
+/// last comparison, and no other live balancer precedes this one.
+/// @param repair State of the comparisons.
+/// @param fleet Known hosts and this process's record.
+/// @param revision Revision of the store.
+/// @param uptime Time since this process started.
+/// @param now Current time.
+/// @return Whether to compare the registry now.
+auto BeginRegistryRepairIfDue(RegistryRepair& repair,
+                              const Fleet& fleet,
+                              std::uint64_t revision,
+                              Duration uptime,
+                              TimePoint now) -> bool;
+
 }  // namespace hawthornbank
 
 #endif  // HAWTHORNBANK_HOST_REGISTRY_H_
--- a/include/hawthornbank/placement.h
+++ b/include/hawthornbank/placement.h
@@ -17,11 +17,11 @@
 /// tie up a share of a target's work; slow start of targets that begin empty
 /// and cold; callers that arrive evenly in all availability zones or mostly in
 /// one. A new flow goes to the least loaded of the flow's candidates: the
-/// targets of the balancer's own zone that rank first for the flow, and a few
-/// of other zones, which get the flow only when their load is lower by
-/// PlacementOptions::other_zone_cost. Routers hand all packets of a flow to
-/// balancers of one zone, so a balancer that doesn't remember the flow finds
-/// the flow's agent after a few queries to the same candidates.
+/// targets of the balancer's own zone that rank first for the flow, and, when
+/// these are busy, a few of other zones, which get the flow only when their
+/// load is lower by PlacementOptions::other_zone_cost. Routers hand all packets
+/// of a flow to balancers of one zone, so a balancer that doesn't remember the
+/// flow finds the flow's agent after a few queries to the same candidates.
 namespace hawthornbank {
 
 /// Weights of the load score that placement minimises.
@@ -31,6 +31,10 @@
   std::size_t max_candidates = 4;
   /// Minimum number of candidates in other zones.
   std::size_t min_other_zone_candidates = 2;
+  /// Running requests per slot from which a target counts as busy. A flow stays
+  /// in the zone while the least loaded candidate of the zone isn't busy: it
+  /// wouldn't wait less elsewhere.
+  double busy_share = 0.75;
   /// Cost of a hop to another availability zone, in requests per slot.
   double other_zone_cost = 0.25;
   /// Weight of the average of running requests over the last seconds, relative
@@ -101,6 +105,15 @@
                       const PlacementOptions& options,
                       TimePoint now) -> double;
 
+/// Tells whether a new flow may have to wait for a slot of a target.
+/// @param host The agent's host.
+/// @param options Options of placement.
+/// @param now Current time.
+/// @return Whether the target is busy or failing.
+auto IsTargetBusy(const KnownHost& host,
+                  const PlacementOptions& options,
+                  TimePoint now) -> bool;
+
 /// Chooses the target of a new flow: the least loaded candidate among the
 /// targets with live agents, or among all targets if no agent is live.
 /// @param ranked The service's agents, highest rank first.
--- a/include/hawthornbank/route_follower.h
+++ b/include/hawthornbank/route_follower.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "hawthornbank/gossip_plan.h"
 #include "hawthornbank/random.h"
 #include "hawthornbank/types.h"
 
@@ -14,10 +15,12 @@
 /// silent, that refuses this host while it serves others, or whose watches
 /// deliver nothing while reads work. A process therefore polls the store's
 /// revision, which is a small reply, and reads the routes only when the
-/// revision has changed. Each announcement carries the time since the sender's
-/// routes were confirmed as the newest. A balancer polls when this time reaches
-/// a limit that grows with the balancer's rank, so the other balancers poll
-/// only when the first-ranked balancer doesn't.
+/// revision has changed. A balancer that has polled tells others at once, and
+/// its message carries the time since its routes were confirmed as the newest.
+/// A balancer polls when this time reaches a limit that grows with the
+/// balancer's rank, so the other balancers poll only when the first-ranked
+/// balancer doesn't. A balancer that starts waits for its peers' routes first,
+/// unless it finds no peer.
 namespace hawthornbank {
 
 /// Next call to the store.
@@ -29,18 +32,31 @@
   /// first-ranked balancer polls. A change must be in force within three
   /// seconds.
   Duration first_poll_age = std::chrono::milliseconds{800};
-  /// Delay added for the second-ranked balancer: one announcement interval and
-  /// the network delay.
+  /// Delay added for the first balancer of the second zone: a slow reply of the
+  /// store and the network delay.
   Duration second_rank_extra = std::chrono::milliseconds{500};
-  /// Delay added for each further rank.
+  /// Delay added for each further zone and each further balancer of a zone.
   Duration further_rank_extra = std::chrono::milliseconds{100};
+  /// Delay added for balancers that aren't the first of their zone: the first
+  /// tells them what another zone's first balancer has told it.
+  Duration in_zone_extra = std::chrono::milliseconds{600};
   /// Maximum delay added for any rank.
   Duration max_rank_extra = std::chrono::milliseconds{1000};
+  /// Time after the process's start in which seeds can answer, before the first
+  /// call to the store.
+  Duration seed_reply_time = std::chrono::milliseconds{40};
+  /// Delay of the first call added for each balancer of the zone and each zone
+  /// that precede this balancer, and its maximum.
+  Duration start_rank_extra = std::chrono::milliseconds{10};
+  Duration max_start_extra = std::chrono::milliseconds{150};
   /// Timeout of a call to the store. Allows for a store that is a hundred times
   /// slower than its usual 4 ms.
   Duration store_timeout = std::chrono::milliseconds{700};
   Duration min_retry_delay = std::chrono::milliseconds{150};
   Duration max_retry_delay = std::chrono::milliseconds{900};
+  /// The same for balancers that aren't the first of their zone, which learn
+  /// from the first that the store is back.
+  Duration max_in_zone_retry_delay = std::chrono::milliseconds{2500};
   /// Interval between two requests to peers.
   Duration peer_retry_interval = std::chrono::milliseconds{300};
 };
@@ -50,24 +66,34 @@
   RouteFollowerOptions options;
   std::uint64_t revision = 0;  ///< Revision of the routes that were last read.
   bool is_current = false;     ///< The store's last reply had `revision`.
+  /// The store's last reply had another revision, so the routes must be read.
+  bool must_read_routes = false;
+  TimePoint started{};  ///< When the process started.
+  /// Interval at which balancers that poll tell their zone, if longer than
+  /// `first_poll_age`; the limits of the others grow with it.
+  Duration news_interval{};
+  TimePoint news_sent_at{};         ///< When this process last told its zone.
   bool has_call_in_flight = false;  ///< A call to the store is in flight.
   TimePoint store_call_started_at{};
   TimePoint confirmed_at{};  ///< When the routes were last confirmed as newest.
   std::uint32_t failures = 0;  ///< Number of consecutive failed store calls.
+  bool is_zone_reader = true;  ///< First of its zone at the last store call.
   TimePoint store_retry_at{};
   std::uint64_t peer_version = 0;  ///< Newest routes version of any peer.
   Endpoint peer;                   ///< The peer that has `peer_version`.
+  /// When `peer_version` was last confirmed as the newest version.
+  TimePoint peer_confirmed_at{};
   TimePoint peer_retry_at{};
 };
 
 /// Chooses the call to the store that is due, and records the call as in
 /// flight.
 /// @param follower State of the follower.
-/// @param rank Number of balancers that poll before this one.
+/// @param rank Place of this balancer among those that read the store.
 /// @param now Current time.
 /// @return The call to make now; kNone if none is due.
 auto BeginStoreCallIfDue(RouteFollower& follower,
-                         std::size_t rank,
+                         const ReaderRank& rank,
                          TimePoint now) -> StoreCall;
 
 /// Handles the store's reply to a call for the store's revision.
@@ -94,12 +120,28 @@
 /// @param age Time since `version` was confirmed as the newest.
 /// @param in_force Version of the routes that this process has in force.
 /// @param now Current time.
+/// @return Whether the report confirmed the routes in force at a later time
+/// than
+///   was known.
 auto OnPeerRoutesVersion(RouteFollower& follower,
                          Endpoint peer,
                          std::uint64_t version,
                          Duration age,
                          std::uint64_t in_force,
-                         TimePoint now) -> void;
+                         TimePoint now) -> bool;
+
+/// Handles routes that were fetched from a peer and put in force.
+/// @param follower State of the follower.
+/// @param version Version of the routes.
+auto OnPeerRoutesInForce(RouteFollower& follower, std::uint64_t version)
+    -> void;
+
+/// Tells whether to tell other balancers now that the routes are current, and
+/// records that they are told. New routes are told at once by the caller.
+/// @param follower State of the follower.
+/// @param now Current time.
+/// @return Whether to tell them; at most once in the news interval.
+auto BeginRoutesNewsIfDue(RouteFollower& follower, TimePoint now) -> bool;
 
 /// Tells whether to fetch newer routes from the follower's `peer` now, and
 /// schedules the next attempt.
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -32,11 +32,6 @@
 /// opening that all targets refuse is answered with a reset at once.
 namespace hawthornbank {
 
-/// Number of announcement intervals after which a new balancer knows every
-/// agent. An agent learns of the balancer in one interval and announces itself
-/// in the next; the other intervals allow for lost announcements.
-inline constexpr int kSettlingAnnouncements = 8;
-
 /// Longest time that the restart of an agent takes: the grace period of the old
 /// process at shutdown, and the start of the new process.
 inline constexpr Duration kAgentRestartTime = std::chrono::seconds{6};
@@ -61,13 +56,12 @@
   /// retransmits the packet after 200 ms, and a balancer without routes reports
   /// to the routers that it isn't ready.
   Duration learning_time = std::chrono::milliseconds{1500};
-  /// Minimum time from the balancer's start until the balancer is certain to
-  /// know every agent: allows for three announcement intervals plus the delay
-  /// between regions. A longer time of kSettlingAnnouncements intervals applies
-  /// instead of this minimum.
+  /// Time from the balancer's start until the balancer is certain to know every
+  /// agent: allows for several comparisons of its records with those of other
+  /// balancers, in a fleet of any size.
   Duration settling_time = std::chrono::seconds{3};
   /// Settling time when the balancer and all known targets of a service have
-  /// just started, for example after a power loss: one announcement interval.
+  /// just started, for example after a power loss.
   Duration restart_settling_time = std::chrono::milliseconds{400};
 };
 
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -6,6 +6,14 @@
 namespace hawthornbank {
 namespace {
 
+auto RecordStartOfColdTarget(KnownHost& host) -> void {
+  if (host.record.target.cold) {
+    host.cold_target_started_at_ms = host.record.target.started_at_ms;
+  }
+}
+
+}  // namespace
+
 // Fleet::digest is the sum of the hashes of all records. The sum doesn't depend
 // on the order of the records and can be updated record by record.
 auto ComputeRecordDigest(const HostRecord& record) -> std::uint64_t {
@@ -23,14 +31,6 @@
          std::pair(b.incarnation, b.revision);
 }
 
-auto RecordStartOfColdTarget(KnownHost& host) -> void {
-  if (host.record.target.cold) {
-    host.cold_target_started_at_ms = host.record.target.started_at_ms;
-  }
-}
-
-}  // namespace
-
 auto MergeHostRecord(Fleet& fleet,
                      const HostRecord& record,
                      Duration age,
@@ -46,7 +46,7 @@
     fleet.digest += ComputeRecordDigest(fleet.self);
     return MergeOutcome::kOwnRecordSuperseded;
   }
-  if (age > kHostExpiryTime) {
+  if (age > fleet.expiry_time) {
     return MergeOutcome::kOlderRecord;
   }
   const auto [it, added] = fleet.hosts.try_emplace(record.control);
@@ -79,48 +79,6 @@
   return MergeOutcome::kChanged;
 }
 
-auto LacksHostRecords(const Fleet& fleet,
-                      HostRole role,
-                      std::uint64_t digest,
-                      bool wants_roster) -> bool {
-  return wants_roster ||
-         (role == HostRole::kBalancer && digest != fleet.digest);
-}
-
-auto MustIntroduceBalancer(const KnownHost& host, TimePoint now) -> bool {
-  return host.record.role == HostRole::kAgent &&
-         (host.load_reported_at == TimePoint{} ||
-          now - host.load_reported_at >= host.unresponsive_after);
-}
-
-auto ListAgentsToNotifyOfRoutes(const Fleet& fleet,
-                                std::uint64_t version,
-                                TimePoint now) -> std::vector<Endpoint> {
-  std::vector<const KnownHost*> agents;
-  for (const auto& [control, host] : fleet.hosts) {
-    if (host.record.role == HostRole::kAgent && !host.record.is_shutting_down &&
-        IsHostLive(host, now)) {
-      agents.push_back(&host);
-    }
-  }
-  const auto count = std::min(agents.size(), kRouteHolderCount);
-  const auto address_order = [](const KnownHost* host) {
-    return std::pair(host->record.control.address, host->record.control.port);
-  };
-  std::partial_sort(agents.begin(),
-                    agents.begin() + static_cast<std::ptrdiff_t>(count),
-                    agents.end(), [&](const KnownHost* a, const KnownHost* b) {
-                      return address_order(a) < address_order(b);
-                    });
-  std::vector<Endpoint> endpoints;
-  for (std::size_t n = 0; n < count; ++n) {
-    if (agents[n]->version < version) {
-      endpoints.push_back(agents[n]->record.control);
-    }
-  }
-  return endpoints;
-}
-
 auto RecordTargetLoad(KnownHost& host, const TargetLoad& load, TimePoint now)
     -> void {
   host.load = load;
@@ -132,26 +90,47 @@
   if (host.unanswered_since == TimePoint{}) {
     host.unanswered_since = now;
   }
+  if (host.unanswered_requests == 0 ||
+      now - host.tried_at >= kHostReplyTimeout + kSuspicionTime) {
+    host.tried_at = now;
+  }
+  ++host.unanswered_requests;
 }
 
 auto RecordHostContact(KnownHost& host, TimePoint now) -> void {
   host.last_contact = now;
   host.unanswered_since = {};
+  host.unanswered_requests = 0;
+  host.unanswered_openings = 0;
   host.suspected_until = {};
 }
 
 auto MarkHostSuspected(KnownHost& host, TimePoint now) -> void {
-  host.suspected_until = now + kSuspicionTime;
+  constexpr std::uint32_t kMaxDoublings = 3;
+  const auto doublings = std::min(host.unanswered_openings, kMaxDoublings);
+  host.suspected_until =
+      now + std::min(kSuspicionTime * (1U << doublings), kMaxSuspicionTime);
+  ++host.unanswered_openings;
 }
 
 auto IsHostLive(const KnownHost& host, TimePoint now) -> bool {
-  const bool is_reply_overdue =
-      host.unanswered_since != TimePoint{} &&
-      now - host.unanswered_since >= kHostReplyTimeout;
+  const Duration waited = now - host.tried_at;
+  const bool is_reply_overdue = host.unanswered_requests > 0 &&
+                                waited >= kHostReplyTimeout &&
+                                waited < kHostReplyTimeout + kSuspicionTime;
   return now - host.last_contact < host.unresponsive_after &&
          now >= host.suspected_until && !is_reply_overdue;
 }
 
+auto IsHostUnreachable(const KnownHost& host, Duration silence, TimePoint now)
+    -> bool {
+  const bool leaves_requests_unanswered =
+      host.unanswered_requests >= kMinRequestsToUnreachable &&
+      now - host.unanswered_since >= silence;
+  return leaves_requests_unanswered ||
+         now - host.last_contact >= std::max(silence, host.unresponsive_after);
+}
+
 auto WasTargetAnnouncedCold(const KnownHost& host) -> bool {
   return host.cold_target_started_at_ms != 0 &&
          host.cold_target_started_at_ms == host.record.target.started_at_ms;
@@ -173,7 +152,7 @@
 auto EraseSilentHosts(Fleet& fleet, TimePoint now) -> std::vector<Endpoint> {
   std::vector<Endpoint> erased;
   std::erase_if(fleet.hosts, [&](const auto& it) {
-    if (now - it.second.last_contact < kHostExpiryTime) {
+    if (now - it.second.last_contact < fleet.expiry_time) {
       return false;
     }
     fleet.digest -= ComputeRecordDigest(it.second.record);
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -11,21 +11,6 @@
 using Kind = SteeringAction::Kind;
 using SearchEntry = std::unordered_map<FlowKey, FlowSearch>::iterator;
 
-// Returns the time after this balancer's start within which every agent
-// announces itself to this balancer.
-// The announcement interval grows with the number of balancers.
-auto ComputeSettlingTime(const Steering& steering) -> Duration {
-  const auto balancers =
-      std::count_if(steering.fleet.hosts.begin(), steering.fleet.hosts.end(),
-                    [](const auto& it) {
-                      return it.second.record.role == HostRole::kBalancer;
-                    });
-  return std::max(
-      steering.options.settling_time,
-      kSettlingAnnouncements *
-          ComputeAnnouncementInterval(static_cast<std::size_t>(balancers)));
-}
-
 // Returns whether this balancer and all targets of a service whose state is
 // known have just started, as after a power loss; such targets hold no older
 // flows. Agents that don't know their target's state are ignored if they are
@@ -37,7 +22,7 @@
                             TimePoint now) -> bool {
   const Duration up = now - steering.started;
   if (up < steering.options.restart_settling_time ||
-      up >= ComputeSettlingTime(steering)) {
+      up >= steering.options.settling_time) {
     return false;
   }
   std::size_t cold = 0;
@@ -133,7 +118,7 @@
                            std::vector<SteeringAction>& out) -> void {
   const FlowSearch& search = entry->second;
   const bool settled =
-      now - steering.started >= ComputeSettlingTime(steering) ||
+      now - steering.started >= steering.options.settling_time ||
       HaveTargetsJustStarted(steering, search.service, now);
   // If most agents are unreachable, this balancer itself may be cut off.
   const bool most_are_reachable =
@@ -203,9 +188,8 @@
     -> bool {
   const auto host = steering.fleet.hosts.find(agent);
   return host == steering.fleet.hosts.end() ||
-         now - host->second.last_contact >=
-             std::max(steering.options.search.unreachable_after,
-                      host->second.unresponsive_after);
+         IsHostUnreachable(host->second,
+                           steering.options.search.unreachable_after, now);
 }
 
 // Queries the next agents. When all agents have been queried, offers the first
--- a/src/coordination/host_registry.cc
+++ b/src/coordination/host_registry.cc
@@ -11,6 +11,17 @@
          endpoints.end();
 }
 
+auto ComputeBalancersDigest(const Fleet& fleet) -> std::uint64_t {
+  std::uint64_t digest = 0;
+  for (const auto& [control, host] : fleet.hosts) {
+    if (host.record.role == HostRole::kBalancer) {
+      digest += (std::uint64_t{control.address} << 16U | control.port) *
+                0x9E3779B97F4A7C15ULL;
+    }
+  }
+  return digest;
+}
+
 }  // namespace
 
 auto PlanRegistryChanges(std::span<const Endpoint> listed,
@@ -41,4 +52,24 @@
   return changes;
 }
 
+auto BeginRegistryRepairIfDue(RegistryRepair& repair,
+                              const Fleet& fleet,
+                              std::uint64_t revision,
+                              Duration uptime,
+                              TimePoint now) -> bool {
+  if (uptime < kMinUptimeBeforeRepair ||
+      now - repair.compared_at < kMinRegistryRepairInterval) {
+    return false;
+  }
+  const std::uint64_t balancers = ComputeBalancersDigest(fleet);
+  const bool has_changed =
+      revision != repair.revision || balancers != repair.balancers;
+  const ReaderRank rank = ComputeReaderRank(fleet, now);
+  if (!has_changed || rank.in_zone != 0 || rank.zones != 0) {
+    return false;
+  }
+  repair = {.compared_at = now, .revision = revision, .balancers = balancers};
+  return true;
+}
+
 }  // namespace hawthornbank
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -15,19 +15,42 @@
   return hash ^ (hash >> 33U);
 }
 
-auto FindLeastLoadedCandidate(std::span<const RankedAgent> ranked,
-                              const std::string& zone,
-                              const PlacementOptions& options,
-                              TimePoint now,
-                              auto&& is_allowed) -> KnownHost* {
-  std::vector<RankedAgent> allowed;
-  allowed.reserve(ranked.size());
-  std::copy_if(ranked.begin(), ranked.end(), std::back_inserter(allowed),
-               [&](const RankedAgent& it) { return is_allowed(*it.host); });
-  allowed.resize(MoveCandidatesToFront(allowed, zone, options));
+// Returns the share of a reported value that still counts after `age`.
+auto ComputeRemainingShare(Duration age, Duration lifetime) -> double {
+  return std::exp(-(std::chrono::duration<double>(age) /
+                    std::chrono::duration<double>(lifetime)));
+}
+
+// Estimates the number of requests that run at a target, from the last report.
+auto EstimateRunningRequests(const KnownHost& host,
+                             const PlacementOptions& options,
+                             double average,
+                             TimePoint now) -> double {
+  return average + (host.load.running - average) *
+                       ComputeRemainingShare(now - host.load_reported_at,
+                                             options.load_report_lifetime);
+}
+
+auto EstimateAverageRequests(const KnownHost& host,
+                             const PlacementOptions& options,
+                             TimePoint now) -> double {
+  constexpr double kSixteenth = 1.0 / 16;
+  return host.load.mean_in_flight_x16 * kSixteenth *
+         ComputeRemainingShare(now - host.load_reported_at,
+                               options.average_lifetime);
+}
+
+auto CountSlots(const KnownHost& host) -> double {
+  return std::max<double>(host.record.target.slots, 1);
+}
+
+auto FindLeastLoadedHost(std::span<const RankedAgent> candidates,
+                         const std::string& zone,
+                         const PlacementOptions& options,
+                         TimePoint now) -> KnownHost* {
   KnownHost* best = nullptr;
   double best_score = 0;
-  for (const auto& it : allowed) {
+  for (const auto& it : candidates) {
     const double score = ComputeLoadScore(*it.host, zone, options, now);
     if (best == nullptr || score < best_score) {
       best = it.host;
@@ -37,10 +60,24 @@
   return best;
 }
 
-// Returns the share of a reported value that still counts after `age`.
-auto ComputeRemainingShare(Duration age, Duration lifetime) -> double {
-  return std::exp(-(std::chrono::duration<double>(age) /
-                    std::chrono::duration<double>(lifetime)));
+auto FindLeastLoadedCandidate(std::span<const RankedAgent> ranked,
+                              const std::string& zone,
+                              const PlacementOptions& options,
+                              TimePoint now,
+                              auto&& is_allowed) -> KnownHost* {
+  std::vector<RankedAgent> allowed;
+  allowed.reserve(ranked.size());
+  std::copy_if(ranked.begin(), ranked.end(), std::back_inserter(allowed),
+               [&](const RankedAgent& it) { return is_allowed(*it.host); });
+  allowed.resize(MoveCandidatesToFront(allowed, zone, options));
+  const auto others = std::find_if(
+      allowed.begin(), allowed.end(),
+      [&](const RankedAgent& it) { return it.host->record.zone != zone; });
+  KnownHost* const nearest =
+      FindLeastLoadedHost({allowed.begin(), others}, zone, options, now);
+  return nearest != nullptr && !IsTargetBusy(*nearest, options, now)
+             ? nearest
+             : FindLeastLoadedHost(allowed, zone, options, now);
 }
 
 }  // namespace
@@ -94,18 +131,12 @@
                       const std::string& zone,
                       const PlacementOptions& options,
                       TimePoint now) -> double {
-  constexpr double kSixteenth = 1.0 / 16;
-  const Duration age = now - host.load_reported_at;
-  const double average = host.load.mean_in_flight_x16 * kSixteenth *
-                         ComputeRemainingShare(age, options.average_lifetime);
-  const double running =
-      average + (host.load.running - average) *
-                    ComputeRemainingShare(age, options.load_report_lifetime);
-  const double slots = std::max<double>(host.record.target.slots, 1);
+  const double average = EstimateAverageRequests(host, options, now);
+  const double running = EstimateRunningRequests(host, options, average, now);
   double score =
       (running + host.openings_since_load + average * options.average_weight +
        host.load.flows * options.flow_weight) /
-      slots;
+      CountSlots(host);
   if (host.record.target.cold) {
     score *= options.cold_target_factor;
   }
@@ -118,6 +149,18 @@
   return score;
 }
 
+auto IsTargetBusy(const KnownHost& host,
+                  const PlacementOptions& options,
+                  TimePoint now) -> bool {
+  const double average = EstimateAverageRequests(host, options, now);
+  const double running = EstimateRunningRequests(host, options, average, now) +
+                         host.openings_since_load;
+  const double factor =
+      host.record.target.cold ? options.cold_target_factor : 1.0;
+  return host.load.failing ||
+         running * factor >= options.busy_share * CountSlots(host);
+}
+
 auto ChooseTargetForFlow(std::span<const RankedAgent> ranked,
                          const std::string& zone,
                          const PlacementOptions& options,
--- a/src/coordination/route_follower.cc
+++ b/src/coordination/route_follower.cc
@@ -7,43 +7,61 @@
 
 constexpr std::uint32_t kMaxBackoffDoublings = 8;
 
-auto ComputeConfirmationAgeForPoll(const RouteFollowerOptions& options,
-                                   std::size_t rank) -> Duration {
-  if (rank == 0) {
+auto IsFirstReader(const ReaderRank& rank) -> bool {
+  return rank.in_zone == 0 && rank.zones == 0;
+}
+
+// Returns the age of the last confirmation at which a balancer polls.
+auto ComputeConfirmationAgeForPoll(const RouteFollower& follower,
+                                   const ReaderRank& rank) -> Duration {
+  const RouteFollowerOptions& options = follower.options;
+  if (IsFirstReader(rank)) {
     return options.first_poll_age;
   }
   const Duration extra =
-      options.second_rank_extra +
-      options.further_rank_extra * static_cast<int>(rank - 1);
-  return options.first_poll_age + std::min(extra, options.max_rank_extra);
+      rank.in_zone == 0
+          ? options.second_rank_extra +
+                options.further_rank_extra * static_cast<int>(rank.zones - 1)
+          : options.in_zone_extra +
+                options.further_rank_extra * static_cast<int>(rank.in_zone);
+  return std::max(options.first_poll_age, follower.news_interval) +
+         std::min(extra, options.max_rank_extra);
+}
+
+// Returns whether a starting balancer still waits for its peers' routes.
+auto IsWaitingForPeers(const RouteFollower& follower,
+                       const ReaderRank& rank,
+                       TimePoint now) -> bool {
+  const RouteFollowerOptions& options = follower.options;
+  const Duration extra =
+      options.start_rank_extra * static_cast<int>(rank.in_zone + rank.zones);
+  return now < follower.started + options.seed_reply_time +
+                   std::min(extra, options.max_start_extra);
 }
 
 }  // namespace
 
 auto BeginStoreCallIfDue(RouteFollower& follower,
-                         std::size_t rank,
+                         const ReaderRank& rank,
                          TimePoint now) -> StoreCall {
-  if (follower.has_call_in_flight || now < follower.store_retry_at) {
+  const bool is_due = follower.must_read_routes ||
+                      now - follower.confirmed_at >=
+                          ComputeConfirmationAgeForPoll(follower, rank);
+  if (follower.has_call_in_flight || now < follower.store_retry_at || !is_due ||
+      IsWaitingForPeers(follower, rank, now)) {
     return StoreCall::kNone;
   }
-  auto call = StoreCall::kNone;
-  if (!follower.is_current) {
-    call = StoreCall::kRoutes;
-  } else if (now - follower.confirmed_at >=
-             ComputeConfirmationAgeForPoll(follower.options, rank)) {
-    call = StoreCall::kRevision;
-  }
-  if (call != StoreCall::kNone) {
-    follower.has_call_in_flight = true;
-    follower.store_call_started_at = now;
-  }
-  return call;
+  follower.has_call_in_flight = true;
+  follower.store_call_started_at = now;
+  follower.is_zone_reader = rank.in_zone == 0;
+  return follower.is_current ? StoreCall::kRevision : StoreCall::kRoutes;
 }
 
 auto OnStoreRevision(RouteFollower& follower, std::uint64_t revision) -> void {
   follower.has_call_in_flight = false;
   follower.failures = 0;
   follower.is_current = revision == follower.revision;
+  follower.must_read_routes = !follower.is_current;
   if (follower.is_current) {
     follower.confirmed_at =
         std::max(follower.confirmed_at, follower.store_call_started_at);
@@ -59,9 +77,10 @@
     -> void {
   follower.has_call_in_flight = false;
   const auto doublings = std::min(follower.failures, kMaxBackoffDoublings);
-  const Duration delay =
-      std::min(follower.options.min_retry_delay * (1U << doublings),
-               follower.options.max_retry_delay);
+  const Duration delay = std::min(
+      follower.options.min_retry_delay * (1U << doublings),
+      follower.is_zone_reader ? follower.options.max_retry_delay
+                              : follower.options.max_in_zone_retry_delay);
   ++follower.failures;
   const double jitter_factor = 0.5 + DrawRandomFraction(random) / 2;
   follower.store_retry_at =
@@ -74,18 +93,37 @@
                          std::uint64_t version,
                          Duration age,
                          std::uint64_t in_force,
-                         TimePoint now) -> void {
+                         TimePoint now) -> bool {
   if (version == 0 || version < in_force) {
-    return;
+    return false;
   }
   if (version == in_force) {
+    const bool is_later = now - age > follower.confirmed_at;
     follower.confirmed_at = std::max(follower.confirmed_at, now - age);
-    return;
+    return is_later;
   }
   if (version >= follower.peer_version) {
     follower.peer_version = version;
     follower.peer = peer;
+    follower.peer_confirmed_at = now - age;
   }
+  return false;
+}
+
+auto OnPeerRoutesInForce(RouteFollower& follower, std::uint64_t version)
+    -> void {
+  if (version == follower.peer_version) {
+    follower.confirmed_at =
+        std::max(follower.confirmed_at, follower.peer_confirmed_at);
+  }
+}
+
+auto BeginRoutesNewsIfDue(RouteFollower& follower, TimePoint now) -> bool {
+  if (now - follower.news_sent_at < follower.news_interval) {
+    return false;
+  }
+  follower.news_sent_at = now;
+  return true;
 }
 
 auto BeginPeerFetchIfDue(RouteFollower& follower,
--- a/src/protocol/node_message.h
+++ b/src/protocol/node_message.h
@@ -9,6 +9,7 @@
 #include "hawthornbank/fleet.h"
 #include "hawthornbank/packet.h"
 #include "hawthornbank/relay.h"
+#include "hawthornbank/roster_sync.h"
 #include "hawthornbank/wire.h"
 
 /// @file
@@ -16,17 +17,28 @@
 /// datagram.
 namespace hawthornbank {
 
+/// Version of the routes that a process has.
+struct RoutesReport {
+  std::uint64_t version = 0;
+  /// Time since the process last knew that `version` was the newest version.
+  std::uint32_t age_ms = 0;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    wire::SerializeVarint(archive, version);
+    wire::SerializeVarint(archive, age_ms);
+  }
+};
+
 /// Announcement of a process: the sender's record, load and routes version.
+/// Sent when the record changes, to hosts that don't know the sender, and in
+/// reply to a RecordRequest.
 struct HostAnnouncement {
   HostRecord record;
   TargetLoad load;
   /// Digest of all host records that the sender knows.
   std::uint64_t roster_digest = 0;
-  /// Version of the routes in force at the sender.
-  std::uint64_t routes_version = 0;
-  /// Time since the sender last knew that `routes_version` was the newest
-  /// version.
-  std::uint32_t routes_version_age_ms = 0;
+  RoutesReport routes;
   /// Whether the sender knows no balancer and needs the whole roster.
   bool wants_roster = false;
 
@@ -34,23 +46,44 @@
   auto serialize(Archive& archive) -> void {
     archive(record, load, roster_digest);
     wire::SerializeBool(archive, wants_roster);
-    wire::SerializeVarint(archive, routes_version);
-    wire::SerializeVarint(archive, routes_version_age_ms);
+    archive(routes);
   }
 };
 
-/// A host's record that another process forwards.
-struct ForwardedHostRecord {
-  HostRecord record;
-  std::uint32_t age_ms = 0;  ///< Time since the host's last announcement.
+/// Periodic sign of life of a process whose record hasn't changed.
+struct HostHeartbeat {
+  std::uint64_t incarnation = 0;  ///< Of the sender's record.
+  std::uint32_t revision = 0;     ///< Of the sender's record.
+  TargetLoad load;
+  std::uint64_t roster_digest = 0;  ///< As in HostAnnouncement.
+  RoutesReport routes;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(record);
-    wire::SerializeVarint(archive, age_ms);
+    archive(load, roster_digest, routes);
+    wire::SerializeVarint(archive, incarnation);
+    wire::SerializeVarint(archive, revision);
   }
 };
 
+/// Checksums of a balancer's records. The receiver replies with the records of
+/// the groups that differ from its own.
+struct RosterComparison {
+  std::vector<std::uint32_t> buckets;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    wire::SerializeList(archive, buckets);
+  }
+};
+
+/// Asks the receiver for its announcement, because the sender doesn't have the
+/// record of the receiver's last heartbeat.
+struct RecordRequest {
+  template <class Archive>
+  auto serialize(Archive&) -> void {}
+};
+
 /// Records of hosts that the receiver may not know.
 struct RosterPart {
   std::vector<ForwardedHostRecord> records;
@@ -62,8 +95,13 @@
 };
 
 /// Any message between the processes of a fleet.
-using NodeMessage =
-    std::variant<HostAnnouncement, RosterPart, FlowReply, FlowQuery>;
+using NodeMessage = std::variant<HostAnnouncement,
+                                 RosterPart,
+                                 FlowReply,
+                                 FlowQuery,
+                                 HostHeartbeat,
+                                 RosterComparison,
+                                 RecordRequest>;
 
 /// Maximum number of records in a RosterPart, so that the part fits a datagram
 /// of 1,400 bytes.
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -67,10 +67,9 @@
             [this](const FlowQuery& query, TimePoint now) {
               OnFlowQueryReceived(query, now);
             },
-        .on_announcement =
-            [this](const HostAnnouncement& announcement, TimePoint now) {
-              peers_.OnPeerAnnouncement(announcement, stored_routes_version_,
-                                        now);
+        .on_routes_report =
+            [this](Endpoint peer, const RoutesReport& report, TimePoint now) {
+              peers_.OnPeerReport(peer, report, stored_routes_version_, now);
             },
         .on_http_request =
             [this](const HttpServerRequest& call) {
@@ -87,10 +86,10 @@
             },
         .on_shutdown = [this](TimePoint now) { BeginShutdown(now); },
         .on_settings_reload = [](const NodeSettings&) {},
-        .describe_routes_version =
-            [this](HostAnnouncement& announcement, TimePoint) {
-              announcement.routes_version = stored_routes_version_;
-              announcement.routes_version_age_ms = kUnconfirmedRoutesAgeMs;
+        .describe_routes =
+            [this](TimePoint) {
+              return RoutesReport{.version = stored_routes_version_,
+                                  .age_ms = kUnconfirmedRoutesAgeMs};
             },
     });
   }
@@ -300,7 +299,7 @@
         ToString(outcome), id, ToString(presence_.status.state),
         presence_.status.started_at_ms, presence_.sequence,
         presence_.status.slots, presence_.status.cold);
-    host_.AnnounceSelf(now);
+    host_.gossip().AnnounceSelf(now);
   }
 
   // An agent doesn't use the routes. The agent keeps the newest routes for
@@ -316,7 +315,7 @@
     host_.event_log().WriteEvent(EventKind::kStateChange, now,
                                  "routes_kept version={} bytes={}",
                                  stored_routes_version_, document.size());
-    host_.AnnounceSelf(now);
+    host_.gossip().AnnounceSelf(now);
   }
 
   auto FormatNodeMetrics() -> std::string {
@@ -339,7 +338,7 @@
       ResetAllTargetFlows(target_, actions_);
       PerformTargetActions({}, now);
     }
-    host_.AnnounceSelf(now);
+    host_.gossip().AnnounceSelf(now);
     ScheduleShutdownCheck();
   }
 
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -35,10 +35,6 @@
   return bytes + datagrams * kHeaderBytes;
 }
 
-auto IsEndpointBefore(Endpoint a, Endpoint b) -> bool {
-  return a.address != b.address ? a.address < b.address : a.port < b.port;
-}
-
 // Formats the traffic counters of a socket as metrics.
 auto FormatTrafficCounters(const char* socket, const UdpTraffic& traffic)
     -> std::string {
@@ -52,6 +48,9 @@
       traffic.sent_bytes, traffic.send_failures);
 }
 
+// Where a balancer got its routes from.
+enum class RoutesSource : std::uint8_t { kStore, kPeer };
+
 class BalancerNode {
  public:
   BalancerNode(const NodeSettings& settings, const NodeCodec& codec)
@@ -65,7 +64,7 @@
         peers_(host_,
                follower_,
                [this](const RouteSet& routes, const std::string& document) {
-                 PutRoutesInForceIfNewer(routes, document, "peer",
+                 PutRoutesInForceIfNewer(routes, document, RoutesSource::kPeer,
                                          GetMonotonicTime());
                }) {}
 
@@ -73,12 +72,13 @@
     data_.StartReceiving([this](Endpoint, ByteView datagram) {
       OnCallerSocketDatagram(datagram, GetMonotonicTime());
     });
-    RunStoreTick();
     steering_.started = host_.start_time();
+    follower_.started = host_.start_time();
     steering_.link.options.bytes_per_second =
         host_.settings().link_bytes_per_second;
     steering_.link.measured_at = host_.start_time();
     steering_.random = host_.random();
+    RunStoreTick();
     return host_.RunEventLoop(NodeRole{
         .describe_self =
             [this](HostRecord& record, TargetLoad&) {
@@ -93,10 +93,9 @@
               OnFlowReplyReceived(reply, now);
             },
         .on_flow_query = [](const FlowQuery&, TimePoint) {},
-        .on_announcement =
-            [this](const HostAnnouncement& announcement, TimePoint now) {
-              peers_.OnPeerAnnouncement(announcement, steering_.routes.version,
-                                        now);
+        .on_routes_report =
+            [this](Endpoint peer, const RoutesReport& report, TimePoint now) {
+              OnRoutesReport(peer, report, now);
             },
         .on_http_request =
             [this](const HttpServerRequest& call) {
@@ -109,14 +108,8 @@
             [this](const NodeSettings& settings) {
               OnSettingsReload(settings);
             },
-        .describe_routes_version =
-            [this](HostAnnouncement& announcement, TimePoint now) {
-              announcement.routes_version = steering_.routes.version;
-              announcement.routes_version_age_ms = static_cast<std::uint32_t>(
-                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                      now - follower_.confirmed_at)
-                      .count());
-            },
+        .describe_routes =
+            [this](TimePoint now) { return DescribeRoutes(now); },
     });
   }
 
@@ -273,9 +266,39 @@
 
   // Routes ------------------------------------------------------------------
 
+  [[nodiscard]] auto DescribeRoutes(TimePoint now) const -> RoutesReport {
+    return RoutesReport{
+        .version = steering_.routes.version,
+        .age_ms = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - follower_.confirmed_at)
+                .count())};
+  }
+
+  // Passes the news of another zone's reader on in this balancer's zone.
+  auto OnRoutesReport(Endpoint peer, const RoutesReport& report, TimePoint now)
+      -> void {
+    const bool is_confirmed =
+        peers_.OnPeerReport(peer, report, steering_.routes.version, now);
+    if (is_confirmed && IsInOtherZone(peer) &&
+        ComputeReaderRank(steering_.fleet, now).in_zone == 0 &&
+        BeginRoutesNewsIfDue(follower_, now)) {
+      host_.gossip().SendRoutesNews(false, now);
+    }
+  }
+
+  [[nodiscard]] auto IsInOtherZone(Endpoint peer) const -> bool {
+    const auto it = steering_.fleet.hosts.find(peer);
+    return it != steering_.fleet.hosts.end() &&
+           it->second.record.zone != steering_.fleet.self.zone;
+  }
+
   auto RunStoreTick() -> void {
     const TimePoint now = GetMonotonicTime();
-    switch (BeginStoreCallIfDue(follower_, CountPrecedingBalancers(now), now)) {
+    follower_.news_interval =
+        ComputeRoutesNewsInterval(host_.gossip().fleet_size());
+    switch (BeginStoreCallIfDue(follower_,
+                                ComputeReaderRank(steering_.fleet, now), now)) {
       case StoreCall::kRevision:
         store_->SendHttpRequest(host_.codec().make_read_revision_request(),
                                 follower_.options.store_timeout,
@@ -298,21 +321,6 @@
                               [this](TimePoint) { RunStoreTick(); });
   }
 
-  // Returns the number of live balancers with a lower control endpoint, which
-  // precede this balancer in the order in which balancers read the store.
-  [[nodiscard]] auto CountPrecedingBalancers(TimePoint now) const
-      -> std::size_t {
-    std::size_t rank = 0;
-    for (const auto& [control, host] : steering_.fleet.hosts) {
-      rank += host.record.role == HostRole::kBalancer &&
-                      !host.record.is_shutting_down && IsHostLive(host, now) &&
-                      IsEndpointBefore(control, steering_.fleet.self.control)
-                  ? 1
-                  : 0;
-    }
-    return rank;
-  }
-
   auto OnStoreRevisionResponse(const HttpResponse& reply) -> void {
     const auto revision =
         host_.codec().decode_store_revision(reply.status, reply.body);
@@ -322,6 +330,10 @@
     }
     RecordStoreResponse(*revision);
     OnStoreRevision(follower_, *revision);
+    const TimePoint now = GetMonotonicTime();
+    if (follower_.is_current && BeginRoutesNewsIfDue(follower_, now)) {
+      host_.gossip().SendRoutesNews(true, now);
+    }
     ScheduleNextStoreCall();
   }
 
@@ -335,24 +347,26 @@
     RecordStoreResponse(answer.revision);
     OnStoreRoutes(follower_, answer.revision);
     if (answer.routes.has_value()) {
-      PutRoutesInForceIfNewer(*answer.routes, answer.document, "store",
-                              GetMonotonicTime());
+      PutRoutesInForceIfNewer(*answer.routes, answer.document,
+                              RoutesSource::kStore, GetMonotonicTime());
     }
-    RepairBalancerRegistry();
     ScheduleNextStoreCall();
   }
 
   // Compares the store's list of balancers with the known balancers and repairs
   // the list, because a change of the store's revision may mean lost entries.
-  auto RepairBalancerRegistry() -> void {
-    if (host_.registry_client().HasCallInFlight()) {
+  auto RepairBalancerRegistryIfDue(std::uint64_t revision) -> void {
+    const TimePoint now = GetMonotonicTime();
+    if (host_.registry_client().HasCallInFlight() ||
+        !BeginRegistryRepairIfDue(registry_repair_, steering_.fleet, revision,
+                                  now - host_.start_time(), now)) {
       return;
     }
     host_.registry_client().RequestBalancerList(
         [this](const std::vector<Endpoint>& hosts) {
-          const TimePoint now = GetMonotonicTime();
+          const TimePoint then = GetMonotonicTime();
           host_.registry_client().SendRegistryChanges(PlanRegistryChanges(
-              hosts, steering_.fleet, now - host_.start_time(), now));
+              hosts, steering_.fleet, then - host_.start_time(), then));
         });
   }
 
@@ -369,6 +383,7 @@
   }
 
   auto RecordStoreResponse(std::uint64_t revision) -> void {
+    RepairBalancerRegistryIfDue(revision);
     store_call_latency_.AddSample(GetMonotonicTime() -
                                   follower_.store_call_started_at);
     if (follower_.failures > 0) {
@@ -387,9 +402,10 @@
 
   auto PutRoutesInForceIfNewer(const RouteSet& routes,
                                const std::string& document,
-                               const char* source,
+                               RoutesSource source,
                                TimePoint now) -> void {
     const std::uint64_t before = steering_.routes.version;
+    const bool is_from_store = source == RoutesSource::kStore;
     if (!ReplaceRoutesIfNewer(steering_.routes, routes)) {
       return;
     }
@@ -398,8 +414,13 @@
         EventKind::kStateChange, now,
         "routes_in_force version={} before={} routes={} "
         "source={}",
-        routes.version, before, routes.routes.size(), source);
-    host_.AnnounceSelf(now);
+        routes.version, before, routes.routes.size(),
+        is_from_store ? "store" : "peer");
+    if (!is_from_store) {
+      OnPeerRoutesInForce(follower_, routes.version);
+    }
+    follower_.news_sent_at = now;
+    host_.gossip().SendRoutesNews(is_from_store, now);
   }
 
   // HTTP and shutdown -------------------------------------------------------
@@ -458,7 +479,7 @@
   auto BeginShutdown(TimePoint now) -> void {
     shutdown_deadline_ = now + host_.settings().grace_period - kShutdownMargin;
     last_packet_at_ = now;
-    host_.AnnounceSelf(now);
+    host_.gossip().AnnounceSelf(now);
     ScheduleShutdownCheck();
   }
 
@@ -478,6 +499,7 @@
   NodeHost host_;
   UdpSocket data_;
   RouteFollower follower_;
+  RegistryRepair registry_repair_;
   std::unique_ptr<HttpClient> store_;
 
   asio::steady_timer opening_timer_;
--- /dev/null
+++ b/src/transport/node_gossip.cc
@@ -0,0 +1,406 @@
+#include "transport/node_gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hawthornbank/roster_sync.h"
+#include "transport/clock.h"
+#include "transport/node_host.h"
+
+namespace hawthornbank::transport {
+namespace {
+
+auto GetRoleName(HostRole role) -> const char* {
+  return role == HostRole::kBalancer ? "balancer" : "agent";
+}
+
+}  // namespace
+
+NodeGossip::NodeGossip(NodeHost& host, Fleet& fleet)
+    : host_(host),
+      fleet_(fleet),
+      timer_(host.io_context()),
+      relay_timer_(host.io_context()),
+      next_registry_read_(host.start_time() + kSeedReplyTimeout) {}
+
+auto NodeGossip::StartGossip(GossipCallbacks callbacks) -> void {
+  callbacks_ = std::move(callbacks);
+  RunGossipTick();
+}
+
+auto NodeGossip::IsBalancer() const -> bool {
+  return fleet_.self.role == HostRole::kBalancer;
+}
+
+auto NodeGossip::KnowsAnyBalancer() const -> bool {
+  return CountBalancers(fleet_).balancers > (IsBalancer() ? 1U : 0U);
+}
+
+// Own state -----------------------------------------------------------------
+
+// Returns whether the own record changed.
+auto NodeGossip::UpdateOwnState(TimePoint now) -> bool {
+  HostRecord record = fleet_.self;
+  callbacks_.describe_self(record, load_);
+  if (!UpdateOwnRecord(fleet_, record)) {
+    return false;
+  }
+  host_.event_log().WriteEvent(
+      EventKind::kStateChange, now,
+      "own_record revision={} leaving={} target={} born={}",
+      fleet_.self.revision, fleet_.self.is_shutting_down,
+      ToString(fleet_.self.target.state), fleet_.self.target.started_at_ms);
+  return true;
+}
+
+auto NodeGossip::MakeAnnouncement(TimePoint now) -> HostAnnouncement {
+  return HostAnnouncement{.record = fleet_.self,
+                          .load = load_,
+                          .roster_digest = fleet_.digest,
+                          .routes = callbacks_.describe_routes(now),
+                          .wants_roster = !KnowsAnyBalancer()};
+}
+
+auto NodeGossip::MakeHeartbeat(TimePoint now) -> HostHeartbeat {
+  return HostHeartbeat{.incarnation = fleet_.self.incarnation,
+                       .revision = fleet_.self.revision,
+                       .load = load_,
+                       .roster_digest = fleet_.digest,
+                       .routes = callbacks_.describe_routes(now)};
+}
+
+// Returns the seeds that are not in the fleet yet. While no balancer is known,
+// the result also contains the balancers that the store lists.
+auto NodeGossip::ListUnknownSeeds() const -> std::vector<Endpoint> {
+  std::vector<Endpoint> unknown;
+  const auto add = [&](Endpoint it) {
+    if (it != fleet_.self.control && !fleet_.hosts.contains(it)) {
+      unknown.push_back(it);
+    }
+  };
+  const auto& seeds = host_.settings().seeds;
+  std::for_each(seeds.begin(), seeds.end(), add);
+  if (!KnowsAnyBalancer()) {
+    std::for_each(listed_balancers_.begin(), listed_balancers_.end(), add);
+  }
+  return unknown;
+}
+
+auto NodeGossip::AnnounceSelf(TimePoint now) -> void {
+  UpdateOwnState(now);
+  const Bytes datagram = EncodeNodeMessage(MakeAnnouncement(now));
+  for (const auto it : ListChangeReceivers(fleet_, now)) {
+    host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
+  }
+  for (const auto it : ListUnknownSeeds()) {
+    host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
+  }
+}
+
+auto NodeGossip::SendAnnouncement(Endpoint to, TimePoint now) -> void {
+  UpdateOwnState(now);
+  host_.SendControlDatagram(DatagramKind::kAnnouncement, to,
+                            EncodeNodeMessage(MakeAnnouncement(now)));
+}
+
+auto NodeGossip::SendRoutesNews(bool from_store, TimePoint now) -> void {
+  const Bytes datagram = EncodeNodeMessage(MakeHeartbeat(now));
+  for (const auto it : ListRoutesNewsReceivers(fleet_, from_store, now)) {
+    host_.SendControlDatagram(DatagramKind::kHeartbeat, it, datagram);
+  }
+  NotifyRouteHolders(now);
+}
+
+auto NodeGossip::SendHeartbeats(TimePoint now) -> void {
+  const Bytes datagram = EncodeNodeMessage(MakeHeartbeat(now));
+  for (const auto it : ListHeartbeatReceivers(fleet_, round_, now)) {
+    host_.SendControlDatagram(DatagramKind::kHeartbeat, it, datagram);
+  }
+  ++round_;
+}
+
+auto NodeGossip::IntroduceBalancer(TimePoint now) -> void {
+  const Bytes datagram = EncodeNodeMessage(MakeAnnouncement(now));
+  for (const auto& [control, host] : fleet_.hosts) {
+    if (MustIntroduceBalancer(fleet_, size_, host, now)) {
+      host_.SendControlDatagram(DatagramKind::kAnnouncement, control, datagram);
+    }
+  }
+}
+
+auto NodeGossip::NotifyRouteHolders(TimePoint now) -> void {
+  if (!IsBalancer()) {
+    return;
+  }
+  const HostAnnouncement announcement = MakeAnnouncement(now);
+  const Bytes datagram = EncodeNodeMessage(announcement);
+  for (const auto it :
+       ListAgentsToNotifyOfRoutes(fleet_, announcement.routes.version, now)) {
+    host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
+  }
+}
+
+// Reads the store's list of balancers if a read is due, because all seeds may
+// stay down for a long time while other balancers run.
+auto NodeGossip::RequestBalancersFromRegistry(TimePoint now) -> void {
+  RegistryClient& registry = host_.registry_client();
+  if (now < next_registry_read_ || registry.HasCallInFlight()) {
+    return;
+  }
+  next_registry_read_ = now + kRegistryRetryInterval;
+  registry.RequestBalancerList([this](const std::vector<Endpoint>& hosts) {
+    const TimePoint then = GetMonotonicTime();
+    host_.event_log().WriteEvent(EventKind::kStateChange, then,
+                                 "registry_read balancers={}", hosts.size());
+    listed_balancers_ = hosts;
+    AnnounceSelf(then);
+  });
+}
+
+auto NodeGossip::RunGossipTick() -> void {
+  const TimePoint now = GetMonotonicTime();
+  size_ = CountBalancers(fleet_);
+  fleet_.expiry_time = ComputeExpiryTime(size_, fleet_.self.role);
+  const bool was_searching = std::exchange(is_searching_, !KnowsAnyBalancer());
+  if (is_searching_) {
+    AnnounceSelf(now);
+    RequestBalancersFromRegistry(now);
+  } else if (UpdateOwnState(now) || was_searching) {
+    AnnounceSelf(now);
+  } else {
+    SendHeartbeats(now);
+    const Bytes datagram = EncodeNodeMessage(MakeAnnouncement(now));
+    for (const auto it : ListUnknownSeeds()) {
+      host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
+    }
+  }
+  if (IsBalancer()) {
+    IntroduceBalancer(now);
+    NotifyRouteHolders(now);
+  }
+  NodeHost::ScheduleHandler(timer_,
+                            is_searching_ ? kSearchAnnouncementInterval
+                                          : ComputeHeartbeatInterval(size_),
+                            [this](TimePoint) { RunGossipTick(); });
+}
+
+// Messages of other processes -----------------------------------------------
+
+auto NodeGossip::OnGossipMessage(Endpoint from,
+                                 const NodeMessage& message,
+                                 TimePoint now) -> void {
+  if (const auto* const announcement =
+          std::get_if<HostAnnouncement>(&message)) {
+    OnAnnouncement(*announcement, now);
+  } else if (const auto* const heartbeat =
+                 std::get_if<HostHeartbeat>(&message)) {
+    OnHeartbeat(from, *heartbeat, now);
+  } else if (const auto* const part = std::get_if<RosterPart>(&message)) {
+    OnRosterPart(*part, now);
+  } else if (const auto* const comparison =
+                 std::get_if<RosterComparison>(&message)) {
+    OnRosterComparison(from, *comparison, now);
+  } else if (std::holds_alternative<RecordRequest>(message)) {
+    SendAnnouncement(from, now);
+  }
+}
+
+auto NodeGossip::MergeRecord(const HostRecord& record,
+                             Duration age,
+                             TimePoint now) -> MergeOutcome {
+  const auto outcome = MergeHostRecord(fleet_, record, age, now);
+  if (outcome == MergeOutcome::kChanged) {
+    has_changed_since_sync_ = true;
+    fleet_.hosts.at(record.control).unresponsive_after =
+        ComputeUnresponsiveTime(size_, record.zone == fleet_.self.zone);
+    host_.event_log().WriteEvent(
+        EventKind::kStateChange, now,
+        "host_changed host={} role={} zone={} incarnation={} revision={} "
+        "leaving={} target={} born={} slots={}",
+        ToString(record.control), GetRoleName(record.role), record.zone,
+        record.incarnation, record.revision, record.is_shutting_down,
+        ToString(record.target.state), record.target.started_at_ms,
+        record.target.slots);
+  } else if (outcome == MergeOutcome::kOwnRecordSuperseded) {
+    host_.event_log().WriteEvent(EventKind::kStateChange, now,
+                                 "own_record_outranked incarnation={}",
+                                 fleet_.self.incarnation);
+    AnnounceSelf(now);
+  }
+  return outcome;
+}
+
+auto NodeGossip::RecordContact(KnownHost& host,
+                               const TargetLoad& load,
+                               const RoutesReport& routes,
+                               TimePoint now) -> void {
+  RecordHostContact(host, now);
+  RecordTargetLoad(host, load, now);
+  host.unresponsive_after =
+      ComputeUnresponsiveTime(size_, host.record.zone == fleet_.self.zone);
+  host.version = routes.version;
+  callbacks_.on_routes_report(host.record.control, routes, now);
+}
+
+auto NodeGossip::OnAnnouncement(const HostAnnouncement& announcement,
+                                TimePoint now) -> void {
+  const HostRecord& record = announcement.record;
+  const auto outcome = MergeRecord(record, Duration::zero(), now);
+  const auto host = fleet_.hosts.find(record.control);
+  if (host == fleet_.hosts.end()) {
+    return;
+  }
+  if (outcome != MergeOutcome::kOlderRecord) {
+    RecordContact(host->second, announcement.load, announcement.routes, now);
+  }
+  if (outcome == MergeOutcome::kChanged && record.zone != fleet_.self.zone) {
+    RelayLater(record);
+  }
+  if (!IsBalancer()) {
+    // Balancers announce themselves to agents that they haven't heard from.
+    SendAnnouncement(record.control, now);
+  } else if (announcement.wants_roster) {
+    SendWholeRoster(record, now);
+  } else if (record.role == HostRole::kBalancer) {
+    CompareRecordsIfDue(record.control, announcement.roster_digest, now);
+  }
+}
+
+auto NodeGossip::OnHeartbeat(Endpoint from,
+                             const HostHeartbeat& heartbeat,
+                             TimePoint now) -> void {
+  const auto host = fleet_.hosts.find(from);
+  const auto version = std::pair(heartbeat.incarnation, heartbeat.revision);
+  if (host == fleet_.hosts.end() ||
+      std::pair(host->second.record.incarnation, host->second.record.revision) <
+          version) {
+    host_.SendControlDatagram(DatagramKind::kRoster, from,
+                              EncodeNodeMessage(RecordRequest{}));
+    return;
+  }
+  if (host->second.record.incarnation != heartbeat.incarnation) {
+    return;  // A late heartbeat of an earlier start of the process.
+  }
+  RecordContact(host->second, heartbeat.load, heartbeat.routes, now);
+  if (host->second.record.role == HostRole::kBalancer) {
+    CompareRecordsIfDue(from, heartbeat.roster_digest, now);
+  }
+}
+
+auto NodeGossip::OnRosterPart(const RosterPart& part, TimePoint now) -> void {
+  const bool searched = !KnowsAnyBalancer();
+  bool has_new_record = false;
+  for (const auto& it : part.records) {
+    if (!ShouldStoreRecord(it.record, fleet_.self.role)) {
+      continue;
+    }
+    const bool is_unknown = !fleet_.hosts.contains(it.record.control);
+    const auto outcome =
+        MergeRecord(it.record, std::chrono::milliseconds{it.age_ms}, now);
+    const bool is_near =
+        IsFullMesh(size_) || it.record.zone == fleet_.self.zone;
+    if (outcome == MergeOutcome::kChanged && is_unknown && !searched &&
+        is_near && it.record.role == HostRole::kBalancer) {
+      // The balancer has started since this process announced itself.
+      SendAnnouncement(it.record.control, now);
+    }
+    has_new_record = has_new_record || outcome == MergeOutcome::kChanged;
+  }
+  if (searched && has_new_record) {
+    size_ = CountBalancers(fleet_);
+    RunGossipTick();
+  }
+}
+
+// Comparison of records -----------------------------------------------------
+
+auto NodeGossip::CompareRecordsIfDue(Endpoint peer,
+                                     std::uint64_t peer_digest,
+                                     TimePoint now) -> void {
+  if (!IsBalancer() || peer_digest == fleet_.digest || now < next_sync_) {
+    return;
+  }
+  const bool is_new = now - host_.start_time() < kFirstSyncPeriod;
+  sync_interval_ = has_changed_since_sync_
+                       ? kSyncInterval
+                       : std::min(sync_interval_ * 2, kMaxSyncInterval);
+  next_sync_ = now + (is_new ? kFirstSyncInterval : sync_interval_);
+  has_changed_since_sync_ = false;
+  host_.SendControlDatagram(DatagramKind::kRoster, peer,
+                            EncodeNodeMessage(RosterComparison{
+                                .buckets = ComputeRosterBuckets(fleet_)}));
+}
+
+auto NodeGossip::OnRosterComparison(Endpoint from,
+                                    const RosterComparison& comparison,
+                                    TimePoint now) -> void {
+  SendRecords(from, ListDifferingRecords(fleet_, comparison.buckets, now));
+}
+
+auto NodeGossip::SendWholeRoster(const HostRecord& receiver, TimePoint now)
+    -> void {
+  std::vector<ForwardedHostRecord> records{{.record = fleet_.self}};
+  for (const auto& [control, host] : fleet_.hosts) {
+    if (control != receiver.control &&
+        ShouldStoreRecord(host.record, receiver.role)) {
+      records.push_back(ForwardHostRecord(host, now));
+    }
+  }
+  SendRecords(receiver.control, records);
+}
+
+auto NodeGossip::SendRecords(Endpoint to,
+                             const std::vector<ForwardedHostRecord>& records)
+    -> void {
+  RosterPart part;
+  const auto flush = [&] {
+    host_.SendControlDatagram(DatagramKind::kRoster, to,
+                              EncodeNodeMessage(part));
+    part.records.clear();
+  };
+  for (const auto& it : records) {
+    part.records.push_back(it);
+    if (part.records.size() == kMaxRecordsPerRosterPart) {
+      flush();
+    }
+  }
+  if (!part.records.empty()) {
+    flush();
+  }
+}
+
+// Forwarding between zones --------------------------------------------------
+
+auto NodeGossip::RelayLater(const HostRecord& record) -> void {
+  if (!IsBalancer() || IsFullMesh(size_)) {
+    return;
+  }
+  if (changed_.empty()) {
+    NodeHost::ScheduleHandler(relay_timer_, kRelayDelay, [this](TimePoint now) {
+      RelayChangedRecords(now);
+    });
+  }
+  changed_.push_back(record.control);
+}
+
+auto NodeGossip::RelayChangedRecords(TimePoint now) -> void {
+  std::vector<ForwardedHostRecord> records;
+  for (const auto it : std::exchange(changed_, {})) {
+    const auto host = fleet_.hosts.find(it);
+    if (host != fleet_.hosts.end()) {
+      records.push_back(ForwardHostRecord(host->second, now));
+    }
+  }
+  for (const auto it : ListRelayReceivers(fleet_, now)) {
+    SendRecords(it, records);
+  }
+}
+
+auto NodeGossip::EraseExpiredHosts(TimePoint now) -> void {
+  for (const auto it : EraseSilentHosts(fleet_, now)) {
+    host_.event_log().WriteEvent(EventKind::kStateChange, now,
+                                 "host_forgotten host={}", ToString(it));
+  }
+}
+
+}  // namespace hawthornbank::transport
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -16,41 +16,16 @@
 #include "transport/event_log.h"
 #include "transport/http_server.h"
 #include "transport/node_binding.h"
+#include "transport/node_gossip.h"
 #include "transport/node_traffic.h"
 #include "transport/registry_client.h"
 #include "transport/udp_socket.h"
 
 /// @file
-/// Runtime that both roles of a node share: event loop, control socket,
-/// announcements and rosters, HTTP endpoints, signals and the settings file.
+/// Runtime that both roles of a node share: event loop, control socket, gossip,
+/// HTTP endpoints, signals and the settings file.
 namespace hawthornbank::transport {
 
-/// Interval of a node's announcements while the node knows no balancer, such as
-/// after the node's start.
-inline constexpr Duration kSearchAnnouncementInterval =
-    std::chrono::milliseconds{50};
-
-/// Time after a node's start at which the node reads the list of balancers from
-/// the platform's store, if the seeds haven't answered.
-inline constexpr Duration kSeedReplyTimeout = std::chrono::milliseconds{40};
-
-/// Minimum time between two reads of the list of balancers while the node knows
-/// no balancer.
-inline constexpr Duration kRegistryRetryInterval =
-    std::chrono::milliseconds{900};
-
-/// Minimum time between two rosters sent to the same host, unless the host
-/// knows no balancer.
-inline constexpr Duration kMinRosterInterval = std::chrono::milliseconds{300};
-
-/// Minimum time between two whole rosters sent to the same host, unless the
-/// host knows no balancer. A whole roster of 75 hosts takes about 4 KB, so
-/// rosters between two whole ones contain only records that changed recently.
-inline constexpr Duration kMinWholeRosterInterval = std::chrono::seconds{3};
-
-/// Partial rosters contain the records that changed within this time.
-inline constexpr Duration kRecentChangePeriod = std::chrono::seconds{4};
-
 /// Interval at which a node erases expired flows and silent hosts and checks
 /// whether the settings file has changed.
 inline constexpr Duration kHousekeepingInterval = std::chrono::seconds{1};
@@ -68,17 +43,17 @@
       on_relayed_datagram;
   std::function<void(const FlowReply& reply, TimePoint now)> on_flow_reply;
   std::function<void(const FlowQuery& query, TimePoint now)> on_flow_query;
-  std::function<void(const HostAnnouncement& announcement, TimePoint now)>
-      on_announcement;
+  /// Handles the version of a peer's routes.
+  std::function<void(Endpoint peer, const RoutesReport& report, TimePoint now)>
+      on_routes_report;
   std::function<HttpServerResponse(const HttpServerRequest& call)>
       on_http_request;
   std::function<void(TimePoint now)> on_housekeeping_tick;
   /// Called at the first SIGTERM.
   std::function<void(TimePoint now)> on_shutdown;
   std::function<void(const NodeSettings& settings)> on_settings_reload;
-  /// Writes the version and the age of the node's routes to the announcement.
-  std::function<void(HostAnnouncement& announcement, TimePoint now)>
-      describe_routes_version;
+  /// Returns the version and the age of the node's routes.
+  std::function<RoutesReport(TimePoint now)> describe_routes;
 };
 
 /// Formats the packet counters as metrics.
@@ -133,12 +108,6 @@
                          const FlowKey& flow,
                          std::uint32_t acknowledgement) const -> void;
 
-  /// Immediately announces this node's own record to all known balancers and to
-  /// the seeds. A balancer also announces the record to agents that don't know
-  /// the balancer yet, and to a few agents if they store older routes.
-  /// @param now Current time.
-  auto AnnounceSelf(TimePoint now) -> void;
-
   /// Calls a handler once after a delay.
   /// @param timer The timer to use. An earlier handler that still waits on this
   /// timer is cancelled.
@@ -149,6 +118,8 @@
                               std::function<void(TimePoint now)> handler)
       -> void;
 
+  /// @return What this node sends to and hears from other processes.
+  auto gossip() -> NodeGossip& { return gossip_; }
   auto io_context() -> asio::io_context& { return io_; }
   auto event_log() -> EventLog& { return log_; }
   /// @return The socket for datagrams between balancers and agents.
@@ -167,31 +138,10 @@
   [[nodiscard]] auto is_stopping() const -> bool { return is_stopping_; }
 
  private:
-  // Times at which the last roster and the last whole roster were sent to a
-  // host.
-  struct RosterSendTimes {
-    TimePoint any_part{};
-    TimePoint whole_roster{};
-  };
-
-  [[nodiscard]] auto CountBalancers() const -> std::size_t;
-  [[nodiscard]] auto GetZoneScope(Endpoint host) const -> ZoneScope;
+  [[nodiscard]] auto GetZoneScope(const KnownHost* host) const -> ZoneScope;
+  [[nodiscard]] auto FindHost(Endpoint control) -> KnownHost*;
   auto OnControlDatagram(Endpoint from, ByteView datagram, TimePoint now)
       -> void;
-  auto OnHostAnnouncement(const HostAnnouncement& announcement, TimePoint now)
-      -> void;
-  auto OnRosterPartReceived(const RosterPart& part, TimePoint now) -> void;
-  auto AnnounceToAgents(ByteView announcement, TimePoint now) -> void;
-  auto HandleMergeOutcome(const HostRecord& record,
-                          MergeOutcome outcome,
-                          TimePoint now) -> void;
-  auto SendRoster(const HostRecord& receiver, bool is_new, TimePoint now)
-      -> void;
-  auto ListAnnouncementReceivers() const -> std::vector<Endpoint>;
-  [[nodiscard]] auto EncodeOwnAnnouncement(TimePoint now) -> Bytes;
-  [[nodiscard]] auto KnowsAnyBalancer() const -> bool;
-  auto RequestBalancersFromRegistry(TimePoint now) -> void;
-  auto RunAnnouncementTick() -> void;
   auto RunHousekeepingTick() -> void;
   auto WaitForSignal() -> void;
   auto ReloadSettings(TimePoint now, const char* cause) -> void;
@@ -205,19 +155,14 @@
   UdpSocket control_;
   std::unique_ptr<RegistryClient> registry_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
-  asio::steady_timer announcement_timer_;
   asio::steady_timer housekeeping_timer_;
   asio::signal_set signals_;
   NodeRole role_;
-  std::unordered_map<Endpoint, RosterSendTimes> roster_send_times_;
-  std::vector<Endpoint> listed_balancers_;  ///< Balancers in the store's list.
   NodeTraffic traffic_;
   TimePoint start_time_;
-  TimePoint next_registry_read_{};
   TimePoint next_traffic_report_{};
   std::int64_t settings_modification_time_ = 0;
-  /// Routes version in this node's last announcement.
-  std::uint64_t announced_routes_version_ = 0;
+  NodeGossip gossip_;
   bool is_stopping_ = false;
 };
 
--- a/src/transport/node_traffic.cc
+++ b/src/transport/node_traffic.cc
@@ -8,7 +8,8 @@
 constexpr std::uint64_t kHeaderBytes = 28;  // IPv4 and UDP headers.
 
 constexpr std::array<std::string_view, kDatagramKindCount> kKindNames = {
-    "announcement", "roster", "query", "reply", "relayed", "returned",
+    "announcement", "heartbeat", "roster",   "query",
+    "reply",        "relayed",   "returned",
 };
 static_assert(!kKindNames.back().empty());
 constexpr std::array<std::string_view, 2> kDirectionNames = {"in", "out"};
--- a/src/transport/node_traffic.h
+++ b/src/transport/node_traffic.h
@@ -16,7 +16,8 @@
 /// of packets are control traffic.
 enum class DatagramKind : std::uint8_t {
   kAnnouncement,
-  kRoster,
+  kHeartbeat,
+  kRoster,  ///< Records, checksums of records and requests for a record.
   kFlowQuery,
   kFlowReply,
   kRelayedPacket,   ///< A caller's packet on its way to a target.
--- a/src/transport/route_peers.cc
+++ b/src/transport/route_peers.cc
@@ -25,14 +25,15 @@
                 return AnswerRoutesRequest(call);
               }) {}
 
-auto RoutePeers::OnPeerAnnouncement(const HostAnnouncement& announcement,
-                                    std::uint64_t in_force,
-                                    TimePoint now) -> void {
-  OnPeerRoutesVersion(
-      follower_, announcement.record.control, announcement.routes_version,
-      std::chrono::milliseconds{announcement.routes_version_age_ms}, in_force,
-      now);
+auto RoutePeers::OnPeerReport(Endpoint peer,
+                              const RoutesReport& report,
+                              std::uint64_t in_force,
+                              TimePoint now) -> bool {
+  const bool is_confirmed = OnPeerRoutesVersion(
+      follower_, peer, report.version, std::chrono::milliseconds{report.age_ms},
+      in_force, now);
   FetchRoutesFromPeer(in_force, now);
+  return is_confirmed;
 }
 
 auto RoutePeers::FetchRoutesFromPeer(std::uint64_t in_force, TimePoint now)
--- a/src/transport/route_peers.h
+++ b/src/transport/route_peers.h
@@ -34,14 +34,18 @@
   /// @param on_routes Called with the routes of each successful fetch.
   RoutePeers(NodeHost& host, RouteFollower& follower, RoutesHandler on_routes);
 
-  /// Records the routes version in a peer's announcement and fetches routes
-  /// from a peer if a peer has a newer version and a fetch is due.
-  /// @param announcement The peer's announcement.
+  /// Records the routes version that a peer reports and fetches routes from a
+  /// peer if a peer has a newer version and a fetch is due.
+  /// @param peer Control endpoint of the peer.
+  /// @param report The peer's report.
   /// @param in_force Version of this process's routes.
   /// @param now Current time.
-  auto OnPeerAnnouncement(const HostAnnouncement& announcement,
-                          std::uint64_t in_force,
-                          TimePoint now) -> void;
+  /// @return Whether the report confirmed this process's routes at a later time
+  /// than was known.
+  auto OnPeerReport(Endpoint peer,
+                    const RoutesReport& report,
+                    std::uint64_t in_force,
+                    TimePoint now) -> bool;
 
   /// Fetches routes from the peer with the newest version, if that version is
   /// newer than `in_force` and a fetch is due.
--- a/test/host_registry_test.cc
+++ b/test/host_registry_test.cc
@@ -55,3 +55,29 @@
   fleet.self.is_shutting_down = true;
   CHECK(PlanRegistryChanges({}, fleet, 5s, kNow).add.empty());
 }
+
+// Load pattern: all balancers start at once. Each wrote the entries of all
+// balancers that it knew: 1,586 calls for 69 balancers.
+TEST(HostRegistry, OnlyTheFirstBalancerComparesTheRegistryAfterItsStart) {
+  RegistryRepair repair;
+  MergeHostWithAge(2, HostRole::kBalancer, 0s);
+  CHECK_FALSE(BeginRegistryRepairIfDue(repair, fleet, 7, 900ms, kNow));
+  CHECK(BeginRegistryRepairIfDue(repair, fleet, 7, 1s, kNow));
+  Fleet second{.self = {.control = MakeEndpoint(2)}};
+  MergeHostRecord(second, {.control = MakeEndpoint(1)}, 0s, kNow);
+  RegistryRepair other;
+  CHECK_FALSE(BeginRegistryRepairIfDue(other, second, 7, 1s, kNow));
+  MarkHostSuspected(second.hosts.at(MakeEndpoint(1)), kNow);
+  CHECK(BeginRegistryRepairIfDue(other, second, 7, 1s, kNow));
+}
+
+TEST(HostRegistry, RegistryIsComparedAgainAfterAChangeOnly) {
+  RegistryRepair repair;
+  CHECK(BeginRegistryRepairIfDue(repair, fleet, 7, 10s, kNow));
+  CHECK_FALSE(BeginRegistryRepairIfDue(repair, fleet, 7, 12s, kNow + 2s));
+  CHECK(BeginRegistryRepairIfDue(repair, fleet, 8, 12s, kNow + 2s));
+  // Not more often than once a second.
+  CHECK_FALSE(BeginRegistryRepairIfDue(repair, fleet, 9, 12s, kNow + 2900ms));
+  MergeHostRecord(fleet, {.control = MakeEndpoint(5)}, 0s, kNow + 5s);
+  CHECK(BeginRegistryRepairIfDue(repair, fleet, 8, 15s, kNow + 5s));
+}
