--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -330,10 +330,7 @@
     }
     RecordStoreResponse(*revision);
     OnStoreRevision(follower_, *revision);
-    const TimePoint now = GetMonotonicTime();
-    if (follower_.is_current && BeginRoutesNewsIfDue(follower_, now)) {
-      host_.gossip().SendRoutesNews(true, now);
-    }
+    SendRoutesNewsIfDue();
     ScheduleNextStoreCall();
   }
 
@@ -350,9 +347,18 @@
       PutRoutesInForceIfNewer(*answer.routes, answer.document,
                               RoutesSource::kStore, GetMonotonicTime());
     }
+    SendRoutesNewsIfDue();
     ScheduleNextStoreCall();
   }
 
+  // Tells other balancers that the store has confirmed the routes.
+  auto SendRoutesNewsIfDue() -> void {
+    const TimePoint now = GetMonotonicTime();
+    if (follower_.is_current && BeginRoutesNewsIfDue(follower_, now)) {
+      host_.gossip().SendRoutesNews(true, now);
+    }
+  }
+
   // Compares the store's list of balancers with the known balancers and repairs
   // the list, because a change of the store's revision may mean lost entries.
   auto RepairBalancerRegistryIfDue(std::uint64_t revision) -> void {
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -260,6 +260,7 @@
     // Balancers announce themselves to agents that they haven't heard from.
     SendAnnouncement(record.control, now);
   } else if (announcement.wants_roster) {
+    SendAnnouncement(record.control, now);
     SendWholeRoster(record, now);
   } else if (record.role == HostRole::kBalancer) {
     CompareRecordsIfDue(record.control, announcement.roster_digest, now);
