Don't count a repeated packet as a new request after the answer

A trace of 565 slots that were freed by the idle timeout: 390 had been taken by a data packet some 10,000 bytes below the answer's acknowledgement, 1 to 10 ms after the answer, on flows that both sides then closed. Each held a slot for 1.5 s and counted as a failed request.

Change: data up to the target's latest acknowledgement starts no request; a flow that both sides ended occupies no slot. The three tests fail on the code before.

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -81,6 +81,9 @@
   /// Sequence number of the packet in which the target accepted the opening;
   /// empty once the caller has acknowledged that packet.
   std::optional<std::uint32_t> unacknowledged_sequence;
+  /// Latest acknowledgement number sent by the target. Data before it is a
+  /// repetition and no new request.
+  std::optional<std::uint32_t> acknowledged_by_target;
   /// An opening or a request of the flow counts in TargetFlows::running.
   bool occupies_slot = false;
   bool has_unanswered_request = false;
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -290,6 +290,33 @@
   return false;
 }
 
+// Compares sequence numbers, which wrap around.
+auto IsSequenceAfter(std::uint32_t a, std::uint32_t b) -> bool {
+  return static_cast<std::int32_t>(a - b) > 0;
+}
+
+// Returns whether a caller's packet carries data that the target hasn't
+// received yet. A repeated packet can arrive after the answer to its request.
+auto CarriesNewData(const TargetFlow& flow, const FlowPacket& packet) -> bool {
+  return packet.data_bytes > 0 &&
+         (!flow.acknowledged_by_target.has_value() ||
+          IsSequenceAfter(packet.sequence + packet.data_bytes,
+                          *flow.acknowledged_by_target));
+}
+
+// Records the end of a flow that both sides have ended, and of a request that
+// was left without an answer.
+auto CloseFlowIfEnded(TargetFlows& target, TargetFlow& flow, TimePoint now)
+    -> void {
+  if (!flow.caller_ended || !flow.target_ended ||
+      flow.closed_at != TimePoint{}) {
+    return;
+  }
+  flow.closed_at = now;
+  RecordFailedRequest(target, flow, now);
+  ReleaseSlotOfFlow(target, flow);
+}
+
 auto RecordCallerPacket(TargetFlows& target,
                         TargetFlow& flow,
                         const FlowPacket& packet,
@@ -298,7 +325,7 @@
   if (packet.has_acknowledgement) {
     flow.acknowledgement = packet.acknowledgement;
   }
-  if (packet.data_bytes > 0) {
+  if (flow.closed_at == TimePoint{} && CarriesNewData(flow, packet)) {
     OccupySlotForFlow(target, flow, now);
     flow.has_unanswered_request = true;
   }
@@ -313,9 +340,7 @@
     flow.caller_ended = flow.target_ended = true;
     ReleaseSlotOfFlow(target, flow);
   }
-  if (flow.caller_ended && flow.target_ended && flow.closed_at == TimePoint{}) {
-    flow.closed_at = now;
-  }
+  CloseFlowIfEnded(target, flow, now);
 }
 
 }  // namespace
@@ -419,6 +444,11 @@
     target.openings.erase(key);
     AppendReplyAction(key, flow.last_balancer, FlowOwnership::kHeld, out);
   }
+  if (packet.has_acknowledgement &&
+      (!flow.acknowledged_by_target.has_value() ||
+       IsSequenceAfter(packet.acknowledgement, *flow.acknowledged_by_target))) {
+    flow.acknowledged_by_target = packet.acknowledgement;
+  }
   if (packet.data_bytes > 0) {
     RecordAnsweredRequest(target, flow, now);
     ReleaseSlotOfFlow(target, flow);
@@ -431,9 +461,7 @@
     flow.caller_ended = flow.target_ended = true;
     ReleaseSlotOfFlow(target, flow);
   }
-  if (flow.caller_ended && flow.target_ended && flow.closed_at == TimePoint{}) {
-    flow.closed_at = now;
-  }
+  CloseFlowIfEnded(target, flow, now);
   AppendCountedAction(target,
                       TargetAction{.kind = Kind::kToCaller,
                                    .reason = TargetReason::kAnswered,
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -380,6 +380,66 @@
   LONGS_EQUAL(1, target.flows.size());
 }
 
+// Load pattern: uploads of 17 packets through several balancers, of which a
+// repeated packet often arrives after the answer. Each such packet occupied a
+// slot for 1.5 s and counted as a failed request, so that idle targets refused
+// openings as full, and a third of the uploads was reset when the third target
+// of the service was down.
+TEST(TargetFlows, RepeatedPacketAfterTheAnswerIsNoNewRequest) {
+  RelayCallerPacket(MakeCallerPacket(1, true));
+  ReceiveTargetPacket(MakeTargetPacket(1));
+  FlowPacket data = MakeCallerPacket(1, false, 1200);
+  for (data.sequence = 1; data.sequence < 1 + 17 * 1200;
+       data.sequence += 1200) {
+    RelayCallerPacket(data);
+  }
+  LONGS_EQUAL(1, target.running);
+  FlowPacket answer = MakeTargetPacket(1, 300);
+  answer.acknowledgement = data.sequence;
+  ReceiveTargetPacket(answer);
+  LONGS_EQUAL(0, target.running);
+  FlowPacket repeated = data;
+  repeated.sequence = 1 + 8 * 1200;
+  CHECK(RelayCallerPacket(repeated) == Kind::kDeliver);
+  LONGS_EQUAL(0, target.running);
+  ExpireFlowsAndRequests(target, kNow + 2s);
+  CHECK(target.health.failure == 0);
+  // The next request of the flow counts.
+  RelayCallerPacket(data);
+  LONGS_EQUAL(1, target.running);
+}
+
+TEST(TargetFlows, SequenceNumbersWrapAround) {
+  RelayCallerPacket(MakeCallerPacket(1, true));
+  FlowPacket answer = MakeTargetPacket(1);
+  answer.acknowledgement = 0xFFFFFF00;
+  ReceiveTargetPacket(answer);
+  FlowPacket data = MakeCallerPacket(1, false, 1200);
+  data.sequence = 0xFFFFFF00;
+  RelayCallerPacket(data);
+  LONGS_EQUAL(1, target.running);
+  answer.acknowledgement = data.sequence + 1200;
+  answer.data_bytes = 300;
+  ReceiveTargetPacket(answer);
+  RelayCallerPacket(data);
+  LONGS_EQUAL(0, target.running);
+}
+
+TEST(TargetFlows, FlowThatBothSidesEndedOccupiesNoSlot) {
+  RelayCallerPacket(MakeCallerPacket(1, true));
+  ReceiveTargetPacket(MakeTargetPacket(1));
+  FlowPacket last = MakeCallerPacket(1, false, 100);
+  last.is_finish = true;
+  RelayCallerPacket(last);
+  LONGS_EQUAL(1, target.running);
+  FlowPacket end = MakeTargetPacket(1);
+  end.is_finish = true;
+  ReceiveTargetPacket(end);
+  LONGS_EQUAL(0, target.running);
+  RelayCallerPacket(last);
+  LONGS_EQUAL(0, target.running);
+}
+
 TEST(TargetFlows, PacketsOfUnknownFlowsAreDeliveredWhenTheFlowTableIsFull) {
   target.options.max_flows = 1;
   OpenFlowWithRequest(1);
