Ignore agents without a target for 20 s after a total restart

Two agents whose targets had ended start again, know no target and are stopped at 37 s. While targets count as just started, searches don't ask such agents; that time had been bounded by the settling time, 20 s at 59 balancers before and 3 s now. From 38 s on, 413 + 395 searches waited for these two and reset nothing for three seconds; 200 callers ran into their deadlines.

Ruled out: counting a stopped agent as gone at once (it may restart beside a target that runs on).

Change: a period of its own, 20 s at any size. The new test fails before.

--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -63,6 +63,10 @@
   /// Settling time when the balancer and all known targets of a service have
   /// just started, for example after a power loss.
   Duration restart_settling_time = std::chrono::milliseconds{400};
+  /// Time after the balancer's start in which targets can count as just started.
+  /// Longer than a stopped agent's grace period: an agent whose target doesn't
+  /// return is stopped then, and searches don't wait for it.
+  Duration restart_period = std::chrono::seconds{20};
 };
 
 /// The agent that a flow is steered to.
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -16,13 +16,13 @@
 // flows. Agents that don't know their target's state are ignored if they are
 // fewer than the targets that have just started, because most agents then know
 // their targets.
-// Returns false before restart_settling_time and after the settling time.
+// Returns false before restart_settling_time and after restart_period.
 auto HaveTargetsJustStarted(const Steering& steering,
                             std::uint32_t service,
                             TimePoint now) -> bool {
   const Duration up = now - steering.started;
   if (up < steering.options.restart_settling_time ||
-      up >= steering.options.settling_time) {
+      up >= steering.options.restart_period) {
     return false;
   }
   std::size_t cold = 0;
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -349,6 +349,24 @@
         Kind::kReset);
 }
 
+// Load pattern: a power loss during a release. Agents whose targets had ended
+// started again, knew no target and were stopped two seconds later. From three
+// seconds on, every search for a lost flow waited for them and reset nothing.
+TEST(Steering, AgentStoppedAfterAPowerLossDoesNotPreventResets) {
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    MergeAgentRecord(n, TargetState::kReady, true, 2);
+  }
+  MergeAgentRecord(5, TargetState::kUnknown, false, 2);
+  MergeAgentRecord(5, TargetState::kUnknown, false, 3, true);
+  for (const auto up : {4s, 19s}) {
+    steering.started = kNow - up;
+    const auto end =
+        SearchForFlowThatNoAgentHolds(MakeCallerPacket(1, false), kNow);
+    CHECK(end.kind == Kind::kReset);
+  }
+  CHECK_FALSE(WasAgentQueried(MakeAgentEndpoint(5)));
+}
+
 TEST(Steering, AgentOfAnExitedTargetIsNotQueried) {
   MergeAgentRecord(1, TargetState::kGone, false, 2, true);
   for (std::uint16_t port = 1; port < 20; ++port) {
