--- a/include/hawthornbank/gossip_plan.h
+++ b/include/hawthornbank/gossip_plan.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "hawthornbank/fleet.h"
+#include "hawthornbank/random.h"
 #include "hawthornbank/types.h"
 
 /// @file
@@ -38,7 +40,7 @@
 
 /// Longest interval between two heartbeats of a process.
 inline constexpr Duration kMaxHeartbeatInterval =
-    std::chrono::milliseconds{3200};
+    std::chrono::milliseconds{1600};
 
 /// Number of balancers up to which heartbeats keep the shortest interval.
 inline constexpr std::size_t kBalancersAtMinHeartbeatInterval = 60;
@@ -90,6 +92,13 @@
 /// @return The time.
 auto ComputeExpiryTime(const FleetSize& size, HostRole role) -> Duration;
 
+/// Computes the time after its start within which a balancer learns of every
+/// agent, though all balancers may have restarted at once: each agent's next
+/// heartbeats reach some balancers, which then compare their records.
+/// @param size Size of the fleet.
+/// @return The time; at most 5.2 s.
+auto ComputeSettlingTime(const FleetSize& size) -> Duration;
+
 /// Computes the shortest interval at which a balancer tells its zone that its
 /// routes are current.
 /// @param size Size of the fleet.
@@ -112,6 +121,18 @@
 auto ListChangeReceivers(const Fleet& fleet, TimePoint now)
     -> std::vector<Endpoint>;
 
+/// Chooses the balancer with which a starting balancer compares its records
+/// next: one of the own zone and one of each other zone, in turn.
+/// @param fleet Hosts known to this balancer.
+/// @param round Number of comparisons before.
+/// @param random Random number generator that chooses a balancer of the zone.
+/// @param now Current time.
+/// @return The balancer's address, or nothing if none is known.
+auto ChooseComparisonPeer(const Fleet& fleet,
+                          std::uint64_t round,
+                          Random& random,
+                          TimePoint now) -> std::optional<Endpoint>;
+
 /// Lists the balancers to which this balancer forwards the changed record of a
 /// host of another zone; none if the host tells all balancers itself.
 /// @param fleet Hosts known to this balancer.
--- a/soak/node_settings.cc
+++ b/soak/node_settings.cc
@@ -37,10 +37,10 @@
   const std::string address = format_endpoint(0);
   const bool is_agent = !parameters.service.empty();
   std::string text = fmt::format(
-      "node = \"{}\"\nzone = \"a\"\nip = \"{}\"\ninternal_ports = [{}]\n"
+      "node = \"{}\"\nzone = \"{}\"\nip = \"{}\"\ninternal_ports = [{}]\n"
       "heartbeat_ms = 200\nseeds = [{}]\n",
-      parameters.name, address.substr(0, address.find(':')), ports.internal,
-      seeds);
+      parameters.name, parameters.zone, address.substr(0, address.find(':')),
+      ports.internal, seeds);
   if (is_agent) {
     text += fmt::format("service = \"{}\"\napp = \"{}\"\n", parameters.service,
                         format_endpoint(ports.app));
--- a/soak/node_settings.h
+++ b/soak/node_settings.h
@@ -36,6 +36,7 @@
   std::vector<std::uint32_t> seed_hosts;
   Endpoint store;
   std::string service;  ///< Service of an agent's target; empty for a balancer.
+  std::string zone = "a";
 };
 
 /// @param ports Port numbers, the same on all hosts.
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coordination/steering_internal.h"
+#include "hawthornbank/gossip_plan.h"
 
 namespace hawthornbank::detail {
 namespace {
@@ -11,6 +12,12 @@
 using Kind = SteeringAction::Kind;
 using SearchEntry = std::unordered_map<FlowKey, FlowSearch>::iterator;
 
+// Returns the time after the start from which this balancer knows all agents.
+auto GetSettlingTime(const Steering& steering) -> Duration {
+  return std::max(steering.options.settling_time,
+                  ComputeSettlingTime(CountBalancers(steering.fleet)));
+}
+
 // Returns whether this balancer and all targets of a service whose state is
 // known have just started, as after a power loss; such targets hold no older
 // flows. Agents that don't know their target's state are ignored if they are
@@ -117,9 +124,8 @@
                            TimePoint now,
                            std::vector<SteeringAction>& out) -> void {
   const FlowSearch& search = entry->second;
-  const bool settled =
-      now - steering.started >= steering.options.settling_time ||
-      HaveTargetsJustStarted(steering, search.service, now);
+  const bool settled = now - steering.started >= GetSettlingTime(steering) ||
+                       HaveTargetsJustStarted(steering, search.service, now);
   // If most agents are unreachable, this balancer itself may be cut off.
   const bool most_are_reachable =
       search.unreachable.size() * 2 <= search.queried_addresses.size();
--- a/src/coordination/gossip_plan.cc
+++ b/src/coordination/gossip_plan.cc
@@ -1,6 +1,7 @@
 #include "hawthornbank/gossip_plan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <string_view>
 #include <utility>
@@ -12,6 +13,11 @@
 // certainly missing.
 constexpr double kMissedHeartbeatIntervals = 2.5;
 
+// Shortest settling time: several heartbeats in a small fleet.
+constexpr Duration kMinSettlingTime = std::chrono::seconds{3};
+// Time in which comparisons spread a record to all balancers.
+constexpr Duration kComparisonsTime = std::chrono::seconds{2};
+
 auto IsEndpointBefore(Endpoint a, Endpoint b) -> bool {
   return std::pair(a.address, a.port) < std::pair(b.address, b.port);
 }
@@ -137,6 +143,13 @@
   return std::max(kHostExpiryTime, 2 * ComputeUnresponsiveTime(size, false));
 }
 
+auto ComputeSettlingTime(const FleetSize& size) -> Duration {
+  return IsFullMesh(size)
+             ? kMinSettlingTime
+             : std::max(kMinSettlingTime,
+                        2 * ComputeHeartbeatInterval(size) + kComparisonsTime);
+}
+
 auto ComputeRoutesNewsInterval(const FleetSize& size) -> Duration {
   const auto receivers =
       IsFullMesh(size) ? size.balancers : size.zone_balancers;
@@ -185,6 +198,26 @@
   return receivers;
 }
 
+auto ChooseComparisonPeer(const Fleet& fleet,
+                          std::uint64_t round,
+                          Random& random,
+                          TimePoint now) -> std::optional<Endpoint> {
+  const BalancersByZone balancers = ListBalancersByZone(fleet, now);
+  std::map<std::string_view, std::vector<Endpoint>> zones;
+  for (const auto it : balancers.other_zones) {
+    zones[fleet.hosts.at(it).record.zone].push_back(it);
+  }
+  if (!balancers.same_zone.empty()) {
+    zones[fleet.self.zone] = balancers.same_zone;
+  }
+  if (zones.empty()) {
+    return std::nullopt;
+  }
+  auto zone = zones.begin();
+  std::advance(zone, static_cast<std::ptrdiff_t>(round % zones.size()));
+  return zone->second[random() % zone->second.size()];
+}
+
 auto ListRelayReceivers(const Fleet& fleet, TimePoint now)
     -> std::vector<Endpoint> {
   return IsFullMesh(CountBalancers(fleet))
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hawthornbank/random.h"
 #include "hawthornbank/roster_sync.h"
 #include "transport/clock.h"
 #include "transport/node_host.h"
@@ -14,6 +15,16 @@
   return role == HostRole::kBalancer ? "balancer" : "agent";
 }
 
+// Draws the next interval around the mean. Processes that started together
+// would otherwise send all heartbeats at the same moment, and balancers that
+// restart would know no agent until then.
+auto DrawHeartbeatInterval(Duration mean, Random& random) -> Duration {
+  constexpr double kSpread = 0.25;
+  const double factor = 1 + kSpread * (2 * DrawRandomFraction(random) - 1);
+  return Duration{
+      static_cast<Duration::rep>(static_cast<double>(mean.count()) * factor)};
+}
+
 }  // namespace
 
 NodeGossip::NodeGossip(NodeHost& host, Fleet& fleet)
@@ -21,6 +32,7 @@
       fleet_(fleet),
       timer_(host.io_context()),
       relay_timer_(host.io_context()),
+      comparison_timer_(host.io_context()),
       next_registry_read_(host.start_time() + kSeedReplyTimeout) {}
 
 auto NodeGossip::StartGossip(GossipCallbacks callbacks) -> void {
@@ -57,8 +69,7 @@
   return HostAnnouncement{.record = fleet_.self,
                           .load = load_,
                           .roster_digest = fleet_.digest,
-                          .routes = callbacks_.describe_routes(now),
-                          .wants_roster = !KnowsAnyBalancer()};
+                          .routes = callbacks_.describe_routes(now)};
 }
 
 auto NodeGossip::MakeHeartbeat(TimePoint now) -> HostHeartbeat {
@@ -92,9 +103,23 @@
   for (const auto it : ListChangeReceivers(fleet_, now)) {
     host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
   }
-  for (const auto it : ListUnknownSeeds()) {
-    host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
-  }
+  SendToUnknownSeeds(now);
+}
+
+// Announces this node to the seeds that it doesn't know. While it knows no
+// balancer, it asks one of them at a time for records.
+auto NodeGossip::SendToUnknownSeeds(TimePoint now) -> void {
+  const std::vector<Endpoint> seeds = ListUnknownSeeds();
+  HostAnnouncement announcement = MakeAnnouncement(now);
+  const bool is_searching = !KnowsAnyBalancer();
+  for (std::size_t n = 0; n < seeds.size(); ++n) {
+    announcement.wants_roster =
+        is_searching &&
+        n == (search_round_ + fleet_.self.control.address) % seeds.size();
+    host_.SendControlDatagram(DatagramKind::kAnnouncement, seeds[n],
+                              EncodeNodeMessage(announcement));
+  }
+  ++search_round_;
 }
 
 auto NodeGossip::SendAnnouncement(Endpoint to, TimePoint now) -> void {
@@ -169,19 +194,18 @@
     AnnounceSelf(now);
   } else {
     SendHeartbeats(now);
-    const Bytes datagram = EncodeNodeMessage(MakeAnnouncement(now));
-    for (const auto it : ListUnknownSeeds()) {
-      host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
-    }
+    SendToUnknownSeeds(now);
   }
   if (IsBalancer()) {
     IntroduceBalancer(now);
     NotifyRouteHolders(now);
   }
-  NodeHost::ScheduleHandler(timer_,
-                            is_searching_ ? kSearchAnnouncementInterval
-                                          : ComputeHeartbeatInterval(size_),
-                            [this](TimePoint) { RunGossipTick(); });
+  NodeHost::ScheduleHandler(
+      timer_,
+      is_searching_ ? kSearchAnnouncementInterval
+                    : DrawHeartbeatInterval(ComputeHeartbeatInterval(size_),
+                                            host_.random()),
+      [this](TimePoint) { RunGossipTick(); });
 }
 
 // Messages of other processes -----------------------------------------------
@@ -201,7 +225,17 @@
                  std::get_if<RosterComparison>(&message)) {
     OnRosterComparison(from, *comparison, now);
   } else if (std::holds_alternative<RecordRequest>(message)) {
-    SendAnnouncement(from, now);
+    OnRecordRequest(from, now);
+  }
+}
+
+// A balancer that has lost a record has restarted, maybe with all others, so
+// the record is sent to all that are told of changes.
+auto NodeGossip::OnRecordRequest(Endpoint from, TimePoint now) -> void {
+  SendAnnouncement(from, now);
+  if (now >= next_repeated_announcement_) {
+    next_repeated_announcement_ = now + kRepeatedAnnouncementInterval;
+    AnnounceSelf(now);
   }
 }
 
@@ -210,7 +244,7 @@
                              TimePoint now) -> MergeOutcome {
   const auto outcome = MergeHostRecord(fleet_, record, age, now);
   if (outcome == MergeOutcome::kChanged) {
-    has_changed_since_sync_ = true;
+    same_zone_sync_.has_changed = other_zones_sync_.has_changed = true;
     fleet_.hosts.at(record.control).unresponsive_after =
         ComputeUnresponsiveTime(size_, record.zone == fleet_.self.zone);
     host_.event_log().WriteEvent(
@@ -261,9 +295,9 @@
     SendAnnouncement(record.control, now);
   } else if (announcement.wants_roster) {
     SendAnnouncement(record.control, now);
-    SendWholeRoster(record, now);
+    SendRosterToNewcomer(record, now);
   } else if (record.role == HostRole::kBalancer) {
-    CompareRecordsIfDue(record.control, announcement.roster_digest, now);
+    CompareRecordsIfDue(record, announcement.roster_digest, now);
   }
 }
 
@@ -284,7 +318,7 @@
   }
   RecordContact(host->second, heartbeat.load, heartbeat.routes, now);
   if (host->second.record.role == HostRole::kBalancer) {
-    CompareRecordsIfDue(from, heartbeat.roster_digest, now);
+    CompareRecordsIfDue(host->second.record, heartbeat.roster_digest, now);
   }
 }
 
@@ -308,42 +342,71 @@
     has_new_record = has_new_record || outcome == MergeOutcome::kChanged;
   }
   if (searched && has_new_record) {
-    size_ = CountBalancers(fleet_);
     RunGossipTick();
+    if (IsBalancer() && !IsFullMesh(size_)) {
+      RunFirstComparisons(now);
+    }
   }
 }
 
 // Comparison of records -----------------------------------------------------
 
-auto NodeGossip::CompareRecordsIfDue(Endpoint peer,
+auto NodeGossip::CompareRecordsIfDue(const HostRecord& peer,
                                      std::uint64_t peer_digest,
                                      TimePoint now) -> void {
-  if (!IsBalancer() || peer_digest == fleet_.digest || now < next_sync_) {
+  SyncSchedule& sync =
+      peer.zone == fleet_.self.zone ? same_zone_sync_ : other_zones_sync_;
+  if (!IsBalancer() || peer_digest == fleet_.digest || now < sync.next_at) {
     return;
   }
-  const bool is_new = now - host_.start_time() < kFirstSyncPeriod;
-  sync_interval_ = has_changed_since_sync_
-                       ? kSyncInterval
-                       : std::min(sync_interval_ * 2, kMaxSyncInterval);
-  next_sync_ = now + (is_new ? kFirstSyncInterval : sync_interval_);
-  has_changed_since_sync_ = false;
+  sync.interval = sync.has_changed
+                      ? kSyncInterval
+                      : std::min(sync.interval * 2, kMaxSyncInterval);
+  sync.next_at = now + sync.interval;
+  sync.has_changed = false;
+  CompareRecords(peer.control);
+}
+
+auto NodeGossip::CompareRecords(Endpoint peer) -> void {
   host_.SendControlDatagram(DatagramKind::kRoster, peer,
                             EncodeNodeMessage(RosterComparison{
                                 .buckets = ComputeRosterBuckets(fleet_)}));
 }
 
+// Compares records with balancers of all zones, one after the other, until this
+// balancer certainly knows every agent.
+auto NodeGossip::RunFirstComparisons(TimePoint now) -> void {
+  const auto peer =
+      ChooseComparisonPeer(fleet_, first_comparisons_, host_.random(), now);
+  if (peer.has_value()) {
+    ++first_comparisons_;
+    CompareRecords(*peer);
+  }
+  if (now - host_.start_time() < ComputeSettlingTime(size_)) {
+    NodeHost::ScheduleHandler(
+        comparison_timer_, kFirstSyncInterval,
+        [this](TimePoint then) { RunFirstComparisons(then); });
+  }
+}
+
 auto NodeGossip::OnRosterComparison(Endpoint from,
                                     const RosterComparison& comparison,
                                     TimePoint now) -> void {
   SendRecords(from, ListDifferingRecords(fleet_, comparison.buckets, now));
 }
 
-auto NodeGossip::SendWholeRoster(const HostRecord& receiver, TimePoint now)
+// Sends a starting process the records of all balancers and, in a small fleet,
+// of all agents. In a large fleet a starting balancer gets the agents' records
+// by comparisons with many balancers, because all processes ask the same few
+// seeds.
+auto NodeGossip::SendRosterToNewcomer(const HostRecord& receiver, TimePoint now)
     -> void {
+  const bool sends_agents =
+      IsFullMesh(size_) && receiver.role == HostRole::kBalancer;
   std::vector<ForwardedHostRecord> records{{.record = fleet_.self}};
   for (const auto& [control, host] : fleet_.hosts) {
     if (control != receiver.control &&
-        ShouldStoreRecord(host.record, receiver.role)) {
+        (sends_agents || host.record.role == HostRole::kBalancer)) {
       records.push_back(ForwardHostRecord(host, now));
     }
   }
--- a/src/transport/node_gossip.h
+++ b/src/transport/node_gossip.h
@@ -39,11 +39,12 @@
 inline constexpr Duration kSyncInterval = std::chrono::seconds{1};
 
 /// Longest time between two comparisons while comparisons bring nothing new.
-inline constexpr Duration kMaxSyncInterval = std::chrono::seconds{8};
+inline constexpr Duration kMaxSyncInterval = std::chrono::seconds{4};
 
-/// Time after a process's start in which it compares records at
-/// kFirstSyncInterval.
-inline constexpr Duration kFirstSyncPeriod = std::chrono::seconds{3};
+/// Shortest time between two announcements to all balancers that are told of
+/// changes, when balancers ask for the record.
+inline constexpr Duration kRepeatedAnnouncementInterval =
+    std::chrono::seconds{1};
 
 /// Time for which changed records of other zones are collected before they are
 /// forwarded in the own zone.
@@ -95,10 +96,18 @@
   [[nodiscard]] auto fleet_size() const -> const FleetSize& { return size_; }
 
  private:
+  // When records are next compared after a difference of digests.
+  struct SyncSchedule {
+    TimePoint next_at{};
+    Duration interval = kSyncInterval;
+    bool has_changed = false;  ///< A record changed since the last comparison.
+  };
+
   auto OnAnnouncement(const HostAnnouncement& announcement, TimePoint now)
       -> void;
   auto OnHeartbeat(Endpoint from, const HostHeartbeat& heartbeat, TimePoint now)
       -> void;
+  auto OnRecordRequest(Endpoint from, TimePoint now) -> void;
   auto OnRosterPart(const RosterPart& part, TimePoint now) -> void;
   auto OnRosterComparison(Endpoint from,
                           const RosterComparison& comparison,
@@ -111,11 +120,14 @@
                      const TargetLoad& load,
                      const RoutesReport& routes,
                      TimePoint now) -> void;
-  auto CompareRecordsIfDue(Endpoint peer,
+  auto CompareRecordsIfDue(const HostRecord& peer,
                            std::uint64_t peer_digest,
                            TimePoint now) -> void;
+  auto CompareRecords(Endpoint peer) -> void;
+  auto RunFirstComparisons(TimePoint now) -> void;
   auto SendAnnouncement(Endpoint to, TimePoint now) -> void;
-  auto SendWholeRoster(const HostRecord& receiver, TimePoint now) -> void;
+  auto SendToUnknownSeeds(TimePoint now) -> void;
+  auto SendRosterToNewcomer(const HostRecord& receiver, TimePoint now) -> void;
   auto SendRecords(Endpoint to, const std::vector<ForwardedHostRecord>& records)
       -> void;
   auto IntroduceBalancer(TimePoint now) -> void;
@@ -135,15 +147,19 @@
   GossipCallbacks callbacks_;
   asio::steady_timer timer_;
   asio::steady_timer relay_timer_;
+  asio::steady_timer comparison_timer_;
   FleetSize size_;
   TargetLoad load_;          ///< Load in the last announcement or heartbeat.
   std::uint64_t round_ = 0;  ///< Number of heartbeats sent.
+  std::size_t search_round_ = 0;  ///< Number of announcements to the seeds.
   std::vector<Endpoint> listed_balancers_;  ///< Balancers in the store's list.
   std::vector<Endpoint> changed_;  ///< Hosts whose records are to be forwarded.
   TimePoint next_registry_read_{};
-  TimePoint next_sync_{};
-  Duration sync_interval_ = kSyncInterval;
-  bool has_changed_since_sync_ = false;
+  TimePoint next_repeated_announcement_{};
+  /// Comparisons with balancers of the own zone and of other zones.
+  SyncSchedule same_zone_sync_;
+  SyncSchedule other_zones_sync_;
+  std::uint64_t first_comparisons_ = 0;  ///< Comparisons after the start.
   bool is_searching_ = true;  ///< No balancer was known at the last tick.
 };
 
--- a/test/gossip_plan_test.cc
+++ b/test/gossip_plan_test.cc
@@ -152,6 +152,37 @@
   }
 }
 
+TEST(GossipPlan, SettlingTimeIsBoundedAtAnySize) {
+  for (const Size& it : kSizes) {
+    const FleetSize size =
+        CountBalancers(MakeFleet(0, 0, it.zones, it.balancers));
+    CHECK(ComputeSettlingTime(size) >= 3s);
+    CHECK(ComputeSettlingTime(size) <= 5200ms);
+    CHECK(ComputeSettlingTime(size) >= 2 * ComputeHeartbeatInterval(size));
+  }
+}
+
+// Load pattern: all balancers of a large fleet restart while the agents run on.
+// Comparisons within the own zone alone left balancers without the agents of
+// other zones for up to ten seconds, and they reset flows of these agents.
+TEST(GossipPlan, StartingBalancerComparesItsRecordsWithAllZonesInTurn) {
+  const Fleet fleet = MakeFleet(2, 3, 5, 20);
+  Random random{5};
+  std::set<std::uint32_t> peers;
+  for (std::uint64_t round = 0; round < 10; round += 5) {
+    for (std::uint32_t zone = 0; zone < 5; ++zone) {
+      const auto peer = ChooseComparisonPeer(fleet, round + zone, random, kNow);
+      CHECK(peer.has_value());
+      LONGS_EQUAL(1, CountInZone({*peer}, zone));
+      CHECK(*peer != fleet.self.control);
+      peers.insert(peer->address);
+    }
+  }
+  CHECK(peers.size() > 5);
+  CHECK_FALSE(ChooseComparisonPeer(Fleet{.self = fleet.self}, 0, random, kNow)
+                  .has_value());
+}
+
 TEST(GossipPlan, BalancerInShutdownIsToldUntilItHasEnded) {
   Fleet fleet = MakeFleet(0, 0, 1, 4);
   HostRecord record = MakeRecord(0, 2, HostRole::kBalancer);
--- a/test/roster_sync_test.cc
+++ b/test/roster_sync_test.cc
@@ -95,8 +95,8 @@
   }
 }
 
-// A new balancer resets flows that no agent holds after 3 s. In that time it
-// compares its records fifteen times.
+// A new balancer resets flows that no agent holds after 3 s at the earliest. In
+// that time it compares its records fifteen times.
 TEST(RosterSync,
      NewBalancerIsCompleteBeforeItResetsFlowsThoughDatagramsAreLost) {
   constexpr int kComparisons = 15;
