--- a/src/transport/node_gossip.h
+++ b/src/transport/node_gossip.h
@@ -24,8 +24,8 @@
     std::chrono::milliseconds{50};
 
 /// Time after a node's start at which the node reads the list of balancers from
-/// the platform's store, if the seeds haven't answered. Seeds that start at the
-/// same time as the node answer within 80 ms.
+/// the platform's store, if the seeds haven't answered. Leaves time for seeds
+/// that start at the same time as the node.
 inline constexpr Duration kSeedReplyTimeout = std::chrono::milliseconds{100};
 
 /// Minimum time between two reads of the list of balancers while the node knows
--- a/test/node_path_test.cc
+++ b/test/node_path_test.cc
@@ -331,17 +331,21 @@
   caller.StartReceiving([&](Endpoint, ByteView bytes) {
     answered = answered || platform::DecodeFlowPacket(bytes)->is_opening;
   });
-  CHECK(RunUntil(
-      [&] { return answered; },
-      [&] {
-        target.SendHeartbeat();
-        caller.SendDatagram(
-            other_zone,
-            EncodeFlowPacketWithFlags(
-                FlowPacket{.source = {.address = kCallerHost, .port = 1000},
-                           .destination = kRoute},
-                kSynFlag));
-      }));
+  const auto open_flow = [&](std::uint16_t port) {
+    answered = false;
+    return RunUntil(
+        [&] { return answered; },
+        [&] {
+          target.SendHeartbeat();
+          caller.SendDatagram(
+              other_zone,
+              EncodeFlowPacketWithFlags(
+                  FlowPacket{.source = {.address = kCallerHost, .port = port},
+                             .destination = kRoute},
+                  kSynFlag));
+        });
+  };
+  CHECK(open_flow(1000));
   // A message that is cut short is logged and changes nothing.
   const std::vector<std::uint8_t> cut = {0x4E, 1, 4, 0, 0, 0, 9};
   caller.SendDatagram({.address = other_zone.address, .port = ports.internal},
@@ -352,16 +356,5 @@
                    "event=datagram_malformed bytes=7") != std::string::npos;
       },
       [&] { target.SendHeartbeat(); }));
-  answered = false;
-  CHECK(RunUntil(
-      [&] { return answered; },
-      [&] {
-        target.SendHeartbeat();
-        caller.SendDatagram(
-            other_zone,
-            EncodeFlowPacketWithFlags(
-                FlowPacket{.source = {.address = kCallerHost, .port = 1001},
-                           .destination = kRoute},
-                kSynFlag));
-      }));
+  CHECK(open_flow(1001));
 }
