Decode what routes expect of requests and tell agents with the flow

Agents decide what happens to work at their targets but don't read the configuration. Routes now carry priority, goal, timeout and whether requests may be repeated; services carry the rate that a cold target bears. Balancers send the terms of a flow with openings and with packets that ask for a reply. Ruled out: agents that fetch the routes, because only the first four of a fleet do, and an agent that restarts would decide without them until then. Nothing decides by the terms yet. The media type of encoded routes changes with their encoding.

--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -8,6 +8,7 @@
 
 #include "hawthornbank/fleet.h"
 #include "hawthornbank/flow_key.h"
+#include "hawthornbank/flow_terms.h"
 #include "hawthornbank/types.h"
 #include "hawthornbank/wire.h"
 
@@ -36,6 +37,8 @@
   /// Addresses of agents that returned the packet, or that didn't confirm it in
   /// time if the packet is an opening.
   std::vector<std::uint32_t> returned_by;
+  /// Sent with openings and with packets that ask for a FlowReply.
+  std::optional<FlowTerms> terms;
 
   auto operator==(const RelayHeader&) const -> bool = default;
 };
--- a/include/hawthornbank/routes.h
+++ b/include/hawthornbank/routes.h
@@ -17,15 +17,37 @@
   std::uint32_t weight = 1;
 };
 
+/// What callers of a route expect of the requests on its flows.
+struct RequestTerms {
+  std::uint8_t priority = 0;  ///< 0 is the most urgent.
+  /// Requests are idempotent: a caller may send one again, whatever became of
+  /// the first try.
+  bool is_repeatable = false;
+  Duration goal{};     ///< Time in which an answer is useful; 0: unknown.
+  Duration timeout{};  ///< Time after which nobody waits; 0: unknown.
+
+  auto operator==(const RequestTerms&) const -> bool = default;
+};
+
 /// An address and the services that get its new flows.
 struct Route {
   std::vector<ServiceShare> shares;
+  RequestTerms terms;
+};
+
+/// What is configured of a service.
+struct ServiceSettings {
+  /// Requests that a cold target bears in a second; 0: no limit.
+  double warmup_requests_per_second = 0;
 };
 
 /// All routes of one version.
 struct RouteSet {
   std::uint64_t version = 0;  ///< 0 when no routes are known yet.
   std::unordered_map<Endpoint, Route> routes;
+  /// By HashName of the service's name. Services without settings of their own
+  /// aren't listed.
+  std::unordered_map<std::uint32_t, ServiceSettings> services;
   Duration idle_timeout = std::chrono::seconds{15};
 };
 
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -13,6 +13,7 @@
 #include "hawthornbank/flow_key.h"
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/flow_search.h"
+#include "hawthornbank/flow_terms.h"
 #include "hawthornbank/link_budget.h"
 #include "hawthornbank/placement.h"
 #include "hawthornbank/random.h"
@@ -46,6 +47,7 @@
 struct SteeringOptions {
   PlacementOptions placement;
   FlowSearchOptions search;
+  WarmupAllowance warmup;
   /// Timeout for an agent to confirm an opening packet: the longest round trip
   /// between zones plus the target's handshake.
   Duration confirm_timeout = std::chrono::milliseconds{45};
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -46,6 +46,9 @@
                        SteeringReason reason,
                        std::vector<std::uint8_t> kept,
                        std::vector<SteeringAction>& out) -> void {
+  if (header.wants_flow_reply) {
+    header.terms = DescribeTerms(steering, flow, header.service);
+  }
   AppendSteeringAction(steering,
                        SteeringAction{.kind = Kind::kRelay,
                                       .reason = reason,
@@ -80,6 +83,16 @@
                     now - kMaxReadBacklog, now);
 }
 
+auto DescribeTerms(const Steering& steering,
+                   const FlowKey& flow,
+                   std::uint32_t service) -> std::optional<FlowTerms> {
+  const Route* const route = FindRoute(steering.routes, flow.address);
+  return route != nullptr
+             ? std::optional(DescribeFlowTerms(steering.routes, *route, service,
+                                               steering.options.warmup))
+             : std::nullopt;
+}
+
 // A target serves its flows for up to two seconds after announcing its
 // shutdown, so the target counts as exited only once its agent is shutting down
 // too, or if the target's start is unknown. A target that announced no shutdown
@@ -184,6 +197,8 @@
                  .service = ChooseService(route, HashFlow(flow)),
                  .wants_flow_reply = true},
       .received_at = now};
+  opening.header.terms = detail::DescribeTerms(steering, flow,
+                                               opening.header.service);
   if (OfferOpeningToNextTarget(steering, flow, opening, SteeringReason::kPlaced,
                                now, out)) {
     steering.openings.insert_or_assign(flow, std::move(opening));
--- a/src/coordination/steering_internal.h
+++ b/src/coordination/steering_internal.h
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNBANK_SRC_COORDINATION_STEERING_INTERNAL_H_
 #define HAWTHORNBANK_SRC_COORDINATION_STEERING_INTERNAL_H_
 
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -54,6 +55,12 @@
 /// behind with reading must not take its own delay for an agent's silence.
 auto GetReadTime(const Steering& steering, TimePoint now) -> TimePoint;
 
+/// @return Terms of the flow's requests at a service; nothing when the flow's
+/// address has no route.
+auto DescribeTerms(const Steering& steering,
+                   const FlowKey& flow,
+                   std::uint32_t service) -> std::optional<FlowTerms>;
+
 /// @return Whether the target of an agent's host has exited,
 /// so that the target's flows have ended.
 auto HasTargetExited(const KnownHost& host, TimePoint now) -> bool;
--- a/src/protocol/route_codec.cc
+++ b/src/protocol/route_codec.cc
@@ -10,6 +10,22 @@
 namespace hawthornbank {
 namespace {
 
+template <class Archive>
+auto SerializeMilliseconds(Archive& archive, Duration& time) -> void {
+  auto count = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  wire::SerializeVarint(archive, count);
+  time = std::chrono::milliseconds{count};
+}
+
+template <class Archive>
+auto SerializeTerms(Archive& archive, RequestTerms& terms) -> void {
+  archive(terms.priority);
+  wire::SerializeBool(archive, terms.is_repeatable);
+  SerializeMilliseconds(archive, terms.goal);
+  SerializeMilliseconds(archive, terms.timeout);
+}
+
 template <class Archive>
 auto SerializeRoute(Archive& archive, Endpoint& address, Route& route) -> void {
   archive(address.address, address.port);
@@ -20,6 +36,26 @@
     archive(it.service);
     wire::SerializeVarint(archive, it.weight);
   }
+  SerializeTerms(archive, route.terms);
+}
+
+template <class Archive>
+auto SerializeServices(
+    Archive& archive,
+    std::unordered_map<std::uint32_t, ServiceSettings>& services) -> void {
+  std::uint64_t count = services.size();
+  wire::SerializeLength(archive, count, wire::kMaxListLength);
+  if constexpr (Archive::is_saving::value) {
+    for (auto& [service, settings] : services) {
+      archive(service, settings.warmup_requests_per_second);
+    }
+  } else {
+    for (std::uint64_t n = 0; n < count; ++n) {
+      std::uint32_t service = 0;
+      archive(service);
+      archive(services[service].warmup_requests_per_second);
+    }
+  }
 }
 
 // What precedes the routes.
@@ -53,6 +89,8 @@
     Route written_route = route;
     SerializeRoute(archive, written_address, written_route);
   }
+  auto services = routes.services;
+  SerializeServices(archive, services);
   return CompressText(stream.str(), CompressionEffort::kFastest);
 }
 
@@ -72,6 +110,7 @@
       SerializeRoute(archive, address, route);
       routes.routes.emplace(address, std::move(route));
     }
+    SerializeServices(archive, routes.services);
     return routes;
   } catch (const cereal::Exception& error) {
     throw Error(ErrorKind::kMalformed,
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -92,6 +92,7 @@
     steering_.link.options.bytes_per_second =
         host_.settings().link_bytes_per_second;
     steering_.link.measured_at = host_.start_time();
+    steering_.options.warmup = host_.settings().warmup;
     steering_.random = host_.random();
     RunStoreTick();
     return host_.RunEventLoop(NodeRole{
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -13,6 +13,7 @@
 
 #include "hawthornbank/fleet.h"
 #include "hawthornbank/flow_packet.h"
+#include "hawthornbank/flow_terms.h"
 #include "hawthornbank/packet.h"
 #include "hawthornbank/routes.h"
 #include "hawthornbank/store_position.h"
@@ -51,6 +52,10 @@
       std::chrono::seconds{1};  ///< Interval of targets' heartbeats.
   Duration grace_period =
       std::chrono::seconds{6};  ///< Time from SIGTERM to SIGKILL.
+  /// Time in which an availability zone that the operator takes out of service
+  /// must get no new flows; 0: the platform takes no zones out of service.
+  Duration zone_evacuation_time{};
+  WarmupAllowance warmup;  ///< What cold targets may get beyond their rate.
 };
 
 /// Request with which the platform's routers check whether this node accepts
--- a/src/transport/route_peers.cc
+++ b/src/transport/route_peers.cc
@@ -15,7 +15,7 @@
 constexpr const char* kRoutesPath = "/routes";
 // A peer of an older build sends JSON, whatever is accepted.
 constexpr const char* kAcceptedTypes =
-    "application/x-hawthornbank-routes, application/json;q=0.5";
+    "application/x-hawthornbank-route-set, application/json;q=0.5";
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
--- a/src/transport/route_peers.h
+++ b/src/transport/route_peers.h
@@ -35,7 +35,7 @@
 
 /// Media type of the output of EncodeRoutes().
 inline constexpr const char* kEncodedRoutesType =
-    "application/x-hawthornbank-routes";
+    "application/x-hawthornbank-route-set";
 
 /// A version of the routes as peers fetch it.
 struct RoutesDocument {
--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -147,7 +147,12 @@
                          .wants_flow_reply = true,
                          .is_returned = true,
                          .is_last_candidate = true,
-                         .returned_by = {1, 2, 3}};
+                         .returned_by = {1, 2, 3},
+                         .terms = FlowTerms{.priority = 2,
+                                            .is_repeatable = true,
+                                            .goal_ms = 300,
+                                            .timeout_ms = 1200,
+                                            .warmup_limit = 17}};
   Bytes bytes;
   AppendRelayHeader(sent, bytes);
   const std::size_t header_bytes = bytes.size();
@@ -161,7 +166,8 @@
 
 TEST(NodeMessage, RejectsTruncatedRelayHeaderAndTooManyReturns) {
   Bytes bytes;
-  AppendRelayHeader(RelayHeader{.returned_by = {1, 2, 3}}, bytes);
+  AppendRelayHeader(
+      RelayHeader{.returned_by = {1, 2, 3}, .terms = FlowTerms{}}, bytes);
   std::size_t size = 0;
   for (std::size_t n = 0; n < bytes.size(); ++n) {
     CHECK_FALSE(DecodeRelayHeader(ByteView(bytes).first(n), size).has_value());
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -28,6 +28,9 @@
 control = "10.1.0.10:8166"
 [bounds]
 grace_s = 6
+evacuate_ms = 5000
+warmup_excess = 1.5
+warmup_slack = 5
 [platform]
 addr = "10.200.1.7:8169"
 )";
@@ -51,10 +54,12 @@
 
 constexpr const char* kConfig = R"({"version":7,"routes":[
 {"name":"r-1","host":"198.18.0.1","path_prefix":"/8443/","kind":"idempotent",
+ "timeout_ms":1200,"goal_ms":300,"priority":2,
  "split":[{"service":"a","weight":90},{"service":"b","weight":10}]},
 {"name":"r-2","host":"198.18.0.2","path_prefix":"/8080/","kind":"upload",
  "service":"b"}],
-"services":[],"limits":{"idle_timeout_ms":12000}})";
+"services":[{"name":"a","warmup_per_s":12.5},{"name":"b","warmup_per_s":0.0}],
+"limits":{"idle_timeout_ms":12000}})";
 
 auto ReplaceText(std::string text,
                  const std::string& from,
@@ -95,6 +100,9 @@
   CHECK(settings.seeds.at(1) == ParseEndpoint("10.2.0.40:7720"));
   CHECK(settings.store == ParseEndpoint("10.200.1.7:8169"));
   CHECK(settings.grace_period == std::chrono::seconds{6});
+  CHECK(settings.zone_evacuation_time == std::chrono::seconds{5});
+  DOUBLES_EQUAL(1.5, settings.warmup.factor, 0);
+  DOUBLES_EQUAL(5, settings.warmup.extra, 0);
   LONGS_EQUAL(2, settings.http.size());
 }
 
@@ -224,6 +232,16 @@
       FindRoute(*answer.routes, ParseEndpoint("198.18.0.1:8443"));
   LONGS_EQUAL(2, route->shares.size());
   LONGS_EQUAL(90, route->shares[0].weight);
+  CHECK(route->terms == (RequestTerms{.priority = 2,
+                                      .is_repeatable = true,
+                                      .goal = std::chrono::milliseconds{300},
+                                      .timeout =
+                                          std::chrono::milliseconds{1200}}));
+  LONGS_EQUAL(1, answer.routes->services.size());
+  DOUBLES_EQUAL(12.5,
+                answer.routes->services.at(route->shares[0].service)
+                    .warmup_requests_per_second,
+                0);
   CHECK(FindRoute(*answer.routes, ParseEndpoint("198.18.0.2:8080")) != nullptr);
   CHECK(FindRoute(*answer.routes, ParseEndpoint("198.18.0.2:8443")) == nullptr);
   // The document that peers fetch decodes to the same number of routes.
--- a/test/route_codec_test.cc
+++ b/test/route_codec_test.cc
@@ -18,12 +18,18 @@
 constexpr int kManyRoutes = 4200;
 
 auto MakeRoutes(int count) -> RouteSet {
-  RouteSet routes{.version = 18, .idle_timeout = 12s};
+  RouteSet routes{.version = 18,
+                  .services = {{7, {.warmup_requests_per_second = 12.5}}},
+                  .idle_timeout = 12s};
   for (int n = 0; n < count; ++n) {
     const Endpoint address{
         .address = 0xC6120000 + static_cast<std::uint32_t>(n), .port = 80};
     routes.routes[address] = Route{
-        .shares = {{.service = 7, .weight = 90}, {.service = 8, .weight = 10}}};
+        .shares = {{.service = 7, .weight = 90}, {.service = 8, .weight = 10}},
+        .terms = {.priority = 2,
+                  .is_repeatable = true,
+                  .goal = 300ms,
+                  .timeout = 1200ms}};
   }
   return routes;
 }
@@ -76,7 +82,10 @@
     LONGS_EQUAL(2, it->shares.size());
     LONGS_EQUAL(8, it->shares[1].service);
     LONGS_EQUAL(10, it->shares[1].weight);
+    CHECK(it->terms == route.terms);
   }
+  LONGS_EQUAL(1, decoded.services.size());
+  DOUBLES_EQUAL(12.5, decoded.services.at(7).warmup_requests_per_second, 0);
 }
 
 TEST(RouteCodec, DamagedRoutesAreMalformed) {
