Find open flows at services that their route led to before

A long flow whose route was changed afterwards was reset when its packets came to a balancer that didn't remember it: the balancer searched only the agents of the services in the present routes, found none and answered with a reset although the target held the flow. Ruled out: agents that are unreachable (all had replied) and targets that had restarted.

Routes now keep their former services for the lifetime of a flow, and peers send them with the routes. A balancer that may have missed a version queries the agents of all other services before it resets a caller, except those whose targets have all just started.

Of the same class: an agent returned packets of open flows that named another service, and was then left out of the search; an unsure agent got the packet under the service searched last; a reset before the balancer had settled looked at one of a route's services; agents without a target's state ended the search before the route's other services were queried.

--- a/include/hawthornbank/flow_search.h
+++ b/include/hawthornbank/flow_search.h
@@ -32,7 +32,8 @@
   /// holds the flow. One round covers all agents of most services, because the
   /// caller of a lost flow waits for a reset.
   std::size_t next_query_agents = 64;
-  /// Maximum number of agents queried for one flow.
+  /// Maximum number of agents queried for one flow, and again of agents of
+  /// services that the flow's route isn't known to lead to.
   std::size_t max_agents = 256;
   /// Minimum time without contact after which an agent counts as unreachable
   /// and its flows as lost, unless more than half of the queried agents are
@@ -52,6 +53,9 @@
 /// State of the search for one flow's agent.
 struct FlowSearch {
   std::uint32_t service = 0;  ///< Service whose agents are queried.
+  /// Agents of services that the flow's route isn't known to lead to are
+  /// queried too.
+  bool is_widened = false;
   /// Addresses of agents that were queried or are known not to hold the flow.
   std::vector<std::uint32_t> queried_addresses;
   /// Queried agents whose reply is outstanding and not overdue.
--- a/include/hawthornbank/routes.h
+++ b/include/hawthornbank/routes.h
@@ -5,6 +5,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "hawthornbank/route_history.h"
+#include "hawthornbank/store_position.h"
 #include "hawthornbank/types.h"
 
 /// @file
@@ -49,6 +51,13 @@
   /// aren't listed.
   std::unordered_map<std::uint32_t, ServiceSettings> services;
   Duration idle_timeout = std::chrono::seconds{15};
+  /// Services that the routes led to before. Of offered routes: what the peer
+  /// that sent them knows; empty if they were read from the store.
+  RouteHistory history;
+  /// Position of the store at its last change of the routes, and the latest
+  /// position at which the routes were read; zero if they came from a peer.
+  StorePosition changed_at;
+  StorePosition read_at;
 };
 
 /// Finds the route of an address that callers use.
@@ -64,12 +73,24 @@
 auto ChooseService(const Route& route, std::uint64_t flow_hash)
     -> std::uint32_t;
 
+/// @param route A route.
+/// @param service A service.
+/// @return Whether the route leads new flows to the service.
+auto LeadsToService(const Route& route, std::uint32_t service) -> bool;
+
 /// Replaces the routes in force if the offered routes have a larger version.
-/// The version in force never decreases.
+/// The version in force never decreases. Services that a route no longer leads
+/// to are added to the history, which is complete only if no version between
+/// the two can have been missed, or from the time on that the sender tells.
 /// @param in_force The routes in force.
 /// @param offered Routes from the store or from a peer.
+/// @param flow_lifetime Maximum lifetime of a flow.
+/// @param now Current time.
 /// @return Whether the routes in force were replaced.
-auto ReplaceRoutesIfNewer(RouteSet& in_force, RouteSet offered) -> bool;
+auto ReplaceRoutesIfNewer(RouteSet& in_force,
+                          RouteSet offered,
+                          Duration flow_lifetime,
+                          TimePoint now) -> bool;
 
 }  // namespace hawthornbank
 
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -58,6 +58,8 @@
   std::size_t max_remembered_flows = 262144;
   /// Time without packets after which a remembered flow is erased.
   Duration flow_idle_timeout = std::chrono::seconds{30};
+  /// Maximum lifetime of a flow.
+  Duration flow_lifetime = kFlowLifetime;
   /// Time after the balancer's start in which the balancer is still learning
   /// routes and targets. If the balancer has no routes or knows no target for
   /// an opening packet, it drops the packet and sends no reset: the caller
@@ -117,6 +119,8 @@
   kTargetLost,            ///< The flow's target has exited.
   kMalformed,             ///< The packet can't be parsed.
   kSearchQueued,          ///< The flow's search waits to send its queries.
+  kFoundAtFormerService,  ///< kAgentFound, at a service the route led to.
+  kFoundByWideSearch,     ///< kAgentFound, at a service that wasn't known.
   kCount,
 };
 
@@ -163,6 +167,8 @@
   /// have been handled.
   std::optional<TimePoint> messages_read_until;
   RouteSet routes;
+  /// When `routes` were last confirmed as the newest ones.
+  TimePoint routes_confirmed_at{};
   Fleet fleet;
   std::unordered_map<FlowKey, SteeredFlow> flows;
   std::unordered_map<FlowKey, PendingOpening> openings;
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/flow_search_scope.h"
 #include "coordination/steering_internal.h"
 #include "hawthornbank/gossip_plan.h"
 
@@ -18,96 +19,13 @@
                   ComputeSettlingTime(CountBalancers(steering.fleet)));
 }
 
-// Returns whether this balancer and all targets of a service whose state is
-// known have just started, as after a power loss; such targets hold no older
-// flows. Agents that don't know their target's state are ignored if they are
-// fewer than the targets that have just started, because most agents then know
-// their targets.
-// Returns false before restart_settling_time and after restart_period.
-auto HaveTargetsJustStarted(const Steering& steering,
-                            std::uint32_t service,
-                            TimePoint now) -> bool {
-  const Duration up = now - steering.started;
-  if (up < steering.options.restart_settling_time ||
-      up >= steering.options.restart_period) {
-    return false;
-  }
-  std::size_t cold = 0;
-  std::size_t unknown = 0;
-  for (const auto& [control, host] : steering.fleet.hosts) {
-    if (host.record.role != HostRole::kAgent ||
-        host.record.service != service) {
-      continue;
-    }
-    if (host.record.target.state == TargetState::kUnknown) {
-      ++unknown;
-    } else if (WasTargetAnnouncedCold(host)) {
-      ++cold;
-    } else if (host.record.target.state != TargetState::kGone) {
-      return false;
-    }
-  }
-  return cold > unknown;
-}
-
-// Order of the queries: agents that know their target's state first,
-// agents that aren't live last.
-enum class SearchPriority : std::uint8_t {
-  kTargetKnown,
-  kTargetUnknown,
-  kUnresponsive
-};
-
-auto GetSearchPriority(const KnownHost& host, TimePoint now) -> SearchPriority {
-  if (!IsHostLive(host, now)) {
-    return SearchPriority::kUnresponsive;
-  }
-  return host.record.target.state == TargetState::kUnknown
-             ? SearchPriority::kTargetUnknown
-             : SearchPriority::kTargetKnown;
-}
-
-// Ranks the agents whose targets may hold a flow and that haven't been queried
-// yet. If the search's service has no such agents, switches the search to
-// another service of the route: after a change of the route's weights the flow
-// may belong to that service.
-auto RankAgentsToQuery(Steering& steering,
-                       const FlowKey& flow,
-                       FlowSearch& search,
-                       TimePoint now) -> std::vector<RankedAgent> {
-  const auto rank = [&](std::uint32_t service) {
-    auto ranked = RankAgentsForFlow(steering.fleet, service, HashFlow(flow),
-                                    search.queried_addresses);
-    std::erase_if(ranked, [now](const RankedAgent& it) {
-      return HasTargetExited(*it.host, now);
-    });
-    return ranked;
-  };
-  auto ranked = rank(search.service);
-  const Route* const route = FindRoute(steering.routes, flow.address);
-  if (ranked.empty() && route != nullptr) {
-    for (const auto& it : route->shares) {
-      ranked = rank(it.service);
-      if (!ranked.empty()) {
-        search.service = it.service;
-        break;
-      }
-    }
-  }
-  (void)MoveCandidatesToFront(ranked, steering.fleet.self.zone,
-                              steering.options.placement);
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [read_until = GetReadTime(steering, now)](
-                       const RankedAgent& a, const RankedAgent& b) {
-                     return GetSearchPriority(*a.host, read_until) <
-                            GetSearchPriority(*b.host, read_until);
-                   });
-  if (HaveTargetsJustStarted(steering, search.service, now)) {
-    std::erase_if(ranked, [](const RankedAgent& it) {
-      return it.host->record.target.state == TargetState::kUnknown;
-    });
-  }
-  return ranked;
+// Returns the service of an agent, or `otherwise` if the agent is unknown.
+auto FindServiceOfAgent(const Steering& steering,
+                        Endpoint agent,
+                        std::uint32_t otherwise) -> std::uint32_t {
+  const auto host = steering.fleet.hosts.find(agent);
+  return host == steering.fleet.hosts.end() ? otherwise
+                                            : host->second.record.service;
 }
 
 auto RemoveFlowSearch(Steering& steering, SearchEntry entry) -> void {
@@ -126,15 +44,16 @@
                            TimePoint now,
                            std::vector<SteeringAction>& out) -> void {
   const FlowSearch& search = entry->second;
-  const bool settled = now - steering.started >= GetSettlingTime(steering) ||
-                       HaveTargetsJustStarted(steering, search.service, now);
+  const bool settled =
+      now - steering.started >= GetSettlingTime(steering) ||
+      HaveSearchedTargetsJustStarted(steering, entry->first, search, now);
   // If most agents are unreachable, this balancer itself may be cut off.
   const bool most_are_reachable =
       search.unreachable.size() * 2 <= search.queried_addresses.size();
   const bool all_have_replied =
       !search.queried_addresses.empty() && search.unresponsive.empty() &&
       most_are_reachable &&
-      search.queried_addresses.size() < steering.options.search.max_agents;
+      search.queried_addresses.size() < GetAgentLimit(steering, search);
   if (settled && all_have_replied && !search.first_packet_is_reset) {
     AppendResetAction(steering, entry->first, SteeringReason::kFlowUnknown,
                       search.acknowledgement, out);
@@ -192,12 +111,13 @@
   search.offered_to = search.unsure_agents.front();
   search.unsure_agents.erase(search.unsure_agents.begin());
   search.asked_at = now;
-  AppendRelayAction(steering, flow, search.offered_to,
-                    RelayHeader{.origin = steering.fleet.self.control,
-                                .service = search.service,
-                                .wants_flow_reply = true},
-                    SteeringReason::kOfferedToUnsureAgent,
-                    search.packets.front(), out);
+  AppendRelayAction(
+      steering, flow, search.offered_to,
+      RelayHeader{.origin = steering.fleet.self.control,
+                  .service = FindServiceOfAgent(steering, search.offered_to,
+                                                search.service),
+                  .wants_flow_reply = true},
+      SteeringReason::kOfferedToUnsureAgent, search.packets.front(), out);
 }
 
 // Returns whether an agent is unknown, or has been unreachable for longer than
@@ -221,9 +141,9 @@
   FlowSearch& search = entry->second;
   const FlowSearchOptions& options = steering.options.search;
   const auto ranked = RankAgentsToQuery(steering, entry->first, search, now);
+  const std::size_t limit = GetAgentLimit(steering, search);
   const std::size_t left =
-      options.max_agents -
-      std::min(search.queried_addresses.size(), options.max_agents);
+      limit - std::min(search.queried_addresses.size(), limit);
   const std::size_t count =
       std::min({ranked.size(), left,
                 search.queried_addresses.empty() ? options.first_query_agents
@@ -288,15 +208,17 @@
                                      Endpoint agent,
                                      std::size_t first,
                                      bool confirmed,
+                                     TimePoint now,
                                      std::vector<SteeringAction>& out) -> void {
   auto& [flow, search] = *entry;
+  const SteeringReason reason =
+      DescribeFoundService(steering, flow, search.service, now);
   for (std::size_t n = first; n < search.packets.size(); ++n) {
     AppendRelayAction(steering, flow, agent,
                       RelayHeader{.origin = steering.fleet.self.control,
                                   .service = search.service,
                                   .wants_flow_reply = !confirmed},
-                      SteeringReason::kAgentFound, std::move(search.packets[n]),
-                      out);
+                      reason, std::move(search.packets[n]), out);
   }
   RemoveFlowSearch(steering, entry);
 }
@@ -369,12 +291,9 @@
   FlowSearch& search = entry->second;
   if (reply.ownership == FlowOwnership::kHeld) {
     const std::size_t sent = search.offered_to == reply.agent ? 1 : 0;
-    const auto host = steering.fleet.hosts.find(reply.agent);
-    if (host != steering.fleet.hosts.end()) {
-      search.service = host->second.record.service;
-    }
+    search.service = FindServiceOfAgent(steering, reply.agent, search.service);
     RelayWaitingPacketsAndEndSearch(steering, entry, reply.agent, sent, true,
-                                    out);
+                                    now, out);
     ContinueQueuedSearches(steering, now, out);
     return;
   }
@@ -425,7 +344,9 @@
       // The target didn't return the offered packet, so it may hold the flow.
       const Endpoint agent = search.offered_to;
       RecordFlowAgent(steering, it, agent, false, now);
-      RelayWaitingPacketsAndEndSearch(steering, entry, agent, 1, false, out);
+      search.service = FindServiceOfAgent(steering, agent, search.service);
+      RelayWaitingPacketsAndEndSearch(steering, entry, agent, 1, false, now,
+                                      out);
       continue;
     }
     for (const auto agent : search.unanswered) {
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -124,6 +124,7 @@
     "sent_back",    "unconfirmed", "no_route",   "no_routes_yet",
     "no_target",    "nobody_took", "link_full",  "not_found",
     "flow_unknown", "target_lost", "malformed",  "search_queued",
+    "found_former", "found_wide",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -197,8 +198,8 @@
                  .service = ChooseService(route, HashFlow(flow)),
                  .wants_flow_reply = true},
       .received_at = now};
-  opening.header.terms = detail::DescribeTerms(steering, flow,
-                                               opening.header.service);
+  opening.header.terms =
+      detail::DescribeTerms(steering, flow, opening.header.service);
   if (OfferOpeningToNextTarget(steering, flow, opening, SteeringReason::kPlaced,
                                now, out)) {
     steering.openings.insert_or_assign(flow, std::move(opening));
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -181,6 +181,12 @@
     AppendReplyAction(flow, header.origin, FlowOwnership::kHeld, out);
     return;
   }
+  // The service decides only where a flow opens: the balancer of an open flow
+  // may know another service for the flow's route.
+  if (header.service != target.options.service) {
+    AppendReturnAction(target, flow, header, TargetReason::kWrongService, out);
+    return;
+  }
   if (target.status.state != TargetState::kReady || target.is_shutting_down) {
     AppendReturnAction(target, flow, header, TargetReason::kNotReady, out);
     return;
@@ -356,10 +362,6 @@
                      TimePoint now,
                      std::vector<TargetAction>& out) -> void {
   const FlowKey flow = ExtractCallerFlowKey(packet);
-  if (header.service != target.options.service) {
-    AppendReturnAction(target, flow, header, TargetReason::kWrongService, out);
-    return;
-  }
   if (packet.is_opening) {
     OnOpeningPacket(target, header, flow, bytes, now, out);
     return;
--- a/src/protocol/route_codec.cc
+++ b/src/protocol/route_codec.cc
@@ -1,5 +1,6 @@
 #include "protocol/route_codec.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 #include <utility>
@@ -72,6 +73,62 @@
   }
 };
 
+// The size of the encoded routes precedes them, most significant byte first.
+constexpr std::size_t kSizeBytes = 4;
+
+auto EncodeSize(std::size_t size) -> std::string {
+  std::string bytes;
+  for (std::size_t n = kSizeBytes; n > 0; --n) {
+    bytes.push_back(static_cast<char>(size >> (8 * (n - 1))));
+  }
+  return bytes;
+}
+
+auto DecodeSize(const std::string& encoded) -> std::size_t {
+  std::size_t size = 0;
+  for (std::size_t n = 0; n < kSizeBytes && n < encoded.size(); ++n) {
+    size = size << 8U | static_cast<unsigned char>(encoded[n]);
+  }
+  if (encoded.size() < kSizeBytes + size) {
+    throw Error(ErrorKind::kMalformed, "routes of a peer: incomplete");
+  }
+  return size;
+}
+
+// Ages above this one are encoded as this one: the flows have ended long ago.
+constexpr Duration kMaxEncodedAge = std::chrono::hours{1};
+
+// Encodes a time as an age. An age that can't be told counts as no age at all.
+template <class Archive>
+auto SerializeAge(Archive& archive, TimePoint& time, TimePoint now) -> void {
+  Duration age{};
+  if constexpr (Archive::is_saving::value) {
+    age = time >= now ? Duration{} : std::min(now - time, kMaxEncodedAge);
+  }
+  SerializeMilliseconds(archive, age);
+  if constexpr (!Archive::is_saving::value) {
+    if (age > kMaxEncodedAge || age < Duration{}) {
+      throw Error(ErrorKind::kMalformed, "age is out of range");
+    }
+    time = now - age;
+  }
+}
+
+template <class Archive>
+auto SerializeFormerServices(Archive& archive,
+                             Endpoint& address,
+                             std::vector<FormerService>& services,
+                             TimePoint now) -> void {
+  archive(address.address, address.port);
+  std::uint64_t count = services.size();
+  wire::SerializeLength(archive, count, wire::kMaxListLength);
+  services.resize(count);
+  for (auto& it : services) {
+    archive(it.service);
+    SerializeAge(archive, it.last_routed_at, now);
+  }
+}
+
 }  // namespace
 
 auto EncodeRoutes(const RouteSet& routes) -> std::string {
@@ -118,4 +175,49 @@
   }
 }
 
+auto EncodeRoutesWithHistory(const std::string& encoded_routes,
+                             const RouteHistory& history,
+                             TimePoint now) -> std::string {
+  std::ostringstream text;
+  {
+    cereal::PortableBinaryOutputArchive archive(text);
+    TimePoint complete_since = history.complete_since;
+    SerializeAge(archive, complete_since, now);
+    std::uint64_t count = history.former.size();
+    wire::SerializeLength(archive, count, kMaxEncodedRoutes);
+    for (const auto& [address, services] : history.former) {
+      Endpoint written_address = address;
+      auto written_services = services;
+      SerializeFormerServices(archive, written_address, written_services, now);
+    }
+  }
+  return EncodeSize(encoded_routes.size()) + encoded_routes +
+         CompressText(text.str(), CompressionEffort::kFastest);
+}
+
+auto DecodeRoutesWithHistory(const std::string& encoded, TimePoint now)
+    -> RoutesWithHistory {
+  try {
+    RoutesWithHistory decoded;
+    const std::size_t routes_size = DecodeSize(encoded);
+    decoded.encoded_routes = encoded.substr(kSizeBytes, routes_size);
+    std::istringstream stream(
+        DecompressText(encoded.substr(kSizeBytes + routes_size)));
+    cereal::PortableBinaryInputArchive archive(stream);
+    SerializeAge(archive, decoded.history.complete_since, now);
+    std::uint64_t count = 0;
+    wire::SerializeLength(archive, count, kMaxEncodedRoutes);
+    for (std::uint64_t n = 0; n < count; ++n) {
+      Endpoint address;
+      std::vector<FormerService> services;
+      SerializeFormerServices(archive, address, services, now);
+      decoded.history.former.emplace(address, std::move(services));
+    }
+    return decoded;
+  } catch (const cereal::Exception& error) {
+    throw Error(ErrorKind::kMalformed,
+                std::string("history of routes of a peer: ") + error.what());
+  }
+}
+
 }  // namespace hawthornbank
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -93,6 +93,7 @@
         host_.settings().link_bytes_per_second;
     steering_.link.measured_at = host_.start_time();
     steering_.options.warmup = host_.settings().warmup;
+    steering_.options.flow_lifetime = host_.settings().flow_lifetime;
     steering_.random = host_.random();
     RunStoreTick();
     return host_.RunEventLoop(NodeRole{
@@ -147,9 +148,14 @@
     PerformSteeringActions(datagram, now);
   }
 
-  // Replies of agents may be unread while this process is busy.
+  // Replies of agents may be unread while this process is busy, and newer
+  // routes that a peer has may not have arrived.
   auto UpdateReadTime() -> void {
     steering_.messages_read_until = host_.control_socket().read_until();
+    steering_.routes_confirmed_at =
+        follower_.peer_version > steering_.routes.version
+            ? TimePoint{}
+            : follower_.confirmed_at;
   }
 
   auto RecordLinkTraffic(TimePoint now) -> void {
@@ -328,12 +334,13 @@
 
   auto OnStoreRoutes(const RouteSet& routes, const std::string& document)
       -> void {
-    if (routes.version > steering_.routes.version) {
-      PutRoutesInForceIfNewer(
-          routes,
-          RoutesDocument{.encoded = EncodeRoutes(routes), .json = document},
-          RoutesSource::kStore, GetMonotonicTime());
-    }
+    const bool is_newer = routes.version > steering_.routes.version;
+    PutRoutesInForceIfNewer(
+        routes,
+        is_newer
+            ? RoutesDocument{.encoded = EncodeRoutes(routes), .json = document}
+            : RoutesDocument{},
+        RoutesSource::kStore, GetMonotonicTime());
   }
 
   // Tells other balancers that the store has confirmed the routes.
@@ -374,9 +381,11 @@
                                TimePoint now) -> void {
     const std::uint64_t before = steering_.routes.version;
     const bool is_from_store = source == RoutesSource::kStore;
-    if (!ReplaceRoutesIfNewer(steering_.routes, routes)) {
+    if (!ReplaceRoutesIfNewer(steering_.routes, routes,
+                              steering_.options.flow_lifetime, now)) {
       return;
     }
+    document.history = steering_.routes.history;
     peers_.SetRoutesDocument(std::move(document));
     host_.event_log().WriteEvent(
         EventKind::kStateChange, now,
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -15,6 +15,7 @@
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/flow_terms.h"
 #include "hawthornbank/packet.h"
+#include "hawthornbank/route_history.h"
 #include "hawthornbank/routes.h"
 #include "hawthornbank/store_position.h"
 #include "hawthornbank/target_presence.h"
@@ -55,6 +56,8 @@
   /// Time in which an availability zone that the operator takes out of service
   /// must get no new flows; 0: the platform takes no zones out of service.
   Duration zone_evacuation_time{};
+  /// Time after which a flow may be discarded, however active it is.
+  Duration flow_lifetime = kFlowLifetime;
   WarmupAllowance warmup;  ///< What cold targets may get beyond their rate.
 };
 
--- a/src/transport/route_peers.cc
+++ b/src/transport/route_peers.cc
@@ -15,7 +15,8 @@
 constexpr const char* kRoutesPath = "/routes";
 // A peer of an older build sends JSON, whatever is accepted.
 constexpr const char* kAcceptedTypes =
-    "application/x-hawthornbank-route-set, application/json;q=0.5";
+    "application/x-hawthornbank-route-set-with-history, "
+    "application/x-hawthornbank-route-set;q=0.8, application/json;q=0.5";
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
@@ -97,7 +98,7 @@
                                  const HttpResponse& reply) -> void {
   const TimePoint now = GetMonotonicTime();
   const auto call = EndPendingCall(follower_.peer_fetches, id);
-  const auto routes = DecodeFetchedRoutes(reply);
+  auto routes = DecodeFetchedRoutes(reply, now);
   ++(routes.has_value() ? fetch_counts_.completed : fetch_counts_.failed);
   fetch_counts_.bytes += reply.received_bytes;
   host_.event_log().WriteEvent(
@@ -108,29 +109,42 @@
       reply.received_bytes,
       CountMilliseconds(call.has_value() ? now - call->started : Duration{}));
   if (routes.has_value()) {
-    on_routes_(*routes, reply.type == kEncodedRoutesType
-                            ? RoutesDocument{.encoded = reply.body}
-                            : RoutesDocument{.encoded = EncodeRoutes(*routes),
-                                             .json = reply.body});
+    on_routes_(routes->routes, std::move(routes->document));
   }
 }
 
-auto RoutePeers::DecodeFetchedRoutes(const HttpResponse& reply) const
-    -> std::optional<RouteSet> {
+auto RoutePeers::DecodeFetchedRoutes(const HttpResponse& reply,
+                                     TimePoint now) const
+    -> std::optional<FetchedRoutes> {
   if (reply.status != kOk) {
     return std::nullopt;
   }
-  if (reply.type != kEncodedRoutesType) {
-    return host_.codec().decode_routes_document(reply.body);
-  }
   try {
-    return DecodeRoutes(reply.body);
+    if (reply.type == kRoutesWithHistoryType) {
+      auto [encoded, history] = DecodeRoutesWithHistory(reply.body, now);
+      RouteSet routes = DecodeRoutes(encoded);
+      routes.history = history;
+      return FetchedRoutes{.routes = std::move(routes),
+                           .document = {.encoded = std::move(encoded),
+                                        .history = std::move(history)}};
+    }
+    if (reply.type == kEncodedRoutesType) {
+      return FetchedRoutes{.routes = DecodeRoutes(reply.body),
+                           .document = {.encoded = reply.body}};
+    }
   } catch (const Error& error) {
-    host_.event_log().WriteEvent(EventKind::kMalformedInput, GetMonotonicTime(),
+    host_.event_log().WriteEvent(EventKind::kMalformedInput, now,
                                  "routes_malformed reason=\"{}\"",
                                  error.what());
     return std::nullopt;
   }
+  auto routes = host_.codec().decode_routes_document(reply.body);
+  if (!routes.has_value()) {
+    return std::nullopt;
+  }
+  RoutesDocument document{.encoded = EncodeRoutes(*routes), .json = reply.body};
+  return FetchedRoutes{.routes = std::move(*routes),
+                       .document = std::move(document)};
 }
 
 auto RoutePeers::SetRoutesDocument(RoutesDocument document) -> void {
@@ -142,6 +156,12 @@
   if (call.target != kRoutesPath || document_.encoded.empty()) {
     return HttpServerResponse{.status = kNotFound};
   }
+  if (call.accept.find(kRoutesWithHistoryType) != std::string::npos) {
+    return HttpServerResponse{
+        .type = kRoutesWithHistoryType,
+        .body = EncodeRoutesWithHistory(document_.encoded, document_.history,
+                                        GetMonotonicTime())};
+  }
   if (call.accept.find(kEncodedRoutesType) != std::string::npos) {
     return HttpServerResponse{.type = kEncodedRoutesType,
                               .body = document_.encoded};
--- a/src/transport/route_peers.h
+++ b/src/transport/route_peers.h
@@ -37,12 +37,17 @@
 inline constexpr const char* kEncodedRoutesType =
     "application/x-hawthornbank-route-set";
 
+/// Media type of the output of EncodeRoutesWithHistory().
+inline constexpr const char* kRoutesWithHistoryType =
+    "application/x-hawthornbank-route-set-with-history";
+
 /// A version of the routes as peers fetch it.
 struct RoutesDocument {
   std::string encoded;  ///< Output of EncodeRoutes().
   /// JSON text, as the platform stores it, for peers of an older build; empty
   /// if the routes came from a peer that sent them encoded.
   std::string json;
+  RouteHistory history;  ///< Former services that are sent with the routes.
 };
 
 /// Serves this process's routes to peers and fetches newer routes from them.
@@ -91,8 +96,14 @@
   auto MarkLateFetches(TimePoint now) -> void;
   auto OnFetchResponse(CallId id, Endpoint peer, const HttpResponse& reply)
       -> void;
-  [[nodiscard]] auto DecodeFetchedRoutes(const HttpResponse& reply) const
-      -> std::optional<RouteSet>;
+  struct FetchedRoutes {
+    RouteSet routes;
+    RoutesDocument document;
+  };
+
+  [[nodiscard]] auto DecodeFetchedRoutes(const HttpResponse& reply,
+                                         TimePoint now) const
+      -> std::optional<FetchedRoutes>;
   auto AnswerRoutesRequest(const HttpServerRequest& call) const
       -> HttpServerResponse;
 
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -31,6 +31,7 @@
 evacuate_ms = 5000
 warmup_excess = 1.5
 warmup_slack = 5
+flow_ttl_s = 45
 [platform]
 addr = "10.200.1.7:8169"
 )";
@@ -101,6 +102,7 @@
   CHECK(settings.store == ParseEndpoint("10.200.1.7:8169"));
   CHECK(settings.grace_period == std::chrono::seconds{6});
   CHECK(settings.zone_evacuation_time == std::chrono::seconds{5});
+  CHECK(settings.flow_lifetime == std::chrono::seconds{45});
   DOUBLES_EQUAL(1.5, settings.warmup.factor, 0);
   DOUBLES_EQUAL(5, settings.warmup.extra, 0);
   LONGS_EQUAL(2, settings.http.size());
@@ -228,15 +230,17 @@
   LONGS_EQUAL(12, answer.position.revision);
   LONGS_EQUAL(4, answer.position.era);
   LONGS_EQUAL(7, answer.routes->version);
+  CHECK(answer.routes->changed_at == (StorePosition{.era = 4, .revision = 9}));
+  CHECK(answer.routes->read_at == answer.position);
   const auto* const route =
       FindRoute(*answer.routes, ParseEndpoint("198.18.0.1:8443"));
   LONGS_EQUAL(2, route->shares.size());
   LONGS_EQUAL(90, route->shares[0].weight);
-  CHECK(route->terms == (RequestTerms{.priority = 2,
-                                      .is_repeatable = true,
-                                      .goal = std::chrono::milliseconds{300},
-                                      .timeout =
-                                          std::chrono::milliseconds{1200}}));
+  CHECK(route->terms ==
+        (RequestTerms{.priority = 2,
+                      .is_repeatable = true,
+                      .goal = std::chrono::milliseconds{300},
+                      .timeout = std::chrono::milliseconds{1200}}));
   LONGS_EQUAL(1, answer.routes->services.size());
   DOUBLES_EQUAL(12.5,
                 answer.routes->services.at(route->shares[0].service)
--- a/test/route_codec_test.cc
+++ b/test/route_codec_test.cc
@@ -88,6 +88,46 @@
   DOUBLES_EQUAL(12.5, decoded.services.at(7).warmup_requests_per_second, 0);
 }
 
+TEST(RouteCodec, HistoryIsEncodedAsAges) {
+  const TimePoint sent_at{5000s};
+  const TimePoint received_at{70s};
+  const Endpoint address{.address = 0xC6120000, .port = 80};
+  RouteHistory history{.complete_since = sent_at - 40s};
+  RecordFormerService(history, address, 9, sent_at - 12s);
+  RecordFormerService(history, address, 10, sent_at - 2h);
+  const std::string encoded_routes = EncodeRoutes(MakeRoutes(3));
+  const auto decoded = DecodeRoutesWithHistory(
+      EncodeRoutesWithHistory(encoded_routes, history, sent_at), received_at);
+  CHECK(decoded.encoded_routes == encoded_routes);
+  CHECK(decoded.history.complete_since == received_at - 40s);
+  const auto services = FindFormerServices(decoded.history, address);
+  LONGS_EQUAL(2, services.size());
+  LONGS_EQUAL(9, services[0].service);
+  CHECK(services[0].last_routed_at == received_at - 12s);
+  CHECK(services[1].last_routed_at == received_at - 1h);
+}
+
+TEST(RouteCodec, HistoryWithoutRoutesIsCompleteFromItsArrivalOn) {
+  const TimePoint now{5000s};
+  const auto decoded = DecodeRoutesWithHistory(
+      EncodeRoutesWithHistory(EncodeRoutes(MakeRoutes(1)), RouteHistory{}, now),
+      now + 1s);
+  CHECK(decoded.history.complete_since == now + 1s);
+}
+
+TEST(RouteCodec, DamagedHistoryIsMalformed) {
+  const TimePoint now{5000s};
+  RouteHistory history{.complete_since = now};
+  RecordFormerService(history, Endpoint{.address = 1, .port = 2}, 9, now);
+  const std::string encoded =
+      EncodeRoutesWithHistory(EncodeRoutes(MakeRoutes(3)), history, now);
+  for (std::size_t size = 0; size < encoded.size(); ++size) {
+    CHECK_THROWS(Error, DecodeRoutesWithHistory(encoded.substr(0, size), now));
+  }
+  CHECK_THROWS(Error,
+               DecodeRoutesWithHistory(EncodeRoutes(MakeRoutes(3)), now));
+}
+
 TEST(RouteCodec, DamagedRoutesAreMalformed) {
   const std::string encoded = EncodeRoutes(MakeRoutes(100));
   for (std::size_t size = 0; size < encoded.size(); ++size) {
--- a/test/route_follower_test.cc
+++ b/test/route_follower_test.cc
@@ -364,9 +364,12 @@
 
 TEST(RouteFollower, VersionInForceNeverDecreases) {
   RouteSet in_force;
-  CHECK(ReplaceRoutesIfNewer(in_force, RouteSet{.version = 4}));
-  CHECK_FALSE(ReplaceRoutesIfNewer(in_force, RouteSet{.version = 4}));
-  CHECK_FALSE(ReplaceRoutesIfNewer(in_force, RouteSet{.version = 3}));
+  CHECK(ReplaceRoutesIfNewer(in_force, RouteSet{.version = 4}, kFlowLifetime,
+                             kNow));
+  CHECK_FALSE(ReplaceRoutesIfNewer(in_force, RouteSet{.version = 4},
+                                   kFlowLifetime, kNow));
+  CHECK_FALSE(ReplaceRoutesIfNewer(in_force, RouteSet{.version = 3},
+                                   kFlowLifetime, kNow));
   LONGS_EQUAL(4, in_force.version);
 }
 
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -131,6 +131,31 @@
   CHECK(out[0].reason == TargetReason::kWrongService);
 }
 
+// A balancer that doesn't know the agent names a service by the routes of
+// today.
+TEST(TargetFlows, PacketOfAnOpenFlowIsDeliveredWhateverServiceItIsSentTo) {
+  OpenFlowWithRequest(1);
+  const RelayHeader header{.origin = kBalancer, .service = kService + 1};
+  out.clear();
+  OnRelayedPacket(target, header, MakeCallerPacket(1, false, 10), bytes, kNow,
+                  out);
+  CHECK(out[0].kind == Kind::kDeliver);
+  out.clear();
+  OnRelayedPacket(target, header, MakeCallerPacket(1, true), bytes, kNow, out);
+  CHECK(out[0].kind == Kind::kDeliver);
+}
+
+// The agent started later than the target and doesn't know the target's flows.
+TEST(TargetFlows, PacketThatMayBeOfAnOpenFlowIsOfferedWhateverItsService) {
+  target.knows_all_flows = false;
+  const RelayHeader header{.origin = kBalancer, .service = kService + 1};
+  out.clear();
+  OnRelayedPacket(target, header, MakeCallerPacket(1, false, 10), bytes, kNow,
+                  out);
+  CHECK(out[0].kind == Kind::kDeliver);
+  CHECK(out[0].reason == TargetReason::kOffered);
+}
+
 TEST(TargetFlows, DrainingTargetGetsNoOpeningAndKeepsItsFlows) {
   OpenFlowWithRequest(1);
   SetTargetState(TargetState::kDraining, 500, kNow);
