Take availability zones out of service on the operator's order

Nothing read the operator's orders that empty a zone, so flows went on to open there. Polls of the store now list the zones out of service in place of the bare revision, peers report the set beside their routes, balancers leave out targets of such zones and agents return openings that reach them.

Ruled out: a call of its own for the zones (one more priced call a change), a watch, and zones as part of the routes; see docs/design/zones.md.

Deployments without zone_evacuation_time make the same calls as before.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -133,6 +133,8 @@
   /// Number of openings sent to the host since `load_reported_at`.
   std::uint16_t openings_since_load = 0;
   std::uint64_t version = 0;  ///< Routes version that the host reported.
+  /// Digest of the zones out of service that the host reported.
+  std::uint64_t zones_digest = 0;
   /// Start time of the target that was last announced as cold, Unix
   /// milliseconds; zero when no target was announced as cold.
   std::uint64_t cold_target_started_at_ms = 0;
--- a/include/hawthornbank/gossip_plan.h
+++ b/include/hawthornbank/gossip_plan.h
@@ -194,6 +194,24 @@
                                 std::uint64_t version,
                                 TimePoint now) -> std::vector<Endpoint>;
 
+/// Maximum number of agents that a balancer tells of the zones out of service
+/// at a time.
+inline constexpr std::size_t kMaxZoneNoticesPerRound = 64;
+
+/// Lists the agents that this balancer tells of the zones out of service: live
+/// agents that reported other zones, if this balancer is the first live one of
+/// the agent's zone or, when that zone has none, of all. An agent's report
+/// after the notice takes it off the list.
+/// @param fleet Hosts known to this balancer.
+/// @param zones_digest Digest of the zones out of service.
+/// @param round Grows with each call, so that no agent is left out for good.
+/// @param now Current time.
+/// @return Addresses of at most kMaxZoneNoticesPerRound agents.
+auto ListAgentsToNotifyOfZones(const Fleet& fleet,
+                               std::uint64_t zones_digest,
+                               std::uint64_t round,
+                               TimePoint now) -> std::vector<Endpoint>;
+
 }  // namespace hawthornbank
 
 #endif  // HAWTHORNBANK_GOSSIP_PLAN_H_
--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -34,6 +34,9 @@
   bool is_returned = false;  ///< An agent returns the packet to `origin`.
   /// The packet is an opening that will be offered to no further target.
   bool is_last_candidate = false;
+  /// The agent's availability zone is out of service: no other agent of the
+  /// zone takes the returned opening either.
+  bool is_zone_out_of_service = false;
   /// Addresses of agents that returned the packet, or that didn't confirm it in
   /// time if the packet is an opening.
   std::vector<std::uint32_t> returned_by;
--- a/include/hawthornbank/route_follower.h
+++ b/include/hawthornbank/route_follower.h
@@ -27,6 +27,13 @@
 /// this time reaches a limit that grows with the balancer's rank, so the other
 /// balancers poll only when the first-ranked balancer doesn't. A balancer that
 /// starts waits for its peers' routes first, unless it finds no peer.
+///
+/// Where the operator takes availability zones out of service, each poll also
+/// lists these zones: the list is as small as the reply that tells the revision
+/// alone. The zones are then always read before the routes, so that a
+/// confirmation of both dates from the start of the poll. After a poll that
+/// failed the routes are read without, and polls go on between them, so that
+/// neither waits for the other while the store serves only one of the two.
 namespace hawthornbank {
 
 /// What a call to the store reads.
@@ -73,8 +80,9 @@
 /// What a process knows of the routes of the store and of its peers.
 struct RouteFollower {
   RouteFollowerOptions options;
-  StorePosition position;   ///< Of the routes that were last read.
-  bool is_current = false;  ///< The store's last reply had `position`.
+  StorePosition position;    ///< Of the routes that were last read.
+  bool is_current = false;   ///< The store's last reply had `position`.
+  bool lists_zones = false;  ///< Polls list the zones out of service.
   /// Position of the newest answer of the store.
   StorePosition newest_position;
   /// Number of times that the store returned from a copy.
@@ -94,6 +102,15 @@
   TimePoint confirmed_at{};  ///< When the routes were last confirmed as newest.
   /// Number of store calls that failed or became late since the last answer.
   std::uint32_t failures = 0;
+  /// While polls list zones: the next call reads the routes.
+  bool is_routes_turn = false;
+  StoreCallKind last_call = StoreCallKind::kNone;
+  /// Kind of the call that failed last; kNone once such a call was answered.
+  StoreCallKind failed_call = StoreCallKind::kNone;
+  /// Number of answers to calls of the other kind while `failed_call` fails.
+  std::uint32_t partial_answers = 0;
+  /// Start of the latest answered poll.
+  TimePoint polled_at{};
   bool is_zone_reader = true;  ///< First of its zone at the last store call.
   TimePoint store_retry_at{};
   std::uint64_t peer_version = 0;  ///< Newest routes version of any peer.
@@ -124,8 +141,9 @@
 /// @param id The call.
 /// @param position The store's position. An answer of an earlier era than a
 ///   known one confirms nothing; the routes are then read with each call.
+/// @return Whether the answer is the newest, so that the zones in it count.
 auto OnStoreRevision(RouteFollower& follower, CallId id, StorePosition position)
-    -> void;
+    -> bool;
 
 /// Handles the store's reply to a call for the routes, as OnStoreRevision()
 /// does.
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +21,7 @@
 #include "hawthornbank/relay.h"
 #include "hawthornbank/routes.h"
 #include "hawthornbank/types.h"
+#include "hawthornbank/zone_service.h"
 
 /// @file
 /// Decides what a balancer does with each packet of a flow. Agents return
@@ -90,6 +92,8 @@
 struct PendingOpening {
   std::vector<std::uint8_t> packet;
   RelayHeader header;
+  /// Zones whose agents returned the packet because the zone is out of service.
+  std::vector<std::string> excluded_zones;
   Endpoint agent;           ///< Agent that was last offered the packet.
   TimePoint offered_at{};   ///< When `agent` was offered the packet.
   TimePoint received_at{};  ///< When the opening arrived from the caller.
@@ -117,6 +121,8 @@
   kTargetLost,            ///< The flow's target has exited.
   kMalformed,             ///< The packet can't be parsed.
   kSearchQueued,          ///< The flow's search waits to send its queries.
+  kNoZonesYet,            ///< The zones out of service aren't known yet.
+  kZonesOut,              ///< All zones with a ready target are out of service.
   kCount,
 };
 
@@ -163,6 +169,9 @@
   /// have been handled.
   std::optional<TimePoint> messages_read_until;
   RouteSet routes;
+  /// The operator takes zones out of service on this platform.
+  bool expects_zones = false;
+  ZonesOutOfService zones;
   Fleet fleet;
   std::unordered_map<FlowKey, SteeredFlow> flows;
   std::unordered_map<FlowKey, PendingOpening> openings;
@@ -172,6 +181,14 @@
   std::array<std::uint64_t, kSteeringReasonCount> counts{};
 };
 
+/// Tells whether a starting balancer has yet to learn which zones are out of
+/// service. If neither the store nor a peer tells it within the learning time,
+/// the balancer places flows without.
+/// @param steering The balancer's state.
+/// @param now Current time.
+/// @return Whether the balancer places no flows yet.
+auto MustWaitForZones(const Steering& steering, TimePoint now) -> bool;
+
 /// Handles a packet from a caller.
 /// @param steering The balancer's state.
 /// @param packet Parsed header of the packet.
--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -122,6 +122,7 @@
   kTargetRestarted,  ///< The target has restarted and lost the flow.
   kTargetGone,       ///< The target that held the flow has ended.
   kMalformed,        ///< The packet couldn't be decoded.
+  kZoneOut,          ///< The agent's availability zone is out of service.
   kCount,
 };
 
@@ -166,6 +167,8 @@
   TargetFlowsOptions options;
   TargetStatus status;
   bool is_shutting_down = false;  ///< The agent is shutting down.
+  /// The agent's availability zone is out of service.
+  bool is_zone_out_of_service = false;
   /// Whether every flow of the target has passed through this agent. False for
   /// an agent that started later than the target's latest start.
   bool knows_all_flows = false;
--- a/src/coordination/gossip_plan.cc
+++ b/src/coordination/gossip_plan.cc
@@ -299,4 +299,36 @@
   return endpoints;
 }
 
+auto ListAgentsToNotifyOfZones(const Fleet& fleet,
+                               std::uint64_t zones_digest,
+                               std::uint64_t round,
+                               TimePoint now) -> std::vector<Endpoint> {
+  std::vector<Endpoint> agents;
+  for (const auto& [control, host] : fleet.hosts) {
+    if (host.record.role == HostRole::kAgent &&
+        host.zones_digest != zones_digest && IsHostLive(host, now)) {
+      agents.push_back(control);
+    }
+  }
+  if (agents.empty()) {
+    return agents;
+  }
+  const auto first = FindFirstBalancers(fleet, now);
+  const auto first_of_all = std::min_element(
+      first.begin(), first.end(), [](const auto& a, const auto& b) {
+        return IsEndpointBefore(a.second, b.second);
+      });
+  std::erase_if(agents, [&](Endpoint agent) {
+    auto notifier = first.find(fleet.hosts.at(agent).record.zone);
+    if (notifier == first.end()) {
+      notifier = first_of_all;
+    }
+    return notifier == first.end() || notifier->second != fleet.self.control;
+  });
+  std::sort(agents.begin(), agents.end(), IsEndpointBefore);
+  std::vector<Endpoint> receivers;
+  AppendInTurn(agents, round, kMaxZoneNoticesPerRound, receivers);
+  return receivers;
+}
+
 }  // namespace hawthornbank
--- a/src/coordination/route_follower.cc
+++ b/src/coordination/route_follower.cc
@@ -39,6 +39,39 @@
                    std::min(extra, options.max_start_extra);
 }
 
+// Returns whether the next call reads the routes. A store that serves only
+// polls or only the routes is asked for both in turn.
+auto MustReadRoutesNext(const RouteFollower& follower) -> bool {
+  return follower.lists_zones ? follower.is_routes_turn : !follower.is_current;
+}
+
+// Records a failed or late call. While polls list zones, the next call is of
+// the other kind.
+auto RecordFailedCall(RouteFollower& follower) -> void {
+  follower.failed_call = follower.last_call;
+  follower.is_routes_turn = follower.last_call == StoreCallKind::kRevision;
+}
+
+// Ends the back-off after an answer, or limits the rate of calls while calls of
+// the other kind still fail.
+auto RecordAnsweredCall(RouteFollower& follower,
+                        StoreCallKind kind,
+                        TimePoint started) -> void {
+  if (follower.lists_zones && follower.failed_call != StoreCallKind::kNone &&
+      follower.failed_call != kind) {
+    const auto doublings =
+        std::min(follower.partial_answers++, kMaxBackoffDoublings);
+    follower.store_retry_at =
+        started + std::min(follower.options.min_retry_delay * (1U << doublings),
+                           follower.options.max_retry_delay);
+    return;
+  }
+  follower.failed_call = StoreCallKind::kNone;
+  follower.partial_answers = 0;
+  follower.failures = 0;
+  follower.store_retry_at = {};
+}
+
 auto ScheduleStoreRetry(RouteFollower& follower, TimePoint now, Random& random)
     -> void {
   const auto doublings = std::min(follower.failures, kMaxBackoffDoublings);
@@ -58,17 +91,18 @@
 // the routes that were read before have no position.
 auto BeginStoreAnswer(RouteFollower& follower,
                       CallId id,
+                      StoreCallKind kind,
                       const StorePosition& position) -> bool {
   const auto call = EndPendingCall(follower.store_calls, id);
   if (!call.has_value()) {
     return false;
   }
-  follower.failures = 0;
-  follower.store_retry_at = {};
+  RecordAnsweredCall(follower, kind, call->started);
   if (call->started < follower.answered_call_started_at) {
     return false;
   }
   follower.answered_call_started_at = call->started;
+  follower.is_routes_turn = kind == StoreCallKind::kRevision;
   if (position.era < follower.newest_position.era) {
     // The store's positions can't be compared any more, so the routes are read
     // with each call; their version decides whether they are newer.
@@ -81,6 +115,9 @@
     follower.position = {};
   }
   follower.newest_position = position;
+  if (kind == StoreCallKind::kRevision) {
+    follower.polled_at = call->started;
+  }
   return true;
 }
 
@@ -90,7 +127,9 @@
   follower.must_read_routes = !follower.is_current;
   if (follower.is_current) {
     follower.confirmed_at =
-        std::max(follower.confirmed_at, follower.answered_call_started_at);
+        std::max(follower.confirmed_at,
+                 follower.lists_zones ? follower.polled_at
+                                      : follower.answered_call_started_at);
   }
 }
 
@@ -106,25 +145,30 @@
       now < follower.store_retry_at || IsWaitingForPeers(follower, rank, now)) {
     return {};
   }
-  if (!follower.is_current && IsResponseArriving(follower.peer_fetches)) {
+  const bool reads_routes = MustReadRoutesNext(follower);
+  if (reads_routes && IsResponseArriving(follower.peer_fetches)) {
     return {};
   }
   follower.is_zone_reader = rank.in_zone == 0;
-  return StoreCall{.kind = follower.is_current ? StoreCallKind::kRevision
-                                               : StoreCallKind::kRoutes,
+  follower.last_call =
+      reads_routes ? StoreCallKind::kRoutes : StoreCallKind::kRevision;
+  return StoreCall{.kind = follower.last_call,
                    .id = StartPendingCall(follower.store_calls, now)};
 }
 
 auto OnStoreRevision(RouteFollower& follower, CallId id, StorePosition position)
-    -> void {
-  if (BeginStoreAnswer(follower, id, position)) {
-    ComparePosition(follower, position);
+    -> bool {
+  if (!BeginStoreAnswer(follower, id, StoreCallKind::kRevision, position)) {
+    return false;
   }
+  ComparePosition(follower, position);
+  follower.is_routes_turn = follower.must_read_routes;
+  return true;
 }
 
 auto OnStoreRoutes(RouteFollower& follower, CallId id, StorePosition position)
     -> void {
-  if (BeginStoreAnswer(follower, id, position)) {
+  if (BeginStoreAnswer(follower, id, StoreCallKind::kRoutes, position)) {
     follower.position = position;
     ComparePosition(follower, position);
   }
@@ -136,6 +180,7 @@
                     Random& random) -> void {
   const auto call = EndPendingCall(follower.store_calls, id);
   if (call.has_value() && !call->is_late) {
+    RecordFailedCall(follower);
     ScheduleStoreRetry(follower, now, random);
   }
 }
@@ -144,6 +189,7 @@
     -> LateCalls {
   LateCalls changes = MarkLateCalls(follower.store_calls, now);
   if (!changes.late.empty()) {
+    RecordFailedCall(follower);
     ScheduleStoreRetry(follower, now, random);
   }
   return changes;
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -124,6 +124,7 @@
     "sent_back",    "unconfirmed", "no_route",   "no_routes_yet",
     "no_target",    "nobody_took", "link_full",  "not_found",
     "flow_unknown", "target_lost", "malformed",  "search_queued",
+    "no_zones_yet", "zones_out",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -140,9 +141,10 @@
                               SteeringReason reason,
                               TimePoint now,
                               std::vector<SteeringAction>& out) -> bool {
-  const auto ranked =
-      RankAgentsForFlow(steering.fleet, opening.header.service, HashFlow(flow),
-                        opening.header.returned_by);
+  auto ranked = RankAgentsForFlow(steering.fleet, opening.header.service,
+                                  HashFlow(flow), opening.header.returned_by);
+  const bool has_excluded_target =
+      detail::EraseAgentsOutOfService(steering, opening, ranked);
   KnownHost* const host = ChooseTargetForFlow(ranked, steering.fleet.self.zone,
                                               steering.options.placement, now);
   if (host == nullptr && opening.header.returned_by.empty() &&
@@ -153,9 +155,7 @@
   if (host == nullptr || opening.header.returned_by.size() >=
                              steering.options.max_offers_per_opening) {
     AppendResetAction(steering, flow,
-                      opening.header.returned_by.empty()
-                          ? SteeringReason::kNoTarget
-                          : SteeringReason::kAllTargetsRefused,
+                      detail::ChooseRefusalReason(opening, has_excluded_target),
                       0, out);
     return false;
   }
@@ -191,14 +191,18 @@
                   std::span<const std::uint8_t> bytes,
                   TimePoint now,
                   std::vector<SteeringAction>& out) -> void {
+  if (MustWaitForZones(steering, now)) {
+    AppendDropAction(steering, flow, SteeringReason::kNoZonesYet, out);
+    return;
+  }
   PendingOpening opening{
       .packet = {bytes.begin(), bytes.end()},
       .header = {.origin = steering.fleet.self.control,
                  .service = ChooseService(route, HashFlow(flow)),
                  .wants_flow_reply = true},
       .received_at = now};
-  opening.header.terms = detail::DescribeTerms(steering, flow,
-                                               opening.header.service);
+  opening.header.terms =
+      detail::DescribeTerms(steering, flow, opening.header.service);
   if (OfferOpeningToNextTarget(steering, flow, opening, SteeringReason::kPlaced,
                                now, out)) {
     steering.openings.insert_or_assign(flow, std::move(opening));
@@ -274,6 +278,7 @@
   // to the first copy was lost.
   const auto host = steering.fleet.hosts.find(known->second.agent);
   if (host == steering.fleet.hosts.end() || !AcceptsNewFlows(host->second) ||
+      IsOutOfService(steering.zones, host->second.record.zone) ||
       !IsHostLive(host->second, detail::GetReadTime(steering, now))) {
     if (!known->second.confirmed) {
       OfferNewFlow(steering, flow, route, bytes, now, out);
@@ -367,6 +372,9 @@
       return;  // The opening was confirmed or reset.
     }
     PendingOpening& pending = opening->second;
+    if (header.is_zone_out_of_service && sender != steering.fleet.hosts.end()) {
+      pending.excluded_zones.push_back(sender->second.record.zone);
+    }
     for (const auto it : header.returned_by) {
       if (std::find(pending.header.returned_by.begin(),
                     pending.header.returned_by.end(),
--- a/src/coordination/steering_internal.h
+++ b/src/coordination/steering_internal.h
@@ -65,6 +65,19 @@
 /// so that the target's flows have ended.
 auto HasTargetExited(const KnownHost& host, TimePoint now) -> bool;
 
+/// Removes the agents whose zone is out of service, according to this balancer
+/// or to an agent that returned the opening.
+/// @param ranked Agents of the opening's service.
+/// @return Whether the target of a removed agent is ready.
+auto EraseAgentsOutOfService(const Steering& steering,
+                             const PendingOpening& opening,
+                             std::vector<RankedAgent>& ranked) -> bool;
+
+/// @return Reason of the reset of an opening that is offered to no other
+/// target.
+auto ChooseRefusalReason(const PendingOpening& opening,
+                         bool has_excluded_target) -> SteeringReason;
+
 /// Starts the search for the agent whose target holds a flow. The packet waits
 /// until the search ends. If too many packets are waiting, the packet is
 /// dropped and no search starts.
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -21,10 +21,10 @@
 constexpr Duration kUnresponsiveTime = std::chrono::milliseconds{400};
 
 constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
-    "delivered",     "opened",    "offered", "answered",
-    "wrong_service", "not_ready", "full",    "failing",
-    "not_here",      "returned",  "silent",  "target_restarted",
-    "target_gone",   "malformed",
+    "delivered",     "opened",    "offered",  "answered",
+    "wrong_service", "not_ready", "full",     "failing",
+    "not_here",      "returned",  "silent",   "target_restarted",
+    "target_gone",   "malformed", "zone_out",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -181,6 +181,11 @@
     AppendReplyAction(flow, header.origin, FlowOwnership::kHeld, out);
     return;
   }
+  if (target.is_zone_out_of_service) {
+    AppendReturnAction(target, flow, header, TargetReason::kZoneOut, out);
+    out.back().header.is_zone_out_of_service = true;
+    return;
+  }
   if (target.status.state != TargetState::kReady || target.is_shutting_down) {
     AppendReturnAction(target, flow, header, TargetReason::kNotReady, out);
     return;
--- a/src/protocol/node_message.h
+++ b/src/protocol/node_message.h
@@ -11,22 +11,27 @@
 #include "hawthornbank/relay.h"
 #include "hawthornbank/roster_sync.h"
 #include "hawthornbank/wire.h"
+#include "hawthornbank/zone_service.h"
 
 /// @file
 /// Messages between the processes of a fleet, each encoded by cereal into one
 /// datagram.
 namespace hawthornbank {
 
-/// Version of the routes that a process has.
+/// What a process knows of the operator's orders: the version of its routes and
+/// the zones out of service.
 struct RoutesReport {
   std::uint64_t version = 0;
-  /// Time since the process last knew that `version` was the newest version.
+  /// Time since the process last knew that `version` was the newest version and
+  /// that `zones` were out of service.
   std::uint32_t age_ms = 0;
+  ZonesOutOfService zones;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
     wire::SerializeVarint(archive, version);
     wire::SerializeVarint(archive, age_ms);
+    archive(zones);
   }
 };
 
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -5,6 +5,7 @@
 #include "transport/clock.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
+#include "transport/node_zones.h"
 #include "transport/route_peers.h"
 
 namespace hawthornbank::transport {
@@ -32,6 +33,7 @@
         opening_timer_(host_.io_context()),
         load_timer_(host_.io_context()),
         shutdown_timer_(host_.io_context()),
+        zones_(host_, fleet_, zones_out_of_service_),
         peers_(host_,
                follower_,
                [this](const RouteSet& routes, RoutesDocument document) {
@@ -70,6 +72,10 @@
             },
         .on_routes_report =
             [this](Endpoint peer, const RoutesReport& report, TimePoint now) {
+              if (zones_.OnPeerReport(report, now).has_changed) {
+                target_.is_zone_out_of_service = IsOutOfService(
+                    zones_out_of_service_, host_.settings().zone);
+              }
               peers_.OnPeerReport(peer, report, stored_routes_version_, now);
             },
         .on_http_request =
@@ -90,7 +96,8 @@
         .describe_routes =
             [this](TimePoint) {
               return RoutesReport{.version = stored_routes_version_,
-                                  .age_ms = kUnconfirmedRoutesAgeMs};
+                                  .age_ms = kUnconfirmedRoutesAgeMs,
+                                  .zones = zones_out_of_service_};
             },
     });
   }
@@ -325,6 +332,7 @@
                         target_.health.failure);
     text += fmt::format("hawthornbank_target_running {}\n", target_.running);
     text += fmt::format("hawthornbank_flows {}\n", target_.flows.size());
+    text += zones_.FormatMetrics();
     text += FormatTrafficMetrics(host_.traffic());
     return text;
   }
@@ -365,6 +373,8 @@
   asio::steady_timer load_timer_;
   asio::steady_timer shutdown_timer_;
   RouteFollower follower_;
+  ZonesOutOfService zones_out_of_service_;
+  NodeZones zones_;
   RoutePeers peers_;
   std::uint64_t stored_routes_version_ = 0;  ///< Version of the stored routes.
   std::vector<TargetAction> actions_;
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -7,6 +7,7 @@
 #include "transport/latency_histogram.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
+#include "transport/node_zones.h"
 #include "transport/route_peers.h"
 #include "transport/store_reader.h"
 
@@ -61,20 +62,26 @@
         shutdown_timer_(host_.io_context()),
         store_(host_,
                follower_,
-               StoreReaderCallbacks{.on_position =
-                                        [this](const StorePosition& position) {
-                                          RepairBalancerRegistryIfDue(position);
-                                        },
-                                    .on_routes =
-                                        [this](const RouteSet& routes,
-                                               const std::string& document) {
-                                          OnStoreRoutes(routes, document);
-                                        },
-                                    .on_answer_handled =
-                                        [this] {
-                                          SendRoutesNewsIfDue();
-                                          ScheduleNextStoreCall();
-                                        }}),
+               StoreReaderCallbacks{
+                   .on_position =
+                       [this](const StorePosition& position) {
+                         RepairBalancerRegistryIfDue(position);
+                       },
+                   .on_routes =
+                       [this](const RouteSet& routes,
+                              const std::string& document) {
+                         OnStoreRoutes(routes, document);
+                       },
+                   .on_zones =
+                       [this](ZonesOutOfService zones, bool has_lost_changes) {
+                         OnStoreZones(std::move(zones), has_lost_changes);
+                       },
+                   .on_answer_handled =
+                       [this] {
+                         SendRoutesNewsIfDue();
+                         ScheduleNextStoreCall();
+                       }}),
+        zones_(host_, steering_.fleet, steering_.zones),
         peers_(host_,
                follower_,
                [this](const RouteSet& routes, RoutesDocument document) {
@@ -94,6 +101,7 @@
     steering_.link.measured_at = host_.start_time();
     steering_.options.warmup = host_.settings().warmup;
     steering_.random = host_.random();
+    steering_.expects_zones = follower_.lists_zones = zones_.is_enabled();
     RunStoreTick();
     return host_.RunEventLoop(NodeRole{
         .describe_self =
@@ -295,17 +303,23 @@
         .age_ms = static_cast<std::uint32_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 now - follower_.confirmed_at)
-                .count())};
+                .count()),
+        .zones = steering_.zones};
   }
 
   // Passes the news of another zone's reader on in this balancer's zone.
   auto OnRoutesReport(Endpoint peer, const RoutesReport& report, TimePoint now)
       -> void {
-    const bool is_confirmed =
-        peers_.OnPeerReport(peer, report, steering_.routes.version, now);
-    if (is_confirmed && IsInOtherZone(peer) &&
-        ComputeReaderRank(steering_.fleet, now).in_zone == 0 &&
-        BeginRoutesNewsIfDue(follower_, now)) {
+    const PeerZonesOutcome zones = zones_.OnPeerReport(report, now);
+    const bool is_confirmed = peers_.OnPeerReport(
+        peer, zones.is_same ? report : RemoveConfirmation(report),
+        steering_.routes.version, now);
+    if (zones.has_changed && IsInOtherZone(peer)) {
+      follower_.news_sent_at = now;
+      host_.gossip().SendRoutesNews(false, now);
+    } else if (is_confirmed && IsInOtherZone(peer) &&
+               ComputeReaderRank(steering_.fleet, now).in_zone == 0 &&
+               BeginRoutesNewsIfDue(follower_, now)) {
       host_.gossip().SendRoutesNews(false, now);
     }
   }
@@ -336,6 +350,14 @@
     }
   }
 
+  auto OnStoreZones(ZonesOutOfService zones, bool has_lost_changes) -> void {
+    const TimePoint now = GetMonotonicTime();
+    if (zones_.OnStoreAnswer(std::move(zones), has_lost_changes, now)) {
+      follower_.news_sent_at = now;
+      host_.gossip().SendRoutesNews(true, now);
+    }
+  }
+
   // Tells other balancers that the store has confirmed the routes.
   auto SendRoutesNewsIfDue() -> void {
     const TimePoint now = GetMonotonicTime();
@@ -410,7 +432,8 @@
   }
 
   auto IsReadyForTraffic() -> bool {
-    return !host_.is_stopping() && steering_.routes.version != 0;
+    return !host_.is_stopping() && steering_.routes.version != 0 &&
+           !MustWaitForZones(steering_, GetMonotonicTime());
   }
 
   auto FormatNodeMetrics() -> std::string {
@@ -422,6 +445,7 @@
     text +=
         FormatTrafficCounters("processes", host_.control_socket().traffic());
     text += FormatTrafficMetrics(host_.traffic());
+    text += zones_.FormatMetrics();
     text += fmt::format("hawthornbank_link_use {:.3f}\n",
                         steering_.link.utilisation);
     text += fmt::format("hawthornbank_searches {}\n",
@@ -471,6 +495,7 @@
   asio::steady_timer store_timer_;
   asio::steady_timer shutdown_timer_;
   StoreReader store_;
+  NodeZones zones_;
   RoutePeers peers_;
   std::vector<SteeringAction> actions_;
   Bytes buf_;
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -19,6 +19,7 @@
 #include "hawthornbank/store_position.h"
 #include "hawthornbank/target_presence.h"
 #include "hawthornbank/types.h"
+#include "hawthornbank/zone_service.h"
 #include "transport/http_client.h"
 
 /// @file
@@ -89,6 +90,14 @@
   std::string failure;  ///< Why decoding failed, or empty.
 };
 
+/// The store's response to a request for the zones out of service.
+struct ZonesResponse {
+  bool is_decoded = false;
+  ZonesOutOfService zones;
+  std::string skipped;  ///< Which entries are malformed, and why; or empty.
+  std::string failure;  ///< Why decoding failed, or empty.
+};
+
 /// A page of the store's list of balancers.
 struct BalancerPage {
   std::vector<Endpoint> hosts;
@@ -121,6 +130,10 @@
       decode_store_position;
   std::function<RoutesResponse(const HttpResponse& reply)>
       decode_routes_response;
+  /// Builds the request that lists the zones out of service. Its response also
+  /// contains the store's revision, and is as small while the list is empty.
+  std::function<HttpRequest()> make_list_zones_request;
+  std::function<ZonesResponse(const HttpResponse& reply)> decode_zones_response;
   /// Decodes the routes document that a peer of an older build sent.
   std::function<std::optional<RouteSet>(const std::string& document)>
       decode_routes_document;
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -153,6 +153,8 @@
   }
 }
 
+// Tells the agents that keep the routes, and those that don't know which zones
+// are out of service.
 auto NodeGossip::NotifyRouteHolders(TimePoint now) -> void {
   if (!IsBalancer()) {
     return;
@@ -163,6 +165,13 @@
        ListAgentsToNotifyOfRoutes(fleet_, announcement.routes.version, now)) {
     host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
   }
+  if (AreZonesKnown(announcement.routes.zones)) {
+    for (const auto it : ListAgentsToNotifyOfZones(
+             fleet_, ComputeZonesDigest(announcement.routes.zones),
+             zone_notice_round_++, now)) {
+      host_.SendControlDatagram(DatagramKind::kAnnouncement, it, datagram);
+    }
+  }
 }
 
 // Reads the store's list of balancers if a read is due, because all seeds may
@@ -273,6 +282,7 @@
   host.unresponsive_after =
       ComputeUnresponsiveTime(size_, host.record.zone == fleet_.self.zone);
   host.version = routes.version;
+  host.zones_digest = ComputeZonesDigest(routes.zones);
   callbacks_.on_routes_report(host.record.control, routes, now);
 }
 
--- a/src/transport/node_gossip.h
+++ b/src/transport/node_gossip.h
@@ -151,6 +151,7 @@
   FleetSize size_;
   TargetLoad load_;          ///< Load in the last announcement or heartbeat.
   std::uint64_t round_ = 0;  ///< Number of heartbeats sent.
+  std::uint64_t zone_notice_round_ = 0;
   std::size_t search_round_ = 0;  ///< Number of announcements to the seeds.
   std::vector<Endpoint> listed_balancers_;  ///< Balancers in the store's list.
   std::vector<Endpoint> changed_;  ///< Hosts whose records are to be forwarded.
--- a/src/transport/store_reader.cc
+++ b/src/transport/store_reader.cc
@@ -22,11 +22,7 @@
   const StoreCall call = BeginStoreCallIfDue(follower_, rank, now);
   switch (call.kind) {
     case StoreCallKind::kRevision:
-      calls_.SendRequest(call.id, store_,
-                         host_.codec().make_read_revision_request(),
-                         [this, id = call.id](const HttpResponse& reply) {
-                           OnRevisionResponse(id, reply);
-                         });
+      SendPoll(call.id);
       break;
     case StoreCallKind::kRoutes:
       calls_.SendRequest(call.id, store_,
@@ -40,6 +36,20 @@
   }
 }
 
+auto StoreReader::SendPoll(CallId id) -> void {
+  const NodeCodec& codec = host_.codec();
+  calls_.SendRequest(id, store_,
+                     follower_.lists_zones ? codec.make_list_zones_request()
+                                           : codec.make_read_revision_request(),
+                     [this, id](const HttpResponse& reply) {
+                       if (follower_.lists_zones) {
+                         OnZonesResponse(id, reply);
+                       } else {
+                         OnRevisionResponse(id, reply);
+                       }
+                     });
+}
+
 auto StoreReader::SetStore(Endpoint store) -> void {
   if (store != store_) {
     store_ = store;
@@ -72,6 +82,39 @@
   callbacks_.on_answer_handled();
 }
 
+auto StoreReader::OnZonesResponse(CallId id, const HttpResponse& reply)
+    -> void {
+  ZonesResponse answer = host_.codec().decode_zones_response(reply);
+  if (!answer.is_decoded) {
+    OnCallFailed(id, reply, answer.failure);
+    return;
+  }
+  const StorePosition position = answer.zones.position;
+  RecordAnswer(id, position);
+  const StorePosition before = follower_.newest_position;
+  const bool is_newest = OnStoreRevision(follower_, id, position);
+  LogStoreLoss(before);
+  LogSkippedZones(answer.skipped);
+  if (is_newest) {
+    callbacks_.on_zones(std::move(answer.zones),
+                        HasStoreLostChanges(before, position));
+  }
+  callbacks_.on_answer_handled();
+}
+
+// Logs malformed entries once, as each poll lists them again.
+auto StoreReader::LogSkippedZones(const std::string& skipped) -> void {
+  if (skipped == skipped_zones_) {
+    return;
+  }
+  skipped_zones_ = skipped;
+  if (!skipped.empty()) {
+    host_.event_log().WriteEvent(
+        EventKind::kMalformedInput, GetMonotonicTime(),
+        "zones_out_of_service_malformed skipped=\"{}\"", skipped);
+  }
+}
+
 auto StoreReader::OnRoutesResponse(CallId id, const HttpResponse& reply)
     -> void {
   const RoutesResponse answer = host_.codec().decode_routes_response(reply);
--- a/src/transport/store_reader.h
+++ b/src/transport/store_reader.h
@@ -24,11 +24,13 @@
   /// Called with the routes and the platform's document.
   std::function<void(const RouteSet& routes, const std::string& document)>
       on_routes;
+  /// Called with the zones out of service at each answer that lists them.
+  std::function<void(ZonesOutOfService zones, bool has_lost_changes)> on_zones;
   /// Called at the end of each answer.
   std::function<void()> on_answer_handled;
 };
 
-/// Reads the store's revision and routes.
+/// Reads the store's revision, the zones out of service and the routes.
 class StoreReader {
  public:
   /// @param host Node host of this process.
@@ -53,7 +55,10 @@
 
  private:
   auto MarkLateCalls(TimePoint now) -> void;
+  auto SendPoll(CallId id) -> void;
   auto OnRevisionResponse(CallId id, const HttpResponse& reply) -> void;
+  auto OnZonesResponse(CallId id, const HttpResponse& reply) -> void;
+  auto LogSkippedZones(const std::string& skipped) -> void;
   auto OnRoutesResponse(CallId id, const HttpResponse& reply) -> void;
   auto OnCallFailed(CallId id,
                     const HttpResponse& reply,
@@ -73,6 +78,7 @@
   Endpoint store_;
   CallPool calls_;
   LatencyHistogram latency_;
+  std::string skipped_zones_;  ///< Malformed entries that were logged.
   std::uint64_t failures_ = 0;
 };
 
