--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -125,6 +125,7 @@
     "no_target",    "nobody_took", "link_full",  "not_found",
     "flow_unknown", "target_lost", "malformed",  "search_queued",
     "found_former", "found_wide",
+    "no_zones_yet", "zones_out",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -141,9 +142,10 @@
                               SteeringReason reason,
                               TimePoint now,
                               std::vector<SteeringAction>& out) -> bool {
-  const auto ranked =
-      RankAgentsForFlow(steering.fleet, opening.header.service, HashFlow(flow),
-                        opening.header.returned_by);
+  auto ranked = RankAgentsForFlow(steering.fleet, opening.header.service,
+                                  HashFlow(flow), opening.header.returned_by);
+  const bool has_excluded_target =
+      detail::EraseAgentsOutOfService(steering, opening, ranked);
   KnownHost* const host = ChooseTargetForFlow(ranked, steering.fleet.self.zone,
                                               steering.options.placement, now);
   if (host == nullptr && opening.header.returned_by.empty() &&
@@ -154,9 +156,7 @@
   if (host == nullptr || opening.header.returned_by.size() >=
                              steering.options.max_offers_per_opening) {
     AppendResetAction(steering, flow,
-                      opening.header.returned_by.empty()
-                          ? SteeringReason::kNoTarget
-                          : SteeringReason::kAllTargetsRefused,
+                      detail::ChooseRefusalReason(opening, has_excluded_target),
                       0, out);
     return false;
   }
@@ -192,6 +192,10 @@
                   std::span<const std::uint8_t> bytes,
                   TimePoint now,
                   std::vector<SteeringAction>& out) -> void {
+  if (MustWaitForZones(steering, now)) {
+    AppendDropAction(steering, flow, SteeringReason::kNoZonesYet, out);
+    return;
+  }
   PendingOpening opening{
       .packet = {bytes.begin(), bytes.end()},
       .header = {.origin = steering.fleet.self.control,
@@ -275,6 +279,7 @@
   // to the first copy was lost.
   const auto host = steering.fleet.hosts.find(known->second.agent);
   if (host == steering.fleet.hosts.end() || !AcceptsNewFlows(host->second) ||
+      IsOutOfService(steering.zones, host->second.record.zone) ||
       !IsHostLive(host->second, detail::GetReadTime(steering, now))) {
     if (!known->second.confirmed) {
       OfferNewFlow(steering, flow, route, bytes, now, out);
@@ -368,6 +373,9 @@
       return;  // The opening was confirmed or reset.
     }
     PendingOpening& pending = opening->second;
+    if (header.is_zone_out_of_service && sender != steering.fleet.hosts.end()) {
+      pending.excluded_zones.push_back(sender->second.record.zone);
+    }
     for (const auto it : header.returned_by) {
       if (std::find(pending.header.returned_by.begin(),
                     pending.header.returned_by.end(),
