--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hawthornbank/types.h"
+#include "hawthornbank/warmup_limit.h"
 #include "hawthornbank/wire.h"
 
 /// @file
@@ -50,10 +51,13 @@
   /// Average of requests in flight over the last seconds, in sixteenths.
   std::uint16_t mean_in_flight_x16 = 0;
   bool failing = false;  ///< Most requests end without a reply.
+  /// Number of openings that the limit of the target's warm-up lets through at
+  /// once; kUnlimitedOpenings while there is no limit.
+  std::uint8_t openings_left = kUnlimitedOpenings;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(running, flows, mean_in_flight_x16);
+    archive(running, flows, mean_in_flight_x16, openings_left);
     wire::SerializeBool(archive, failing);
   }
 };
@@ -132,6 +136,9 @@
   std::uint32_t unanswered_openings = 0;
   /// Number of openings sent to the host since `load_reported_at`.
   std::uint16_t openings_since_load = 0;
+  /// Until when the host counts as being at the limit of its target's warm-up,
+  /// because it returned an opening.
+  TimePoint warmup_limited_until{};
   std::uint64_t version = 0;  ///< Routes version that the host reported.
   /// Start time of the target that was last announced as cold, Unix
   /// milliseconds; zero when no target was announced as cold.
@@ -194,6 +201,25 @@
 auto RecordTargetLoad(KnownHost& host, const TargetLoad& load, TimePoint now)
     -> void;
 
+/// Time for which a host that is at the limit of its target's warm-up gets no
+/// further opening. Short, as the limit lets single openings through all the
+/// time.
+inline constexpr Duration kWarmupLimitReportTime =
+    std::chrono::milliseconds{100};
+
+/// Records that a host returned an opening at the limit of its target's
+/// warm-up.
+/// @param host The host.
+/// @param now Current time.
+auto RecordWarmupLimitReached(KnownHost& host, TimePoint now) -> void;
+
+/// Tells whether a host would return an opening at the limit of its target's
+/// warm-up, according to its last reports.
+/// @param host The host.
+/// @param now Current time.
+/// @return Whether the target counts as being at the limit.
+auto IsAtWarmupLimit(const KnownHost& host, TimePoint now) -> bool;
+
 /// Records that a message that requires a reply is sent to a host.
 /// @param host The host.
 /// @param now Current time.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -69,6 +69,7 @@
   if (record.incarnation != known.record.incarnation) {
     // A restarted process has no load yet and isn't suspected.
     known.load = {};
+    known.warmup_limited_until = {};
     known.suspected_until = {};
   }
   fleet.digest +=
@@ -84,6 +85,20 @@
   host.load = load;
   host.load_reported_at = now;
   host.openings_since_load = 0;
+  if (load.openings_left > 0) {
+    host.warmup_limited_until = {};
+  }
+}
+
+auto RecordWarmupLimitReached(KnownHost& host, TimePoint now) -> void {
+  host.warmup_limited_until = now + kWarmupLimitReportTime;
+}
+
+auto IsAtWarmupLimit(const KnownHost& host, TimePoint now) -> bool {
+  return now < host.warmup_limited_until ||
+         (host.load.openings_left != kUnlimitedOpenings &&
+          host.openings_since_load >= host.load.openings_left &&
+          now - host.load_reported_at < kWarmupLimitReportTime);
 }
 
 auto RecordRequestToHost(KnownHost& host, TimePoint now) -> void {
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -161,15 +161,32 @@
          running * factor >= options.busy_share * CountSlots(host);
 }
 
+auto PreferWarmTargets(std::vector<RankedAgent>& ranked, TimePoint now)
+    -> void {
+  const bool has_warm_target =
+      std::any_of(ranked.begin(), ranked.end(), [now](const RankedAgent& it) {
+        return !it.host->record.target.cold && AcceptsNewFlows(*it.host) &&
+               IsHostLive(*it.host, now) && !IsAtWarmupLimit(*it.host, now);
+      });
+  if (has_warm_target) {
+    std::erase_if(ranked, [](const RankedAgent& it) {
+      return it.host->record.target.cold;
+    });
+  }
+}
+
 auto ChooseTargetForFlow(std::span<const RankedAgent> ranked,
                          const std::string& zone,
                          const PlacementOptions& options,
                          TimePoint now) -> KnownHost* {
+  bool is_any_live = false;
   KnownHost* const answering = FindLeastLoadedCandidate(
-      ranked, zone, options, now, [now](const KnownHost& it) {
-        return AcceptsNewFlows(it) && IsHostLive(it, now);
+      ranked, zone, options, now, [&](const KnownHost& it) {
+        const bool is_live = AcceptsNewFlows(it) && IsHostLive(it, now);
+        is_any_live |= is_live;
+        return is_live && !IsAtWarmupLimit(it, now);
       });
-  if (answering != nullptr) {
+  if (answering != nullptr || is_any_live) {
     return answering;
   }
   // If no agent that accepts new flows is live, this balancer itself may be cut
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -43,6 +43,7 @@
     target_.options.self = settings.control;
     target_.averaged_at = GetMonotonicTime();
     target_.random = host_.random();
+    target_.warmup.counting_since = GetMonotonicTime();
     presence_.service = settings.service;
     fleet_.self.service = target_.options.service;
   }
@@ -57,7 +58,7 @@
             [this](HostRecord& record, TargetLoad& load) {
               record.is_shutting_down = host_.is_stopping();
               record.target = presence_.status;
-              load = ComputeTargetLoad(target_);
+              load = ComputeTargetLoad(target_, GetMonotonicTime());
             },
         .on_relayed_datagram =
             [this](Endpoint, ByteView datagram, TimePoint now) {
@@ -154,12 +155,12 @@
           outbound_.SendDatagram(host_.GetCallerEndpoint(it.flow), packet);
           break;
         case TargetAction::Kind::kReplyToBalancer:
-          host_.SendControlDatagram(
-              DatagramKind::kFlowReply, it.to,
-              EncodeNodeMessage(FlowReply{.flow = it.flow,
-                                          .agent = host_.settings().control,
-                                          .load = ComputeTargetLoad(target_),
-                                          .ownership = it.ownership}));
+          host_.SendControlDatagram(DatagramKind::kFlowReply, it.to,
+                                    EncodeNodeMessage(FlowReply{
+                                        .flow = it.flow,
+                                        .agent = host_.settings().control,
+                                        .load = ComputeTargetLoad(target_, now),
+                                        .ownership = it.ownership}));
           break;
         case TargetAction::Kind::kReset:
           host_.SendResetToCaller(outbound_, it.flow, it.acknowledgement);
@@ -282,6 +283,8 @@
                             const std::string& id,
                             TimePoint now) -> void {
     target_.knows_all_flows = presence_.knows_all_flows;
+    SetWarmupEnd(target_.warmup, presence_.warm_at,
+                 presence_.last_heartbeat_at);
     if (outcome != PresenceOutcome::kChanged &&
         outcome != PresenceOutcome::kRestarted) {
       if (outcome != PresenceOutcome::kKnown) {
--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -147,6 +147,7 @@
                          .wants_flow_reply = true,
                          .is_returned = true,
                          .is_last_candidate = true,
+                         .is_at_warmup_limit = true,
                          .returned_by = {1, 2, 3},
                          .terms = FlowTerms{.priority = 2,
                                             .is_repeatable = true,
