--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -136,9 +136,9 @@
   std::uint32_t unanswered_openings = 0;
   /// Number of openings sent to the host since `load_reported_at`.
   std::uint16_t openings_since_load = 0;
-  /// Until when the host counts as being at the limit of its target's warm-up,
-  /// because it returned an opening.
-  TimePoint warmup_limited_until{};
+  /// When the host last returned an opening at the limit of its target's
+  /// warm-up; zero once it reports room.
+  TimePoint warmup_limited_at{};
   std::uint64_t version = 0;  ///< Routes version that the host reported.
   /// Start time of the target that was last announced as cold, Unix
   /// milliseconds; zero when no target was announced as cold.
@@ -204,21 +204,21 @@
 /// Time for which a host that is at the limit of its target's warm-up gets no
 /// further opening. Short, as the limit lets single openings through all the
 /// time.
-inline constexpr Duration kWarmupLimitReportTime =
+inline constexpr Duration kWarmupLimitRetryTime =
     std::chrono::milliseconds{100};
 
-/// Records that a host returned an opening at the limit of its target's
-/// warm-up.
-/// @param host The host.
-/// @param now Current time.
-auto RecordWarmupLimitReached(KnownHost& host, TimePoint now) -> void;
+/// The same time while other targets have room.
+inline constexpr Duration kWarmupLimitAvoidTime =
+    std::chrono::milliseconds{400};
 
 /// Tells whether a host would return an opening at the limit of its target's
-/// warm-up, according to its last reports.
+/// warm-up, according to its reports of the last time.
 /// @param host The host.
+/// @param report_time Age from which a report of the limit no longer counts.
 /// @param now Current time.
 /// @return Whether the target counts as being at the limit.
-auto IsAtWarmupLimit(const KnownHost& host, TimePoint now) -> bool;
+auto IsAtWarmupLimit(const KnownHost& host, Duration report_time, TimePoint now)
+    -> bool;
 
 /// Records that a message that requires a reply is sent to a host.
 /// @param host The host.
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -166,7 +166,8 @@
   const bool has_warm_target =
       std::any_of(ranked.begin(), ranked.end(), [now](const RankedAgent& it) {
         return !it.host->record.target.cold && AcceptsNewFlows(*it.host) &&
-               IsHostLive(*it.host, now) && !IsAtWarmupLimit(*it.host, now);
+               IsHostLive(*it.host, now) &&
+               !IsAtWarmupLimit(*it.host, kWarmupLimitRetryTime, now);
       });
   if (has_warm_target) {
     std::erase_if(ranked, [](const RankedAgent& it) {
@@ -180,14 +181,22 @@
                          const PlacementOptions& options,
                          TimePoint now) -> KnownHost* {
   bool is_any_live = false;
-  KnownHost* const answering = FindLeastLoadedCandidate(
-      ranked, zone, options, now, [&](const KnownHost& it) {
-        const bool is_live = AcceptsNewFlows(it) && IsHostLive(it, now);
-        is_any_live |= is_live;
-        return is_live && !IsAtWarmupLimit(it, now);
-      });
-  if (answering != nullptr || is_any_live) {
-    return answering;
+  for (const Duration time : {kWarmupLimitAvoidTime, kWarmupLimitRetryTime}) {
+    KnownHost* const answering = FindLeastLoadedCandidate(
+        ranked, zone, options, now, [&](const KnownHost& it) {
+          const bool is_live = AcceptsNewFlows(it) && IsHostLive(it, now);
+          is_any_live |= is_live;
+          return is_live && !IsAtWarmupLimit(it, time, now);
+        });
+    if (answering != nullptr) {
+      return answering;
+    }
+    if (!is_any_live) {
+      break;
+    }
+  }
+  if (is_any_live) {
+    return nullptr;
   }
   // If no agent that accepts new flows is live, this balancer itself may be cut
   // off, so agents that aren't live are considered too.
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -140,7 +140,7 @@
       fleet.hosts.begin(), fleet.hosts.end(), [&](const auto& it) {
         const KnownHost& host = it.second;
         return host.record.service == service && AcceptsNewFlows(host) &&
-               IsAtWarmupLimit(host, now);
+               IsAtWarmupLimit(host, kWarmupLimitRetryTime, now);
       });
 }
 
@@ -177,7 +177,8 @@
                                   HashFlow(flow), opening.header.returned_by);
   const auto accepting_targets =
       std::count_if(ranked.begin(), ranked.end(), [now](const RankedAgent& it) {
-        return AcceptsNewFlows(*it.host) && !IsAtWarmupLimit(*it.host, now);
+        return AcceptsNewFlows(*it.host) &&
+               !IsAtWarmupLimit(*it.host, kWarmupLimitRetryTime, now);
       });
   if (opening.was_at_warmup_limit) {
     PreferWarmTargets(ranked, now);
@@ -385,7 +386,7 @@
   if (sender != steering.fleet.hosts.end()) {
     RecordHostContact(sender->second, now);
     if (header.is_at_warmup_limit) {
-      RecordWarmupLimitReached(sender->second, now);
+      sender->second.warmup_limited_at = now;
     }
   }
   const FlowKey flow = ExtractCallerFlowKey(packet);
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -5,6 +5,7 @@
 #include "transport/clock.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
+#include "transport/node_warmup_metrics.h"
 #include "transport/route_peers.h"
 
 namespace hawthornbank::transport {
@@ -113,8 +114,14 @@
       return;
     }
     actions_.clear();
+    const auto known_limit = target_.warmup.requests_per_second;
     OnRelayedPacket(target_, *header, *packet, bytes, now, actions_);
     PerformTargetActions(bytes, now);
+    if (target_.warmup.requests_per_second != known_limit) {
+      host_.event_log().WriteEvent(
+          EventKind::kStateChange, now, "warmup_limit_set limit={} before={}",
+          target_.warmup.requests_per_second, known_limit);
+    }
   }
 
   auto OnFlowQueryReceived(const FlowQuery& query, TimePoint now) -> void {
@@ -328,6 +335,7 @@
                         target_.health.failure);
     text += fmt::format("hawthornbank_target_running {}\n", target_.running);
     text += fmt::format("hawthornbank_flows {}\n", target_.flows.size());
+    text += FormatWarmupMetrics(target_.warmup, GetMonotonicTime());
     text += FormatTrafficMetrics(host_.traffic());
     return text;
   }
--- a/test/warmup_limit_test.cc
+++ b/test/warmup_limit_test.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "transport/node_warmup_metrics.h"
+
 using namespace hawthornbank;
 using namespace std::chrono_literals;
 
@@ -113,3 +115,13 @@
   LONGS_EQUAL(kUnlimitedOpenings - 1,
               CountWarmupOpeningsLeft(warmup, true, kNow));
 }
+
+TEST(WarmupLimit, MetricsShowTheLimitAndItsUse) {
+  CountWarmupRequest(warmup, kNow);
+  STRCMP_EQUAL(
+      "hawthornbank_warmup_limit 5\nhawthornbank_warmup_limit_use 0.200\n",
+      transport::FormatWarmupMetrics(warmup, kNow).c_str());
+  STRCMP_EQUAL(
+      "hawthornbank_warmup_limit 0\nhawthornbank_warmup_limit_use 0.000\n",
+      transport::FormatWarmupMetrics(warmup, kNow + 1h).c_str());
+}
