--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNBANK_FLEET_H_
 #define HAWTHORNBANK_FLEET_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -52,13 +53,25 @@
   std::uint16_t mean_in_flight_x16 = 0;
   bool failing = false;  ///< Most requests end without a reply.
   /// Number of openings that the limit of the target's warm-up lets through at
-  /// once; kUnlimitedOpenings while there is no limit.
+  /// once, up to kMaxReportedOpenings; kUnlimitedOpenings while there is no
+  /// limit.
   std::uint8_t openings_left = kUnlimitedOpenings;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(running, flows, mean_in_flight_x16, openings_left);
-    wire::SerializeBool(archive, failing);
+    archive(running, flows, mean_in_flight_x16);
+    // One byte, which earlier builds read as `failing` while there is no limit.
+    const unsigned limit =
+        openings_left == kUnlimitedOpenings
+            ? 0U
+            : std::min(openings_left, kMaxReportedOpenings) + 1U;
+    auto packed = static_cast<std::uint8_t>(limit * 2 + (failing ? 1U : 0U));
+    archive(packed);
+    if constexpr (Archive::is_loading::value) {
+      failing = packed % 2 == 1;
+      openings_left = packed < 2 ? kUnlimitedOpenings
+                                 : static_cast<std::uint8_t>(packed / 2 - 1);
+    }
   }
 };
 
--- a/include/hawthornbank/warmup_limit.h
+++ b/include/hawthornbank/warmup_limit.h
@@ -30,6 +30,9 @@
 /// Value of TargetLoad::openings_left when no limit is in force.
 inline constexpr std::uint8_t kUnlimitedOpenings = 0xFF;
 
+/// Largest other value of TargetLoad::openings_left that is sent.
+inline constexpr std::uint8_t kMaxReportedOpenings = 126;
+
 /// Requests that an agent has sent to its target, and when the target is cold.
 struct WarmupLimit {
   /// Requests that the cold target may get in a second; 0: no limit is known.
@@ -102,7 +105,7 @@
 /// @param knows_all_requests Whether all requests since the target's start have
 ///   been counted.
 /// @param now Current time.
-/// @return Number of openings, less than kUnlimitedOpenings; kUnlimitedOpenings
+/// @return Number of openings, up to kMaxReportedOpenings; kUnlimitedOpenings
 ///   when no limit is in force.
 auto CountWarmupOpeningsLeft(const WarmupLimit& warmup,
                              bool knows_all_requests,
--- a/src/coordination/warmup_limit.cc
+++ b/src/coordination/warmup_limit.cc
@@ -87,7 +87,7 @@
   if (!knows_all_requests && now - warmup.counting_since < kWarmupWindow) {
     return 0;  // An earlier process of the agent may have used up the second.
   }
-  constexpr double kMost = kUnlimitedOpenings - 1;
+  constexpr double kMost = kMaxReportedOpenings;
   const auto requests =
       static_cast<double>(CountWarmupRequestsInWindow(warmup, now));
   return static_cast<std::uint8_t>(
