--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -37,6 +37,8 @@
   /// The agent's availability zone is out of service: no other agent of the
   /// zone takes the returned opening either.
   bool is_zone_out_of_service = false;
+  /// The opening is returned because of the limit of the target's warm-up.
+  bool is_at_warmup_limit = false;
   /// Addresses of agents that returned the packet, or that didn't confirm it in
   /// time if the packet is an opening.
   std::vector<std::uint32_t> returned_by;
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -99,6 +99,8 @@
   Endpoint agent;           ///< Agent that was last offered the packet.
   TimePoint offered_at{};   ///< When `agent` was offered the packet.
   TimePoint received_at{};  ///< When the opening arrived from the caller.
+  /// A target returned the opening at the limit of its warm-up.
+  bool was_at_warmup_limit = false;
 };
 
 /// Reason of a steering action.
@@ -127,6 +129,7 @@
   kFoundByWideSearch,     ///< kAgentFound, at a service that wasn't known.
   kNoZonesYet,            ///< The zones out of service aren't known yet.
   kZonesOut,              ///< All zones with a ready target are out of service.
+  kWarmupLimit,  ///< All targets left are at the limits of their warm-ups.
   kCount,
 };
 
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -119,13 +119,13 @@
 using Kind = SteeringAction::Kind;
 
 constexpr std::array<std::string_view, kSteeringReasonCount> kReasonNames = {
-    "placed",       "repeated",    "remembered", "looked_for",
-    "held",         "found",       "unsure",     "search_limit",
-    "sent_back",    "unconfirmed", "no_route",   "no_routes_yet",
-    "no_target",    "nobody_took", "link_full",  "not_found",
-    "flow_unknown", "target_lost", "malformed",  "search_queued",
-    "found_former", "found_wide",
-    "no_zones_yet", "zones_out",
+    "placed",       "repeated",    "remembered",   "looked_for",
+    "held",         "found",       "unsure",       "search_limit",
+    "sent_back",    "unconfirmed", "no_route",     "no_routes_yet",
+    "no_target",    "nobody_took", "link_full",    "not_found",
+    "flow_unknown", "target_lost", "malformed",    "search_queued",
+    "found_former", "found_wide",  "no_zones_yet", "zones_out",
+    "warmup_limit",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -133,6 +133,41 @@
   return now - steering.started < steering.options.learning_time;
 }
 
+// Returns whether a target of the service, in a zone that is in service, is at
+// the limit of its warm-up.
+auto IsAnyTargetAtWarmupLimit(const Steering& steering,
+                              std::uint32_t service,
+                              TimePoint now) -> bool {
+  return std::any_of(
+      steering.fleet.hosts.begin(), steering.fleet.hosts.end(),
+      [&](const auto& it) {
+        const KnownHost& host = it.second;
+        return host.record.service == service && AcceptsNewFlows(host) &&
+               !IsOutOfService(steering.zones, host.record.zone) &&
+               IsAtWarmupLimit(host, kWarmupLimitRetryTime, now);
+      });
+}
+
+// Handles an opening for which no target is left. Returns false.
+auto RejectOpening(Steering& steering,
+                   const FlowKey& flow,
+                   const PendingOpening& opening,
+                   bool has_excluded_target,
+                   TimePoint now,
+                   std::vector<SteeringAction>& out) -> bool {
+  if (IsAnyTargetAtWarmupLimit(steering, opening.header.service, now)) {
+    AppendResetAction(steering, flow, SteeringReason::kWarmupLimit, 0, out);
+  } else if (opening.header.returned_by.empty() &&
+             IsInLearningTime(steering, now)) {
+    AppendDropAction(steering, flow, SteeringReason::kNoTarget, out);
+  } else {
+    AppendResetAction(steering, flow,
+                      detail::ChooseRefusalReason(opening, has_excluded_target),
+                      0, out);
+  }
+  return false;
+}
+
 // Offers the opening packet to the least loaded of the first ranked targets,
 // without those that returned the packet or didn't confirm it in time.
 // Returns false if the opening was reset or dropped instead.
@@ -146,23 +181,21 @@
                                   HashFlow(flow), opening.header.returned_by);
   const bool has_excluded_target =
       detail::EraseAgentsOutOfService(steering, opening, ranked);
+  const auto accepting_targets =
+      std::count_if(ranked.begin(), ranked.end(), [now](const RankedAgent& it) {
+        return AcceptsNewFlows(*it.host) &&
+               !IsAtWarmupLimit(*it.host, kWarmupLimitRetryTime, now);
+      });
+  if (opening.was_at_warmup_limit) {
+    PreferWarmTargets(ranked, now);
+  }
   KnownHost* const host = ChooseTargetForFlow(ranked, steering.fleet.self.zone,
                                               steering.options.placement, now);
-  if (host == nullptr && opening.header.returned_by.empty() &&
-      IsInLearningTime(steering, now)) {
-    AppendDropAction(steering, flow, SteeringReason::kNoTarget, out);
-    return false;
-  }
   if (host == nullptr || opening.header.returned_by.size() >=
                              steering.options.max_offers_per_opening) {
-    AppendResetAction(steering, flow,
-                      detail::ChooseRefusalReason(opening, has_excluded_target),
-                      0, out);
-    return false;
+    return RejectOpening(steering, flow, opening, has_excluded_target, now,
+                         out);
   }
-  const auto accepting_targets = std::count_if(
-      ranked.begin(), ranked.end(),
-      [](const RankedAgent& it) { return AcceptsNewFlows(*it.host); });
   opening.header.is_last_candidate =
       accepting_targets == 1 || opening.header.returned_by.size() + 1 ==
                                     steering.options.max_offers_per_opening;
@@ -364,6 +397,9 @@
   const auto sender = steering.fleet.hosts.find(agent);
   if (sender != steering.fleet.hosts.end()) {
     RecordHostContact(sender->second, now);
+    if (header.is_at_warmup_limit) {
+      sender->second.warmup_limited_at = now;
+    }
   }
   const FlowKey flow = ExtractCallerFlowKey(packet);
   header.is_returned = false;
@@ -376,6 +412,7 @@
     if (header.is_zone_out_of_service && sender != steering.fleet.hosts.end()) {
       pending.excluded_zones.push_back(sender->second.record.zone);
     }
+    pending.was_at_warmup_limit |= header.is_at_warmup_limit;
     for (const auto it : header.returned_by) {
       if (std::find(pending.header.returned_by.begin(),
                     pending.header.returned_by.end(),
