--- a/src/coordination/zone_service.cc
+++ b/src/coordination/zone_service.cc
@@ -6,6 +6,13 @@
 #include "hawthornbank/types.h"
 
 namespace hawthornbank {
+namespace {
+
+auto IsEarlier(const StorePosition& a, const StorePosition& b) -> bool {
+  return std::pair(a.era, a.revision) < std::pair(b.era, b.revision);
+}
+
+}  // namespace
 
 auto MakeZonesOutOfService(StorePosition position,
                            std::vector<std::string> zones)
@@ -39,11 +46,11 @@
   const bool has_era = read.position.era != 0;
   if (!has_era) {
     read.position.era = in_force.position.era;
-    if (has_lost_changes && read.position <= in_force.position) {
+    if (has_lost_changes && !IsEarlier(in_force.position, read.position)) {
       ++read.position.era;
     }
   }
-  if (read.position < in_force.position) {
+  if (IsEarlier(read.position, in_force.position)) {
     return false;  // A peer has read the store later.
   }
   const bool has_changed = read.zones != in_force.zones;
@@ -56,7 +63,7 @@
     -> PeerZonesOutcome {
   PeerZonesOutcome outcome{.is_same = AreZonesKnown(reported) &&
                                       reported.zones == in_force.zones};
-  if (reported.position > in_force.position) {
+  if (IsEarlier(in_force.position, reported.position)) {
     outcome = {.has_changed = reported.zones != in_force.zones,
                .is_same = true};
     in_force = reported;
