--- a/test/zone_service_model_test.cc
+++ b/test/zone_service_model_test.cc
@@ -33,11 +33,16 @@
 constexpr int kAgentsPerZone = 4;
 constexpr Duration kMaxAge = 1h;
 
+// Whether a process, or any process, reaches the store.
+struct Reach {
+  bool is_up = true;
+  TimePoint changed{};  // When `is_up` changed.
+};
+
 struct Store {
   StorePosition position{.era = 1, .revision = 5};
   std::map<std::string, TimePoint> out;  // With the time of the order.
-  bool is_up = true;
-  TimePoint changed{};  // When `is_up` changed.
+  Reach reach;
 };
 
 struct Report {
@@ -64,8 +69,7 @@
   ZonesOutOfService zones;
   TimePoint next_heartbeat{};
   std::uint64_t round = 0;
-  bool reaches_store = true;
-  TimePoint reach_changed{};
+  Reach reach;
 };
 
 auto IsBalancer(const Process& process) -> bool {
@@ -100,9 +104,9 @@
       Step();
     }
     loss_ = 0;
-    SetStoreUp(true);
+    SetUp(store_.reach, true);
     for (auto& it : processes_) {
-      SetReach(it, true);
+      SetUp(it.reach, true);
     }
     while (now_ - start < kFaults + kSettling) {
       Step();
@@ -133,7 +137,7 @@
     process.follower = RouteFollower{.lists_zones = true, .started = now_};
     process.zones = {};
     process.next_heartbeat = now_;
-    process.reach_changed = std::max(process.reach_changed, now_);
+    process.reach.changed = now_;
     for (const auto& it : processes_) {
       if (it.record.control != process.record.control) {
         MergeHostRecord(process.fleet, it.record, 0ms, now_);
@@ -141,17 +145,9 @@
     }
   }
 
-  auto SetStoreUp(bool is_up) -> void {
-    if (store_.is_up != is_up) {
-      store_.is_up = is_up;
-      store_.changed = now_;
-    }
-  }
-
-  auto SetReach(Process& process, bool reaches) -> void {
-    if (process.reaches_store != reaches) {
-      process.reaches_store = reaches;
-      process.reach_changed = now_;
+  auto SetUp(Reach& reach, bool is_up) -> void {
+    if (reach.is_up != is_up) {
+      reach = {.is_up = is_up, .changed = now_};
     }
   }
 
@@ -194,10 +190,10 @@
     }
     if (Draw(kPerStep / 4)) {
       Process& process = processes_[DrawIndex(processes_.size())];
-      SetReach(process, !process.reaches_store);
+      SetUp(process.reach, !process.reach.is_up);
     }
-    if (Draw(store_.is_up ? kPerStep / 20 : kPerStep / 3)) {
-      SetStoreUp(!store_.is_up);
+    if (Draw(store_.reach.is_up ? kPerStep / 20 : kPerStep / 3)) {
+      SetUp(store_.reach, !store_.reach.is_up);
     }
     if (Draw(kPerStep / 5)) {
       loss_ = Draw(0.5) ? 0 : DrawRandomFraction(random_);
@@ -216,29 +212,32 @@
     CheckBound();
   }
 
+  auto ListZones() const -> ZonesOutOfService {
+    std::vector<std::string> out;
+    for (const auto& [zone, since] : store_.out) {
+      out.push_back(zone);
+    }
+    return MakeZonesOutOfService(store_.position, std::move(out));
+  }
+
   auto CallStoreIfDue(std::size_t n) -> void {
     Process& process = processes_[n];
-    const auto late = MarkLateStoreCalls(process.follower, now_, random_);
+    MarkLateStoreCalls(process.follower, now_, random_);
     const StoreCall call = BeginStoreCallIfDue(
         process.follower, ComputeReaderRank(process.fleet, now_), now_);
     if (call.kind == StoreCallKind::kNone) {
       return;
     }
-    std::vector<std::string> out;
-    for (const auto& [zone, since] : store_.out) {
-      out.push_back(zone);
-    }
-    const bool is_failure = !store_.is_up || !process.reaches_store;
+    const bool is_failure = !store_.reach.is_up || !process.reach.is_up;
     if (is_failure && Draw(0.5)) {
       return;  // No answer.
     }
-    answers_.push_back(
-        Answer{.to = n,
-               .arrives = now_ + kStep * (1 + DrawIndex(10)),
-               .call = call,
-               .is_failure = is_failure,
-               .zones = MakeZonesOutOfService(store_.position, std::move(out)),
-               .incarnation = process.record.incarnation});
+    answers_.push_back(Answer{.to = n,
+                              .arrives = now_ + kStep * (1 + DrawIndex(10)),
+                              .call = call,
+                              .is_failure = is_failure,
+                              .zones = ListZones(),
+                              .incarnation = process.record.incarnation});
   }
 
   auto SendReport(std::size_t from, Endpoint to) -> void {
@@ -358,9 +357,10 @@
   }
 
   auto IsInTouch(const Process& process) const -> bool {
-    return store_.is_up && process.reaches_store &&
-           now_ - store_.changed >= kStableWindow &&
-           now_ - process.reach_changed >= kStableWindow;
+    const auto is_stable = [this](const Reach& it) {
+      return it.is_up && now_ - it.changed >= kStableWindow;
+    };
+    return is_stable(store_.reach) && is_stable(process.reach);
   }
 
   auto CheckBound() const -> void {
@@ -375,12 +375,8 @@
   }
 
   auto CheckAllAgree() const -> void {
-    std::vector<std::string> expected;
-    for (const auto& [zone, since] : store_.out) {
-      expected.push_back(zone);
-    }
     for (const auto& process : processes_) {
-      CHECK(process.zones.zones == expected);
+      CHECK(process.zones.zones == ListZones().zones);
     }
   }
 
