--- a/test/zone_service_model_test.cc
+++ b/test/zone_service_model_test.cc
@@ -31,7 +31,6 @@
 constexpr int kZones = 3;
 constexpr int kBalancersPerZone = 3;
 constexpr int kAgentsPerZone = 4;
-constexpr Duration kMaxAge = 1h;
 
 // Whether a process, or any process, reaches the store.
 struct Reach {
@@ -99,9 +98,8 @@
 
   auto Run() -> void {
     const TimePoint start = now_;
-    while (now_ - start < kFaults) {
+    for (; now_ - start < kFaults; Step()) {
       MakeRandomEvent();
-      Step();
     }
     loss_ = 0;
     SetUp(store_.reach, true);
@@ -245,13 +243,12 @@
       return;
     }
     const Process& process = processes_[from];
-    reports_.push_back(Report{.from = from,
-                              .to = to.address - 0x0A000001U,
-                              .arrives = now_ + kStep,
-                              .age = IsBalancer(process)
-                                         ? now_ - process.follower.confirmed_at
-                                         : kMaxAge,
-                              .zones = process.zones});
+    reports_.push_back(Report{
+        .from = from,
+        .to = to.address - 0x0A000001U,
+        .arrives = now_ + kStep,
+        .age = IsBalancer(process) ? now_ - process.follower.confirmed_at : 1h,
+        .zones = process.zones});
   }
 
   auto SendNews(std::size_t from, bool from_store) -> void {
@@ -350,7 +347,7 @@
       return;
     }
     OnPeerRoutesVersion(process.follower, sender.record.control, 1,
-                        outcome.is_same ? report.age : kMaxAge, 1, now_);
+                        outcome.is_same ? report.age : 1h, 1, now_);
     if (outcome.has_changed && sender.record.zone != process.record.zone) {
       SendNews(report.to, false);
     }
