Limit the requests that a cold target gets

A target that has just started bears few requests, and several balancers together sent it more than its service's rate allows: the limit was told to agents but nobody applied it. The agent, through which all work of its target passes, now counts openings and requests on open flows in a sliding second and returns openings beyond the limit; no balancer can override it. The target counts as cold until a heartbeat says otherwise: after the agent's start, and after signs that the target has restarted. Balancers avoid targets at their limits, and reset the caller at once when there is no other. A rate in the store that can't be used is logged and ignored; a service without a name no longer invalidates all routes.

Ruled out: shares of balancers, because a share that isn't used is lost and a balancer that is cut off keeps its own; a part of the limit for urgent routes, because it stays unused while only others wait. The openings left travel in the byte that tells whether a target fails: a further byte would have made earlier builds misread each report during an upgrade.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -1,12 +1,14 @@
 #ifndef HAWTHORNBANK_FLEET_H_
 #define HAWTHORNBANK_FLEET_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "hawthornbank/types.h"
+#include "hawthornbank/warmup_limit.h"
 #include "hawthornbank/wire.h"
 
 /// @file
@@ -50,11 +52,26 @@
   /// Average of requests in flight over the last seconds, in sixteenths.
   std::uint16_t mean_in_flight_x16 = 0;
   bool failing = false;  ///< Most requests end without a reply.
+  /// Number of openings that the limit of the target's warm-up lets through at
+  /// once, up to kMaxReportedOpenings; kUnlimitedOpenings while there is no
+  /// limit.
+  std::uint8_t openings_left = kUnlimitedOpenings;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
     archive(running, flows, mean_in_flight_x16);
-    wire::SerializeBool(archive, failing);
+    // One byte, which earlier builds read as `failing` while there is no limit.
+    const unsigned limit =
+        openings_left == kUnlimitedOpenings
+            ? 0U
+            : std::min(openings_left, kMaxReportedOpenings) + 1U;
+    auto packed = static_cast<std::uint8_t>(limit * 2 + (failing ? 1U : 0U));
+    archive(packed);
+    if constexpr (Archive::is_loading::value) {
+      failing = packed % 2 == 1;
+      openings_left = packed < 2 ? kUnlimitedOpenings
+                                 : static_cast<std::uint8_t>(packed / 2 - 1);
+    }
   }
 };
 
@@ -132,6 +149,9 @@
   std::uint32_t unanswered_openings = 0;
   /// Number of openings sent to the host since `load_reported_at`.
   std::uint16_t openings_since_load = 0;
+  /// When the host last returned an opening at the limit of its target's
+  /// warm-up; zero once it reports room.
+  TimePoint warmup_limited_at{};
   std::uint64_t version = 0;  ///< Routes version that the host reported.
   /// Start time of the target that was last announced as cold, Unix
   /// milliseconds; zero when no target was announced as cold.
@@ -194,6 +214,25 @@
 auto RecordTargetLoad(KnownHost& host, const TargetLoad& load, TimePoint now)
     -> void;
 
+/// Time for which a host that is at the limit of its target's warm-up gets no
+/// further opening. Short, as the limit lets single openings through all the
+/// time.
+inline constexpr Duration kWarmupLimitRetryTime =
+    std::chrono::milliseconds{100};
+
+/// The same time while other targets have room.
+inline constexpr Duration kWarmupLimitAvoidTime =
+    std::chrono::milliseconds{400};
+
+/// Tells whether a host would return an opening at the limit of its target's
+/// warm-up, according to its reports of the last time.
+/// @param host The host.
+/// @param report_time Age from which a report of the limit no longer counts.
+/// @param now Current time.
+/// @return Whether the target counts as being at the limit.
+auto IsAtWarmupLimit(const KnownHost& host, Duration report_time, TimePoint now)
+    -> bool;
+
 /// Records that a message that requires a reply is sent to a host.
 /// @param host The host.
 /// @param now Current time.
--- a/include/hawthornbank/placement.h
+++ b/include/hawthornbank/placement.h
@@ -114,8 +114,15 @@
                   const PlacementOptions& options,
                   TimePoint now) -> bool;
 
+/// Leaves out the cold targets of an opening that a target returned at the
+/// limit of its warm-up, if a target that isn't cold takes new flows.
+/// @param ranked The service's agents.
+/// @param now Current time.
+auto PreferWarmTargets(std::vector<RankedAgent>& ranked, TimePoint now) -> void;
+
 /// Chooses the target of a new flow: the least loaded candidate among the
-/// targets with live agents, or among all targets if no agent is live.
+/// targets with live agents, or among all targets if no agent is live. Targets
+/// at the limit of their warm-up are left out.
 /// @param ranked The service's agents, highest rank first.
 /// @param zone Availability zone of the balancer.
 /// @param options Weights of the load score.
--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -34,6 +34,8 @@
   bool is_returned = false;  ///< An agent returns the packet to `origin`.
   /// The packet is an opening that will be offered to no further target.
   bool is_last_candidate = false;
+  /// The opening is returned because of the limit of the target's warm-up.
+  bool is_at_warmup_limit = false;
   /// Addresses of agents that returned the packet, or that didn't confirm it in
   /// time if the packet is an opening.
   std::vector<std::uint32_t> returned_by;
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -93,6 +93,8 @@
   Endpoint agent;           ///< Agent that was last offered the packet.
   TimePoint offered_at{};   ///< When `agent` was offered the packet.
   TimePoint received_at{};  ///< When the opening arrived from the caller.
+  /// A target returned the opening at the limit of its warm-up.
+  bool was_at_warmup_limit = false;
 };
 
 /// Reason of a steering action.
@@ -117,6 +119,7 @@
   kTargetLost,            ///< The flow's target has exited.
   kMalformed,             ///< The packet can't be parsed.
   kSearchQueued,          ///< The flow's search waits to send its queries.
+  kWarmupLimit,  ///< All targets left are at the limits of their warm-ups.
   kCount,
 };
 
--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -16,6 +16,7 @@
 #include "hawthornbank/relay.h"
 #include "hawthornbank/target_health.h"
 #include "hawthornbank/types.h"
+#include "hawthornbank/warmup_limit.h"
 
 /// @file
 /// Packet handling of an agent whose target returns packets of flows that the
@@ -87,6 +88,9 @@
   /// An opening or a request of the flow counts in TargetFlows::running.
   bool occupies_slot = false;
   bool has_unanswered_request = false;
+  /// When the opening was counted in TargetFlows::warmup; empty once a request
+  /// was sent.
+  std::optional<TimePoint> opening_counted_at;
   bool caller_ended = false;
   bool target_ended = false;
 };
@@ -122,6 +126,7 @@
   kTargetRestarted,  ///< The target has restarted and lost the flow.
   kTargetGone,       ///< The target that held the flow has ended.
   kMalformed,        ///< The packet couldn't be decoded.
+  kWarmup,           ///< The limit of the target's warm-up is reached.
   kCount,
 };
 
@@ -178,6 +183,7 @@
   std::uint16_t running = 0;  ///< Number of flows with `occupies_slot`.
   double average_running = 0;
   TimePoint averaged_at{};
+  WarmupLimit warmup;   ///< Requests that the target gets while it is cold.
   TargetHealth health;  ///< Computed from the outcomes of requests.
   Random random{1};     ///< Gives jitter to probes of a failing target.
   /// Opening packets are refused until this time,
@@ -259,8 +265,9 @@
 auto ExpireFlowsAndRequests(TargetFlows& target, TimePoint now) -> void;
 
 /// @param target What the agent keeps about its target's flows.
+/// @param now Current time.
 /// @return The target's load, as reported to balancers.
-auto ComputeTargetLoad(const TargetFlows& target) -> TargetLoad;
+auto ComputeTargetLoad(const TargetFlows& target, TimePoint now) -> TargetLoad;
 
 }  // namespace hawthornbank
 
--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -2,6 +2,7 @@
 #define HAWTHORNBANK_TARGET_PRESENCE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "hawthornbank/fleet.h"
@@ -36,6 +37,9 @@
   std::uint64_t sequence = 0;  ///< Sequence number of the newest heartbeat.
   TargetStatus status;
   TimePoint last_heartbeat_at{};
+  /// End of the target's warm-up; empty until a heartbeat tells it. Not later
+  /// than the present for a target that is warm.
+  std::optional<TimePoint> warm_at;
   /// Whether every flow since the target's last start
   /// has passed through this agent.
   bool knows_all_flows = false;
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -69,6 +69,7 @@
   if (record.incarnation != known.record.incarnation) {
     // A restarted process has no load yet and isn't suspected.
     known.load = {};
+    known.warmup_limited_at = {};
     known.suspected_until = {};
   }
   fleet.digest +=
@@ -84,6 +85,17 @@
   host.load = load;
   host.load_reported_at = now;
   host.openings_since_load = 0;
+  if (load.openings_left > 0) {
+    host.warmup_limited_at = {};
+  }
+}
+
+auto IsAtWarmupLimit(const KnownHost& host, Duration report_time, TimePoint now)
+    -> bool {
+  return now - host.warmup_limited_at < report_time ||
+         (host.load.openings_left != kUnlimitedOpenings &&
+          host.openings_since_load >= host.load.openings_left &&
+          now - host.load_reported_at < report_time);
 }
 
 auto RecordRequestToHost(KnownHost& host, TimePoint now) -> void {
--- a/src/coordination/flow_terms.cc
+++ b/src/coordination/flow_terms.cc
@@ -19,9 +19,10 @@
 // least: a target without any stays unproved.
 auto ComputeWarmupLimit(const ServiceSettings& service,
                         const WarmupAllowance& allowance) -> std::uint16_t {
-  return static_cast<std::uint16_t>(std::clamp(
-      service.warmup_requests_per_second * allowance.factor + allowance.extra,
-      1.0, kMaxWarmupLimit));
+  const double limit =
+      service.warmup_requests_per_second * allowance.factor + allowance.extra;
+  return static_cast<std::uint16_t>(
+      std::max(1.0, std::min(limit, kMaxWarmupLimit)));
 }
 
 }  // namespace
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -161,16 +161,42 @@
          running * factor >= options.busy_share * CountSlots(host);
 }
 
+auto PreferWarmTargets(std::vector<RankedAgent>& ranked, TimePoint now)
+    -> void {
+  const bool has_warm_target =
+      std::any_of(ranked.begin(), ranked.end(), [now](const RankedAgent& it) {
+        return !it.host->record.target.cold && AcceptsNewFlows(*it.host) &&
+               IsHostLive(*it.host, now) &&
+               !IsAtWarmupLimit(*it.host, kWarmupLimitRetryTime, now);
+      });
+  if (has_warm_target) {
+    std::erase_if(ranked, [](const RankedAgent& it) {
+      return it.host->record.target.cold;
+    });
+  }
+}
+
 auto ChooseTargetForFlow(std::span<const RankedAgent> ranked,
                          const std::string& zone,
                          const PlacementOptions& options,
                          TimePoint now) -> KnownHost* {
-  KnownHost* const answering = FindLeastLoadedCandidate(
-      ranked, zone, options, now, [now](const KnownHost& it) {
-        return AcceptsNewFlows(it) && IsHostLive(it, now);
-      });
-  if (answering != nullptr) {
-    return answering;
+  bool is_any_live = false;
+  for (const Duration time : {kWarmupLimitAvoidTime, kWarmupLimitRetryTime}) {
+    KnownHost* const answering = FindLeastLoadedCandidate(
+        ranked, zone, options, now, [&](const KnownHost& it) {
+          const bool is_live = AcceptsNewFlows(it) && IsHostLive(it, now);
+          is_any_live |= is_live;
+          return is_live && !IsAtWarmupLimit(it, time, now);
+        });
+    if (answering != nullptr) {
+      return answering;
+    }
+    if (!is_any_live) {
+      break;
+    }
+  }
+  if (is_any_live) {
+    return nullptr;
   }
   // If no agent that accepts new flows is live, this balancer itself may be cut
   // off, so agents that aren't live are considered too.
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -124,6 +124,7 @@
     "sent_back",    "unconfirmed", "no_route",   "no_routes_yet",
     "no_target",    "nobody_took", "link_full",  "not_found",
     "flow_unknown", "target_lost", "malformed",  "search_queued",
+    "warmup_limit",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -131,6 +132,38 @@
   return now - steering.started < steering.options.learning_time;
 }
 
+// Returns whether a target of the service is at the limit of its warm-up.
+auto IsAnyTargetAtWarmupLimit(const Fleet& fleet,
+                              std::uint32_t service,
+                              TimePoint now) -> bool {
+  return std::any_of(
+      fleet.hosts.begin(), fleet.hosts.end(), [&](const auto& it) {
+        const KnownHost& host = it.second;
+        return host.record.service == service && AcceptsNewFlows(host) &&
+               IsAtWarmupLimit(host, kWarmupLimitRetryTime, now);
+      });
+}
+
+// Handles an opening for which no target is left. Returns false.
+auto RejectOpening(Steering& steering,
+                   const FlowKey& flow,
+                   const PendingOpening& opening,
+                   TimePoint now,
+                   std::vector<SteeringAction>& out) -> bool {
+  const bool was_offered = !opening.header.returned_by.empty();
+  if (IsAnyTargetAtWarmupLimit(steering.fleet, opening.header.service, now)) {
+    AppendResetAction(steering, flow, SteeringReason::kWarmupLimit, 0, out);
+  } else if (was_offered) {
+    AppendResetAction(steering, flow, SteeringReason::kAllTargetsRefused, 0,
+                      out);
+  } else if (IsInLearningTime(steering, now)) {
+    AppendDropAction(steering, flow, SteeringReason::kNoTarget, out);
+  } else {
+    AppendResetAction(steering, flow, SteeringReason::kNoTarget, 0, out);
+  }
+  return false;
+}
+
 // Offers the opening packet to the least loaded of the first ranked targets,
 // without those that returned the packet or didn't confirm it in time.
 // Returns false if the opening was reset or dropped instead.
@@ -140,28 +173,22 @@
                               SteeringReason reason,
                               TimePoint now,
                               std::vector<SteeringAction>& out) -> bool {
-  const auto ranked =
-      RankAgentsForFlow(steering.fleet, opening.header.service, HashFlow(flow),
-                        opening.header.returned_by);
+  auto ranked = RankAgentsForFlow(steering.fleet, opening.header.service,
+                                  HashFlow(flow), opening.header.returned_by);
+  const auto accepting_targets =
+      std::count_if(ranked.begin(), ranked.end(), [now](const RankedAgent& it) {
+        return AcceptsNewFlows(*it.host) &&
+               !IsAtWarmupLimit(*it.host, kWarmupLimitRetryTime, now);
+      });
+  if (opening.was_at_warmup_limit) {
+    PreferWarmTargets(ranked, now);
+  }
   KnownHost* const host = ChooseTargetForFlow(ranked, steering.fleet.self.zone,
                                               steering.options.placement, now);
-  if (host == nullptr && opening.header.returned_by.empty() &&
-      IsInLearningTime(steering, now)) {
-    AppendDropAction(steering, flow, SteeringReason::kNoTarget, out);
-    return false;
-  }
   if (host == nullptr || opening.header.returned_by.size() >=
                              steering.options.max_offers_per_opening) {
-    AppendResetAction(steering, flow,
-                      opening.header.returned_by.empty()
-                          ? SteeringReason::kNoTarget
-                          : SteeringReason::kAllTargetsRefused,
-                      0, out);
-    return false;
+    return RejectOpening(steering, flow, opening, now, out);
   }
-  const auto accepting_targets = std::count_if(
-      ranked.begin(), ranked.end(),
-      [](const RankedAgent& it) { return AcceptsNewFlows(*it.host); });
   opening.header.is_last_candidate =
       accepting_targets == 1 || opening.header.returned_by.size() + 1 ==
                                     steering.options.max_offers_per_opening;
@@ -197,8 +224,8 @@
                  .service = ChooseService(route, HashFlow(flow)),
                  .wants_flow_reply = true},
       .received_at = now};
-  opening.header.terms = detail::DescribeTerms(steering, flow,
-                                               opening.header.service);
+  opening.header.terms =
+      detail::DescribeTerms(steering, flow, opening.header.service);
   if (OfferOpeningToNextTarget(steering, flow, opening, SteeringReason::kPlaced,
                                now, out)) {
     steering.openings.insert_or_assign(flow, std::move(opening));
@@ -358,6 +385,9 @@
   const auto sender = steering.fleet.hosts.find(agent);
   if (sender != steering.fleet.hosts.end()) {
     RecordHostContact(sender->second, now);
+    if (header.is_at_warmup_limit) {
+      sender->second.warmup_limited_at = now;
+    }
   }
   const FlowKey flow = ExtractCallerFlowKey(packet);
   header.is_returned = false;
@@ -367,6 +397,7 @@
       return;  // The opening was confirmed or reset.
     }
     PendingOpening& pending = opening->second;
+    pending.was_at_warmup_limit |= header.is_at_warmup_limit;
     for (const auto it : header.returned_by) {
       if (std::find(pending.header.returned_by.begin(),
                     pending.header.returned_by.end(),
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -24,7 +24,7 @@
     "delivered",     "opened",    "offered", "answered",
     "wrong_service", "not_ready", "full",    "failing",
     "not_here",      "returned",  "silent",  "target_restarted",
-    "target_gone",   "malformed",
+    "target_gone",   "malformed", "warmup",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -41,6 +41,7 @@
                         TargetReason reason,
                         std::vector<TargetAction>& out) -> void {
   header.is_returned = true;
+  header.is_at_warmup_limit = reason == TargetReason::kWarmup;
   header.returned_by.push_back(target.options.self.address);
   const Endpoint origin = header.origin;
   AppendCountedAction(target,
@@ -167,6 +168,17 @@
   return false;
 }
 
+// Returns whether an opening packet exceeds the limit of the target's warm-up.
+// No balancer may override it. A copy of an opening that the target hasn't
+// answered yet was counted before.
+auto ExceedsWarmupLimit(const TargetFlows& target,
+                        const FlowKey& flow,
+                        TimePoint now) -> bool {
+  return !target.openings.contains(flow) &&
+         CountWarmupOpeningsLeft(target.warmup, target.knows_all_flows, now) ==
+             0;
+}
+
 auto OnOpeningPacket(TargetFlows& target,
                      const RelayHeader& header,
                      const FlowKey& flow,
@@ -189,6 +201,10 @@
     AppendReturnAction(target, flow, header, TargetReason::kSilent, out);
     return;
   }
+  if (ExceedsWarmupLimit(target, flow, now)) {
+    AppendReturnAction(target, flow, header, TargetReason::kWarmup, out);
+    return;
+  }
   if (CheckIfFailingTargetRefusesOpening(target, header, now)) {
     AppendReturnAction(target, flow, header, TargetReason::kFailing, out);
     return;
@@ -197,6 +213,9 @@
     AppendReturnAction(target, flow, header, TargetReason::kFull, out);
     return;
   }
+  if (!target.openings.contains(flow)) {
+    CountWarmupRequest(target.warmup, now);
+  }
   if (target.flows.size() >= target.options.max_flows) {
     target.has_untracked_flows = true;
   } else {
@@ -204,6 +223,7 @@
     added.last_balancer = header.origin;
     added.target_started_at_ms = target.status.started_at_ms;
     added.last_packet_at = now;
+    added.opening_counted_at = now;
     OccupySlotForFlow(target, added, now);
   }
   target.openings[flow] =
@@ -216,8 +236,13 @@
 
 auto OnPacketReturnedByTarget(TargetFlows& target,
                               const FlowPacket& packet,
+                              TimePoint now,
                               std::vector<TargetAction>& out) -> void {
   const FlowKey key = ExtractCallerFlowKey(packet);
+  const auto known = target.flows.find(key);
+  if (known != target.flows.end() && known->second.is_accepted) {
+    SuspectTargetRestart(target.warmup, now);
+  }
   const ReturnablePacket& stored =
       target.returnable_packets.at(packet.return_id % kReturnablePackets);
   if (stored.return_id != packet.return_id || packet.return_id == 0) {
@@ -327,6 +352,9 @@
   }
   if (flow.closed_at == TimePoint{} && CarriesNewData(flow, packet)) {
     OccupySlotForFlow(target, flow, now);
+    if (!flow.has_unanswered_request) {
+      CountWarmupFlowRequest(target.warmup, flow.opening_counted_at, now);
+    }
     flow.has_unanswered_request = true;
   }
   if (packet.is_finish) {
@@ -360,6 +388,9 @@
     AppendReturnAction(target, flow, header, TargetReason::kWrongService, out);
     return;
   }
+  if (header.terms.has_value()) {
+    SetWarmupLimit(target.warmup, header.terms->warmup_limit);
+  }
   if (packet.is_opening) {
     OnOpeningPacket(target, header, flow, bytes, now, out);
     return;
@@ -377,6 +408,9 @@
                      .target_started_at_ms = target.status.started_at_ms,
                      .last_packet_at = now};
     }
+    if (packet.data_bytes > 0) {
+      CountWarmupRequest(target.warmup, now);
+    }
     AppendDeliverAction(target, flow, TargetReason::kOffered,
                         StoreReturnableHeader(target, header), out);
     return;
@@ -426,7 +460,7 @@
   target.unresponsive_until = {};
   target.last_target_packet_at = now;
   if (packet.is_returned) {
-    OnPacketReturnedByTarget(target, packet, out);
+    OnPacketReturnedByTarget(target, packet, now, out);
     return;
   }
   const FlowKey key = ExtractTargetFlowKey(packet);
@@ -506,6 +540,7 @@
       continue;
     }
     target.unresponsive_until = now + kUnresponsiveTime;
+    SuspectTargetRestart(target.warmup, now);
     EraseFlow(target, it->first);
     AppendReturnAction(target, it->first, std::move(it->second.header),
                        TargetReason::kSilent, out);
@@ -546,7 +581,7 @@
   }
 }
 
-auto ComputeTargetLoad(const TargetFlows& target) -> TargetLoad {
+auto ComputeTargetLoad(const TargetFlows& target, TimePoint now) -> TargetLoad {
   constexpr double kSixteenthsPerUnit = 16;
   constexpr std::size_t kMaxReportedFlows = 0xFFFF;
   return TargetLoad{.running = target.running,
@@ -554,7 +589,9 @@
                         std::min(target.flows.size(), kMaxReportedFlows)),
                     .mean_in_flight_x16 = static_cast<std::uint16_t>(
                         target.average_running * kSixteenthsPerUnit),
-                    .failing = IsTargetDown(target.health)};
+                    .failing = IsTargetDown(target.health),
+                    .openings_left = CountWarmupOpeningsLeft(
+                        target.warmup, target.knows_all_flows, now)};
 }
 
 }  // namespace hawthornbank
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -1,5 +1,6 @@
 #include "hawthornbank/target_presence.h"
 
+#include <algorithm>
 #include <array>
 
 namespace hawthornbank {
@@ -8,6 +9,20 @@
 // Allowance for the delay and the retry of a heartbeat.
 constexpr Duration kHeartbeatDelayAllowance = std::chrono::milliseconds{300};
 
+// Allowance for the rounding of the time that a heartbeat states.
+constexpr Duration kWarmupRounding = std::chrono::milliseconds{1};
+
+// Returns the end of the warm-up. A heartbeat that was delayed gives a later
+// end than the target's own, never an earlier one.
+auto ComputeWarmupEnd(std::optional<TimePoint> previous_end,
+                      std::uint32_t warmup_ms,
+                      TimePoint now) -> TimePoint {
+  if (warmup_ms > 0) {
+    return now + std::chrono::milliseconds{warmup_ms} + kWarmupRounding;
+  }
+  return previous_end.has_value() ? std::min(*previous_end, now) : TimePoint{};
+}
+
 }  // namespace
 
 auto OnTargetHeartbeat(TargetPresence& presence,
@@ -24,6 +39,8 @@
     return PresenceOutcome::kLate;
   }
   const bool had_target = presence.status.started_at_ms != 0;
+  presence.warm_at = ComputeWarmupEnd(
+      is_new_start ? std::nullopt : presence.warm_at, beat.warmup_ms, now);
   if (is_new_start) {
     // Every flow has passed through this agent in two cases: the agent received
     // the target's first heartbeat, before which a target holds no flows, or
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -5,6 +5,7 @@
 #include "transport/clock.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
+#include "transport/node_warmup_metrics.h"
 #include "transport/route_peers.h"
 
 namespace hawthornbank::transport {
@@ -43,6 +44,7 @@
     target_.options.self = settings.control;
     target_.averaged_at = GetMonotonicTime();
     target_.random = host_.random();
+    target_.warmup.counting_since = GetMonotonicTime();
     presence_.service = settings.service;
     fleet_.self.service = target_.options.service;
   }
@@ -57,7 +59,7 @@
             [this](HostRecord& record, TargetLoad& load) {
               record.is_shutting_down = host_.is_stopping();
               record.target = presence_.status;
-              load = ComputeTargetLoad(target_);
+              load = ComputeTargetLoad(target_, GetMonotonicTime());
             },
         .on_relayed_datagram =
             [this](Endpoint, ByteView datagram, TimePoint now) {
@@ -112,8 +114,14 @@
       return;
     }
     actions_.clear();
+    const auto known_limit = target_.warmup.requests_per_second;
     OnRelayedPacket(target_, *header, *packet, bytes, now, actions_);
     PerformTargetActions(bytes, now);
+    if (target_.warmup.requests_per_second != known_limit) {
+      host_.event_log().WriteEvent(
+          EventKind::kStateChange, now, "warmup_limit_set limit={} before={}",
+          target_.warmup.requests_per_second, known_limit);
+    }
   }
 
   auto OnFlowQueryReceived(const FlowQuery& query, TimePoint now) -> void {
@@ -154,12 +162,12 @@
           outbound_.SendDatagram(host_.GetCallerEndpoint(it.flow), packet);
           break;
         case TargetAction::Kind::kReplyToBalancer:
-          host_.SendControlDatagram(
-              DatagramKind::kFlowReply, it.to,
-              EncodeNodeMessage(FlowReply{.flow = it.flow,
-                                          .agent = host_.settings().control,
-                                          .load = ComputeTargetLoad(target_),
-                                          .ownership = it.ownership}));
+          host_.SendControlDatagram(DatagramKind::kFlowReply, it.to,
+                                    EncodeNodeMessage(FlowReply{
+                                        .flow = it.flow,
+                                        .agent = host_.settings().control,
+                                        .load = ComputeTargetLoad(target_, now),
+                                        .ownership = it.ownership}));
           break;
         case TargetAction::Kind::kReset:
           host_.SendResetToCaller(outbound_, it.flow, it.acknowledgement);
@@ -282,6 +290,8 @@
                             const std::string& id,
                             TimePoint now) -> void {
     target_.knows_all_flows = presence_.knows_all_flows;
+    SetWarmupEnd(target_.warmup, presence_.warm_at,
+                 presence_.last_heartbeat_at);
     if (outcome != PresenceOutcome::kChanged &&
         outcome != PresenceOutcome::kRestarted) {
       if (outcome != PresenceOutcome::kKnown) {
@@ -325,6 +335,7 @@
                         target_.health.failure);
     text += fmt::format("hawthornbank_target_running {}\n", target_.running);
     text += fmt::format("hawthornbank_flows {}\n", target_.flows.size());
+    text += FormatWarmupMetrics(target_.warmup, GetMonotonicTime());
     text += FormatTrafficMetrics(host_.traffic());
     return text;
   }
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -79,6 +79,13 @@
                                  DeregistrationRequest,
                                  InvalidRequest>;
 
+/// A setting in the store that can't be used and counts as absent.
+struct IgnoredSetting {
+  std::string owner;  ///< Name of the service, or its place in the list.
+  std::string field;
+  std::string value;  ///< Beginning of the value's JSON text.
+};
+
 /// The store's response to a request for routes.
 struct RoutesResponse {
   bool is_decoded = false;
@@ -86,7 +93,8 @@
   std::optional<RouteSet> routes;  ///< The newest routes, if any are stored.
   /// JSON text of `routes`, for peers of an older build.
   std::string document;
-  std::string failure;  ///< Why decoding failed, or empty.
+  std::string failure;                  ///< Why decoding failed, or empty.
+  std::vector<IgnoredSetting> ignored;  ///< Settings of `routes`.
 };
 
 /// A page of the store's list of balancers.
--- a/src/transport/store_reader.cc
+++ b/src/transport/store_reader.cc
@@ -83,6 +83,12 @@
   const StorePosition before = follower_.newest_position;
   OnStoreRoutes(follower_, id, answer.position);
   LogStoreLoss(before);
+  for (const auto& it : answer.ignored) {
+    host_.event_log().WriteEvent(
+        EventKind::kMalformedInput, GetMonotonicTime(),
+        "setting_ignored service=\"{}\" field={} value=\"{}\"", it.owner,
+        it.field, it.value);
+  }
   if (answer.routes.has_value()) {
     callbacks_.on_routes(*answer.routes, answer.document);
   }
--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -147,6 +147,7 @@
                          .wants_flow_reply = true,
                          .is_returned = true,
                          .is_last_candidate = true,
+                         .is_at_warmup_limit = true,
                          .returned_by = {1, 2, 3},
                          .terms = FlowTerms{.priority = 2,
                                             .is_repeatable = true,
@@ -166,8 +167,8 @@
 
 TEST(NodeMessage, RejectsTruncatedRelayHeaderAndTooManyReturns) {
   Bytes bytes;
-  AppendRelayHeader(
-      RelayHeader{.returned_by = {1, 2, 3}, .terms = FlowTerms{}}, bytes);
+  AppendRelayHeader(RelayHeader{.returned_by = {1, 2, 3}, .terms = FlowTerms{}},
+                    bytes);
   std::size_t size = 0;
   for (std::size_t n = 0; n < bytes.size(); ++n) {
     CHECK_FALSE(DecodeRelayHeader(ByteView(bytes).first(n), size).has_value());
@@ -175,3 +176,36 @@
   bytes[2] = 255;
   CHECK_FALSE(DecodeRelayHeader(bytes, size).has_value());
 }
+
+TEST(NodeMessage, OpeningsLeftShareTheByteOfAFailingTarget) {
+  const auto encode = [](bool failing, std::uint8_t openings_left) {
+    return EncodeNodeMessage(FlowReply{
+        .load = {.failing = failing, .openings_left = openings_left}});
+  };
+  const Bytes plain = encode(false, kUnlimitedOpenings);
+  for (const bool failing : {false, true}) {
+    for (unsigned left = 0; left <= kUnlimitedOpenings; ++left) {
+      const Bytes bytes = encode(failing, static_cast<std::uint8_t>(left));
+      LONGS_EQUAL(plain.size(), bytes.size());
+      const auto message = DecodeNodeMessage(bytes);
+      CHECK(message.has_value());
+      const TargetLoad& load = std::get<FlowReply>(*message).load;
+      CHECK(load.failing == failing);
+      LONGS_EQUAL(left == kUnlimitedOpenings
+                      ? left
+                      : std::min<unsigned>(left, kMaxReportedOpenings),
+                  load.openings_left);
+    }
+  }
+  // Earlier builds read the byte as a flag.
+  const Bytes failing = encode(true, kUnlimitedOpenings);
+  int changed = 0;
+  for (std::size_t n = 0; n < plain.size(); ++n) {
+    if (plain[n] != failing[n]) {
+      ++changed;
+      LONGS_EQUAL(0, plain[n]);
+      LONGS_EQUAL(1, failing[n]);
+    }
+  }
+  LONGS_EQUAL(1, changed);
+}
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -232,11 +232,11 @@
       FindRoute(*answer.routes, ParseEndpoint("198.18.0.1:8443"));
   LONGS_EQUAL(2, route->shares.size());
   LONGS_EQUAL(90, route->shares[0].weight);
-  CHECK(route->terms == (RequestTerms{.priority = 2,
-                                      .is_repeatable = true,
-                                      .goal = std::chrono::milliseconds{300},
-                                      .timeout =
-                                          std::chrono::milliseconds{1200}}));
+  CHECK(route->terms ==
+        (RequestTerms{.priority = 2,
+                      .is_repeatable = true,
+                      .goal = std::chrono::milliseconds{300},
+                      .timeout = std::chrono::milliseconds{1200}}));
   LONGS_EQUAL(1, answer.routes->services.size());
   DOUBLES_EQUAL(12.5,
                 answer.routes->services.at(route->shares[0].service)
@@ -248,6 +248,35 @@
   LONGS_EQUAL(2, DecodeRoutesDocument(answer.document)->routes.size());
 }
 
+TEST(Platform, UnusableWarmupRatesAreReportedAndLeaveTheRestInForce) {
+  constexpr const char* kServices =
+      R"([{"name":"a","warmup_per_s":-3},{"name":"b","warmup_per_s":1e300},
+      {"warmup_per_s":4},"x",{"name":7},{"name":"c","warmup_per_s":"many"},
+      {"name":"d","warmup_per_s":2},{"name":"e","warmup_per_s":0},
+      {"name":"f"}])";
+  const std::string config = ReplaceText(
+      kConfig,
+      R"([{"name":"a","warmup_per_s":12.5},{"name":"b","warmup_per_s":0.0}])",
+      kServices);
+  const auto answer = DecodeRoutesResponse(
+      {.status = 200,
+       .body = R"({"items":[{"meta":{"name":"main"},"spec":)" + config +
+               R"(}],"has_more":false,"as_of":12})"});
+  CHECK(answer.is_decoded);
+  LONGS_EQUAL(2, answer.routes->routes.size());
+  LONGS_EQUAL(1, answer.routes->services.size());
+  std::string ignored;
+  for (const auto& it : answer.ignored) {
+    ignored += it.owner + ' ' + it.field + ' ' + it.value + '\n';
+  }
+  STRCMP_EQUAL(
+      "a warmup_per_s -3\nb warmup_per_s 1e+300\n#2 name null\n#3 name null\n"
+      "#4 name 7\nc warmup_per_s \"many\"\n",
+      ignored.c_str());
+  // Peers of an older build decode the same document.
+  LONGS_EQUAL(1, DecodeRoutesDocument(answer.document)->services.size());
+}
+
 TEST(Platform, RoutesResponseWithoutRoutesIsValid) {
   const auto answer = DecodeRoutesResponse(
       {.status = 200, .body = R"({"items":[],"has_more":false,"as_of":3})"});
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -450,7 +450,7 @@
 TEST(TargetFlows, ReportedLoadIsAveragedOverSeconds) {
   OpenFlowWithRequest(1);
   RunTargetFlowsTick(kNow + 1500ms);
-  const TargetLoad load = ComputeTargetLoad(target);
+  const TargetLoad load = ComputeTargetLoad(target, kNow);
   LONGS_EQUAL(1, load.running);
   CHECK(load.mean_in_flight_x16 >= 9 && load.mean_in_flight_x16 <= 11);
 }
@@ -460,7 +460,7 @@
 // more flows to this target.
 TEST(TargetFlows, TargetThatResetsRequestsGetsProbesOnly) {
   OpenFlowsAndResetTheirRequests(10);
-  CHECK(ComputeTargetLoad(target).failing);
+  CHECK(ComputeTargetLoad(target, kNow).failing);
   CHECK(RelayCallerPacket(MakeCallerPacket(100, true)) ==
         Kind::kReturnToBalancer);
   CHECK(out[0].reason == TargetReason::kFailing);
@@ -482,7 +482,7 @@
     RelayCallerPacket(MakeCallerPacket(port, false, 100));
     ReceiveTargetPacket(MakeTargetPacket(port, 50));
   }
-  CHECK_FALSE(ComputeTargetLoad(target).failing);
+  CHECK_FALSE(ComputeTargetLoad(target, kNow).failing);
   CHECK(RelayCallerPacket(MakeCallerPacket(300, true)) == Kind::kDeliver);
 }
 
@@ -491,7 +491,7 @@
     OpenFlowWithRequest(port);
   }
   ExpireFlowsAndRequests(target, kNow + 1600ms);
-  CHECK(ComputeTargetLoad(target).failing);
+  CHECK(ComputeTargetLoad(target, kNow).failing);
 }
 
 TEST(TargetFlows, RequestsGivenUpAfterTheStallTimeoutCountAsFailures) {
@@ -502,7 +502,7 @@
     RelayCallerPacket(reset, {}, kNow + (port <= 5 ? 10ms : 1200ms));
     CHECK_FALSE(port <= 5 && target.health.failure > 0);
   }
-  CHECK(ComputeTargetLoad(target).failing);
+  CHECK(ComputeTargetLoad(target, kNow).failing);
 }
 
 TEST(TargetFlows, ResetsOfFlowsWithoutRequestsDoNotCountAsFailures) {
@@ -522,7 +522,7 @@
 TEST(TargetFlows, RestartClearsTheFailuresOfTheTarget) {
   OpenFlowsAndResetTheirRequests(10);
   SetTargetState(TargetState::kReady, 600, kNow);
-  CHECK_FALSE(ComputeTargetLoad(target).failing);
+  CHECK_FALSE(ComputeTargetLoad(target, kNow).failing);
 }
 
 // Guards against a fault that a soak found: a restarted target accepts a flow
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -90,3 +90,28 @@
   CHECK(presence.status.state == TargetState::kReady);
   CHECK_FALSE(presence.knows_all_flows);
 }
+
+TEST(TargetPresence, WarmupEndIsKeptAsATime) {
+  const auto receive = [&](std::uint64_t start, std::uint64_t sequence,
+                           std::uint32_t warmup_ms, TimePoint now) {
+    TargetHeartbeat beat = MakeHeartbeat(start, sequence, TargetState::kReady);
+    beat.warmup_ms = warmup_ms;
+    OnTargetHeartbeat(presence, beat, now);
+  };
+  CHECK_FALSE(presence.warm_at.has_value());
+  receive(100, 4, 2500, kNow);
+  CHECK(presence.warm_at == kNow + 2501ms);
+  // A late heartbeat changes nothing.
+  receive(100, 3, 9000, kNow + 1s);
+  CHECK(presence.warm_at == kNow + 2501ms);
+  // The end stays where it was once it has passed, and moves to the present
+  // when the target is warm earlier.
+  receive(100, 5, 0, kNow + 3s);
+  CHECK(presence.warm_at == kNow + 2501ms);
+  receive(100, 6, 4000, kNow + 4s);
+  receive(100, 7, 0, kNow + 5s);
+  CHECK(presence.warm_at == kNow + 5s);
+  // A new start that is never cold.
+  receive(200, 1, 0, kNow + 6s);
+  CHECK(presence.warm_at == TimePoint{});
+}
