Keep the logs of processes that end during a soak

A process that was restarted appended to its predecessor's log, which the end of the soak removed with the last process. Each start now has its own log, and a soak with violations keeps all of them.

--- a/soak/world.cc
+++ b/soak/world.cc
@@ -160,7 +160,8 @@
   ++node.start_count;
   node.process = std::make_unique<NodeProcess>(
       options_.program, FormatNodeSettings(ports_, node.parameters),
-      fmt::format("soak-{}-{}", options_.seed, node.subject));
+      fmt::format("soak-{}-{}-{}", options_.seed, node.subject,
+                  node.start_count));
 }
 
 auto SoakEnvironment::RunAfterDelay(Duration delay,
@@ -212,6 +213,9 @@
 
 auto SoakEnvironment::KeepLogFiles() -> std::vector<std::string> {
   std::vector<std::string> paths;
+  for (const auto& it : ended_processes_) {
+    paths.push_back(it->KeepLogFile());
+  }
   for (const auto& it : nodes_) {
     if (it->process != nullptr) {
       paths.push_back(it->process->KeepLogFile());
@@ -249,7 +253,7 @@
     if (code.has_value()) {
       OnProcessExited(checker_, node.subject, node.is_exit_expected, *code,
                       now);
-      node.process.reset();
+      ended_processes_.push_back(std::move(node.process));
       node.is_in_rotation = false;
       node.restart_at = now + kRestartPause;
     } else if (node.stop_deadline != TimePoint{} && now > node.stop_deadline) {
--- a/soak/world.h
+++ b/soak/world.h
@@ -52,8 +52,8 @@
     return event_history_;
   }
 
-  /// Makes the current node processes keep the log files when they end.
-  /// @return Paths of the log files.
+  /// Makes all node processes, ended ones too, keep their log files.
+  /// @return Paths of the log files, one for each start of a process.
   auto KeepLogFiles() -> std::vector<std::string>;
 
  private:
@@ -116,6 +116,7 @@
   StoreStandin store_;
   std::unique_ptr<transport::HttpServer> store_server_;
   std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<NodeProcess>> ended_processes_;
   std::vector<std::unique_ptr<TargetStandin>> targets_;
   std::vector<CalledRoute> routes_;
   std::unique_ptr<Callers> callers_;
