Don't reset a flow that the caller opened at another target

With the logs of all starts: an opening wasn't confirmed in time by an agent that was being restarted, and went to a second target, where the caller opened the flow. The first agent read the opening after its restart, 0.6 s later, and its target accepted it too. When that target crashed, its agent reset the flow, though its real target lived. Ruled out: the frozen balancer, which has no line of the flow, and a search that failed, as the balancer remembered the flow.

An agent whose target restarts now resets only flows whose acceptance the caller has acknowledged.

--- a/src/coordination/routes.cc
+++ b/src/coordination/routes.cc
@@ -71,8 +71,9 @@
                           Duration flow_lifetime,
                           TimePoint now) -> bool {
   if (offered.version <= in_force.version) {
-    if (offered.version == in_force.version) {
-      in_force.read_at = std::max(in_force.read_at, offered.read_at);
+    if (offered.version == in_force.version &&
+        offered.read_at != StorePosition{}) {
+      in_force.read_at = offered.read_at;
     }
     return false;
   }
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -240,7 +240,9 @@
 }
 
 // Erases the flows of targets that started before `started_before_ms`, and
-// sends resets to the callers of flows that were accepted and not closed.
+// sends resets to the callers of flows that were accepted and not closed. A
+// flow whose acceptance the caller hasn't acknowledged may be open at another
+// target that accepted the same opening.
 auto ResetFlowsOfEarlierStarts(TargetFlows& target,
                                std::uint64_t started_before_ms,
                                TargetReason reason,
@@ -252,7 +254,8 @@
       continue;
     }
     ReleaseSlotOfFlow(target, flow);
-    if (flow.is_accepted && flow.closed_at == TimePoint{}) {
+    if (flow.is_accepted && !flow.unacknowledged_sequence.has_value() &&
+        flow.closed_at == TimePoint{}) {
       AppendCountedAction(target,
                           TargetAction{.kind = Kind::kReset,
                                        .reason = reason,
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -544,6 +544,19 @@
   DOUBLES_EQUAL(0, target.health.failure, 0);
 }
 
+// The opening went to two targets, because this one answered late, and the
+// caller kept the other one's answer.
+TEST(TargetFlows, RestartDoesNotResetAFlowThatTheCallerOpenedElsewhere) {
+  RelayCallerPacket(MakeCallerPacket(1, true));
+  FlowPacket accepting = MakeTargetPacket(1);
+  accepting.is_opening = true;
+  accepting.sequence = 5000;
+  ReceiveTargetPacket(accepting);
+  SetTargetState(TargetState::kReady, 900, kNow + 5s);
+  LONGS_EQUAL(0, out.size());
+  LONGS_EQUAL(0, target.flows.size());
+}
+
 TEST(TargetFlows, RestartClearsTheFailuresOfTheTarget) {
   OpenFlowsAndResetTheirRequests(10);
   SetTargetState(TargetState::kReady, 600, kNow);
