Decide at the agent which request a full target gets next

Requests on new flows wait at the target for 90 to 150 ms before it refuses them, and are reset once 36 requests are pending, which loses unrepeatable ones.

Change: while a target is full, requests on open flows wait at the agent for at most a fifth of their goal, and each place goes to the most urgent of them; each less urgent priority keeps a tenth of the places. The agent learns from the order of answers how many requests the target takes. Openings that the agent may not return to the balancer are rejected if their requests would begin too late, unless a target may have accepted them (a new flag of relayed packets). Off until flows of two priorities were seen at a target.

Ruled out: a shorter queue at the target, as what waits too long must be handed over and fills it; longer waits, which cost the worth of what isn't served; resets of requests on open flows; rejecting openings by the number of requests alone.

--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -34,6 +34,9 @@
   bool is_returned = false;  ///< An agent returns the packet to `origin`.
   /// The packet is an opening that will be offered to no further target.
   bool is_last_candidate = false;
+  /// The packet is an opening that an earlier target may have accepted, so it
+  /// isn't to be rejected.
+  bool may_be_accepted = false;
   /// Addresses of agents that returned the packet, or that didn't confirm it in
   /// time if the packet is an opening.
   std::vector<std::uint32_t> returned_by;
--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -16,6 +16,7 @@
 #include "hawthornbank/relay.h"
 #include "hawthornbank/target_health.h"
 #include "hawthornbank/types.h"
+#include "hawthornbank/work_order.h"
 
 /// @file
 /// Packet handling of an agent whose target returns packets of flows that the
@@ -87,6 +88,8 @@
   /// An opening or a request of the flow counts in TargetFlows::running.
   bool occupies_slot = false;
   bool has_unanswered_request = false;
+  RequestId request_id = 0;        ///< Request in TargetFlows::order, or 0.
+  std::optional<FlowTerms> terms;  ///< The latest that a balancer sent.
   bool caller_ended = false;
   bool target_ended = false;
 };
@@ -122,6 +125,8 @@
   kTargetRestarted,  ///< The target has restarted and lost the flow.
   kTargetGone,       ///< The target that held the flow has ended.
   kMalformed,        ///< The packet couldn't be decoded.
+  kWaiting,          ///< Packet of a request that waits for a place.
+  kHandedOver,  ///< Packet of a request that has waited, sent to the target.
   kCount,
 };
 
@@ -142,6 +147,7 @@
     kReplyToBalancer,   ///< Reply to balancer `to` whether the flow is held.
     kReset,             ///< Send the caller a reset of the flow.
     kDrop,              ///< Drop the packet; the reason is counted.
+    kKeep,              ///< The packet was stored and is delivered later.
   };
   Kind kind = Kind::kDrop;
   TargetReason reason = TargetReason::kDelivered;
@@ -149,9 +155,12 @@
   Endpoint to;
   RelayHeader header;
   std::uint32_t return_id = 0;
-  /// For kReturnToBalancer: stored opening to return;
-  /// if empty, the packet being handled is returned.
+  /// Stored opening to return or stored packet to deliver;
+  /// if empty, the packet being handled is meant.
   std::vector<std::uint8_t> opening;
+  /// For kHandedOver: why the request was handed over, and its wait.
+  HandOverReason hand_over_reason = HandOverReason::kRoom;
+  Duration waited{};
   /// Latest acknowledgement number of the caller, for kReset.
   std::uint32_t acknowledgement = 0;
   /// For kReplyToBalancer: whether the target holds the flow.
@@ -178,6 +187,7 @@
   std::uint16_t running = 0;  ///< Number of flows with `occupies_slot`.
   double average_running = 0;
   TimePoint averaged_at{};
+  WorkOrder order;      ///< Requests that the target has or that wait.
   TargetHealth health;  ///< Computed from the outcomes of requests.
   Random random{1};     ///< Gives jitter to probes of a failing target.
   /// Opening packets are refused until this time,
@@ -236,8 +246,8 @@
                        std::vector<TargetAction>& out) -> void;
 
 /// Returns opening packets that the target didn't answer in time to the
-/// balancers that relayed them, resets the flows of a target that has shut down
-/// and updates the average load.
+/// balancers that relayed them, delivers requests whose wait has ended, resets
+/// the flows of a target that has shut down and updates the average load.
 /// @param target What the agent keeps about its target's flows.
 /// @param now Current time.
 /// @param out Actions are appended to it.
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -197,8 +197,8 @@
                  .service = ChooseService(route, HashFlow(flow)),
                  .wants_flow_reply = true},
       .received_at = now};
-  opening.header.terms = detail::DescribeTerms(steering, flow,
-                                               opening.header.service);
+  opening.header.terms =
+      detail::DescribeTerms(steering, flow, opening.header.service);
   if (OfferOpeningToNextTarget(steering, flow, opening, SteeringReason::kPlaced,
                                now, out)) {
     steering.openings.insert_or_assign(flow, std::move(opening));
@@ -367,6 +367,7 @@
       return;  // The opening was confirmed or reset.
     }
     PendingOpening& pending = opening->second;
+    pending.header.may_be_accepted |= header.may_be_accepted;
     for (const auto it : header.returned_by) {
       if (std::find(pending.header.returned_by.begin(),
                     pending.header.returned_by.end(),
@@ -445,6 +446,7 @@
       MarkHostSuspected(host->second, now);
     }
     opening.header.returned_by.push_back(opening.agent.address);
+    opening.header.may_be_accepted = true;
     if (OfferOpeningToNextTarget(steering, it->first, opening,
                                  SteeringReason::kUnconfirmed, now, out)) {
       ++it;
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -24,7 +24,7 @@
     "delivered",     "opened",    "offered", "answered",
     "wrong_service", "not_ready", "full",    "failing",
     "not_here",      "returned",  "silent",  "target_restarted",
-    "target_gone",   "malformed",
+    "target_gone",   "malformed", "waiting", "handed_over",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -80,6 +80,8 @@
 auto RecordAnsweredRequest(TargetFlows& target,
                            const TargetFlow& flow,
                            TimePoint now) -> void {
+  RecordRequestAnswered(target.order, target.status.slots, flow.request_id,
+                        now);
   if (flow.has_unanswered_request) {
     RecordRequestAnswer(
         target.health,
@@ -99,6 +101,8 @@
 // Frees the slot of a flow whose request has ended.
 auto ReleaseSlotOfFlow(TargetFlows& target, TargetFlow& flow) -> void {
   flow.has_unanswered_request = false;
+  EndRequest(target.order, flow.request_id);
+  flow.request_id = 0;
   if (flow.occupies_slot) {
     flow.occupies_slot = false;
     --target.running;
@@ -167,8 +171,18 @@
   return false;
 }
 
+// Whether no target can have accepted an opening: the packet isn't a copy, and
+// each target that was offered it has returned it.
+auto MayRejectOpening(const TargetFlows& target,
+                      const RelayHeader& header,
+                      const FlowPacket& packet) -> bool {
+  return packet.acknowledgement == 0 && !header.may_be_accepted &&
+         !target.flows.contains(ExtractCallerFlowKey(packet));
+}
+
 auto OnOpeningPacket(TargetFlows& target,
                      const RelayHeader& header,
+                     const FlowPacket& packet,
                      const FlowKey& flow,
                      std::span<const std::uint8_t> bytes,
                      TimePoint now,
@@ -197,6 +211,18 @@
     AppendReturnAction(target, flow, header, TargetReason::kFull, out);
     return;
   }
+  if (MayRejectOpening(target, header, packet) &&
+      MustRejectOpening(target.order, target.status.slots, header.terms,
+                        target.openings.size())) {
+    AppendCountedAction(
+        target,
+        TargetAction{
+            .kind = Kind::kReset, .reason = TargetReason::kFull, .flow = flow},
+        out);
+    // Without a reply the balancer would offer the opening to another target.
+    AppendReplyAction(flow, header.origin, FlowOwnership::kHeld, out);
+    return;
+  }
   if (target.flows.size() >= target.options.max_flows) {
     target.has_untracked_flows = true;
   } else {
@@ -204,6 +230,7 @@
     added.last_balancer = header.origin;
     added.target_started_at_ms = target.status.started_at_ms;
     added.last_packet_at = now;
+    added.terms = header.terms;
     OccupySlotForFlow(target, added, now);
   }
   target.openings[flow] =
@@ -343,6 +370,61 @@
   CloseFlowIfEnded(target, flow, now);
 }
 
+// Delivers a packet of a known flow, unless the packet's request waits for a
+// place at the target.
+auto DeliverOrKeepPacket(TargetFlows& target,
+                         TargetFlow& flow,
+                         const RelayHeader& header,
+                         const FlowPacket& packet,
+                         std::span<const std::uint8_t> bytes,
+                         TimePoint now,
+                         std::vector<TargetAction>& out) -> void {
+  const FlowKey key = ExtractCallerFlowKey(packet);
+  if (header.terms.has_value()) {
+    flow.terms = header.terms;
+  }
+  const bool begins_request =
+      flow.has_unanswered_request && flow.request_id == 0;
+  if (begins_request) {
+    flow.request_id = BeginRequest(target.order, target.status.slots, key,
+                                   flow.terms, bytes.size(), now);
+  }
+  if (IsWaiting(target.order, flow.request_id)) {
+    AppendToWaitingRequest(target.order, flow.request_id,
+                           WaitingPacket{.bytes = {bytes.begin(), bytes.end()},
+                                         .header = header,
+                                         .sequence = packet.sequence,
+                                         .data_bytes = packet.data_bytes});
+    AppendCountedAction(
+        target,
+        TargetAction{
+            .kind = Kind::kKeep, .reason = TargetReason::kWaiting, .flow = key},
+        out);
+    return;
+  }
+  AppendDeliverAction(target, key, TargetReason::kDelivered,
+                      StoreReturnableHeader(target, header), out);
+}
+
+// Delivers the waiting requests that get a place or whose wait has ended.
+auto HandOverWaitingRequests(TargetFlows& target,
+                             TimePoint now,
+                             std::vector<TargetAction>& out) -> void {
+  if (target.order.waiting.empty()) {
+    return;
+  }
+  for (HandedOverRequest& it :
+       TakeRequestsToHandOver(target.order, target.status.slots, now)) {
+    for (WaitingPacket& packet : it.request.packets) {
+      AppendDeliverAction(target, it.request.flow, TargetReason::kHandedOver,
+                          StoreReturnableHeader(target, packet.header), out);
+      out.back().opening = std::move(packet.bytes);
+      out.back().hand_over_reason = it.reason;
+      out.back().waited = now - it.request.arrived_at;
+    }
+  }
+}
+
 }  // namespace
 
 auto ToString(TargetReason reason) -> std::string_view {
@@ -361,7 +443,7 @@
     return;
   }
   if (packet.is_opening) {
-    OnOpeningPacket(target, header, flow, bytes, now, out);
+    OnOpeningPacket(target, header, packet, flow, bytes, now, out);
     return;
   }
   const auto known = target.flows.find(flow);
@@ -388,14 +470,14 @@
     return;
   }
   RecordCallerPacket(target, known->second, packet, now);
-  AppendDeliverAction(target, flow, TargetReason::kDelivered,
-                      StoreReturnableHeader(target, header), out);
+  DeliverOrKeepPacket(target, known->second, header, packet, bytes, now, out);
   const bool must_reply =
       header.wants_flow_reply || known->second.last_balancer != header.origin;
   known->second.last_balancer = header.origin;
   if (known->second.is_accepted && must_reply) {
     AppendReplyAction(flow, header.origin, FlowOwnership::kHeld, out);
   }
+  HandOverWaitingRequests(target, now, out);
 }
 
 auto OnFlowQuery(TargetFlows& target,
@@ -458,6 +540,7 @@
   }
   if (packet.is_reset) {
     RecordFailedRequest(target, flow, now);
+    RecordRequestReset(target.order, target.status.slots, flow.request_id);
     flow.caller_ended = flow.target_ended = true;
     ReleaseSlotOfFlow(target, flow);
   }
@@ -467,6 +550,7 @@
                                    .reason = TargetReason::kAnswered,
                                    .flow = key},
                       out);
+  HandOverWaitingRequests(target, now, out);
 }
 
 auto ApplyTargetStatus(TargetFlows& target,
@@ -487,6 +571,7 @@
   target.health = {};
   target.unresponsive_until = {};
   target.openings.clear();
+  ForgetTargetCapacity(target.order);
   MarkRecentFlowsUnaccepted(target, now);
   ResetFlowsOfEarlierStarts(target, status.started_at_ms,
                             TargetReason::kTargetRestarted, out);
@@ -507,11 +592,13 @@
     }
     target.unresponsive_until = now + kUnresponsiveTime;
     EraseFlow(target, it->first);
+    it->second.header.may_be_accepted = true;
     AppendReturnAction(target, it->first, std::move(it->second.header),
                        TargetReason::kSilent, out);
     out.back().opening = std::move(it->second.packet);
     it = target.openings.erase(it);
   }
+  HandOverWaitingRequests(target, now, out);
   const TimePoint last_activity_at =
       std::max(target.gone_since, target.last_target_packet_at);
   if (target.gone_since != TimePoint{} && !target.flows.empty() &&
--- a/src/protocol/relay.cc
+++ b/src/protocol/relay.cc
@@ -19,6 +19,7 @@
 // priority, whether it is repeatable, goal, timeout, limit of warm-up.
 constexpr std::uint8_t kTermsFlag = 8;
 constexpr std::size_t kTermsBytes = 8;
+constexpr std::uint8_t kMayBeAcceptedFlag = 16;
 
 auto StoreTerms(const FlowTerms& terms, std::uint8_t* encoded) -> void {
   encoded[0] = terms.priority;
@@ -51,7 +52,8 @@
       (header.wants_flow_reply ? kWantsFlowReplyFlag : 0) |
       (header.is_returned ? kReturnedFlag : 0) |
       (header.is_last_candidate ? kLastCandidateFlag : 0) |
-      (header.terms.has_value() ? kTermsFlag : 0));
+      (header.terms.has_value() ? kTermsFlag : 0) |
+      (header.may_be_accepted ? kMayBeAcceptedFlag : 0));
   encoded[2] = static_cast<std::uint8_t>(count);
   encoded[3] = 0;
   detail::StoreBigEndian32(encoded + 4, header.service);
@@ -88,11 +90,12 @@
       .wants_flow_reply = (bytes[1] & kWantsFlowReplyFlag) != 0,
       .is_returned = (bytes[1] & kReturnedFlag) != 0,
       .is_last_candidate = (bytes[1] & kLastCandidateFlag) != 0,
+      .may_be_accepted = (bytes[1] & kMayBeAcceptedFlag) != 0,
   };
   header.returned_by.reserve(count);
   for (std::size_t n = 0; n < count; ++n) {
-    header.returned_by.push_back(detail::LoadBigEndian32(
-        bytes.data() + addresses + n * kAddressBytes));
+    header.returned_by.push_back(
+        detail::LoadBigEndian32(bytes.data() + addresses + n * kAddressBytes));
   }
   if (has_terms) {
     header.terms = LoadTerms(bytes.data() + kFixedHeaderBytes);
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -5,13 +5,14 @@
 #include "transport/clock.h"
 #include "transport/node.h"
 #include "transport/node_host.h"
+#include "transport/node_work_order.h"
 #include "transport/route_peers.h"
 
 namespace hawthornbank::transport {
 namespace {
 
-// Interval between checks of opening packets that the target hasn't answered.
-// The checks stop while no opening packet waits for an answer.
+// Interval between checks of opening packets that the target hasn't answered
+// and of requests that wait for a place. The checks stop while there are none.
 constexpr Duration kOpeningCheckInterval = std::chrono::milliseconds{10};
 // Interval between two samples of the target's load for its moving average.
 constexpr Duration kLoadSampleInterval = std::chrono::milliseconds{100};
@@ -165,11 +166,12 @@
           host_.SendResetToCaller(outbound_, it.flow, it.acknowledgement);
           break;
         case TargetAction::Kind::kDrop:
+        case TargetAction::Kind::kKeep:
           break;
       }
       LogTargetAction(it, now);
     }
-    if (!target_.openings.empty() && !is_opening_timer_armed_) {
+    if (NeedsFrequentTicks() && !is_opening_timer_armed_) {
       is_opening_timer_armed_ = true;
       ScheduleOpeningCheck();
     }
@@ -203,6 +205,13 @@
             target_.status.started_at_ms);
         break;
       default:
+        if (action.reason == TargetReason::kHandedOver) {
+          host_.event_log().WriteEvent(
+              EventKind::kFlow, now, "request_handed_over flow={} {}",
+              FormatFlow(action.flow),
+              FormatHandOver(target_.order, action.hand_over_reason,
+                             action.waited));
+        }
         if (action.reason == TargetReason::kOpened ||
             action.reason == TargetReason::kOffered) {
           host_.event_log().WriteEvent(
@@ -215,15 +224,19 @@
     }
   }
 
+  [[nodiscard]] auto NeedsFrequentTicks() const -> bool {
+    return !target_.openings.empty() || !target_.order.waiting.empty();
+  }
+
   auto ScheduleOpeningCheck() -> void {
-    NodeHost::ScheduleHandler(
-        opening_timer_, kOpeningCheckInterval, [this](TimePoint now) {
-          RunTargetFlowsTick(now);
-          is_opening_timer_armed_ = !target_.openings.empty();
-          if (is_opening_timer_armed_) {
-            ScheduleOpeningCheck();
-          }
-        });
+    NodeHost::ScheduleHandler(opening_timer_, kOpeningCheckInterval,
+                              [this](TimePoint now) {
+                                RunTargetFlowsTick(now);
+                                is_opening_timer_armed_ = NeedsFrequentTicks();
+                                if (is_opening_timer_armed_) {
+                                  ScheduleOpeningCheck();
+                                }
+                              });
   }
 
   auto ScheduleLoadSample() -> void {
@@ -325,6 +338,7 @@
                         target_.health.failure);
     text += fmt::format("hawthornbank_target_running {}\n", target_.running);
     text += fmt::format("hawthornbank_flows {}\n", target_.flows.size());
+    text += FormatWorkOrderMetrics(target_.order);
     text += FormatTrafficMetrics(host_.traffic());
     return text;
   }
--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -147,6 +147,7 @@
                          .wants_flow_reply = true,
                          .is_returned = true,
                          .is_last_candidate = true,
+                         .may_be_accepted = true,
                          .returned_by = {1, 2, 3},
                          .terms = FlowTerms{.priority = 2,
                                             .is_repeatable = true,
@@ -166,8 +167,8 @@
 
 TEST(NodeMessage, RejectsTruncatedRelayHeaderAndTooManyReturns) {
   Bytes bytes;
-  AppendRelayHeader(
-      RelayHeader{.returned_by = {1, 2, 3}, .terms = FlowTerms{}}, bytes);
+  AppendRelayHeader(RelayHeader{.returned_by = {1, 2, 3}, .terms = FlowTerms{}},
+                    bytes);
   std::size_t size = 0;
   for (std::size_t n = 0; n < bytes.size(); ++n) {
     CHECK_FALSE(DecodeRelayHeader(ByteView(bytes).first(n), size).has_value());
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -180,6 +180,8 @@
   OnSteeringTick(steering, kNow + 45ms, out);
   LONGS_EQUAL(1, out.size());
   CHECK(out[0].reason == SteeringReason::kUnconfirmed);
+  CHECK_FALSE(first.header.may_be_accepted);
+  CHECK(out[0].header.may_be_accepted);
   CHECK(out[0].to != first.to);
   CHECK(out[0].kept == bytes);
   // The suspected agent gets no new flows until it sends a message or
@@ -203,6 +205,18 @@
   CHECK(steering.openings.empty());
 }
 
+TEST(Steering, OpeningThatAnAgentMayHaveAcceptedStaysMarked) {
+  auto action = SendCallerPacket(MakeCallerPacket(1, true), kNow);
+  action = ReturnPacketFromAgent(action, MakeCallerPacket(1, true), kNow);
+  CHECK_FALSE(action.header.may_be_accepted);
+  action.header.may_be_accepted = true;
+  action = ReturnPacketFromAgent(action, MakeCallerPacket(1, true), kNow);
+  CHECK(action.header.may_be_accepted);
+  action.header.may_be_accepted = false;
+  action = ReturnPacketFromAgent(action, MakeCallerPacket(1, true), kNow);
+  CHECK(action.header.may_be_accepted);
+}
+
 TEST(Steering, LastPossibleOfferIsMarkedInTheRelayHeader) {
   auto action = SendCallerPacket(MakeCallerPacket(1, true), kNow);
   for (int offers = 1; offers < 5; ++offers) {
