--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -39,6 +39,9 @@
   bool is_zone_out_of_service = false;
   /// The opening is returned because of the limit of the target's warm-up.
   bool is_at_warmup_limit = false;
+  /// The packet is an opening that an earlier target may have accepted, so it
+  /// isn't to be rejected.
+  bool may_be_accepted = false;
   /// Addresses of agents that returned the packet, or that didn't confirm it in
   /// time if the packet is an opening.
   std::vector<std::uint32_t> returned_by;
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -413,6 +413,7 @@
       pending.excluded_zones.push_back(sender->second.record.zone);
     }
     pending.was_at_warmup_limit |= header.is_at_warmup_limit;
+    pending.header.may_be_accepted |= header.may_be_accepted;
     for (const auto it : header.returned_by) {
       if (std::find(pending.header.returned_by.begin(),
                     pending.header.returned_by.end(),
@@ -491,6 +492,7 @@
       MarkHostSuspected(host->second, now);
     }
     opening.header.returned_by.push_back(opening.agent.address);
+    opening.header.may_be_accepted = true;
     if (OfferOpeningToNextTarget(steering, it->first, opening,
                                  SteeringReason::kUnconfirmed, now, out)) {
       ++it;
--- a/src/protocol/relay.cc
+++ b/src/protocol/relay.cc
@@ -21,6 +21,7 @@
 constexpr std::size_t kTermsBytes = 8;
 constexpr std::uint8_t kWarmupLimitFlag = 16;
 constexpr std::uint8_t kZoneOutOfServiceFlag = 32;
+constexpr std::uint8_t kMayBeAcceptedFlag = 64;
 
 auto StoreTerms(const FlowTerms& terms, std::uint8_t* encoded) -> void {
   encoded[0] = terms.priority;
@@ -55,7 +56,8 @@
       (header.is_last_candidate ? kLastCandidateFlag : 0) |
       (header.terms.has_value() ? kTermsFlag : 0) |
       (header.is_zone_out_of_service ? kZoneOutOfServiceFlag : 0) |
-      (header.is_at_warmup_limit ? kWarmupLimitFlag : 0));
+      (header.is_at_warmup_limit ? kWarmupLimitFlag : 0) |
+      (header.may_be_accepted ? kMayBeAcceptedFlag : 0));
   encoded[2] = static_cast<std::uint8_t>(count);
   encoded[3] = 0;
   detail::StoreBigEndian32(encoded + 4, header.service);
@@ -94,6 +96,7 @@
       .is_last_candidate = (bytes[1] & kLastCandidateFlag) != 0,
       .is_zone_out_of_service = (bytes[1] & kZoneOutOfServiceFlag) != 0,
       .is_at_warmup_limit = (bytes[1] & kWarmupLimitFlag) != 0,
+      .may_be_accepted = (bytes[1] & kMayBeAcceptedFlag) != 0,
   };
   header.returned_by.reserve(count);
   for (std::size_t n = 0; n < count; ++n) {
--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -148,6 +148,7 @@
                          .is_returned = true,
                          .is_last_candidate = true,
                          .is_at_warmup_limit = true,
+                         .may_be_accepted = true,
                          .returned_by = {1, 2, 3},
                          .terms = FlowTerms{.priority = 2,
                                             .is_repeatable = true,
