--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -147,6 +147,7 @@
                          .wants_flow_reply = true,
                          .is_returned = true,
                          .is_last_candidate = true,
+                         .is_zone_out_of_service = true,
                          .is_at_warmup_limit = true,
                          .may_be_accepted = true,
                          .returned_by = {1, 2, 3},
