Reject urgent openings also when the capacity has passed the limit of resets

Cause: the number of requests at which a target was seen to reset flows is recorded once, while the learned capacity may grow past it; their difference then wrapped around, so that no urgent opening was rejected any more. The new test failed before.

--- a/src/coordination/work_order.cc
+++ b/src/coordination/work_order.cc
@@ -341,9 +341,10 @@
   if (is_least) {
     return requests >= capacity;
   }
-  // Leaves room for requests on flows that are open already.
+  // Leaves room for requests on flows that are open already. The capacity may
+  // have grown to the limit since the target was seen to reset flows.
   return order.reset_limit != 0 &&
-         requests >= capacity + (order.reset_limit - capacity) / 2;
+         requests >= (capacity + std::max(order.reset_limit, capacity)) / 2;
 }
 
 auto EndRequest(WorkOrder& order, RequestId id) -> void {
--- a/test/work_order_test.cc
+++ b/test/work_order_test.cc
@@ -214,6 +214,12 @@
   CHECK_FALSE(MustRejectOpening(order, kSlots, kUrgent, 0));
 }
 
+TEST(WorkOrder, CapacityBeyondTheLimitOfResetsStillRejectsUrgentOpenings) {
+  FillTarget();
+  order.reset_limit = order.pending.size() - 2;
+  CHECK(MustRejectOpening(order, kSlots, kUrgent, 0));
+}
+
 TEST(WorkOrder, OpeningsWhoseRequestsWouldBeLateAreRejected) {
   for (std::size_t n = 0; n < kSlots; ++n) {
     Begin(kUrgent);
