--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -4,31 +4,13 @@
 #include <cmath>
 #include <utility>
 
+#include "coordination/target_flows_internal.h"
+
 namespace hawthornbank {
-namespace {
+namespace detail {
 
 using Kind = TargetAction::Kind;
 
-// Time constant of the averaged load, long enough to span the pauses between
-// the packets of a feed (a long-lived flow).
-constexpr std::chrono::duration<double> kLoadTimeConstant{1.5};
-// Maximum number of bytes by which the caller's first acknowledgement number is
-// ahead of the target's sequence number: a target sends no more before that
-// packet arrives. A larger lead shows that the caller chose another target.
-constexpr std::uint32_t kMaxAcknowledgementLead = 76'800;
-// Time for which opening packets are returned
-// after the target left an opening packet unanswered.
-constexpr Duration kUnresponsiveTime = std::chrono::milliseconds{400};
-
-constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
-    "delivered",     "opened",      "offered",  "answered",
-    "wrong_service", "not_ready",   "full",     "failing",
-    "not_here",      "returned",    "silent",   "target_restarted",
-    "target_gone",   "malformed",   "zone_out", "warmup",
-    "waiting",       "handed_over",
-};
-static_assert(!kReasonNames.back().empty());
-
 auto AppendCountedAction(TargetFlows& target,
                          TargetAction action,
                          std::vector<TargetAction>& out) -> void {
@@ -77,6 +59,62 @@
   }
 }
 
+// Stores a packet's relay header in case the target returns the packet.
+// Returns the id that the target copies into the returned packet.
+auto StoreReturnableHeader(TargetFlows& target, const RelayHeader& header)
+    -> std::uint32_t {
+  const std::uint32_t return_id = target.next_return_id;
+  target.next_return_id = return_id + 1 == 0 ? 1 : return_id + 1;
+  target.returnable_packets.at(return_id % kReturnablePackets) =
+      ReturnablePacket{.return_id = return_id, .header = header};
+  return return_id;
+}
+
+auto AppendDeliverAction(TargetFlows& target,
+                         const FlowKey& flow,
+                         TargetReason reason,
+                         std::uint32_t return_id,
+                         std::vector<TargetAction>& out) -> void {
+  AppendCountedAction(target,
+                      TargetAction{.kind = Kind::kDeliver,
+                                   .reason = reason,
+                                   .flow = flow,
+                                   .return_id = return_id},
+                      out);
+}
+
+}  // namespace detail
+
+namespace {
+
+using detail::AppendCountedAction;
+using detail::AppendDeliverAction;
+using detail::AppendReplyAction;
+using detail::AppendReturnAction;
+using detail::OccupySlotForFlow;
+using detail::StoreReturnableHeader;
+using Kind = TargetAction::Kind;
+
+// Time constant of the averaged load, long enough to span the pauses between
+// the packets of a feed (a long-lived flow).
+constexpr std::chrono::duration<double> kLoadTimeConstant{1.5};
+// Maximum number of bytes by which the caller's first acknowledgement number is
+// ahead of the target's sequence number: a target sends no more before that
+// packet arrives. A larger lead shows that the caller chose another target.
+constexpr std::uint32_t kMaxAcknowledgementLead = 76'800;
+// Time for which opening packets are returned
+// after the target left an opening packet unanswered.
+constexpr Duration kUnresponsiveTime = std::chrono::milliseconds{400};
+
+constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
+    "delivered",     "opened",      "offered",  "answered",
+    "wrong_service", "not_ready",   "full",     "failing",
+    "not_here",      "returned",    "silent",   "target_restarted",
+    "target_gone",   "malformed",   "zone_out", "warmup",
+    "waiting",       "handed_over",
+};
+static_assert(!kReasonNames.back().empty());
+
 // Records an answered request as a success. A slow answer is a success too,
 // because lost packets may have delayed the answer.
 auto RecordAnsweredRequest(TargetFlows& target,
@@ -119,160 +157,6 @@
   }
 }
 
-// Stores a packet's relay header in case the target returns the packet.
-// Returns the id that the target copies into the returned packet.
-auto StoreReturnableHeader(TargetFlows& target, const RelayHeader& header)
-    -> std::uint32_t {
-  const std::uint32_t return_id = target.next_return_id;
-  target.next_return_id = return_id + 1 == 0 ? 1 : return_id + 1;
-  target.returnable_packets.at(return_id % kReturnablePackets) =
-      ReturnablePacket{.return_id = return_id, .header = header};
-  return return_id;
-}
-
-auto AppendDeliverAction(TargetFlows& target,
-                         const FlowKey& flow,
-                         TargetReason reason,
-                         std::uint32_t return_id,
-                         std::vector<TargetAction>& out) -> void {
-  AppendCountedAction(target,
-                      TargetAction{.kind = Kind::kDeliver,
-                                   .reason = reason,
-                                   .flow = flow,
-                                   .return_id = return_id},
-                      out);
-}
-
-// Whether an opening packet may be returned so that another target gets it.
-auto MayRefuseOpening(const TargetFlows& target, const RelayHeader& header)
-    -> bool {
-  return !header.is_last_candidate &&
-         header.returned_by.size() < target.options.max_refusals;
-}
-
-auto MustRefuseOpeningForLoad(const TargetFlows& target,
-                              const RelayHeader& header) -> bool {
-  return MayRefuseOpening(target, header) &&
-         target.running >=
-             target.status.slots * target.options.max_running_per_slot;
-}
-
-// Returns whether an opening packet is refused because the target fails its
-// requests. A failing target still gets probes at intervals, whose start is
-// recorded here, and opening packets that the agent may not refuse.
-auto CheckIfFailingTargetRefusesOpening(TargetFlows& target,
-                                        const RelayHeader& header,
-                                        TimePoint now) -> bool {
-  if (!IsTargetDown(target.health) || !MayRefuseOpening(target, header)) {
-    return false;
-  }
-  if (ComputeAllowedSlots(target.health, now) == 0) {
-    return true;
-  }
-  RecordRequestStart(target.health, now, target.random);
-  return false;
-}
-
-// Returns whether an opening packet exceeds the limit of the target's warm-up.
-// No balancer may override it. A copy of an opening that the target hasn't
-// answered yet was counted before.
-auto ExceedsWarmupLimit(const TargetFlows& target,
-                        const FlowKey& flow,
-                        TimePoint now) -> bool {
-  return !target.openings.contains(flow) &&
-         CountWarmupOpeningsLeft(target.warmup, target.knows_all_flows, now) ==
-             0;
-}
-
-// Whether no target can have accepted an opening: the packet isn't a copy, and
-// each target that was offered it has returned it.
-auto MayRejectOpening(const TargetFlows& target,
-                      const RelayHeader& header,
-                      const FlowPacket& packet) -> bool {
-  return packet.acknowledgement == 0 && !header.may_be_accepted &&
-         !target.flows.contains(ExtractCallerFlowKey(packet));
-}
-
-auto OnOpeningPacket(TargetFlows& target,
-                     const RelayHeader& header,
-                     const FlowPacket& packet,
-                     const FlowKey& flow,
-                     std::span<const std::uint8_t> bytes,
-                     TimePoint now,
-                     std::vector<TargetAction>& out) -> void {
-  const auto known = target.flows.find(flow);
-  if (known != target.flows.end() && known->second.is_accepted) {
-    known->second.last_balancer = header.origin;
-    AppendDeliverAction(target, flow, TargetReason::kDelivered,
-                        StoreReturnableHeader(target, header), out);
-    AppendReplyAction(flow, header.origin, FlowOwnership::kHeld, out);
-    return;
-  }
-  // The service decides only where a flow opens: the balancer of an open flow
-  // may know another service for the flow's route.
-  if (header.service != target.options.service) {
-    AppendReturnAction(target, flow, header, TargetReason::kWrongService, out);
-    return;
-  }
-  if (target.is_zone_out_of_service) {
-    AppendReturnAction(target, flow, header, TargetReason::kZoneOut, out);
-    out.back().header.is_zone_out_of_service = true;
-    return;
-  }
-  if (target.status.state != TargetState::kReady || target.is_shutting_down) {
-    AppendReturnAction(target, flow, header, TargetReason::kNotReady, out);
-    return;
-  }
-  if (now < target.unresponsive_until) {
-    AppendReturnAction(target, flow, header, TargetReason::kSilent, out);
-    return;
-  }
-  if (ExceedsWarmupLimit(target, flow, now)) {
-    AppendReturnAction(target, flow, header, TargetReason::kWarmup, out);
-    return;
-  }
-  if (CheckIfFailingTargetRefusesOpening(target, header, now)) {
-    AppendReturnAction(target, flow, header, TargetReason::kFailing, out);
-    return;
-  }
-  if (MustRefuseOpeningForLoad(target, header)) {
-    AppendReturnAction(target, flow, header, TargetReason::kFull, out);
-    return;
-  }
-  if (MayRejectOpening(target, header, packet) &&
-      MustRejectOpening(target.order, target.status.slots, header.terms,
-                        target.openings.size())) {
-    AppendCountedAction(
-        target,
-        TargetAction{
-            .kind = Kind::kReset, .reason = TargetReason::kFull, .flow = flow},
-        out);
-    // Without a reply the balancer would offer the opening to another target.
-    AppendReplyAction(flow, header.origin, FlowOwnership::kHeld, out);
-    return;
-  }
-  if (!target.openings.contains(flow)) {
-    CountWarmupRequest(target.warmup, now);
-  }
-  if (target.flows.size() >= target.options.max_flows) {
-    target.has_untracked_flows = true;
-  } else {
-    TargetFlow& added = target.flows[flow];
-    added.last_balancer = header.origin;
-    added.target_started_at_ms = target.status.started_at_ms;
-    added.last_packet_at = now;
-    added.opening_counted_at = now;
-    added.terms = header.terms;
-    OccupySlotForFlow(target, added, now);
-  }
-  target.openings[flow] =
-      UnansweredOpening{.packet = {bytes.begin(), bytes.end()},
-                        .header = header,
-                        .delivered_at = now};
-  AppendDeliverAction(target, flow, TargetReason::kOpened,
-                      StoreReturnableHeader(target, header), out);
-}
-
 auto OnPacketReturnedByTarget(TargetFlows& target,
                               const FlowPacket& packet,
                               TimePoint now,
@@ -485,7 +369,7 @@
     SetWarmupLimit(target.warmup, header.terms->warmup_limit);
   }
   if (packet.is_opening) {
-    OnOpeningPacket(target, header, packet, flow, bytes, now, out);
+    detail::OnOpeningPacket(target, header, packet, flow, bytes, now, out);
     return;
   }
   const auto known = target.flows.find(flow);
--- /dev/null
+++ b/src/coordination/target_flows_internal.h
@@ -0,0 +1,62 @@
+#ifndef HAWTHORNBANK_SRC_COORDINATION_TARGET_FLOWS_INTERNAL_H_
+#define HAWTHORNBANK_SRC_COORDINATION_TARGET_FLOWS_INTERNAL_H_
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "hawthornbank/target_flows.h"
+
+/// @file
+/// Declarations shared by the source files of an agent's packet handling.
+namespace hawthornbank::detail {
+
+/// Counts an action's reason and appends the action to `out`.
+auto AppendCountedAction(TargetFlows& target,
+                         TargetAction action,
+                         std::vector<TargetAction>& out) -> void;
+
+/// Appends the action that returns a packet to the balancer that relayed it.
+auto AppendReturnAction(TargetFlows& target,
+                        const FlowKey& flow,
+                        RelayHeader header,
+                        TargetReason reason,
+                        std::vector<TargetAction>& out) -> void;
+
+/// Appends the action that tells a balancer whether the target holds a flow.
+/// Does nothing for a balancer without an address.
+auto AppendReplyAction(const FlowKey& flow,
+                       Endpoint balancer,
+                       FlowOwnership ownership,
+                       std::vector<TargetAction>& out) -> void;
+
+/// Counts the flow's opening or request in TargetFlows::running.
+auto OccupySlotForFlow(TargetFlows& target, TargetFlow& flow, TimePoint now)
+    -> void;
+
+/// Stores a packet's relay header in case the target returns the packet.
+/// @return The id that the target copies into the returned packet.
+auto StoreReturnableHeader(TargetFlows& target, const RelayHeader& header)
+    -> std::uint32_t;
+
+/// Appends the action that sends a packet to the target.
+/// @param return_id Result of StoreReturnableHeader().
+auto AppendDeliverAction(TargetFlows& target,
+                         const FlowKey& flow,
+                         TargetReason reason,
+                         std::uint32_t return_id,
+                         std::vector<TargetAction>& out) -> void;
+
+/// Handles an opening that a balancer relayed: delivers it, returns it to the
+/// balancer or rejects it.
+auto OnOpeningPacket(TargetFlows& target,
+                     const RelayHeader& header,
+                     const FlowPacket& packet,
+                     const FlowKey& flow,
+                     std::span<const std::uint8_t> bytes,
+                     TimePoint now,
+                     std::vector<TargetAction>& out) -> void;
+
+}  // namespace hawthornbank::detail
+
+#endif  // HAWTHORNBANK_SRC_COORDINATION_TARGET_FLOWS_INTERNAL_H_
