Don't widen flow searches between two messages of a large fleet's reader

Cause: routes counted as unconfirmed after one second, but at 470 balancers the news of the store's reader comes every 2.8 s. So most searches that found nothing were widened to all agents there, and as a search queries 512 of 4,700 at most, no caller of a lost flow would have been reset. Now the interval of the news is added where not every poll is told; up to 22 balancers a zone nothing changes. Ruled out: a longer constant, as it lengthens the time in which a flow of a version not heard of is reset, for small fleets too.

--- a/include/hawthornbank/route_follower.h
+++ b/include/hawthornbank/route_follower.h
@@ -8,6 +8,7 @@
 #include "hawthornbank/gossip_plan.h"
 #include "hawthornbank/pending_calls.h"
 #include "hawthornbank/random.h"
+#include "hawthornbank/route_history.h"
 #include "hawthornbank/store_position.h"
 #include "hawthornbank/types.h"
 
@@ -203,6 +204,13 @@
 /// @return Whether to tell them; at most once in the news interval.
 auto BeginRoutesNewsIfDue(RouteFollower& follower, TimePoint now) -> bool;
 
+/// Computes how old the confirmation of routes gets between two messages of the
+/// balancer that polls the store, while no message is lost.
+/// @param follower State of the follower.
+/// @return The age; grows with the news interval in fleets whose balancers
+///   aren't told of every poll.
+auto ComputeMaxRoutesAge(const RouteFollower& follower) -> Duration;
+
 /// Tells whether to fetch newer routes from the follower's `peer` now, and
 /// records the fetch as pending. The next fetch is due after
 /// `peer_retry_interval` if this one has ended or is late by then.
--- a/include/hawthornbank/route_history.h
+++ b/include/hawthornbank/route_history.h
@@ -26,7 +26,8 @@
 inline constexpr Duration kRoutesPropagationTime = std::chrono::seconds{10};
 
 /// Maximum time since the last confirmation of the routes as the newest ones
-/// for which they count as such.
+/// for which they count as such, in fleets whose balancers are told of every
+/// poll of the store.
 inline constexpr Duration kMaxRoutesAge = std::chrono::seconds{1};
 
 /// A service that a route led to.
@@ -89,11 +90,14 @@
 /// @param history The history.
 /// @param confirmed_at When the routes in force were last confirmed as the
 /// newest ones.
+/// @param max_routes_age Time since `confirmed_at` from which newer routes may
+/// be in force elsewhere.
 /// @param flow_lifetime Maximum lifetime of a flow.
 /// @param now Current time.
 /// @return Whether all routes of the last `flow_lifetime` are known.
 auto CoversFlowLifetime(const RouteHistory& history,
                         TimePoint confirmed_at,
+                        Duration max_routes_age,
                         Duration flow_lifetime,
                         TimePoint now) -> bool;
 
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -178,6 +178,9 @@
   RouteSet routes;
   /// When `routes` were last confirmed as the newest ones.
   TimePoint routes_confirmed_at{};
+  /// Time since `routes_confirmed_at` from which newer routes may be in force
+  /// elsewhere; ComputeMaxRoutesAge() gives a longer one in a large fleet.
+  Duration max_routes_age = kMaxRoutesAge;
   /// The operator takes zones out of service on this platform.
   bool expects_zones = false;
   ZonesOutOfService zones;
--- a/src/coordination/flow_search_scope.cc
+++ b/src/coordination/flow_search_scope.cc
@@ -118,6 +118,7 @@
   return now - steering.started >= steering.options.restart_settling_time &&
          !CoversFlowLifetime(steering.routes.history,
                              steering.routes_confirmed_at,
+                             steering.max_routes_age,
                              steering.options.flow_lifetime, now);
 }
 
--- a/src/coordination/route_follower.cc
+++ b/src/coordination/route_follower.cc
@@ -233,6 +233,13 @@
   return true;
 }
 
+auto ComputeMaxRoutesAge(const RouteFollower& follower) -> Duration {
+  const bool is_each_poll_told =
+      follower.news_interval <= follower.options.first_poll_age;
+  return is_each_poll_told ? kMaxRoutesAge
+                           : kMaxRoutesAge + follower.news_interval;
+}
+
 auto BeginPeerFetchIfDue(RouteFollower& follower,
                          std::uint64_t in_force,
                          TimePoint now) -> std::optional<CallId> {
--- a/src/coordination/route_history.cc
+++ b/src/coordination/route_history.cc
@@ -56,12 +56,13 @@
 
 auto CoversFlowLifetime(const RouteHistory& history,
                         TimePoint confirmed_at,
+                        Duration max_routes_age,
                         Duration flow_lifetime,
                         TimePoint now) -> bool {
   // Compared this way round because complete_since may be TimePoint::max().
   return history.complete_since <=
              now - flow_lifetime - kRoutesPropagationTime &&
-         confirmed_at >= now - kMaxRoutesAge;
+         confirmed_at >= now - max_routes_age;
 }
 
 }  // namespace hawthornbank
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -340,6 +340,7 @@
     const TimePoint now = GetMonotonicTime();
     follower_.news_interval =
         ComputeRoutesNewsInterval(host_.gossip().fleet_size());
+    steering_.max_routes_age = ComputeMaxRoutesAge(follower_);
     store_.MakeCallIfDue(ComputeReaderRank(steering_.fleet, now), now);
     peers_.FetchRoutesFromPeer(steering_.routes.version, now);
     NodeHost::ScheduleHandler(store_timer_, kStoreCheckInterval,
--- a/test/flow_search_scope_test.cc
+++ b/test/flow_search_scope_test.cc
@@ -4,6 +4,8 @@
 #include <random>
 #include <vector>
 
+#include "hawthornbank/gossip_plan.h"
+#include "hawthornbank/route_follower.h"
 #include "hawthornbank/steering.h"
 #include "protocol/route_codec.h"
 #include "steering_fixture.h"
@@ -223,6 +225,20 @@
   CHECK(balancer.SearchFlow(1, MakeAgentOfService(4, 1), kNow).is_found);
 }
 
+// Load pattern: a fleet of 470 balancers, which are told of the routes at
+// intervals, and in which a wide search can't query all agents.
+TEST(FlowSearchScope, LargeFleetDoesNotWidenSearchesBetweenTwoMessages) {
+  RouteFollower follower{.news_interval = ComputeRoutesNewsInterval(
+                             {.balancers = 470, .zone_balancers = 79})};
+  CHECK(follower.news_interval > follower.options.first_poll_age);
+  balancer.steering.max_routes_age = ComputeMaxRoutesAge(follower);
+  balancer.steering.routes_confirmed_at =
+      kNow - follower.news_interval - follower.options.first_poll_age;
+  const auto lost = balancer.SearchFlow(1, Endpoint{}, kNow);
+  CHECK(lost.is_reset);
+  LONGS_EQUAL(2 * kAgentsPerService, lost.queries);
+}
+
 // Load pattern: all hosts lose power, and the callers of all flows wait for a
 // reset at balancers whose history isn't complete.
 TEST(FlowSearchScope, WideSearchOmitsServicesWhoseTargetsHaveJustStarted) {
