Report a rejected opening to its balancer as rejected

An agent that rejects an opening told the balancer that its target holds the flow, only so that the balancer offers it to no other target. The balancer then remembered a flow that never opened for 30 s, as many as openings are rejected in that time. The reply now has a value of its own, on which the balancer ends the opening and forgets the flow. Ruled out: no reply, as the opening would be offered elsewhere after 45 ms.

--- a/include/hawthornbank/relay.h
+++ b/include/hawthornbank/relay.h
@@ -58,6 +58,9 @@
   /// The agent can't tell whether the target holds the flow, for example
   /// because the flow is older than the agent.
   kUnsure,
+  /// The agent has rejected the opening and reset the caller, so the flow has
+  /// ended before it opened.
+  kRejected,
 };
 
 /// Message from an agent that tells a balancer
@@ -71,7 +74,7 @@
   template <class Archive>
   auto serialize(Archive& archive) -> void {
     archive(flow.caller, flow.address, agent, load, ownership);
-    wire::CheckEnumRange(ownership, FlowOwnership::kUnsure);
+    wire::CheckEnumRange(ownership, FlowOwnership::kRejected);
   }
 };
 
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -279,6 +279,15 @@
          steering.searches.flows.contains(reply.flow);
 }
 
+// Ends an opening that an agent has rejected; the caller has been reset.
+auto EraseRejectedOpening(Steering& steering, const FlowReply& reply) -> void {
+  steering.openings.erase(reply.flow);
+  const auto known = steering.flows.find(reply.flow);
+  if (known != steering.flows.end() && known->second.agent == reply.agent) {
+    steering.flows.erase(known);
+  }
+}
+
 // Returns whether packets of a remembered flow can be relayed to its agent: the
 // agent has confirmed the flow, or the agent is live.
 auto IsFlowAgentUsable(const Steering& steering,
@@ -459,6 +468,10 @@
       ReplyMayUpdateFlowAgent(steering, reply)) {
     RecordFlowAgent(steering, reply.flow, reply.agent, true, now);
   }
+  if (reply.ownership == FlowOwnership::kRejected) {
+    EraseRejectedOpening(steering, reply);
+    return Duration::zero();
+  }
   detail::OnFlowSearchReply(steering, reply, now, out);
   const auto opening = steering.openings.find(reply.flow);
   if (opening == steering.openings.end() ||
--- a/src/coordination/target_openings.cc
+++ b/src/coordination/target_openings.cc
@@ -112,7 +112,7 @@
             .kind = Kind::kReset, .reason = TargetReason::kFull, .flow = flow},
         out);
     // Without a reply the balancer would offer the opening to another target.
-    AppendReplyAction(flow, header.origin, FlowOwnership::kHeld, out);
+    AppendReplyAction(flow, header.origin, FlowOwnership::kRejected, out);
     return;
   }
   if (!target.openings.contains(flow)) {
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -515,6 +515,16 @@
 }
 
 // Load pattern: the weights of a route's services change while flows are open.
+TEST(Steering, RejectedOpeningIsOfferedToNoOtherTargetAndForgotten) {
+  const auto opening = SendCallerPacket(MakeCallerPacket(1, true), kNow);
+  DeliverReply(opening.flow, opening.to, FlowOwnership::kRejected, kNow);
+  CHECK(out.empty());
+  CHECK(steering.openings.empty());
+  CHECK(steering.flows.empty());
+  OnSteeringTick(steering, kNow + 1s, out);
+  CHECK(out.empty());
+}
+
 TEST(Steering, RouteWeightChangesDoNotMoveOpenFlows) {
   constexpr std::uint32_t kOther = kService + 1;
   MergeHostRecord(steering.fleet,
--- a/test/target_waiting_test.cc
+++ b/test/target_waiting_test.cc
@@ -145,7 +145,7 @@
   LONGS_EQUAL(1, out.size());
 }
 
-TEST(TargetWaiting, RejectedOpeningIsResetAndConfirmedToTheBalancer) {
+TEST(TargetWaiting, RejectedOpeningIsResetAndReportedToTheBalancer) {
   target.order.seen_priorities.reset(2);
   target.order.seen_priorities.set(0);
   FlowPacket opening = MakePacket(4, 0, 0);
@@ -155,7 +155,7 @@
   CHECK(out[0].kind == Kind::kReset);
   CHECK(out[0].reason == TargetReason::kFull);
   CHECK(out[1].kind == Kind::kReplyToBalancer);
-  CHECK(out[1].ownership == FlowOwnership::kHeld);
+  CHECK(out[1].ownership == FlowOwnership::kRejected);
   CHECK(target.openings.empty());
 }
 
