--- a/src/coordination/steering_internal.h
+++ b/src/coordination/steering_internal.h
@@ -78,6 +78,28 @@
 auto ChooseRefusalReason(const PendingOpening& opening,
                          bool has_excluded_target) -> SteeringReason;
 
+/// @return Whether the balancer has started so recently that it may not know
+/// all routes and targets.
+auto IsInLearningTime(const Steering& steering, TimePoint now) -> bool;
+
+/// Offers an opening to the least loaded of the first ranked targets, without
+/// those that returned it or didn't confirm it in time.
+/// @return False if the opening was reset or dropped instead.
+auto OfferOpeningToNextTarget(Steering& steering,
+                              const FlowKey& flow,
+                              PendingOpening& opening,
+                              SteeringReason reason,
+                              TimePoint now,
+                              std::vector<SteeringAction>& out) -> bool;
+
+/// Offers the opening of a flow that isn't known.
+auto OfferNewFlow(Steering& steering,
+                  const FlowKey& flow,
+                  const Route& route,
+                  std::span<const std::uint8_t> bytes,
+                  TimePoint now,
+                  std::vector<SteeringAction>& out) -> void;
+
 /// Starts the search for the agent whose target holds a flow. The packet waits
 /// until the search ends. If too many packets are waiting, the packet is
 /// dropped and no search starts.
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -83,6 +83,50 @@
                       out);
 }
 
+auto RecordFailedRequest(TargetFlows& target,
+                         const TargetFlow& flow,
+                         TimePoint now) -> void {
+  if (flow.has_unanswered_request) {
+    RecordRequestFailure(target.health, now);
+  }
+}
+
+auto ReleaseSlotOfFlow(TargetFlows& target, TargetFlow& flow) -> void {
+  flow.has_unanswered_request = false;
+  EndRequest(target.order, flow.request_id);
+  flow.request_id = 0;
+  if (flow.occupies_slot) {
+    flow.occupies_slot = false;
+    --target.running;
+  }
+}
+
+auto EraseFlow(TargetFlows& target, const FlowKey& key) -> void {
+  const auto it = target.flows.find(key);
+  if (it != target.flows.end()) {
+    ReleaseSlotOfFlow(target, it->second);
+    target.flows.erase(it);
+  }
+}
+
+auto HandOverWaitingRequests(TargetFlows& target,
+                             TimePoint now,
+                             std::vector<TargetAction>& out) -> void {
+  if (target.order.waiting.empty()) {
+    return;
+  }
+  for (HandedOverRequest& it :
+       TakeRequestsToHandOver(target.order, target.status.slots, now)) {
+    for (WaitingPacket& packet : it.request.packets) {
+      AppendDeliverAction(target, it.request.flow, TargetReason::kHandedOver,
+                          StoreReturnableHeader(target, packet.header), out);
+      out.back().opening = std::move(packet.bytes);
+      out.back().hand_over_reason = it.reason;
+      out.back().waited = now - it.request.arrived_at;
+    }
+  }
+}
+
 }  // namespace detail
 
 namespace {
@@ -91,20 +135,18 @@
 using detail::AppendDeliverAction;
 using detail::AppendReplyAction;
 using detail::AppendReturnAction;
+using detail::EraseFlow;
+using detail::HandOverWaitingRequests;
 using detail::OccupySlotForFlow;
+using detail::RecordFailedRequest;
+using detail::ReleaseSlotOfFlow;
 using detail::StoreReturnableHeader;
 using Kind = TargetAction::Kind;
 
-// Time constant of the averaged load, long enough to span the pauses between
-// the packets of a feed (a long-lived flow).
-constexpr std::chrono::duration<double> kLoadTimeConstant{1.5};
 // Maximum number of bytes by which the caller's first acknowledgement number is
 // ahead of the target's sequence number: a target sends no more before that
 // packet arrives. A larger lead shows that the caller chose another target.
 constexpr std::uint32_t kMaxAcknowledgementLead = 76'800;
-// Time for which opening packets are returned
-// after the target left an opening packet unanswered.
-constexpr Duration kUnresponsiveTime = std::chrono::milliseconds{400};
 
 constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
     "delivered",     "opened",      "offered",  "answered",
@@ -130,33 +172,6 @@
   }
 }
 
-auto RecordFailedRequest(TargetFlows& target,
-                         const TargetFlow& flow,
-                         TimePoint now) -> void {
-  if (flow.has_unanswered_request) {
-    RecordRequestFailure(target.health, now);
-  }
-}
-
-// Frees the slot of a flow whose request has ended.
-auto ReleaseSlotOfFlow(TargetFlows& target, TargetFlow& flow) -> void {
-  flow.has_unanswered_request = false;
-  EndRequest(target.order, flow.request_id);
-  flow.request_id = 0;
-  if (flow.occupies_slot) {
-    flow.occupies_slot = false;
-    --target.running;
-  }
-}
-
-auto EraseFlow(TargetFlows& target, const FlowKey& key) -> void {
-  const auto it = target.flows.find(key);
-  if (it != target.flows.end()) {
-    ReleaseSlotOfFlow(target, it->second);
-    target.flows.erase(it);
-  }
-}
-
 auto OnPacketReturnedByTarget(TargetFlows& target,
                               const FlowPacket& packet,
                               TimePoint now,
@@ -181,48 +196,6 @@
   AppendReturnAction(target, key, stored.header, TargetReason::kReturned, out);
 }
 
-// Erases the flows of targets that started before `started_before_ms`, and
-// sends resets to the callers of flows that were accepted and not closed. A
-// flow whose acceptance the caller hasn't acknowledged may be open at another
-// target that accepted the same opening.
-auto ResetFlowsOfEarlierStarts(TargetFlows& target,
-                               std::uint64_t started_before_ms,
-                               TargetReason reason,
-                               std::vector<TargetAction>& out) -> void {
-  for (auto it = target.flows.begin(); it != target.flows.end();) {
-    TargetFlow& flow = it->second;
-    if (flow.target_started_at_ms >= started_before_ms) {
-      ++it;
-      continue;
-    }
-    ReleaseSlotOfFlow(target, flow);
-    if (flow.is_accepted && !flow.unacknowledged_sequence.has_value() &&
-        flow.closed_at == TimePoint{}) {
-      AppendCountedAction(target,
-                          TargetAction{.kind = Kind::kReset,
-                                       .reason = reason,
-                                       .flow = it->first,
-                                       .acknowledgement = flow.acknowledgement},
-                          out);
-    }
-    it = target.flows.erase(it);
-  }
-}
-
-// Marks flows that were accepted recently as not accepted and assigns them to
-// the target's new start. A restarted target may have accepted these flows
-// before the agent received the target's first heartbeat. If the target doesn't
-// hold a flow, the target returns the flow's next packet.
-auto MarkRecentFlowsUnaccepted(TargetFlows& target, TimePoint now) -> void {
-  for (auto& [key, flow] : target.flows) {
-    if (flow.is_accepted &&
-        now - flow.accepted_at < target.options.max_first_heartbeat_delay) {
-      flow.is_accepted = false;
-      flow.target_started_at_ms = target.status.started_at_ms;
-    }
-  }
-}
-
 // Checks the caller's first acknowledgement number after the opening and
 // returns whether the caller opened the flow at another target. Two targets may
 // accept the same opening packet; the number shows which target the caller
@@ -333,25 +306,6 @@
                       StoreReturnableHeader(target, header), out);
 }
 
-// Delivers the waiting requests that get a place or whose wait has ended.
-auto HandOverWaitingRequests(TargetFlows& target,
-                             TimePoint now,
-                             std::vector<TargetAction>& out) -> void {
-  if (target.order.waiting.empty()) {
-    return;
-  }
-  for (HandedOverRequest& it :
-       TakeRequestsToHandOver(target.order, target.status.slots, now)) {
-    for (WaitingPacket& packet : it.request.packets) {
-      AppendDeliverAction(target, it.request.flow, TargetReason::kHandedOver,
-                          StoreReturnableHeader(target, packet.header), out);
-      out.back().opening = std::move(packet.bytes);
-      out.back().hand_over_reason = it.reason;
-      out.back().waited = now - it.request.arrived_at;
-    }
-  }
-}
-
 }  // namespace
 
 auto ToString(TargetReason reason) -> std::string_view {
@@ -482,87 +436,6 @@
   HandOverWaitingRequests(target, now, out);
 }
 
-auto ApplyTargetStatus(TargetFlows& target,
-                       const TargetStatus& status,
-                       TimePoint now,
-                       std::vector<TargetAction>& out) -> void {
-  const std::uint64_t previous_start_ms = target.status.started_at_ms;
-  target.status = status;
-  if (status.state != TargetState::kGone) {
-    target.gone_since = {};
-  } else if (target.gone_since == TimePoint{}) {
-    target.gone_since = now;
-  }
-  if (previous_start_ms == 0 || status.started_at_ms <= previous_start_ms) {
-    return;
-  }
-  // The restarted target holds no flows of its previous start.
-  target.health = {};
-  target.unresponsive_until = {};
-  target.openings.clear();
-  ForgetTargetCapacity(target.order);
-  MarkRecentFlowsUnaccepted(target, now);
-  ResetFlowsOfEarlierStarts(target, status.started_at_ms,
-                            TargetReason::kTargetRestarted, out);
-}
-
-auto ResetAllTargetFlows(TargetFlows& target, std::vector<TargetAction>& out)
-    -> void {
-  ResetFlowsOfEarlierStarts(target, UINT64_MAX, TargetReason::kTargetGone, out);
-}
-
-auto OnTargetTick(TargetFlows& target,
-                  TimePoint now,
-                  std::vector<TargetAction>& out) -> void {
-  for (auto it = target.openings.begin(); it != target.openings.end();) {
-    if (now - it->second.delivered_at < target.options.answer_timeout) {
-      ++it;
-      continue;
-    }
-    target.unresponsive_until = now + kUnresponsiveTime;
-    SuspectTargetRestart(target.warmup, now);
-    EraseFlow(target, it->first);
-    it->second.header.may_be_accepted = true;
-    AppendReturnAction(target, it->first, std::move(it->second.header),
-                       TargetReason::kSilent, out);
-    out.back().opening = std::move(it->second.packet);
-    it = target.openings.erase(it);
-  }
-  HandOverWaitingRequests(target, now, out);
-  const TimePoint last_activity_at =
-      std::max(target.gone_since, target.last_target_packet_at);
-  if (target.gone_since != TimePoint{} && !target.flows.empty() &&
-      now - last_activity_at >= target.options.exit_timeout) {
-    ResetAllTargetFlows(target, out);
-  }
-  const std::chrono::duration<double> step = now - target.averaged_at;
-  const double previous_weight = std::exp(-step / kLoadTimeConstant);
-  target.average_running = target.average_running * previous_weight +
-                           target.running * (1 - previous_weight);
-  target.averaged_at = now;
-}
-
-auto ExpireFlowsAndRequests(TargetFlows& target, TimePoint now) -> void {
-  for (auto it = target.flows.begin(); it != target.flows.end();) {
-    TargetFlow& flow = it->second;
-    const bool is_closed =
-        flow.closed_at != TimePoint{} &&
-        now - flow.closed_at > target.options.closed_flow_retention;
-    if (is_closed ||
-        now - flow.last_packet_at > target.options.flow_idle_timeout) {
-      ReleaseSlotOfFlow(target, flow);
-      it = target.flows.erase(it);
-      continue;
-    }
-    if (flow.occupies_slot &&
-        now - flow.last_packet_at > target.options.request_idle_timeout) {
-      RecordFailedRequest(target, flow, now);
-      ReleaseSlotOfFlow(target, flow);
-    }
-    ++it;
-  }
-}
-
 auto ComputeTargetLoad(const TargetFlows& target, TimePoint now) -> TargetLoad {
   constexpr double kSixteenthsPerUnit = 16;
   constexpr std::size_t kMaxReportedFlows = 0xFFFF;
--- a/src/coordination/target_flows_internal.h
+++ b/src/coordination/target_flows_internal.h
@@ -47,6 +47,22 @@
                          std::uint32_t return_id,
                          std::vector<TargetAction>& out) -> void;
 
+/// Records a request that was left without an answer, if the flow has one.
+auto RecordFailedRequest(TargetFlows& target,
+                         const TargetFlow& flow,
+                         TimePoint now) -> void;
+
+/// Frees the slot of a flow whose request has ended.
+auto ReleaseSlotOfFlow(TargetFlows& target, TargetFlow& flow) -> void;
+
+/// Erases a flow, if it is known, and frees its slot.
+auto EraseFlow(TargetFlows& target, const FlowKey& key) -> void;
+
+/// Delivers the waiting requests that get a place or whose wait has ended.
+auto HandOverWaitingRequests(TargetFlows& target,
+                             TimePoint now,
+                             std::vector<TargetAction>& out) -> void;
+
 /// Handles an opening that a balancer relayed: delivers it, returns it to the
 /// balancer or rejects it.
 auto OnOpeningPacket(TargetFlows& target,
