--- a/src/coordination/flow_search_scope.cc
+++ b/src/coordination/flow_search_scope.cc
@@ -116,10 +116,9 @@
 auto MayBelongToUnknownService(const Steering& steering, TimePoint now)
     -> bool {
   return now - steering.started >= steering.options.restart_settling_time &&
-         !CoversFlowLifetime(steering.routes.history,
-                             steering.routes_confirmed_at,
-                             steering.max_routes_age,
-                             steering.options.flow_lifetime, now);
+         !CoversFlowLifetime(
+             steering.routes.history, steering.routes_confirmed_at,
+             steering.max_routes_age, steering.options.flow_lifetime, now);
 }
 
 // Returns whether all targets of a service have just started, where the
