Let a starting balancer join the balancers of the registry

Comparisons of records in a large fleet began only if the first message of all was a list of records.

Change: a balancer reads the registry once, 100 ms after its start, whatever it knows, announces itself to at most 12 listed balancers that it doesn't know, and asks two for records. First comparisons begin with the first new records.

--- a/include/hawthornbank/gossip_plan.h
+++ b/include/hawthornbank/gossip_plan.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "hawthornbank/fleet.h"
@@ -34,6 +35,13 @@
 /// Number of balancers of each other zone that are sent a change of a record.
 inline constexpr std::size_t kRelaysPerZone = 2;
 
+/// Maximum number of listed balancers to which a starting balancer announces
+/// itself: all of a fleet in which changes are sent to all.
+inline constexpr std::size_t kMaxBalancersToJoin = kMaxFullMeshBalancers;
+
+/// Number of these that are asked for records. One of them may be down.
+inline constexpr std::size_t kRostersAtJoin = 2;
+
 /// Shortest interval between two heartbeats of a process.
 inline constexpr Duration kMinHeartbeatInterval =
     std::chrono::milliseconds{800};
@@ -121,6 +129,17 @@
 auto ListChangeReceivers(const Fleet& fleet, TimePoint now)
     -> std::vector<Endpoint>;
 
+/// Lists the balancers to which a starting balancer announces itself because
+/// the registry lists them and this balancer doesn't know them.
+/// @param fleet Hosts known to this balancer.
+/// @param listed Balancers of the registry.
+/// @param random Random number generator that chooses among many, so that
+///   balancers that start together ask different ones.
+/// @return At most kMaxBalancersToJoin balancers.
+auto ListBalancersToJoin(const Fleet& fleet,
+                         std::span<const Endpoint> listed,
+                         Random& random) -> std::vector<Endpoint>;
+
 /// Chooses the balancer with which a starting balancer compares its records
 /// next: one of the own zone and one of each other zone, in turn.
 /// @param fleet Hosts known to this balancer.
--- a/src/coordination/gossip_plan.cc
+++ b/src/coordination/gossip_plan.cc
@@ -198,6 +198,19 @@
   return receivers;
 }
 
+auto ListBalancersToJoin(const Fleet& fleet,
+                         std::span<const Endpoint> listed,
+                         Random& random) -> std::vector<Endpoint> {
+  std::vector<Endpoint> unknown;
+  std::copy_if(listed.begin(), listed.end(), std::back_inserter(unknown),
+               [&fleet](Endpoint it) {
+                 return it != fleet.self.control && !fleet.hosts.contains(it);
+               });
+  std::shuffle(unknown.begin(), unknown.end(), random);
+  unknown.resize(std::min(unknown.size(), kMaxBalancersToJoin));
+  return unknown;
+}
+
 auto ChooseComparisonPeer(const Fleet& fleet,
                           std::uint64_t round,
                           Random& random,
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -182,15 +182,40 @@
     return;
   }
   next_registry_read_ = now + kRegistryRetryInterval;
+  has_asked_registry_ = true;
   registry.RequestBalancerList([this](const std::vector<Endpoint>& hosts) {
     const TimePoint then = GetMonotonicTime();
     host_.event_log().WriteEvent(EventKind::kStateChange, then,
                                  "registry_read balancers={}", hosts.size());
+    has_read_registry_ = true;
     listed_balancers_ = hosts;
     AnnounceSelf(then);
+    if (IsBalancer()) {
+      JoinListedBalancers(then);
+    }
   });
 }
 
+// Whether a starting balancer that already knows others still has to read the
+// list of balancers.
+auto NodeGossip::MustReadRegistry(TimePoint now) const -> bool {
+  return !has_read_registry_ &&
+         now - host_.start_time() < ComputeSettlingTime(size_);
+}
+
+// Announces this balancer to some of the listed balancers that it doesn't know
+// yet, and asks the first of them for records.
+auto NodeGossip::JoinListedBalancers(TimePoint now) -> void {
+  HostAnnouncement announcement = MakeAnnouncement(now);
+  const auto receivers =
+      ListBalancersToJoin(fleet_, listed_balancers_, host_.random());
+  for (std::size_t n = 0; n < receivers.size(); ++n) {
+    announcement.wants_roster = n < kRostersAtJoin;
+    host_.SendControlDatagram(DatagramKind::kAnnouncement, receivers[n],
+                              EncodeNodeMessage(announcement));
+  }
+}
+
 auto NodeGossip::RunGossipTick() -> void {
   const TimePoint now = GetMonotonicTime();
   size_ = CountBalancers(fleet_);
@@ -206,14 +231,18 @@
     SendToUnknownSeeds(now);
   }
   if (IsBalancer()) {
+    if (MustReadRegistry(now)) {
+      RequestBalancersFromRegistry(now);
+    }
     IntroduceBalancer(now);
     NotifyRouteHolders(now);
   }
   NodeHost::ScheduleHandler(
       timer_,
-      is_searching_ ? kSearchAnnouncementInterval
-                    : DrawHeartbeatInterval(ComputeHeartbeatInterval(size_),
-                                            host_.random()),
+      is_searching_ || (IsBalancer() && !has_asked_registry_)
+          ? kSearchAnnouncementInterval
+          : DrawHeartbeatInterval(ComputeHeartbeatInterval(size_),
+                                  host_.random()),
       [this](TimePoint) { RunGossipTick(); });
 }
 
@@ -353,9 +382,11 @@
   }
   if (searched && has_new_record) {
     RunGossipTick();
-    if (IsBalancer() && !IsFullMesh(size_)) {
-      RunFirstComparisons(now);
-    }
+  }
+  if (has_new_record && IsBalancer() && !has_begun_comparisons_ &&
+      !IsFullMesh(CountBalancers(fleet_))) {
+    has_begun_comparisons_ = true;
+    RunFirstComparisons(now);
   }
 }
 
--- a/src/transport/node_gossip.h
+++ b/src/transport/node_gossip.h
@@ -24,8 +24,9 @@
     std::chrono::milliseconds{50};
 
 /// Time after a node's start at which the node reads the list of balancers from
-/// the platform's store, if the seeds haven't answered. Leaves time for seeds
-/// that start at the same time as the node.
+/// the platform's store. Leaves time for seeds that start at the same time as
+/// the node. A node whose seeds have answered reads it too if it is a balancer:
+/// seeds that have restarted with the whole fleet know only one another.
 inline constexpr Duration kSeedReplyTimeout = std::chrono::milliseconds{100};
 
 /// Minimum time between two reads of the list of balancers while the node knows
@@ -140,6 +141,8 @@
   [[nodiscard]] auto KnowsAnyBalancer() const -> bool;
   [[nodiscard]] auto IsBalancer() const -> bool;
   auto RequestBalancersFromRegistry(TimePoint now) -> void;
+  auto JoinListedBalancers(TimePoint now) -> void;
+  [[nodiscard]] auto MustReadRegistry(TimePoint now) const -> bool;
   auto RunGossipTick() -> void;
 
   NodeHost& host_;
@@ -162,6 +165,9 @@
   SyncSchedule other_zones_sync_;
   std::uint64_t first_comparisons_ = 0;  ///< Comparisons after the start.
   bool is_searching_ = true;  ///< No balancer was known at the last tick.
+  bool has_asked_registry_ = false;  ///< Since the start, answered or not.
+  bool has_read_registry_ = false;
+  bool has_begun_comparisons_ = false;
 };
 
 }  // namespace hawthornbank::transport
--- a/test/gossip_plan_test.cc
+++ b/test/gossip_plan_test.cc
@@ -183,6 +183,40 @@
                   .has_value());
 }
 
+// Load pattern: all hosts lose power and the seeds start last. They know one
+// another at once, but nobody knows that they are back.
+TEST(GossipPlan, StartingBalancerJoinsListedBalancersThatItDoesNotKnow) {
+  const Fleet fleet = MakeFleet(0, 0, 1, 3);
+  std::vector<Endpoint> listed;
+  for (std::uint32_t n = 0; n < 10; ++n) {
+    listed.push_back(MakeControl(0, n));
+  }
+  Random random{5};
+  const auto joined = ListBalancersToJoin(fleet, listed, random);
+  LONGS_EQUAL(7, joined.size());
+  for (std::uint32_t n = 0; n < 10; ++n) {
+    const bool is_listed = std::find(joined.begin(), joined.end(),
+                                     MakeControl(0, n)) != joined.end();
+    CHECK_EQUAL(n >= 3, is_listed);
+  }
+}
+
+TEST(GossipPlan, StartingBalancersOfALargeFleetJoinAFewDifferentOnes) {
+  const Fleet fleet{.self = MakeRecord(0, 1000, HostRole::kBalancer)};
+  std::vector<Endpoint> listed;
+  for (std::uint32_t n = 0; n < 470; ++n) {
+    listed.push_back(MakeControl(0, n));
+  }
+  std::set<std::uint32_t> asked;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Random random{seed};
+    const auto joined = ListBalancersToJoin(fleet, listed, random);
+    LONGS_EQUAL(kMaxBalancersToJoin, joined.size());
+    asked.insert(joined.front().address);
+  }
+  CHECK(asked.size() >= 15);
+}
+
 TEST(GossipPlan, BalancerInShutdownIsToldUntilItHasEnded) {
   Fleet fleet = MakeFleet(0, 0, 1, 4);
   HostRecord record = MakeRecord(0, 2, HostRole::kBalancer);
--- a/test/node_path_test.cc
+++ b/test/node_path_test.cc
@@ -58,6 +58,9 @@
   std::uint64_t version = 3;
   std::string store_headers;  // Further headers of the store's answers.
 
+  std::vector<std::uint32_t> seed_hosts = {kBalancerHost};
+  std::vector<std::uint32_t> listed_balancers;  // In the store.
+
   auto BuildSettings(std::uint32_t host, bool is_agent,
                      const std::string& zone = "a")
       ->std::string {
@@ -65,7 +68,7 @@
         ports, soak::NodeParameters{
                    .name = "n" + std::to_string(host & 0xFF),
                    .host = host,
-                   .seed_hosts = {kBalancerHost},
+                   .seed_hosts = seed_hosts,
                    .store = {.address = kStoreHost, .port = ports.store},
                    .service = is_agent ? kService : "",
                    .zone = zone});
@@ -84,6 +87,14 @@
                                      {"path_prefix", "/443/"},
                                      {"service", kService}}}}}}});
     }
+    if (call.target.starts_with("/api/objects/balancers")) {
+      for (const auto host : listed_balancers) {
+        const std::string name =
+            ToString(Endpoint{.address = host, .port = ports.internal});
+        reply["items"].push_back(
+            {{"meta", {{"name", name}}}, {"spec", {{"address", name}}}});
+      }
+    }
     return HttpServerResponse{.body = reply.dump(), .headers = store_headers};
   }
 
@@ -388,3 +399,40 @@
       [&] { target.SendHeartbeat(); }));
   CHECK(open_flow(1001));
 }
+
+// Load pattern: all hosts restart, and the seeds start last. Each seed knows
+// the other at once, while no other process knows that they are back.
+TEST(NodePath, SeedsThatRestartLastJoinTheBalancersOfTheRegistry) {
+  constexpr std::uint32_t kOtherSeed = 0x7F000104;
+  constexpr std::uint32_t kRunningBalancer = 0x7F000220;
+  constexpr std::uint32_t kAgentHost = 0x7F000221;
+  seed_hosts = {kBalancerHost, kOtherSeed};
+  listed_balancers = {kBalancerHost, kOtherSeed, kRunningBalancer};
+  const soak::NodeProcess running(
+      HAWTHORNNODE, BuildSettings(kRunningBalancer, false), "join-running");
+  const soak::NodeProcess agent(HAWTHORNNODE, BuildSettings(kAgentHost, true),
+                                "join-agent");
+  TargetStandIn target(io, kAgentHost, ports);
+  const auto heartbeat = [&] { target.SendHeartbeat(); };
+  const std::string agent_record =
+      "host_changed host=" +
+      ToString(Endpoint{.address = kAgentHost, .port = ports.internal});
+  CHECK(RunUntil(
+      [&] {
+        return running.ReadLogFile().find(agent_record) != std::string::npos;
+      },
+      heartbeat));
+  const soak::NodeProcess seed(
+      HAWTHORNNODE, BuildSettings(kBalancerHost, false), "join-seed");
+  const soak::NodeProcess other_seed(
+      HAWTHORNNODE, BuildSettings(kOtherSeed, false), "join-other-seed");
+  for (const auto* const it : {&seed, &other_seed}) {
+    CHECK(RunUntil(
+        [&] {
+          const std::string log = it->ReadLogFile();
+          return log.find("registry_read balancers=3") != std::string::npos &&
+                 log.find(agent_record) != std::string::npos;
+        },
+        heartbeat));
+  }
+}
