--- a/support/check.sh
+++ b/support/check.sh
@@ -97,6 +97,7 @@
 run_benches >"$LOGS/benches.log" 2>&1 &
 BENCHES=$!
 run_step lint support/lint.sh
+run_step measure python3 test/measure_test.py
 run_tests release
 run_step embed build_embed_example
 run_step build-asan build_preset asan -j "$JOBS"
