--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Checks the stand-ins in review/common. They are Python and need no build; the
+# system's own programs are built as deploy/system.toml says.
+set -euo pipefail
+cd "$(dirname "$0")"
+python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
+for it in common/*.py [1-5]/*.py; do
+  [ -e "$it" ] || continue
+  python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$it"
+done
+echo "stand-ins: ok"
