Order the cases of the review by gravity

Resets under planned work alone come first, then the ignored time-out, the clock step between restarts, the acknowledged drain and the late heartbeat.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,80 +1,94 @@
-"""Lets a heartbeat of a crashed server arrive late, at a restarted agent."""
+"""Steps a machine's clock back while its server flaps, then drains the server."""
 
 import asyncio
 import os
-import signal
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
 
 from client import ClientFlow  # noqa: E402
 from deployment import Deployment, make_config, run_case  # noqa: E402
-from httpio import call  # noqa: E402
 from packets import to_int  # noqa: E402
 
 ROUTE = ("198.18.0.1", 8443, "booking")
-FLOWS = 24
-CRASH_S, STABLE_WINDOW_S, RESTART_S, PAUSE_S = 1.2, 4.0, 0.5, 6.0
-
-
-async def restart_agent(system, side):
-    """Stops the agent as planned and starts it again."""
-    side.signal(signal.SIGTERM)
-    await side.wait_for_exit(6)
-    await asyncio.sleep(RESTART_S)
-    side.start()
-
-
-async def deliver(system, server, beat, instance):
-    """Delivers a held heartbeat as soon as the agent takes calls."""
-    for _ in range(500):
-        status = await call(server.address, system.ports["control"], "PUT",
-                            f"/api/instances/{instance}", beat, timeout=0.5)
-        if status != 0:
-            system.record(f"a late heartbeat of {instance} arrives at "
-                          f"{server.name}'s agent and is answered {status}: "
-                          f"{beat}")
-            return
-        await asyncio.sleep(0.002)
-
-
-async def open_flows(system, outcomes):
-    flows = []
-    for n in range(FLOWS):
-        flow = ClientFlow(system.client, (to_int(ROUTE[0]), ROUTE[1]))
+STEP_S, STEP_FOR_S = 2.4, 6.0
+FLAP_GAP_S = 1.2
+STABLE_WINDOW_S, DRAIN_S = 4.0, 3.0
+
+
+async def use_flows(system, seconds, outcomes):
+    """Opens a flow for each request, for some seconds."""
+    route, until, n = (to_int(ROUTE[0]), ROUTE[1]), time.monotonic() + seconds, 0
+
+    async def use(name):
+        flow = ClientFlow(system.client, route)
         if await flow.open():
-            outcomes.append(await flow.request(f"{n}-first"))
-            flows.append(flow)
-    return flows
+            outcomes.append(await flow.request(name))
+            flow.close()
+
+    tasks = []
+    while time.monotonic() < until:
+        n += 1
+        tasks.append(asyncio.ensure_future(use(f"r{n}")))
+        await asyncio.sleep(0.08)
+    await asyncio.gather(*tasks)
+
+
+async def flap(server, trouble, record):
+    """The server goes down and up twice, FLAP_GAP_S apart."""
+    server.crash()
+    await asyncio.sleep(FLAP_GAP_S / 2)
+    server.start("i-1-2")
+    await asyncio.sleep(FLAP_GAP_S / 2)
+    if trouble:
+        server.clock_offset_s = -STEP_S
+        record(f"the time of day of {server.name}'s machine steps back by "
+               f"{STEP_S} s")
+    server.crash()
+    await asyncio.sleep(FLAP_GAP_S / 2)
+    server.start("i-1-3")
 
 
 async def play(record, trouble):
     system = Deployment(record, 2, [("booking", 3)])
     try:
         await system.start(make_config(3, [ROUTE], ["booking"]))
-        server, side, outcomes = system.servers[0], system.sides[0], []
-        beat, instance = server.describe(), server.instance
-        record(f"a heartbeat of {instance} is held up: {beat}")
-        server.crash()
-        await asyncio.sleep(CRASH_S)
-        server.start("i-1-2")
-        await asyncio.sleep(2 * STABLE_WINDOW_S)
-        flows = await open_flows(system, outcomes)
-        late = asyncio.ensure_future(restart_agent(system, side))
-        await late
+        server, outcomes = system.servers[0], []
+        await flap(server, trouble, record)
+        await asyncio.sleep(STEP_FOR_S)
         if trouble:
-            await deliver(system, server, beat, instance)
-        await asyncio.sleep(PAUSE_S)
-        requests = [it.request(f"{n}-second") for n, it in enumerate(flows)]
-        outcomes += await asyncio.gather(*requests)
-        record(f"outcomes: {outcomes}")
-        for _, flow, holder, _ in system.resets:
-            if holder is not None:
-                record(f"FLOW reset of port {flow.port}, open at {holder}")
-        return any(holder is not None for _, _, holder, _ in system.resets)
+            server.clock_offset_s = 0.0
+            record(f"the time of day of {server.name}'s machine is right "
+                   f"again; the server keeps its `born`")
+        await asyncio.sleep(STABLE_WINDOW_S + 2)
+        traffic = asyncio.ensure_future(use_flows(system, 14, outcomes))
+        await asyncio.sleep(2)
+        server.state = "draining"
+        record(f"server {server.name} begins to drain")
+        await traffic
+        record(f"outcomes: {len(outcomes)}, ok: {outcomes.count('ok')}")
+        return judge(server, record)
     finally:
         system.end()
 
 
+def judge(server, record):
+    acknowledged_at = server.drain_acknowledged_at
+    if acknowledged_at is None:
+        record("the server has no acknowledgement of its `draining`")
+        return False
+    late = [at - acknowledged_at for at, _ in server.openings
+            if at > acknowledged_at + DRAIN_S]
+    early = sum(acknowledged_at < at <= acknowledged_at + DRAIN_S
+                for at, _ in server.openings)
+    record(f"openings at {server.name} after the acknowledgement: {early} in "
+           f"the first {DRAIN_S} s, {len(late)} later")
+    if late:
+        record(f"DRAIN an opening reaches {server.name} {late[-1]:.1f} s after "
+               f"the acknowledgement")
+    return bool(late)
+
+
 run_case(HERE, play)
