Start the servers of the scripts after their agents

Cause: a server's first heartbeat was lost when its agent wasn't up yet, so that the outcome of a case depended on the speed of the machine: case 2 held once with a slow build.

Change: the stand-ins of a deployment start their servers when the agents are ready.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -14,6 +14,7 @@
 import tomllib
 
 from client import Client, Routers
+from httpio import call
 from server import Server
 from store import Store
 
@@ -191,6 +192,7 @@
         self.store.put("config", "main", config)
         for it in self.edges + self.sides:
             it.start()
+        await self._wait_for_agents()
         for n, it in enumerate(self.servers):
             it.start(f"i-{n + 1}-1")
         self.routers = Routers(self.record, [it.address for it in self.edges],
@@ -207,6 +209,17 @@
             await asyncio.sleep(0.1)
         raise CannotRun("the system didn't become ready")
 
+    async def _wait_for_agents(self):
+        # A server starts after the node of its machine.
+        for it in self.sides:
+            for _ in range(100):
+                if await call(it.address, self.ports["ready"], "GET",
+                              "/api/readyz") == 200:
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                raise CannotRun(f"{it.name} didn't start")
+
     def _on_reset(self, flow, fits):
         key = flow.key
         holder = next((it.name for it in self.servers if it.holds_open(key)),
