Count the requests that a server cuts when it leaves in case 4

Cause: the case showed late openings only, and the client stand-in sent data again that the server had acknowledged.

The client stops sending data again once it is acknowledged.

--- a/review/common/client.py
+++ b/review/common/client.py
@@ -64,6 +64,7 @@
         self.last_packet_at = time.monotonic()
         self.opened_at = None
         self.answer = None
+        self.is_acked = False
         self.event = asyncio.Event()
         client.flows[self.key] = self
 
@@ -106,12 +107,13 @@
         data = (f"POST / HTTP/1.1\r\nHost: x\r\nX-Hawthornbank-Request-Id: "
                 f"{request}\r\nContent-Length: 0\r\n\r\n").encode()
         self.client.record(f"client sends {request} on {describe(self.key)}")
-        seq, self.answer = self.next_to_send, None
+        seq, self.answer, self.is_acked = self.next_to_send, None, False
         self.next_to_send = packets.add(seq, len(data))
         deadline, pause = time.monotonic() + deadline_s, 0.2
         while self.state == "open" and self.answer is None and \
                 time.monotonic() < deadline:
-            self._send(ACK, seq, self.next_expected, data)
+            if not self.is_acked:
+                self._send(ACK, seq, self.next_expected, data)
             await self._wait(min(time.monotonic() + pause, deadline))
             pause = min(pause * 2, 1.6)
         if self.answer is not None:
@@ -157,6 +159,8 @@
         self.event.set()
 
     def _on_data(self, packet):
+        if packet.has(ACK) and packet.ack == self.next_to_send:
+            self.is_acked = True
         if packet.data and packet.seq == self.next_expected:
             self.next_expected = packets.add(packet.seq, len(packet.data))
             self.answer = packet.data
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -36,6 +36,7 @@
         self.record, self.name, self.service = record, name, service
         self.zone, self.address, self.ports = zone, address, ports
         self.heartbeat_s = heartbeat_s
+        self.work_s = WORK_S
         self.state = "ready"
         self.flows = {}
         self.runs = []
@@ -78,6 +79,14 @@
         self.flows = {}
         self.record(f"server {self.name} ({self.instance}) crashes")
 
+    async def leave(self):
+        """Ends after a drain. Requests that still run are cut."""
+        status = await call(self.address, self.ports["control"], "DELETE",
+                            f"/api/instances/{self.instance}")
+        self.record(f"server {self.name} ({self.instance}) leaves; DELETE is "
+                    f"answered {status}")
+        self.crash()
+
     async def _beat(self):
         while True:
             asyncio.ensure_future(self._send_beat())
@@ -188,7 +197,7 @@
         self.runs.append((time.monotonic(), request))
         self.record(f"server {self.name} ({self.instance}) runs {request} on "
                     f"{describe(key)}")
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(self.work_s)
         body = f"answer to {request}".encode()
         data = (f"HTTP/1.1 200 OK\r\nX-Hawthornbank-Response-Signature: "
                 f"{sign(body)}\r\nX-Hawthornbank-Instance-Id: {self.instance}"
