Use loopback addresses only in the scripts of the review

Cause: the route of the scripts had an address outside loopback. It stood in the heads of packets only, but each address of a case has to be a loopback address. Where record.txt is written was seen in review/common alone.

Change: the route's address is 127.0.0.3; case.py and run.sh name record.txt.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,8 @@
 
 FLOWS = 8
 PAUSE_S = 38
-ROUTE = ("198.18.0.1", 8443, "booking")
+# Stands in the heads of packets only; no socket uses it.
+ROUTE = ("127.0.0.3", 8443, "booking")
 IDLE_BEFORE_MS, IDLE_AFTER_MS = 15_000, 50_000
 PROPAGATION_S, FLOW_TTL_S = 3, 60
 
@@ -73,4 +74,4 @@
     return counts
 
 
-run_case(HERE, play)
+run_case(os.path.join(HERE, "record.txt"), play)
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case; TROUBLE=0 plays it without the change of the time-out.
+# Writes record.txt in this folder: what was sent, answered and run.
 cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,8 @@
 from deployment import CannotRun, Deployment, make_config, run_case  # noqa: E402
 from packets import to_int  # noqa: E402
 
-ROUTE = ("198.18.0.1", 8443, "booking")
+# Stands in the heads of packets only; no socket uses it.
+ROUTE = ("127.0.0.3", 8443, "booking")
 STEP_S, STEP_FOR_S = 2.4, 6.0
 FLAP_GAP_S = 1.2
 STABLE_WINDOW_S, DRAIN_S = 4.0, 3.0
@@ -104,4 +105,4 @@
     return bool(late)
 
 
-run_case(HERE, play)
+run_case(os.path.join(HERE, "record.txt"), play)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -262,14 +262,16 @@
                    "idle_timeout_ms": idle_timeout_ms}}
 
 
-def run_case(folder, play):
+def run_case(path, play):
     """Runs play(record, trouble) and exits: 1 broken, 0 held, 2 can't run.
 
+    path is where the record is written.
+
     play returns whether the rule was broken.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(path)
     try:
         broken = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
     except Exception as error:  # Only a broken rule may exit with 1.
