Tell a new flow of a used port from a copy by the opening's sequence

Callers saw requests run at a service to which no route led. A balancer took each opening of a remembered flow for a copy and relayed it to the remembered address under the service of the record that stands there now. The agent found its own service in the header and delivered.

An opening is now identified by caller, port, address and sequence number. A copy is relayed under the service that it was placed for, and placed anew if its agent returns it or stays silent: a returned copy was dropped. An opening with another number ends the earlier flow's memory, pending opening and search, and is placed by the routes in force. If the number isn't known (the flow was found by a search), the opening is relayed to the flow's agent only if that one takes new flows of the service that the route chooses. A copy of a flow that may be open is never answered with a reset.

Messages of agents that weren't offered a pending opening are about an earlier flow: such a reply confirmed the new flow at the old agent, such a return was relayed to the new one.

A remembered flow takes 8 bytes more, 2 MB at 262,144.

--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -82,11 +82,20 @@
   Duration restart_period = std::chrono::seconds{20};
 };
 
+/// The opening that a flow began with. A caller that uses its port again sends
+/// an opening with another sequence number; copies have the same one.
+struct FlowOpening {
+  std::uint32_t sequence = 0;
+  std::uint32_t service = 0;  ///< Service that the opening was placed for.
+};
+
 /// The agent that a flow is steered to.
 struct SteeredFlow {
   Endpoint agent;
   /// Start of the agent's target in Unix milliseconds; 0 if unknown.
   std::uint64_t target_started_at_ms = 0;
+  /// Empty if this balancer hasn't placed the flow's opening.
+  std::optional<FlowOpening> opening;
   bool confirmed = false;  ///< The agent replied that its target has the flow.
   TimePoint last_used{};   ///< When the agent was recorded or sent a packet.
 };
@@ -94,6 +103,7 @@
 /// An opening packet that no agent has confirmed yet.
 struct PendingOpening {
   std::vector<std::uint8_t> packet;
+  std::uint32_t sequence = 0;  ///< Sequence number of `packet`.
   RelayHeader header;
   /// Zones whose agents returned the packet because the zone is out of service.
   std::vector<std::string> excluded_zones;
@@ -102,6 +112,9 @@
   TimePoint received_at{};  ///< When the opening arrived from the caller.
   /// A target returned the opening at the limit of its warm-up.
   bool was_at_warmup_limit = false;
+  /// The packet may be a late copy of the opening of an open flow, so its
+  /// caller isn't reset.
+  bool may_be_open = false;
 };
 
 /// Reason of a steering action.
@@ -131,6 +144,7 @@
   kNoZonesYet,            ///< The zones out of service aren't known yet.
   kZonesOut,              ///< All zones with a ready target are out of service.
   kWarmupLimit,  ///< All targets left are at the limits of their warm-ups.
+  kPortReused,   ///< The packet belongs to an earlier flow of the same port.
   kCount,
 };
 
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -265,6 +265,16 @@
   ContinueFlowSearch(steering, entry, now, out);
 }
 
+auto EndSearchOfEarlierFlow(Steering& steering,
+                            const FlowKey& flow,
+                            std::vector<SteeringAction>& out) -> void {
+  const auto entry = steering.searches.flows.find(flow);
+  if (entry != steering.searches.flows.end()) {
+    AppendDropAction(steering, flow, SteeringReason::kPortReused, out);
+    RemoveFlowSearch(steering, entry);
+  }
+}
+
 auto HoldPacketForSearch(Steering& steering,
                          const FlowKey& flow,
                          std::span<const std::uint8_t> bytes,
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/flow_search_scope.h"
 #include "coordination/steering_internal.h"
 
 namespace hawthornbank {
@@ -64,19 +63,22 @@
                      const FlowKey& flow,
                      Endpoint agent,
                      bool confirmed,
-                     TimePoint now) -> void {
+                     TimePoint now) -> SteeredFlow* {
   if (steering.flows.size() >= steering.options.max_remembered_flows &&
       !steering.flows.contains(flow)) {
-    return;
+    return nullptr;
   }
   const auto host = steering.fleet.hosts.find(agent);
-  steering.flows[flow] = SteeredFlow{
+  SteeredFlow& recorded = steering.flows[flow];
+  recorded = SteeredFlow{
       .agent = agent,
       .target_started_at_ms = host == steering.fleet.hosts.end()
                                   ? 0
                                   : host->second.record.target.started_at_ms,
+      .opening = recorded.opening,
       .confirmed = confirmed,
       .last_used = now};
+  return &recorded;
 }
 
 auto GetReadTime(const Steering& steering, TimePoint now) -> TimePoint {
@@ -115,7 +117,6 @@
 using detail::AppendDropAction;
 using detail::AppendRelayAction;
 using detail::AppendResetAction;
-using detail::OfferNewFlow;
 using detail::OfferOpeningToNextTarget;
 using detail::RecordFlowAgent;
 using Kind = SteeringAction::Kind;
@@ -127,7 +128,7 @@
     "no_target",    "nobody_took", "link_full",    "not_found",
     "flow_unknown", "target_lost", "malformed",    "search_queued",
     "found_former", "found_wide",  "no_zones_yet", "zones_out",
-    "warmup_limit",
+    "warmup_limit", "port_reused",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -189,60 +190,6 @@
          IsHostLive(host->second, detail::GetReadTime(steering, now));
 }
 
-// Returns whether a target may have accepted an earlier copy of an opening that
-// came through another balancer. When all targets have just started, that
-// balancer and its target are gone too.
-auto MayCopyBeAccepted(const Steering& steering,
-                       const FlowPacket& packet,
-                       const Route& route,
-                       TimePoint now) -> bool {
-  const bool is_copy = packet.acknowledgement > 0;
-  return is_copy &&
-         !detail::HaveKnownTargetsJustStarted(
-             steering,
-             ChooseService(route, HashFlow(ExtractCallerFlowKey(packet))), now);
-}
-
-auto OnOpeningPacket(Steering& steering,
-                     const FlowPacket& packet,
-                     const Route& route,
-                     std::span<const std::uint8_t> bytes,
-                     TimePoint now,
-                     std::vector<SteeringAction>& out) -> void {
-  const FlowKey flow = ExtractCallerFlowKey(packet);
-  const auto known = steering.flows.find(flow);
-  if (known == steering.flows.end()) {
-    if (ShouldRefuseFlow(steering.link, flow.address,
-                         DrawRandomFraction(steering.random))) {
-      AppendResetAction(steering, flow, SteeringReason::kLinkFull, 0, out);
-      return;
-    }
-    OfferNewFlow(steering, flow, route,
-                 MayCopyBeAccepted(steering, packet, route, now), bytes, now,
-                 out);
-    return;
-  }
-  // Duplicate opening packet: the first copy is still in flight, or the answer
-  // to the first copy was lost.
-  const auto host = steering.fleet.hosts.find(known->second.agent);
-  if (host == steering.fleet.hosts.end() || !AcceptsNewFlows(host->second) ||
-      IsOutOfService(steering.zones, host->second.record.zone) ||
-      !IsHostLive(host->second, detail::GetReadTime(steering, now))) {
-    if (!known->second.confirmed) {
-      OfferNewFlow(steering, flow, route, true, bytes, now, out);
-      return;
-    }
-  }
-  known->second.last_used = now;
-  AppendRelayAction(steering, flow, known->second.agent,
-                    RelayHeader{.origin = steering.fleet.self.control,
-                                .service = FindServiceOfFlow(
-                                    steering, flow, route, known->second.agent),
-                                .wants_flow_reply = true,
-                                .may_be_accepted = true},
-                    SteeringReason::kDuplicateOpening, {}, out);
-}
-
 }  // namespace
 
 auto ToString(SteeringReason reason) -> std::string_view {
@@ -272,7 +219,7 @@
   RecordCallerTraffic(steering.link, flow.address, packet.is_opening,
                       bytes.size());
   if (packet.is_opening) {
-    OnOpeningPacket(steering, packet, *route, bytes, now, out);
+    detail::OnCallerOpening(steering, packet, *route, bytes, now, out);
     return;
   }
   if (detail::HoldPacketForSearch(steering, flow, bytes, out)) {
@@ -320,8 +267,9 @@
   header.is_returned = false;
   const auto opening = steering.openings.find(flow);
   if (packet.is_opening) {
-    if (opening == steering.openings.end()) {
-      return;  // The opening was confirmed or reset.
+    if (opening == steering.openings.end() ||
+        opening->second.sequence != packet.sequence) {
+      return;  // The opening was confirmed or reset, or is of an earlier flow.
     }
     PendingOpening& pending = opening->second;
     if (header.is_zone_out_of_service && sender != steering.fleet.hosts.end()) {
@@ -343,6 +291,10 @@
     }
     return;
   }
+  if (detail::IsAboutEarlierFlow(steering, flow, agent)) {
+    AppendDropAction(steering, flow, SteeringReason::kPortReused, out);
+    return;
+  }
   if (detail::OnOfferedPacketReturned(steering, flow, agent, now, out) ||
       detail::HoldPacketForSearch(steering, flow, bytes, out)) {
     return;
@@ -370,6 +322,9 @@
     RecordHostContact(host->second, now);
     RecordTargetLoad(host->second, reply.load, now);
   }
+  if (detail::IsAboutEarlierFlow(steering, reply.flow, reply.agent)) {
+    return Duration::zero();
+  }
   if (reply.ownership == FlowOwnership::kHeld &&
       ReplyMayUpdateFlowAgent(steering, reply)) {
     RecordFlowAgent(steering, reply.flow, reply.agent, true, now);
--- a/src/coordination/steering_internal.h
+++ b/src/coordination/steering_internal.h
@@ -43,13 +43,15 @@
                        std::vector<std::uint8_t> kept,
                        std::vector<SteeringAction>& out) -> void;
 
-/// Records the agent that a flow is steered to. Does nothing for a flow that
-/// isn't recorded yet when max_remembered_flows is reached.
+/// Records the agent that a flow is steered to; the flow's opening stays as
+/// recorded. Does nothing for a flow that isn't recorded yet when
+/// max_remembered_flows is reached.
+/// @return The recorded flow, or null.
 auto RecordFlowAgent(Steering& steering,
                      const FlowKey& flow,
                      Endpoint agent,
                      bool confirmed,
-                     TimePoint now) -> void;
+                     TimePoint now) -> SteeredFlow*;
 
 /// @return Time up to which the absence of a reply is known: a process that is
 /// behind with reading must not take its own delay for an agent's silence.
@@ -92,15 +94,49 @@
                               TimePoint now,
                               std::vector<SteeringAction>& out) -> bool;
 
-/// Offers the opening of a flow that isn't known.
+/// What may have become of earlier copies of an opening.
+struct EarlierCopies {
+  bool may_be_accepted = false;  ///< A target may have accepted one.
+  bool may_be_open = false;      ///< The caller may have opened the flow.
+};
+
+/// @return An opening that is offered to no target yet.
+auto MakePendingOpening(const Steering& steering,
+                        const FlowPacket& packet,
+                        const Route& route,
+                        EarlierCopies earlier,
+                        std::span<const std::uint8_t> bytes,
+                        TimePoint now) -> PendingOpening;
+
+/// Places an opening by the routes in force.
 auto OfferNewFlow(Steering& steering,
-                  const FlowKey& flow,
+                  const FlowPacket& packet,
                   const Route& route,
-                  bool may_be_accepted,
+                  EarlierCopies earlier,
                   std::span<const std::uint8_t> bytes,
                   TimePoint now,
                   std::vector<SteeringAction>& out) -> void;
 
+/// Handles a caller's opening: places a new flow, relays a copy.
+auto OnCallerOpening(Steering& steering,
+                     const FlowPacket& packet,
+                     const Route& route,
+                     std::span<const std::uint8_t> bytes,
+                     TimePoint now,
+                     std::vector<SteeringAction>& out) -> void;
+
+/// Returns whether an agent's message about a flow is outdated: an opening of
+/// the flow is pending that the agent wasn't offered, and no search runs.
+auto IsAboutEarlierFlow(const Steering& steering,
+                        const FlowKey& flow,
+                        Endpoint agent) -> bool;
+
+/// Ends the search of a flow whose port is used again: the waiting packets
+/// belong to the earlier flow. Does nothing if no search is running.
+auto EndSearchOfEarlierFlow(Steering& steering,
+                            const FlowKey& flow,
+                            std::vector<SteeringAction>& out) -> void;
+
 /// Starts the search for the agent whose target holds a flow. The packet waits
 /// until the search ends. If too many packets are waiting, the packet is
 /// dropped and no search starts.
--- a/src/coordination/steering_openings.cc
+++ b/src/coordination/steering_openings.cc
@@ -23,6 +23,20 @@
       });
 }
 
+// Resets the caller of an opening that no target takes, unless its flow may be
+// open.
+auto AppendRefusalAction(Steering& steering,
+                         const FlowKey& flow,
+                         const PendingOpening& opening,
+                         SteeringReason reason,
+                         std::vector<SteeringAction>& out) -> void {
+  if (opening.may_be_open) {
+    AppendDropAction(steering, flow, reason, out);
+  } else {
+    AppendResetAction(steering, flow, reason, 0, out);
+  }
+}
+
 // Handles an opening for which no target is left. Returns false.
 auto RejectOpening(Steering& steering,
                    const FlowKey& flow,
@@ -31,14 +45,14 @@
                    TimePoint now,
                    std::vector<SteeringAction>& out) -> bool {
   if (IsAnyTargetAtWarmupLimit(steering, opening.header.service, now)) {
-    AppendResetAction(steering, flow, SteeringReason::kWarmupLimit, 0, out);
+    AppendRefusalAction(steering, flow, opening, SteeringReason::kWarmupLimit,
+                        out);
   } else if (opening.header.returned_by.empty() &&
              IsInLearningTime(steering, now)) {
     AppendDropAction(steering, flow, SteeringReason::kNoTarget, out);
   } else {
-    AppendResetAction(steering, flow,
-                      ChooseRefusalReason(opening, has_excluded_target), 0,
-                      out);
+    AppendRefusalAction(steering, flow, opening,
+                        ChooseRefusalReason(opening, has_excluded_target), out);
   }
   return false;
 }
@@ -83,7 +97,12 @@
   RecordRequestToHost(*host, now);
   opening.agent = host->record.control;
   opening.offered_at = now;
-  RecordFlowAgent(steering, flow, opening.agent, false, now);
+  SteeredFlow* const recorded =
+      RecordFlowAgent(steering, flow, opening.agent, false, now);
+  if (recorded != nullptr) {
+    recorded->opening = FlowOpening{.sequence = opening.sequence,
+                                    .service = opening.header.service};
+  }
   AppendSteeringAction(steering,
                        SteeringAction{.kind = Kind::kRelay,
                                       .reason = reason,
@@ -97,25 +116,40 @@
   return true;
 }
 
+auto MakePendingOpening(const Steering& steering,
+                        const FlowPacket& packet,
+                        const Route& route,
+                        EarlierCopies earlier,
+                        std::span<const std::uint8_t> bytes,
+                        TimePoint now) -> PendingOpening {
+  const FlowKey flow = ExtractCallerFlowKey(packet);
+  PendingOpening opening{
+      .packet = {bytes.begin(), bytes.end()},
+      .sequence = packet.sequence,
+      .header = {.origin = steering.fleet.self.control,
+                 .service = ChooseService(route, HashFlow(flow)),
+                 .wants_flow_reply = true,
+                 .may_be_accepted = earlier.may_be_accepted},
+      .received_at = now,
+      .may_be_open = earlier.may_be_open};
+  opening.header.terms = DescribeTerms(steering, flow, opening.header.service);
+  return opening;
+}
+
 auto OfferNewFlow(Steering& steering,
-                  const FlowKey& flow,
+                  const FlowPacket& packet,
                   const Route& route,
-                  bool may_be_accepted,
+                  EarlierCopies earlier,
                   std::span<const std::uint8_t> bytes,
                   TimePoint now,
                   std::vector<SteeringAction>& out) -> void {
+  const FlowKey flow = ExtractCallerFlowKey(packet);
   if (MustWaitForZones(steering, now)) {
     AppendDropAction(steering, flow, SteeringReason::kNoZonesYet, out);
     return;
   }
-  PendingOpening opening{
-      .packet = {bytes.begin(), bytes.end()},
-      .header = {.origin = steering.fleet.self.control,
-                 .service = ChooseService(route, HashFlow(flow)),
-                 .wants_flow_reply = true,
-                 .may_be_accepted = may_be_accepted},
-      .received_at = now};
-  opening.header.terms = DescribeTerms(steering, flow, opening.header.service);
+  PendingOpening opening =
+      MakePendingOpening(steering, packet, route, earlier, bytes, now);
   if (OfferOpeningToNextTarget(steering, flow, opening, SteeringReason::kPlaced,
                                now, out)) {
     steering.openings.insert_or_assign(flow, std::move(opening));
