Check an opening of a used port at the agent like any other

An agent delivered each opening of a flow that its target had accepted without any check: a caller that used its port again reached a draining target, one in a zone out of service, or one whose agent shut down, and the earlier flow's request went on counting as running. The opening also counted as a copy in the limit of a warm-up.

The agent now remembers the sequence number of a flow's opening. The same number is a copy, delivered as before. Another one ends the earlier flow, and all checks of a new opening apply. If the agent doesn't know the number, as it has started later, the checks apply too, and the target's answer tells whether it has the flow. An earlier opening that the target returns doesn't end the present flow.

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -90,6 +90,9 @@
   TimePoint running_since{};   ///< When `occupies_slot` was set.
   TimePoint closed_at{};       ///< When both sides had ended the flow.
   bool is_accepted = false;    ///< The target has sent a packet of the flow.
+  /// Sequence number of the caller's opening; empty if the agent has started
+  /// later.
+  std::optional<std::uint32_t> opening_sequence;
   /// Sequence number of the packet in which the target accepted the opening;
   /// empty once the caller has acknowledged that packet.
   std::optional<std::uint32_t> unacknowledged_sequence;
@@ -113,6 +116,7 @@
 /// An opening packet that the target hasn't answered yet.
 struct UnansweredOpening {
   std::vector<std::uint8_t> packet;
+  std::uint32_t sequence = 0;  ///< Sequence number of `packet`.
   RelayHeader header;
   TimePoint delivered_at{};
 };
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -187,7 +187,12 @@
                               std::vector<TargetAction>& out) -> void {
   const FlowKey key = ExtractCallerFlowKey(packet);
   const auto known = target.flows.find(key);
-  if (known != target.flows.end() && known->second.is_accepted) {
+  const bool is_of_earlier_flow =
+      packet.is_opening && known != target.flows.end() &&
+      known->second.opening_sequence.value_or(packet.sequence) !=
+          packet.sequence;
+  if (known != target.flows.end() && known->second.is_accepted &&
+      !is_of_earlier_flow) {
     SuspectTargetRestart(target.warmup, now);
   }
   const ReturnablePacket& stored =
@@ -200,8 +205,10 @@
                         out);
     return;
   }
-  target.openings.erase(key);
-  EraseFlow(target, key);
+  if (!is_of_earlier_flow) {
+    target.openings.erase(key);
+    EraseFlow(target, key);
+  }
   AppendReturnAction(target, key, stored.header, TargetReason::kReturned, out);
 }
 
@@ -333,7 +340,8 @@
     SetWarmupLimit(target.warmup, header.terms->warmup_limit);
   }
   if (packet.is_opening) {
-    detail::OnOpeningPacket(target, header, flow, bytes, now, out);
+    detail::OnOpeningPacket(target, header, flow, packet.sequence, bytes, now,
+                            out);
     return;
   }
   const auto known = target.flows.find(flow);
--- a/src/coordination/target_flows_internal.h
+++ b/src/coordination/target_flows_internal.h
@@ -69,9 +69,12 @@
 
 /// Handles an opening that a balancer relayed: delivers it, returns it to the
 /// balancer or rejects it.
+/// @param sequence Sequence number of the opening. An opening of a known flow
+/// with another number opens a new flow.
 auto OnOpeningPacket(TargetFlows& target,
                      const RelayHeader& header,
                      const FlowKey& flow,
+                     std::uint32_t sequence,
                      std::span<const std::uint8_t> bytes,
                      TimePoint now,
                      std::vector<TargetAction>& out) -> void;
--- a/src/coordination/target_openings.cc
+++ b/src/coordination/target_openings.cc
@@ -58,7 +58,14 @@
 auto RecordOpenedFlow(TargetFlows& target,
                       const RelayHeader& header,
                       const FlowKey& flow,
+                      std::uint32_t sequence,
                       TimePoint now) -> void {
+  const auto known = target.flows.find(flow);
+  if (known != target.flows.end() &&
+      !known->second.opening_sequence.has_value()) {
+    // The target's answer tells whether the opening is a copy.
+    EraseFlow(target, flow);
+  }
   if (target.flows.size() >= target.options.max_flows) {
     target.has_untracked_flows = true;
     return;
@@ -67,6 +74,7 @@
   added.last_balancer = header.origin;
   added.target_started_at_ms = target.status.started_at_ms;
   added.last_packet_at = now;
+  added.opening_sequence = sequence;
   added.opening_counted_at = now;
   added.terms = header.terms;
   OccupySlotForFlow(target, added, now);
@@ -77,16 +85,35 @@
   target.delivered_openings.push_back({.flow = flow, .delivered_at = now});
 }
 
+// Ends the flow of an earlier opening: the caller uses its port again.
+auto EraseEarlierFlow(TargetFlows& target,
+                      const FlowKey& flow,
+                      std::uint32_t sequence) -> void {
+  const auto known = target.flows.find(flow);
+  if (known != target.flows.end() &&
+      known->second.opening_sequence.value_or(sequence) != sequence) {
+    EraseFlow(target, flow);
+  }
+  const auto opening = target.openings.find(flow);
+  if (opening != target.openings.end() &&
+      opening->second.sequence != sequence) {
+    target.openings.erase(opening);
+  }
+}
+
 }  // namespace
 
 auto OnOpeningPacket(TargetFlows& target,
                      const RelayHeader& header,
                      const FlowKey& flow,
+                     std::uint32_t sequence,
                      std::span<const std::uint8_t> bytes,
                      TimePoint now,
                      std::vector<TargetAction>& out) -> void {
+  EraseEarlierFlow(target, flow, sequence);
   const auto known = target.flows.find(flow);
-  if (known != target.flows.end() && known->second.is_accepted) {
+  if (known != target.flows.end() && known->second.is_accepted &&
+      known->second.opening_sequence.has_value()) {
     known->second.last_balancer = header.origin;
     AppendDeliverAction(target, flow, TargetReason::kDelivered,
                         StoreReturnableHeader(target, header), out);
@@ -140,9 +167,10 @@
   if (!target.openings.contains(flow)) {
     CountWarmupRequest(target.warmup, now);
   }
-  RecordOpenedFlow(target, header, flow, now);
+  RecordOpenedFlow(target, header, flow, sequence, now);
   target.openings[flow] =
       UnansweredOpening{.packet = {bytes.begin(), bytes.end()},
+                        .sequence = sequence,
                         .header = header,
                         .delivered_at = now};
   AppendDeliverAction(target, flow, TargetReason::kOpened,
--- a/test/used_port_test.cc
+++ b/test/used_port_test.cc
@@ -268,6 +268,31 @@
   LONGS_EQUAL(MakeAgentEndpoint(kTargets + 1).address, UsePortAgain(kNow + 5s));
 }
 
+TEST(UsedPort, UsedPortDoesNotOpenAtADrainingTarget) {
+  const std::uint32_t n = OpenFlow();
+  agents.at(MakeAgentEndpoint(n).address).status.state = TargetState::kDraining;
+  CHECK(UsePortAgain(kNow + 5s) != MakeAgentEndpoint(n).address);
+}
+
+TEST(UsedPort, UsedPortDoesNotOpenInAZoneOutOfService) {
+  const std::uint32_t n = OpenFlow();
+  agents.at(MakeAgentEndpoint(n).address).is_zone_out_of_service = true;
+  StartAgent(kTargets + 1, kService, 1, kNow);
+  steering.fleet.hosts.at(MakeAgentEndpoint(kTargets + 1)).record.zone = "b";
+  CHECK(UsePortAgain(kNow + 5s) != MakeAgentEndpoint(n).address);
+}
+
+// The agent has started later than the flow and learnt it from packets.
+TEST(UsedPort, OpeningOfAFoundFlowDoesNotOpenAtADrainingTarget) {
+  const std::uint32_t n = OpenFlow();
+  TargetFlows& agent = agents.at(MakeAgentEndpoint(n).address);
+  for (auto& it : agent.flows) {
+    it.second = TargetFlow{.is_accepted = true};
+  }
+  agent.status.state = TargetState::kDraining;
+  CHECK(UsePortAgain(kNow + 5s) != MakeAgentEndpoint(n).address);
+}
+
 TEST(UsedPort, OpeningOfAFlowFoundByASearchFollowsTheNewConfiguration) {
   (void)OpenFlow();
   steering.flows.clear();
@@ -289,6 +314,17 @@
   CHECK(delivered == std::vector<std::uint32_t>(2, agent.address));
 }
 
+TEST(UsedPort, UsedPortFreesTheSlotOfTheEarlierFlow) {
+  const std::uint32_t n = OpenFlow();
+  TargetFlows& agent = agents.at(MakeAgentEndpoint(n).address);
+  Send(false, kFirst + 1, kNow);
+  LONGS_EQUAL(1, agent.running);
+  agent.is_shutting_down = true;
+  (void)UsePortAgain(kNow + 1s);
+  LONGS_EQUAL(0, agent.running);
+  LONGS_EQUAL(0, agent.flows.size());
+}
+
 // The earlier flow's agent replies to a packet that it got before the port was
 // used again.
 TEST(UsedPort, LateReplyAboutTheEarlierFlowDoesNotMoveTheNewOne) {
@@ -337,3 +373,26 @@
   }
   LONGS_EQUAL(0, resets);
 }
+
+// A copy of an opening that is still unanswered was counted before.
+TEST(UsedPort, UsedPortCountsInTheWarmUp) {
+  TargetFlows agent{
+      .options = {.service = kService, .self = MakeAgentEndpoint(1)},
+      .status = {.state = TargetState::kReady,
+                 .started_at_ms = 5,
+                 .slots = 3,
+                 .cold = true},
+      .knows_all_flows = true,
+      .warmup = {.requests_per_second = 1}};
+  const RelayHeader header{.origin = {.address = 1, .port = 7000},
+                           .service = kService};
+  std::vector<TargetAction> out;
+  for (const auto sequence : {kFirst, kFirst, kSecond}) {
+    OnRelayedPacket(agent, header, MakePacket(true, sequence), bytes, kNow,
+                    out);
+  }
+  LONGS_EQUAL(3, out.size());
+  CHECK(out[0].reason == TargetReason::kOpened);
+  CHECK(out[1].reason == TargetReason::kOpened);
+  CHECK(out[2].reason == TargetReason::kWarmup);
+}
