--- a/src/coordination/steering_openings.cc
+++ b/src/coordination/steering_openings.cc
@@ -54,6 +54,7 @@
     AppendRefusalAction(steering, flow, opening,
                         ChooseRefusalReason(opening, has_excluded_target), out);
   }
+  out.back().kept = opening.packet;
   return false;
 }
 
