--- a/test/used_port_test.cc
+++ b/test/used_port_test.cc
@@ -278,7 +278,8 @@
   const std::uint32_t n = OpenFlow();
   agents.at(MakeAgentEndpoint(n).address).is_zone_out_of_service = true;
   StartAgent(kTargets + 1, kService, 1, kNow);
-  steering.fleet.hosts.at(MakeAgentEndpoint(kTargets + 1)).record.zone = "b";
+  steering.fleet.hosts.at(MakeAgentEndpoint(kTargets + 1)).record.zone =
+      std::string("b");
   CHECK(UsePortAgain(kNow + 5s) != MakeAgentEndpoint(n).address);
 }
 
