Deliver no opening to a target that hasn't been heard from

A target that crashes says nothing. Its agent kept it ready for good, marked it unresponsive for 400 ms at a time and then delivered the next caller's opening to see whether it answers. Addresses of targets that are gone are used again after `reuse_s` (2 s): the target of the other service answered, and callers' requests ran at a service to which no configuration leads.

Openings, new and repeated ones, are now delivered only until two intervals and 300 ms after the newest heartbeat of the present start, or until 300 ms before the reuse delay ends if that is earlier, as at intervals of 0.77 and 1.2 s. The agent compares each opening's time of receipt. Later ones go back to the balancer as `not_heard`; packets of open flows are delivered as before. Balancers learn it with the agent's next heartbeat, in place of an announcement of its own: the target's state is unknown, and its start time stays. Searches therefore distinguish an agent that knows no start from one whose target is silent, which counts as running: otherwise late heartbeats would let a young balancer reset open flows. The tests of steering that gave a start time to an agent that knows no target don't any more.

Without the check and the distinction, the tests of target_flows and steering fail; the new test of settings needs the new field.

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -151,6 +151,7 @@
   kWarmup,           ///< The limit of the target's warm-up is reached.
   kWaiting,          ///< Packet of a request that waits for a place.
   kHandedOver,  ///< Packet of a request that has waited, sent to the target.
+  kNotHeard,    ///< The target's newest heartbeat is too old.
   kCount,
 };
 
@@ -221,6 +222,9 @@
   WorkOrder order;      ///< Requests that the target has or that wait.
   TargetHealth health;  ///< Computed from the outcomes of requests.
   Random random{1};     ///< Gives jitter to probes of a failing target.
+  /// Opening packets are refused from this time on, because the target's
+  /// address may belong to a target of another service by then.
+  TimePoint silent_from = TimePoint::max();
   /// Opening packets are refused until this time,
   /// because the target left an opening packet unanswered.
   TimePoint unresponsive_until{};
--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -18,6 +18,10 @@
 /// A start is identified by its id and start time; start times don't order
 /// starts, because clocks may go back: of two starts at the same address only
 /// one can be running, and that is the one that goes on sending heartbeats.
+///
+/// A target that crashes sends nothing, and its address is given to a target of
+/// another service after the reuse delay. Heartbeats show whose address it is:
+/// a target is silent when the newest one is older than ComputeSilenceLimit().
 namespace hawthornbank {
 
 /// A heartbeat, in which a target reports its state to its agent.
@@ -31,6 +35,10 @@
   std::uint32_t warmup_ms = 0;
 };
 
+/// Time from the end of a target after which its address may be given to a
+/// target of another service, unless the settings say otherwise.
+inline constexpr Duration kDefaultReuseDelay = std::chrono::seconds{2};
+
 /// Sequence number of the first heartbeat after a target's start.
 inline constexpr std::uint64_t kFirstHeartbeatSequence = 1;
 
@@ -56,6 +64,8 @@
   std::string service;  ///< Name of the service that the target serves.
   /// Mean time between two heartbeats of a target.
   Duration heartbeat_interval = std::chrono::seconds{1};
+  /// Time from a target's end after which its address may be used again.
+  Duration reuse_delay = kDefaultReuseDelay;
   std::string id;
   std::uint64_t sequence = 0;  ///< Sequence number of the newest heartbeat.
   TargetStatus status;
@@ -99,6 +109,26 @@
 /// @return Two intervals and an allowance for delays.
 auto ComputeHeartbeatTimeout(Duration interval) -> Duration;
 
+/// Computes how long after the target's newest heartbeat openings are delivered
+/// to the target: as long as a running target can be silent, but not until its
+/// address can be in use by another target.
+/// @param presence State of the target.
+/// @return The time from the newest heartbeat.
+auto ComputeSilenceLimit(const TargetPresence& presence) -> Duration;
+
+/// Computes when the target counts as silent unless it sends a heartbeat.
+/// @param presence State of the target.
+/// @return The time; before the present if no heartbeat has been received.
+auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint;
+
+/// Describes the target for balancers. A silent target that was ready is of
+/// unknown state and keeps its start time: its flows may still be open.
+/// @param presence State of the target.
+/// @param now Current time.
+/// @return The status.
+auto DescribeTargetStatus(const TargetPresence& presence, TimePoint now)
+    -> TargetStatus;
+
 /// Applies a heartbeat of the target. A start that is unknown and started later
 /// replaces the present one at once. Any other start replaces it when it has
 /// sent heartbeats for ComputeHeartbeatTimeout() in which the present one has
--- a/src/coordination/flow_search_scope.cc
+++ b/src/coordination/flow_search_scope.cc
@@ -8,6 +8,13 @@
 namespace hawthornbank::detail {
 namespace {
 
+// Whether the agent doesn't know which start of its target is running. An agent
+// whose target is silent knows it, but not whether it takes new flows.
+auto IsTargetStartUnknown(const KnownHost& host) -> bool {
+  return host.record.target.state == TargetState::kUnknown &&
+         host.record.target.started_at_ms == 0;
+}
+
 // Number of targets of a service, or of all, by what is known of their start.
 struct TargetStarts {
   std::size_t cold = 0;     // Announced as cold since their start.
@@ -15,7 +22,7 @@
   std::size_t running = 0;  // May have been running for longer.
 
   auto Add(const KnownHost& host) -> void {
-    if (host.record.target.state == TargetState::kUnknown) {
+    if (IsTargetStartUnknown(host)) {
       ++unknown;
     } else if (WasTargetAnnouncedCold(host)) {
       ++cold;
@@ -53,9 +60,8 @@
   if (!IsHostLive(host, now)) {
     return SearchPriority::kUnresponsive;
   }
-  return host.record.target.state == TargetState::kUnknown
-             ? SearchPriority::kTargetUnknown
-             : SearchPriority::kTargetKnown;
+  return IsTargetStartUnknown(host) ? SearchPriority::kTargetUnknown
+                                    : SearchPriority::kTargetKnown;
 }
 
 // Ranks the agents of one service that haven't been queried yet. Agents that
@@ -71,8 +77,7 @@
   const bool just_started = HaveTargetsJustStarted(steering, service, now);
   std::erase_if(ranked, [now, just_started](const RankedAgent& it) {
     return HasTargetExited(*it.host, now) ||
-           (just_started &&
-            it.host->record.target.state == TargetState::kUnknown);
+           (just_started && IsTargetStartUnknown(*it.host));
   });
   return ranked;
 }
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -158,11 +158,11 @@
 constexpr std::uint32_t kMaxAcknowledgementLead = 76'800;
 
 constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
-    "delivered",     "opened",      "offered",  "answered",
-    "wrong_service", "not_ready",   "full",     "failing",
-    "not_here",      "returned",    "silent",   "target_restarted",
-    "target_gone",   "malformed",   "zone_out", "warmup",
-    "waiting",       "handed_over",
+    "delivered",     "opened",      "offered",   "answered",
+    "wrong_service", "not_ready",   "full",      "failing",
+    "not_here",      "returned",    "silent",    "target_restarted",
+    "target_gone",   "malformed",   "zone_out",  "warmup",
+    "waiting",       "handed_over", "not_heard",
 };
 static_assert(!kReasonNames.back().empty());
 
--- a/src/coordination/target_openings.cc
+++ b/src/coordination/target_openings.cc
@@ -86,6 +86,11 @@
                      TimePoint now,
                      std::vector<TargetAction>& out) -> void {
   const auto known = target.flows.find(flow);
+  if (now >= target.silent_from) {
+    AppendReturnAction(target, flow, header, TargetReason::kNotHeard, out);
+    out.back().header.may_be_accepted |= known != target.flows.end();
+    return;
+  }
   if (known != target.flows.end() && known->second.is_accepted) {
     known->second.last_balancer = header.origin;
     AppendDeliverAction(target, flow, TargetReason::kDelivered,
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -9,6 +9,10 @@
 // Allowance for the delay and the retry of a heartbeat.
 constexpr Duration kHeartbeatDelayAllowance = std::chrono::milliseconds{300};
 
+// Allowance for the time between a heartbeat's sending and its receipt, and
+// between an opening's check and its arrival at the target.
+constexpr Duration kReuseAllowance = std::chrono::milliseconds{300};
+
 // Allowance for the rounding of the time that a heartbeat states.
 constexpr Duration kWarmupRounding = std::chrono::milliseconds{1};
 
@@ -134,6 +138,27 @@
   return 2 * interval + kHeartbeatDelayAllowance;
 }
 
+auto ComputeSilenceLimit(const TargetPresence& presence) -> Duration {
+  return std::min(ComputeHeartbeatTimeout(presence.heartbeat_interval),
+                  presence.reuse_delay - kReuseAllowance);
+}
+
+auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint {
+  return HasTarget(presence)
+             ? presence.last_heartbeat_at + ComputeSilenceLimit(presence)
+             : TimePoint{};
+}
+
+auto DescribeTargetStatus(const TargetPresence& presence, TimePoint now)
+    -> TargetStatus {
+  TargetStatus status = presence.status;
+  if (status.state == TargetState::kReady &&
+      now >= ComputeSilenceStart(presence)) {
+    status.state = TargetState::kUnknown;
+  }
+  return status;
+}
+
 auto OnTargetHeartbeat(TargetPresence& presence,
                        const TargetHeartbeat& beat,
                        TimePoint now) -> PresenceOutcome {
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -57,6 +57,7 @@
     target_.warmup.counting_since = GetMonotonicTime();
     presence_.service = settings.service;
     presence_.heartbeat_interval = settings.heartbeat_interval;
+    presence_.reuse_delay = settings.reuse_delay;
     fleet_.self.service = target_.options.service;
   }
 
@@ -69,8 +70,9 @@
         .describe_self =
             [this](HostRecord& record, TargetLoad& load) {
               record.is_shutting_down = host_.is_stopping();
-              record.target = presence_.status;
-              load = ComputeTargetLoad(target_, GetMonotonicTime());
+              const TimePoint now = GetMonotonicTime();
+              record.target = DescribeTargetStatus(presence_, now);
+              load = ComputeTargetLoad(target_, now);
             },
         .on_relayed_datagram =
             [this](Endpoint, ByteView datagram, TimePoint now) {
@@ -104,6 +106,8 @@
         .on_settings_reload =
             [this](const NodeSettings& settings) {
               presence_.heartbeat_interval = settings.heartbeat_interval;
+              presence_.reuse_delay = settings.reuse_delay;
+              target_.silent_from = ComputeSilenceStart(presence_);
             },
         .describe_routes =
             [this](TimePoint) {
@@ -336,6 +340,11 @@
     return MakePresenceResponse(outcome);
   }
 
+  [[nodiscard]] auto IsAnnouncedAsSilent() const -> bool {
+    return presence_.status.state == TargetState::kReady &&
+           fleet_.self.target.state == TargetState::kUnknown;
+  }
+
   [[nodiscard]] auto PresentId() const -> std::string {
     return FormatForLog(presence_.id, kMaxLoggedName);
   }
@@ -350,6 +359,7 @@
 
   auto ApplyPresenceOutcome(PresenceOutcome outcome, TimePoint now) -> void {
     target_.knows_all_flows = presence_.knows_all_flows;
+    target_.silent_from = ComputeSilenceStart(presence_);
     SetWarmupEnd(target_.warmup, presence_.warm_at,
                  presence_.last_heartbeat_at);
     switch (outcome) {
@@ -363,6 +373,10 @@
         ApplyReplacedTarget(target_, presence_.status, now);
         break;
       case PresenceOutcome::kKnown:
+        if (IsAnnouncedAsSilent() && now < target_.silent_from) {
+          host_.gossip().AnnounceSelf(now);
+        }
+        return;
       case PresenceOutcome::kLate:
       case PresenceOutcome::kOtherStart:
       case PresenceOutcome::kForeign:
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -52,6 +52,8 @@
   std::uint64_t link_bytes_per_second = 0;
   Duration heartbeat_interval =
       std::chrono::seconds{1};  ///< Interval of targets' heartbeats.
+  /// Time from a target's end after which another target may get its address.
+  Duration reuse_delay = kDefaultReuseDelay;
   Duration grace_period =
       std::chrono::seconds{6};  ///< Time from SIGTERM to SIGKILL.
   /// Time in which an availability zone that the operator takes out of service
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -183,6 +183,7 @@
     }
     settings_.grace_period = changed.grace_period;
     settings_.heartbeat_interval = changed.heartbeat_interval;
+    settings_.reuse_delay = changed.reuse_delay;
     log_.WriteEvent(EventKind::kProcess, now,
                     "reload cause={} seeds={} store={}", cause,
                     settings_.seeds.size(), ToString(settings_.store));
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -111,6 +111,24 @@
   LONGS_EQUAL(2, settings.http.size());
 }
 
+TEST(Platform, ReuseDelayIsLimitedAndTwoSecondsUnlessItIsANumber) {
+  const auto read = [](const std::string& value) {
+    return ParseNodeSettings(
+               ReplaceText(kEdgeSettings, "[bounds]", "[bounds]\n" + value),
+               "local.toml")
+        .reuse_delay;
+  };
+  using std::chrono::milliseconds;
+  CHECK(read("") == milliseconds{2'000});
+  CHECK(read("reuse_s = 3") == milliseconds{3'000});
+  CHECK(read("reuse_s = 1.5") == milliseconds{1'500});
+  CHECK(read("reuse_s = 0") == milliseconds{1'000});
+  CHECK(read("reuse_s = inf") == milliseconds{3'600'000});
+  for (const char* const it : {"\"3\"", "nan", "[3]", "true"}) {
+    CHECK(read(std::string("reuse_s = ") + it) == milliseconds{2'000});
+  }
+}
+
 TEST(Platform, LinkCapacityIsConvertedFromMegabitsAndIsOptional) {
   LONGS_EQUAL(
       0, ParseNodeSettings(kEdgeSettings, "local.toml").link_bytes_per_second);
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -47,6 +47,16 @@
   auto MergeAgentRecord(std::uint32_t n, TargetState state, bool cold = false,
                         std::uint32_t revision = 1, bool leaving = false)
       ->void {
+    // An agent that doesn't know its target names no start.
+    const std::uint64_t started_at_ms =
+        state == TargetState::kUnknown ? 0 : 500;
+    MergeAgentStart(n, state, started_at_ms, cold, revision, leaving);
+  }
+
+  auto MergeAgentStart(std::uint32_t n, TargetState state,
+                       std::uint64_t started_at_ms, bool cold,
+                       std::uint32_t revision, bool leaving = false)
+      ->void {
     MergeHostRecord(steering.fleet,
                     HostRecord{.control = MakeAgentEndpoint(n),
                                .role = HostRole::kAgent,
@@ -56,7 +66,7 @@
                                .incarnation = 1,
                                .revision = revision,
                                .target = {.state = state,
-                                          .started_at_ms = 500,
+                                          .started_at_ms = started_at_ms,
                                           .slots = 3,
                                           .cold = cold}},
                     0s, kNow);
@@ -339,6 +349,21 @@
         Kind::kDrop);
 }
 
+// Guards against the reset of an open flow whose target's heartbeats are late.
+TEST(Steering, SilentTargetCountsAsRunningAndGetsNoOpening) {
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    MergeAgentRecord(n, TargetState::kReady, true, 2);
+  }
+  MergeAgentStart(5, TargetState::kUnknown, 500, false, 2);
+  steering.started = kNow - 500ms;
+  CHECK(SearchForFlowThatNoAgentHolds(MakeCallerPacket(1, false), kNow).kind ==
+        Kind::kDrop);
+  for (std::uint16_t port = 2; port < 40; ++port) {
+    CHECK(SendCallerPacket(MakeCallerPacket(port, true), kNow).to !=
+          MakeAgentEndpoint(5));
+  }
+}
+
 // Load pattern: a power loss in a large fleet. Targets were warm again after
 // two seconds, but a balancer certainly knew all agents only after five. In
 // between, callers of lost flows got no answer until their deadlines.
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -644,3 +644,25 @@
   QueryFlow(1);
   CHECK(out[0].ownership == FlowOwnership::kNotHeld);
 }
+
+// Guards against an opening that runs at a target of another service, which got
+// the address of a target that had crashed.
+TEST(TargetFlows, OpeningIsReturnedWhenTheTargetHasBeenSilentTooLong) {
+  OpenFlowWithRequest(1);
+  target.silent_from = kNow + 1s;
+  CHECK(RelayCallerPacket(MakeCallerPacket(2, true), {}, kNow + 999ms) ==
+        Kind::kDeliver);
+  for (const std::uint16_t port : {1, 3}) {
+    CHECK(RelayCallerPacket(MakeCallerPacket(port, true),
+                            {.is_last_candidate = true},
+                            kNow + 1s) == Kind::kReturnToBalancer);
+    CHECK(out[0].reason == TargetReason::kNotHeard);
+    // The open flow isn't to be rejected elsewhere.
+    LONGS_EQUAL(port == 1, out[0].header.may_be_accepted);
+  }
+  CHECK(RelayCallerPacket(MakeCallerPacket(1, false, 10), {}, kNow + 9s) ==
+        Kind::kDeliver);
+  RunTargetFlowsTick(kNow + 9s);
+  CHECK(
+      target.flows.contains(ExtractCallerFlowKey(MakeCallerPacket(1, false))));
+}
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -197,3 +197,38 @@
   LONGS_EQUAL(kMaxReplacedStarts, presence.replaced.size());
   LONGS_EQUAL(99, presence.replaced.back().started_at_ms);
 }
+
+// Guards against openings at an address that was given to another service.
+TEST(TargetPresence, SilentTargetIsReadyOnlyUntilItsAddressCanBeUsedAgain) {
+  using std::chrono::milliseconds;
+  for (const auto& [interval, limit] :
+       {std::pair{1200ms, 1700ms}, std::pair{770ms, 1700ms},
+        std::pair{200ms, 700ms}}) {
+    TargetPresence target{.service = "s", .heartbeat_interval = interval};
+    CHECK(kNow >= ComputeSilenceStart(target));
+    OnTargetHeartbeat(target, MakeHeartbeat(100, 1, TargetState::kReady), kNow);
+    CHECK(ComputeSilenceStart(target) == kNow + limit);
+    CHECK(DescribeTargetStatus(target, kNow + limit - 1ms).state ==
+          TargetState::kReady);
+    const TargetStatus silent = DescribeTargetStatus(target, kNow + limit);
+    CHECK(silent.state == TargetState::kUnknown);
+    LONGS_EQUAL(100, silent.started_at_ms);
+    // A late heartbeat says nothing about the present.
+    OnTargetHeartbeat(target, MakeHeartbeat(100, 1, TargetState::kReady),
+                      kNow + limit);
+    CHECK(ComputeSilenceStart(target) == kNow + limit);
+    OnTargetHeartbeat(target, MakeHeartbeat(100, 2, TargetState::kReady),
+                      kNow + limit);
+    CHECK(DescribeTargetStatus(target, kNow + limit).state ==
+          TargetState::kReady);
+  }
+}
+
+TEST(TargetPresence, SilenceDoesntEndATargetNorADrain) {
+  ReceiveHeartbeat(100, 1, TargetState::kDraining);
+  CHECK(DescribeTargetStatus(presence, kNow + 9s).state ==
+        TargetState::kDraining);
+  ReceiveHeartbeat(100, 2, TargetState::kReady);
+  CHECK(MarkSilentTargetGone(presence, 9s) == PresenceOutcome::kKnown);
+  CHECK(presence.status.state == TargetState::kReady);
+}
