Take the heartbeats of another service as the end of a target

An agent answered heartbeats of a target of another service on its own host with 409 and learnt nothing from them: its own target, which had crashed, stayed the present start, and openings were delivered to the address where the other service's target now listens. Only servers on its own host call an agent's control address, so such a heartbeat says whose address it is.

A start of another service that began later than the present one, or that is heard while the present one is silent, now replaces it: the target is gone, its flows end as after a restart, and the line of the heartbeat names both services. An earlier start is a late message and ignored as before. The replaced start is remembered, so that one late heartbeat of it, or a burst, doesn't make the target ready again; a later start of the own service does at once. The heartbeat still isn't acknowledged, and neither is a deregistration of that target.

With all heartbeats of another service ignored, the three new tests fail.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -77,6 +77,9 @@
   /// has passed through this agent.
   bool knows_all_flows = false;
   std::optional<RivalStart> rival;
+  /// Service of the present start when its target is of another service: the
+  /// address has been given away. Empty otherwise.
+  std::string foreign_service;
   /// Starts that counted as running before, the latest last.
   std::vector<TargetStart> replaced;
 };
@@ -92,6 +95,8 @@
   kLate,        ///< A newer heartbeat of the same start is known.
   kOtherStart,  ///< Sent by a start that doesn't count as running; not applied.
   kForeign,     ///< The heartbeat belongs to another service.
+  /// The target's address belongs to a target of another service now.
+  kGivenAway,
 };
 
 /// Tells whether a heartbeat or deregistration with this outcome is applied, or
@@ -101,7 +106,8 @@
 /// @return Whether to acknowledge it.
 constexpr auto IsAcknowledged(PresenceOutcome outcome) -> bool {
   return outcome != PresenceOutcome::kOtherStart &&
-         outcome != PresenceOutcome::kForeign;
+         outcome != PresenceOutcome::kForeign &&
+         outcome != PresenceOutcome::kGivenAway;
 }
 
 /// Computes how long a running target can be silent.
@@ -122,7 +128,8 @@
 auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint;
 
 /// Describes the target for balancers. A silent target that was ready is of
-/// unknown state and keeps its start time: its flows may still be open.
+/// unknown state and keeps its start time: its flows may still be open. No
+/// start time is given while a target of another service has the address.
 /// @param presence State of the target.
 /// @param now Current time.
 /// @return The status.
@@ -132,7 +139,8 @@
 /// Applies a heartbeat of the target. A start that is unknown and started later
 /// replaces the present one at once. Any other start replaces it when it has
 /// sent heartbeats for ComputeHeartbeatTimeout() in which the present one has
-/// been silent.
+/// been silent. A start of another service replaces the present one when it
+/// started later or the present one is silent; the target is gone then.
 /// @param presence State of the target.
 /// @param beat The heartbeat.
 /// @param now Current time.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -103,9 +103,44 @@
     presence.replaced.erase(presence.replaced.begin());
   }
   presence.warm_at = ComputeWarmupEnd(std::nullopt, beat.warmup_ms, now);
+  presence.foreign_service.clear();
   ApplyHeartbeat(presence, beat, now);
 }
 
+// Applies a heartbeat of a target of another service. A late one of a target
+// that had the address before is older than the present start.
+auto OnForeignHeartbeat(TargetPresence& presence,
+                        const TargetHeartbeat& beat,
+                        TimePoint now) -> PresenceOutcome {
+  if (IsSameStart(GetPresentStart(presence), beat) &&
+      !presence.foreign_service.empty()) {
+    if (beat.sequence > presence.sequence) {
+      presence.sequence = beat.sequence;
+      presence.last_heartbeat_at = now;
+      presence.rival.reset();
+    }
+    return PresenceOutcome::kForeign;
+  }
+  const auto known = FindReplacedStart(presence, beat);
+  const bool is_late =
+      known != presence.replaced.end() && beat.sequence <= known->sequence;
+  const bool is_later_start =
+      beat.started_at_ms > presence.status.started_at_ms;
+  if (is_late || (!is_later_start && now < ComputeSilenceStart(presence))) {
+    return PresenceOutcome::kForeign;
+  }
+  const bool had_target = HasTarget(presence);
+  const TargetState state =
+      had_target ? TargetState::kGone : presence.status.state;
+  ReplacePresentStart(presence, beat, now);
+  presence.foreign_service = beat.service;
+  presence.status =
+      TargetStatus{.state = state, .started_at_ms = beat.started_at_ms};
+  presence.warm_at.reset();
+  presence.knows_all_flows = false;
+  return had_target ? PresenceOutcome::kGivenAway : PresenceOutcome::kForeign;
+}
+
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
                              const TargetHeartbeat& beat,
                              TimePoint now) -> PresenceOutcome {
@@ -115,7 +150,8 @@
     return PresenceOutcome::kOtherStart;
   }
   if (!is_known && beat.started_at_ms > presence.status.started_at_ms) {
-    const bool had_target = HasTarget(presence);
+    const bool had_target =
+        HasTarget(presence) && presence.foreign_service.empty();
     // Every flow has passed through this agent in two cases: the agent received
     // the target's first heartbeat, before which a target holds no flows, or
     // the target restarted while this agent was running.
@@ -156,6 +192,9 @@
       now >= ComputeSilenceStart(presence)) {
     status.state = TargetState::kUnknown;
   }
+  if (!presence.foreign_service.empty()) {
+    status.started_at_ms = 0;
+  }
   return status;
 }
 
@@ -163,7 +202,7 @@
                        const TargetHeartbeat& beat,
                        TimePoint now) -> PresenceOutcome {
   if (beat.service != presence.service) {
-    return PresenceOutcome::kForeign;
+    return OnForeignHeartbeat(presence, beat, now);
   }
   if (!IsSameStart(GetPresentStart(presence), beat)) {
     return OnHeartbeatOfOtherStart(presence, beat, now);
@@ -183,6 +222,9 @@
   if (id != presence.id) {
     return PresenceOutcome::kOtherStart;
   }
+  if (!presence.foreign_service.empty()) {
+    return PresenceOutcome::kForeign;
+  }
   if (presence.status.state == TargetState::kGone) {
     return PresenceOutcome::kKnown;
   }
@@ -202,9 +244,9 @@
 }
 
 auto ToString(PresenceOutcome outcome) -> const char* {
-  constexpr std::array kNames = {"known",    "changed", "restarted",
-                                 "replaced", "late",    "other_start",
-                                 "foreign"};
+  constexpr std::array kNames = {"known",    "changed",   "restarted",
+                                 "replaced", "late",      "other_start",
+                                 "foreign",  "given_away"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -317,9 +317,10 @@
     if (outcome == PresenceOutcome::kLate || !IsAcknowledged(outcome)) {
       host_.event_log().WriteEvent(
           EventKind::kMalformedInput, now,
-          "heartbeat_ignored id={} outcome={} born={} seq={} present_id={} "
-          "present_born={} present_seq={}",
+          "heartbeat_ignored id={} outcome={} service={} own_service={} "
+          "born={} seq={} present_id={} present_born={} present_seq={}",
           FormatForLog(heartbeat.id, kMaxLoggedName), ToString(outcome),
+          FormatForLog(heartbeat.service, kMaxLoggedName), presence_.service,
           heartbeat.started_at_ms, heartbeat.sequence, PresentId(),
           presence_.status.started_at_ms, presence_.sequence);
     }
@@ -365,6 +366,7 @@
     switch (outcome) {
       case PresenceOutcome::kChanged:
       case PresenceOutcome::kRestarted:
+      case PresenceOutcome::kGivenAway:
         actions_.clear();
         ApplyTargetStatus(target_, presence_.status, now, actions_);
         PerformTargetActions({}, now);
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -25,6 +25,15 @@
 TEST_GROUP(TargetPresence) {
   TargetPresence presence{.service = "s"};
 
+  auto ReceiveForeignHeartbeat(std::uint64_t started_at_ms,
+                               std::uint64_t sequence, Duration after)
+      ->PresenceOutcome {
+    auto beat = MakeHeartbeat(started_at_ms, sequence, TargetState::kReady);
+    beat.id = "i-2";
+    beat.service = "other";
+    return OnTargetHeartbeat(presence, beat, kNow + after);
+  }
+
   auto ReceiveHeartbeat(std::uint64_t started_at_ms, std::uint64_t sequence,
                         TargetState state, Duration after = {})
       ->PresenceOutcome {
@@ -232,3 +241,51 @@
   CHECK(MarkSilentTargetGone(presence, 9s) == PresenceOutcome::kKnown);
   CHECK(presence.status.state == TargetState::kReady);
 }
+
+// Guards against openings at an address that was given to another service.
+TEST(TargetPresence, LaterStartOfAnotherServiceTakesTheAddress) {
+  ReceiveHeartbeat(200, 7, TargetState::kReady);
+  // A late heartbeat of a target that had the address before.
+  CHECK(ReceiveForeignHeartbeat(100, 40, 1s) == PresenceOutcome::kForeign);
+  CHECK(presence.status.state == TargetState::kReady);
+  const auto outcome = ReceiveForeignHeartbeat(300, 1, 1s);
+  CHECK(outcome == PresenceOutcome::kGivenAway);
+  CHECK_FALSE(IsAcknowledged(outcome));
+  CHECK(presence.status.state == TargetState::kGone);
+  STRCMP_EQUAL("other", presence.foreign_service.c_str());
+  CHECK(ReceiveForeignHeartbeat(300, 2, 1200ms) == PresenceOutcome::kForeign);
+  CHECK_FALSE(IsAcknowledged(OnTargetShutdownAnnounced(presence, "i-2")));
+  // Late heartbeats of the crashed target, also a burst of them.
+  for (std::uint64_t n = 8; n < 12; ++n) {
+    CHECK(ReceiveHeartbeat(200, n, TargetState::kReady, 1300ms) ==
+          PresenceOutcome::kOtherStart);
+  }
+  CHECK(presence.status.state == TargetState::kGone);
+  // The own service gets the address again.
+  CHECK(IsAcknowledged(ReceiveHeartbeat(400, 1, TargetState::kReady, 5s)));
+  CHECK(presence.status.state == TargetState::kReady);
+  CHECK(presence.foreign_service.empty());
+  CHECK(ReceiveForeignHeartbeat(300, 3, 6s) == PresenceOutcome::kForeign);
+}
+
+TEST(TargetPresence, EarlierStartOfAnotherServiceTakesASilentAddress) {
+  ReceiveHeartbeat(200, 7, TargetState::kReady);
+  CHECK(ReceiveForeignHeartbeat(100, 1, 1699ms) == PresenceOutcome::kForeign);
+  CHECK(ReceiveForeignHeartbeat(100, 2, 1700ms) == PresenceOutcome::kGivenAway);
+  CHECK(presence.status.state == TargetState::kGone);
+  // The own target runs after all.
+  ReceiveHeartbeat(200, 8, TargetState::kReady, 2s);
+  CHECK(ReceiveHeartbeat(200, 11, TargetState::kReady, 5s) ==
+        PresenceOutcome::kReplaced);
+  CHECK(presence.status.state == TargetState::kReady);
+}
+
+TEST(TargetPresence, LateHeartbeatAfterAnotherServiceDoesntMakeATargetReady) {
+  CHECK(ReceiveForeignHeartbeat(300, 1, 0s) == PresenceOutcome::kForeign);
+  CHECK(ReceiveHeartbeat(200, 9, TargetState::kReady, 100ms) ==
+        PresenceOutcome::kOtherStart);
+  CHECK(presence.status.state == TargetState::kUnknown);
+  LONGS_EQUAL(0, DescribeTargetStatus(presence, kNow).started_at_ms);
+  ReceiveHeartbeat(400, 5, TargetState::kReady, 200ms);
+  CHECK_FALSE(presence.knows_all_flows);
+}
