Follow a changed service or address in the settings file

An agent whose settings file named another service, target or address went on as before, on SIGHUP too, until it was started again: it delivered openings of its former service to the target of the other service at its address.

Such a change now ends the role, and a new one starts in the same process with fresh state, a fresh incarnation and sockets bound anew. Openings that the target hasn't answered are returned. No flow is reset: the new agent passes packets of flows that it doesn't know to the target, which returns those that it doesn't hold. A node that leaves its control address announces it. The same holds for a balancer. A signal between the two roles is handled by the second. The file is checked each 0.5 s in place of each second, well below the reuse delay. A file that can't be read still changes nothing.

With the program of before, the new test waits for an answer of the agent to the other service for 30 s and fails.

--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -61,7 +61,7 @@
     fleet_.self.service = target_.options.service;
   }
 
-  auto RunAgent() -> int {
+  auto RunAgent() -> NodeExit {
     outbound_.StartReceiving([this](Endpoint, ByteView datagram) {
       OnOutboundDatagram(datagram, GetMonotonicTime());
     });
@@ -103,6 +103,7 @@
                   now);
             },
         .on_shutdown = [this](TimePoint now) { BeginShutdown(now); },
+        .on_identity_change = [this](TimePoint now) { ReturnOpenings(now); },
         .on_settings_reload =
             [this](const NodeSettings& settings) {
               presence_.heartbeat_interval = settings.heartbeat_interval;
@@ -283,6 +284,11 @@
     PerformTargetActions({}, now);
   }
 
+  // Returns the openings that the target hasn't answered yet.
+  auto ReturnOpenings(TimePoint now) -> void {
+    RunTargetFlowsTick(now + target_.options.answer_timeout);
+  }
+
   auto OnHttpRequest(const HttpServerRequest& call) -> HttpServerResponse {
     if (call.target == host_.settings().metrics_path) {
       return HttpServerResponse{.type = "text/plain",
@@ -470,7 +476,8 @@
 
 }  // namespace
 
-auto RunAgentNode(const NodeSettings& settings, const NodeCodec& codec) -> int {
+auto RunAgentNode(const NodeSettings& settings, const NodeCodec& codec)
+    -> NodeExit {
   return AgentNode(settings, codec).RunAgent();
 }
 
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -95,7 +95,7 @@
                                          GetMonotonicTime());
                }) {}
 
-  auto RunBalancer() -> int {
+  auto RunBalancer() -> NodeExit {
     data_.StartReceiving([this](Endpoint, ByteView datagram) {
       OnCallerSocketDatagram(datagram, GetMonotonicTime());
     });
@@ -134,6 +134,7 @@
         .on_housekeeping_tick =
             [this](TimePoint now) { EraseIdleFlows(steering_, now); },
         .on_shutdown = [this](TimePoint now) { BeginShutdown(now); },
+        .on_identity_change = [](TimePoint) {},
         .on_settings_reload =
             [this](const NodeSettings& settings) {
               OnSettingsReload(settings);
@@ -520,7 +521,7 @@
 }  // namespace
 
 auto RunBalancerNode(const NodeSettings& settings, const NodeCodec& codec)
-    -> int {
+    -> NodeExit {
   return BalancerNode(settings, codec).RunBalancer();
 }
 
--- a/src/transport/node.h
+++ b/src/transport/node.h
@@ -1,6 +1,8 @@
 #ifndef HAWTHORNBANK_SRC_TRANSPORT_NODE_H_
 #define HAWTHORNBANK_SRC_TRANSPORT_NODE_H_
 
+#include <optional>
+
 #include "transport/node_binding.h"
 
 /// @file
@@ -8,18 +10,40 @@
 /// the platform whose targets return packets of flows that they don't hold.
 namespace hawthornbank::transport {
 
-/// Runs a balancer until SIGTERM stops it.
+/// How a role of a node ended.
+struct NodeExit {
+  int code = 0;  ///< The exit code.
+  /// Settings to go on with, when they have made this another node.
+  std::optional<NodeSettings> changed;
+};
+
+/// Tells whether a running node can adopt other settings. It can't when its
+/// role, name, zone, addresses or, for an agent, service are others.
+/// @param a Settings of a node.
+/// @param b Other settings.
+/// @return Whether these are the same in both.
+auto HasSameIdentity(const NodeSettings& a, const NodeSettings& b) -> bool;
+
+/// Runs a node until SIGTERM stops it. When its settings make it another node,
+/// the present role ends and a new one starts with nothing of its state.
 /// @param settings Settings of the node.
 /// @param codec Encoders and decoders for the platform.
 /// @return The exit code.
+auto RunNode(NodeSettings settings, const NodeCodec& codec) -> int;
+
+/// Runs a balancer until SIGTERM stops it or its settings make it another node.
+/// @param settings Settings of the node.
+/// @param codec Encoders and decoders for the platform.
+/// @return How it ended.
 auto RunBalancerNode(const NodeSettings& settings, const NodeCodec& codec)
-    -> int;
+    -> NodeExit;
 
-/// Runs an agent until SIGTERM stops it.
+/// Runs an agent until SIGTERM stops it or its settings make it another node.
 /// @param settings Settings of the node.
 /// @param codec Encoders and decoders for the platform.
-/// @return The exit code.
-auto RunAgentNode(const NodeSettings& settings, const NodeCodec& codec) -> int;
+/// @return How it ended.
+auto RunAgentNode(const NodeSettings& settings, const NodeCodec& codec)
+    -> NodeExit;
 
 }  // namespace hawthornbank::transport
 
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -53,6 +53,7 @@
           (std::int64_t{settings_.control.address} << 20))),
       control_(io_, settings_.control),
       housekeeping_timer_(io_),
+      settings_timer_(io_),
       signals_(io_, SIGTERM, SIGHUP),
       start_time_(GetMonotonicTime()),
       gossip_(*this, fleet) {
@@ -64,7 +65,7 @@
   fleet_.self.incarnation = ToInteger(MakeIncarnation());
 }
 
-auto NodeHost::RunEventLoop(NodeRole role) -> int {
+auto NodeHost::RunEventLoop(NodeRole role) -> NodeExit {
   role_ = std::move(role);
   const TimePoint now = GetMonotonicTime();
   log_.WriteEvent(EventKind::kProcess, now,
@@ -89,10 +90,11 @@
                       .describe_routes = role_.describe_routes,
                       .on_routes_report = role_.on_routes_report});
   RunHousekeepingTick();
+  CheckSettingsFile();
   io_.run();
   log_.WriteEvent(EventKind::kProcess, GetMonotonicTime(),
                   "stop log_events_counted={}", log_.counted_events());
-  return 0;
+  return NodeExit{.changed = std::move(changed_)};
 }
 
 auto NodeHost::StopEventLoop() -> void {
@@ -133,10 +135,6 @@
 auto NodeHost::RunHousekeepingTick() -> void {
   const TimePoint now = GetMonotonicTime();
   gossip_.EraseExpiredHosts(now);
-  if (codec_.get_settings_modification_time &&
-      codec_.get_settings_modification_time() != settings_modification_time_) {
-    ReloadSettings(now, "file");
-  }
   role_.on_housekeeping_tick(now);
   if (now >= next_traffic_report_) {
     next_traffic_report_ = now + kTrafficReportInterval;
@@ -149,6 +147,15 @@
                   [this](TimePoint) { RunHousekeepingTick(); });
 }
 
+auto NodeHost::CheckSettingsFile() -> void {
+  if (codec_.get_settings_modification_time &&
+      codec_.get_settings_modification_time() != settings_modification_time_) {
+    ReloadSettings(GetMonotonicTime(), "file");
+  }
+  ScheduleHandler(settings_timer_, kSettingsCheckInterval,
+                  [this](TimePoint) { CheckSettingsFile(); });
+}
+
 auto NodeHost::WaitForSignal() -> void {
   signals_.async_wait([this](const asio::error_code& ec, int signal) {
     if (ec) {
@@ -173,8 +180,12 @@
                                     : 0;
   try {
     NodeSettings changed = codec_.load_settings();
-    // Only these settings change at runtime. The others, such as the bound
-    // endpoints, change at the next start.
+    if (!HasSameIdentity(settings_, changed)) {
+      EndWithChangedIdentity(std::move(changed), now, cause);
+      return;
+    }
+    // Only these settings change at runtime. The others change at the next
+    // start.
     settings_.seeds = changed.seeds;
     if (settings_.store != changed.store) {
       settings_.store = changed.store;
@@ -194,6 +205,30 @@
   }
 }
 
+auto NodeHost::EndWithChangedIdentity(NodeSettings changed,
+                                      TimePoint now,
+                                      const char* cause) -> void {
+  if (is_stopping_) {
+    return;
+  }
+  log_.WriteEvent(
+      EventKind::kProcess, now,
+      "identity_changed cause={} role={} zone={} control={} service={} "
+      "target={} before_zone={} before_control={} before_service={} "
+      "before_target={}",
+      cause, GetRoleName(changed.role), changed.zone, ToString(changed.control),
+      changed.service, ToString(changed.target), settings_.zone,
+      ToString(settings_.control), settings_.service,
+      ToString(settings_.target));
+  role_.on_identity_change(now);
+  if (changed.control != settings_.control) {
+    is_stopping_ = true;
+    gossip_.AnnounceSelf(now);
+  }
+  changed_ = std::move(changed);
+  StopEventLoop();
+}
+
 auto NodeHost::FindHost(Endpoint control) -> KnownHost* {
   const auto it = fleet_.hosts.find(control);
   return it == fleet_.hosts.end() ? nullptr : &it->second;
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -7,6 +7,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "protocol/node_message.h"
 #include "transport/event_log.h"
 #include "transport/http_server.h"
+#include "transport/node.h"
 #include "transport/node_binding.h"
 #include "transport/node_gossip.h"
 #include "transport/node_traffic.h"
@@ -26,10 +28,14 @@
 /// HTTP endpoints, signals and the settings file.
 namespace hawthornbank::transport {
 
-/// Interval at which a node erases expired flows and silent hosts and checks
-/// whether the settings file has changed.
+/// Interval at which a node erases expired flows and silent hosts.
 inline constexpr Duration kHousekeepingInterval = std::chrono::seconds{1};
 
+/// Interval at which a node checks whether the settings file has changed. It is
+/// well below the time after which addresses are used again.
+inline constexpr Duration kSettingsCheckInterval =
+    std::chrono::milliseconds{500};
+
 /// Interval at which a node logs its traffic counters.
 inline constexpr Duration kTrafficReportInterval = std::chrono::seconds{10};
 
@@ -51,6 +57,9 @@
   std::function<void(TimePoint now)> on_housekeeping_tick;
   /// Called at the first SIGTERM.
   std::function<void(TimePoint now)> on_shutdown;
+  /// Called before the event loop ends because the settings make this another
+  /// node.
+  std::function<void(TimePoint now)> on_identity_change;
   std::function<void(const NodeSettings& settings)> on_settings_reload;
   /// Returns the version and the age of the node's routes.
   std::function<RoutesReport(TimePoint now)> describe_routes;
@@ -79,10 +88,11 @@
   NodeHost(NodeSettings settings, NodeCodec codec, Fleet& fleet);
 
   /// Opens the HTTP endpoints, starts receiving on the control socket and runs
-  /// the event loop until StopEventLoop is called.
+  /// the event loop until StopEventLoop is called or the settings make this
+  /// another node.
   /// @param role Callbacks of the role.
-  /// @return The exit code.
-  auto RunEventLoop(NodeRole role) -> int;
+  /// @return How it ended.
+  auto RunEventLoop(NodeRole role) -> NodeExit;
 
   /// Makes RunEventLoop return.
   auto StopEventLoop() -> void;
@@ -143,8 +153,12 @@
   auto OnControlDatagram(Endpoint from, ByteView datagram, TimePoint now)
       -> void;
   auto RunHousekeepingTick() -> void;
+  auto CheckSettingsFile() -> void;
   auto WaitForSignal() -> void;
   auto ReloadSettings(TimePoint now, const char* cause) -> void;
+  auto EndWithChangedIdentity(NodeSettings changed,
+                              TimePoint now,
+                              const char* cause) -> void;
 
   NodeSettings settings_;
   NodeCodec codec_;
@@ -156,6 +170,7 @@
   std::unique_ptr<RegistryClient> registry_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   asio::steady_timer housekeeping_timer_;
+  asio::steady_timer settings_timer_;
   asio::signal_set signals_;
   NodeRole role_;
   NodeTraffic traffic_;
@@ -163,6 +178,7 @@
   TimePoint next_traffic_report_{};
   std::int64_t settings_modification_time_ = 0;
   NodeGossip gossip_;
+  std::optional<NodeSettings> changed_;
   bool is_stopping_ = false;
 };
 
--- /dev/null
+++ b/test/node_identity_test.cc
@@ -0,0 +1,101 @@
+#include <CppUTest/TestHarness.h>
+
+#include <asio.hpp>
+#include <csignal>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "soak/node_process.h"
+#include "soak/node_settings.h"
+#include "transport/http_client.h"
+
+// Runs an agent on loopback whose settings file or addresses change hands.
+
+using namespace hawthornbank;
+using namespace hawthornbank::transport;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kHost = 0x7F000121;
+constexpr int kConflict = 409;
+// Timeout of a step of a test, far longer than any step takes.
+constexpr auto kStepTimeout = 30s;
+
+}  // namespace
+
+TEST_GROUP(NodeIdentity) {
+  soak::HostPorts ports = soak::FindFreePorts(kHost);
+  asio::io_context io;
+  int sequence = 0;
+
+  auto BuildSettings(const std::string& service)->std::string {
+    return soak::FormatNodeSettings(
+        ports,
+        soak::NodeParameters{.name = "n",
+                             .host = kHost,
+                             .seed_hosts = {kHost},
+                             .store = {.address = kHost, .port = ports.store},
+                             .service = service});
+  }
+
+  // Sends the agent a heartbeat of a target; returns the status of the answer,
+  // or 0 without an answer.
+  auto SendHeartbeat(const std::string& service, int born)->int {
+    HttpClient client(io, Endpoint{.address = kHost, .port = ports.control});
+    const nlohmann::json body = {{"service", service}, {"addr", "127.0.1.33:1"},
+                                 {"zone", "a"},        {"version", "v1"},
+                                 {"slots", 3},         {"state", "ready"},
+                                 {"warmup_ms", 0},     {"seq", ++sequence},
+                                 {"born", born}};
+    std::optional<int> status;
+    client.SendHttpRequest(
+        {.method = "PUT", .target = "/api/instances/i", .body = body.dump()},
+        500ms, [&](const HttpResponse& reply) { status = reply.status; });
+    while (!status.has_value() && io.run_one_for(1s) > 0) {
+    }
+    io.restart();
+    return status.value_or(0);
+  }
+
+  auto WaitForStatus(int status, const std::string& service, int born)->bool {
+    const auto end = std::chrono::steady_clock::now() + kStepTimeout;
+    while (SendHeartbeat(service, born) != status) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      io.run_for(20ms);
+      io.restart();
+    }
+    return true;
+  }
+};
+
+// Guards against an agent that goes on for a service that has left its host.
+TEST(NodeIdentity, AgentFollowsTheServiceInItsSettings) {
+  soak::NodeProcess agent(HAWTHORNNODE, BuildSettings("s"), "identity");
+  CHECK(WaitForStatus(200, "s", 1000));
+  LONGS_EQUAL(kConflict, SendHeartbeat("t", 900));
+  agent.WriteSettingsFile(BuildSettings("t"));
+  CHECK(WaitForStatus(200, "t", 900));
+  LONGS_EQUAL(kConflict, SendHeartbeat("s", 800));
+  // With a signal in addition.
+  agent.WriteSettingsFile(BuildSettings("u"));
+  agent.SendSignal(SIGHUP);
+  CHECK(WaitForStatus(200, "u", 900));
+  // Settings that can't be read change nothing.
+  agent.WriteSettingsFile("service = ");
+  agent.SendSignal(SIGHUP);
+  const auto is_logged = [&] {
+    return agent.ReadLogFile().find("reload_failed") != std::string::npos;
+  };
+  const auto end = std::chrono::steady_clock::now() + kStepTimeout;
+  while (!is_logged() && std::chrono::steady_clock::now() < end) {
+    LONGS_EQUAL(200, SendHeartbeat("u", 900));
+  }
+  CHECK(is_logged());
+  LONGS_EQUAL(200, SendHeartbeat("u", 900));
+  CHECK_FALSE(agent.PollExitCode().has_value());
+}
