--- a/src/coordination/target_openings.cc
+++ b/src/coordination/target_openings.cc
@@ -112,6 +112,11 @@
                      std::vector<TargetAction>& out) -> void {
   EraseEarlierFlow(target, flow, sequence);
   const auto known = target.flows.find(flow);
+  if (now >= target.silent_from) {
+    AppendReturnAction(target, flow, header, TargetReason::kNotHeard, out);
+    out.back().header.may_be_accepted |= known != target.flows.end();
+    return;
+  }
   if (known != target.flows.end() && known->second.is_accepted &&
       known->second.opening_sequence.has_value()) {
     known->second.last_balancer = header.origin;
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -53,10 +53,11 @@
     target_.warmup.counting_since = GetMonotonicTime();
     presence_.service = settings.service;
     presence_.heartbeat_interval = settings.heartbeat_interval;
+    presence_.reuse_delay = settings.reuse_delay;
     fleet_.self.service = target_.options.service;
   }
 
-  auto RunAgent() -> int {
+  auto RunAgent() -> NodeExit {
     outbound_.StartReceiving([this](Endpoint, ByteView datagram) {
       OnOutboundDatagram(datagram, GetMonotonicTime());
     });
@@ -65,8 +66,9 @@
         .describe_self =
             [this](HostRecord& record, TargetLoad& load) {
               record.is_shutting_down = host_.is_stopping();
-              record.target = presence_.status;
-              load = ComputeTargetLoad(target_, GetMonotonicTime());
+              const TimePoint now = GetMonotonicTime();
+              record.target = DescribeTargetStatus(presence_, now);
+              load = ComputeTargetLoad(target_, now);
             },
         .on_relayed_datagram =
             [this](Endpoint, ByteView datagram, TimePoint now) {
@@ -97,9 +99,12 @@
                   now);
             },
         .on_shutdown = [this](TimePoint now) { BeginShutdown(now); },
+        .on_identity_change = [this](TimePoint now) { ReturnOpenings(now); },
         .on_settings_reload =
             [this](const NodeSettings& settings) {
               presence_.heartbeat_interval = settings.heartbeat_interval;
+              presence_.reuse_delay = settings.reuse_delay;
+              target_.silent_from = ComputeSilenceStart(presence_);
             },
         .describe_routes =
             [this](TimePoint) {
@@ -256,6 +261,11 @@
     PerformTargetActions({}, {}, now);
   }
 
+  // Returns the openings that the target hasn't answered yet.
+  auto ReturnOpenings(TimePoint now) -> void {
+    RunTargetFlowsTick(now + target_.options.answer_timeout);
+  }
+
   auto OnHttpRequest(const HttpServerRequest& call) -> HttpServerResponse {
     if (call.target == host_.settings().metrics_path) {
       return HttpServerResponse{.type = "text/plain",
@@ -308,6 +318,11 @@
     return MakePresenceResponse(outcome);
   }
 
+  [[nodiscard]] auto IsAnnouncedAsSilent() const -> bool {
+    return presence_.status.state == TargetState::kReady &&
+           fleet_.self.target.state == TargetState::kUnknown;
+  }
+
   [[nodiscard]] auto PresentId() const -> std::string {
     return FormatForLog(presence_.id, kMaxLoggedName);
   }
@@ -322,11 +337,13 @@
 
   auto ApplyPresenceOutcome(PresenceOutcome outcome, TimePoint now) -> void {
     target_.knows_all_flows = presence_.knows_all_flows;
+    target_.silent_from = ComputeSilenceStart(presence_);
     SetWarmupEnd(target_.warmup, presence_.warm_at,
                  presence_.last_heartbeat_at);
     switch (outcome) {
       case PresenceOutcome::kChanged:
       case PresenceOutcome::kRestarted:
+      case PresenceOutcome::kGivenAway:
         actions_.clear();
         ApplyTargetStatus(target_, presence_.status, now, actions_);
         PerformTargetActions({}, {}, now);
@@ -335,6 +352,10 @@
         ApplyReplacedTarget(target_, presence_.status, now);
         break;
       case PresenceOutcome::kKnown:
+        if (IsAnnouncedAsSilent() && now < target_.silent_from) {
+          host_.gossip().AnnounceSelf(now);
+        }
+        return;
       case PresenceOutcome::kLate:
       case PresenceOutcome::kOtherStart:
       case PresenceOutcome::kForeign:
@@ -426,7 +447,8 @@
 
 }  // namespace
 
-auto RunAgentNode(const NodeSettings& settings, const NodeCodec& codec) -> int {
+auto RunAgentNode(const NodeSettings& settings, const NodeCodec& codec)
+    -> NodeExit {
   return AgentNode(settings, codec).RunAgent();
 }
 
--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -91,7 +91,7 @@
                                          GetMonotonicTime());
                }) {}
 
-  auto RunBalancer() -> int {
+  auto RunBalancer() -> NodeExit {
     data_.StartReceiving([this](Endpoint, ByteView datagram) {
       OnCallerSocketDatagram(datagram, GetMonotonicTime());
     });
@@ -130,6 +130,7 @@
         .on_housekeeping_tick =
             [this](TimePoint now) { EraseIdleFlows(steering_, now); },
         .on_shutdown = [this](TimePoint now) { BeginShutdown(now); },
+        .on_identity_change = [](TimePoint) {},
         .on_settings_reload =
             [this](const NodeSettings& settings) {
               OnSettingsReload(settings);
@@ -508,7 +509,7 @@
 }  // namespace
 
 auto RunBalancerNode(const NodeSettings& settings, const NodeCodec& codec)
-    -> int {
+    -> NodeExit {
   return BalancerNode(settings, codec).RunBalancer();
 }
 
