Copy a zone's name in a test instead of assigning a literal

GCC 12 takes the assignment of a short literal to a string for an overlapping copy (-Wrestrict), so used_port_test didn't compile with the preset's options.

--- a/test/used_port_test.cc
+++ b/test/used_port_test.cc
@@ -5,6 +5,7 @@
 #include "steering_fixture.h"
 
 #include <map>
+#include <string>
 
 #include <CppUTest/TestHarness.h>
 
@@ -47,6 +48,7 @@
   std::vector<SteeringAction> lost;      // Relayed to an address without agent.
   int resets = 0;
   int drops = 0;
+  const std::string other_zone{"b"};
   const std::vector<std::uint8_t> bytes = std::vector<std::uint8_t>(32);
 
   void setup() override {
@@ -278,7 +280,8 @@
   const std::uint32_t n = OpenFlow();
   agents.at(MakeAgentEndpoint(n).address).is_zone_out_of_service = true;
   StartAgent(kTargets + 1, kService, 1, kNow);
-  steering.fleet.hosts.at(MakeAgentEndpoint(kTargets + 1)).record.zone = "b";
+  steering.fleet.hosts.at(MakeAgentEndpoint(kTargets + 1)).record.zone =
+      other_zone;
   CHECK(UsePortAgain(kNow + 5s) != MakeAgentEndpoint(n).address);
 }
 
