Wait for addresses that a predecessor still uses

It now tries again each 100 ms for up to the grace period, with a line a second (`bind_failed`), and then fails as before. The line of the start now follows the binding of all addresses.

With the program of before, the new test of the predecessor waits for the second process for 30 s and fails.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -5,7 +5,7 @@
 #include <array>
 #include <utility>
 
-#include "hawthornbank/error.h"
+#include "transport/bind_error.h"
 #include "transport/http_header.h"
 
 namespace hawthornbank::transport {
@@ -176,8 +176,7 @@
     acceptor_.listen(asio::socket_base::max_listen_connections, ec);
   }
   if (ec) {
-    throw Error(ErrorKind::kInvalidSettings,
-                "can't listen on " + ToString(local) + ": " + ec.message());
+    throw BindError("can't listen on " + ToString(local) + ": " + ec.message());
   }
   AcceptConnection();
 }
--- a/src/transport/node.h
+++ b/src/transport/node.h
@@ -25,10 +25,13 @@
 auto HasSameIdentity(const NodeSettings& a, const NodeSettings& b) -> bool;
 
 /// Runs a node until SIGTERM stops it. When its settings make it another node,
-/// the present role ends and a new one starts with nothing of its state.
+/// the present role ends and a new one starts with nothing of its state. While
+/// another process uses an address of the node, tries again, at the start of
+/// the process for up to the grace period.
 /// @param settings Settings of the node.
 /// @param codec Encoders and decoders for the platform.
 /// @return The exit code.
+/// @throws BindError when an address can't be bound in this time.
 auto RunNode(NodeSettings settings, const NodeCodec& codec) -> int;
 
 /// Runs a balancer until SIGTERM stops it or its settings make it another node.
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -68,10 +68,6 @@
 auto NodeHost::RunEventLoop(NodeRole role) -> NodeExit {
   role_ = std::move(role);
   const TimePoint now = GetMonotonicTime();
-  log_.WriteEvent(EventKind::kProcess, now,
-                  "start role={} zone={} control={} seeds={}",
-                  GetRoleName(settings_.role), settings_.zone,
-                  ToString(settings_.control), settings_.seeds.size());
   control_.StartReceiving([this](Endpoint from, ByteView datagram) {
     OnControlDatagram(from, datagram, GetMonotonicTime());
   });
@@ -81,6 +77,10 @@
           return role_.on_http_request(call);
         }));
   }
+  log_.WriteEvent(EventKind::kProcess, now,
+                  "start role={} zone={} control={} seeds={}",
+                  GetRoleName(settings_.role), settings_.zone,
+                  ToString(settings_.control), settings_.seeds.size());
   if (codec_.get_settings_modification_time) {
     settings_modification_time_ = codec_.get_settings_modification_time();
   }
--- a/src/transport/udp_socket.cc
+++ b/src/transport/udp_socket.cc
@@ -5,7 +5,7 @@
 #include <array>
 #include <utility>
 
-#include "hawthornbank/error.h"
+#include "transport/bind_error.h"
 #include "transport/clock.h"
 
 namespace hawthornbank::transport {
@@ -32,8 +32,7 @@
       asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
   socket_.bind(ConvertToAsioEndpoint(local), ec);
   if (ec) {
-    throw Error(ErrorKind::kInvalidSettings,
-                "can't bind " + ToString(local) + ": " + ec.message());
+    throw BindError("can't bind " + ToString(local) + ": " + ec.message());
   }
   socket_.non_blocking(true);
 }
--- a/test/node_identity_test.cc
+++ b/test/node_identity_test.cc
@@ -99,3 +99,34 @@
   LONGS_EQUAL(200, SendHeartbeat("u", 900));
   CHECK_FALSE(agent.PollExitCode().has_value());
 }
+
+// Guards against a process that ends by itself because its predecessor hasn't
+// ended yet.
+TEST(NodeIdentity, AgentWaitsForTheAddressesOfItsPredecessor) {
+  soak::NodeProcess former(HAWTHORNNODE, BuildSettings("s"), "former");
+  CHECK(WaitForStatus(200, "s", 1000));
+  soak::NodeProcess agent(HAWTHORNNODE, BuildSettings("t"), "agent");
+  const auto end = std::chrono::steady_clock::now() + kStepTimeout;
+  while (agent.ReadLogFile().find("bind_failed") == std::string::npos &&
+         std::chrono::steady_clock::now() < end) {
+    LONGS_EQUAL(200, SendHeartbeat("s", 1000));
+  }
+  former.SendSignal(SIGKILL);
+  CHECK(WaitForStatus(200, "t", 900));
+  CHECK_FALSE(agent.PollExitCode().has_value());
+}
+
+TEST(NodeIdentity, AgentFailsWhenItsAddressesStayInUse) {
+  soak::NodeProcess former(HAWTHORNNODE, BuildSettings("s"), "former");
+  CHECK(WaitForStatus(200, "s", 1000));
+  std::string settings = BuildSettings("t");
+  settings.replace(settings.find("grace_s = 6"), 11, "grace_s = 1");
+  soak::NodeProcess agent(HAWTHORNNODE, settings, "agent");
+  std::optional<int> code;
+  const auto end = std::chrono::steady_clock::now() + kStepTimeout;
+  while (!code.has_value() && std::chrono::steady_clock::now() < end) {
+    LONGS_EQUAL(200, SendHeartbeat("s", 1000));
+    code = agent.PollExitCode();
+  }
+  LONGS_EQUAL(2, code.value_or(-1));
+}
