Judge ROUTE in the soak by the routes of all configurations

The soak compared the service of a request's route with the service of the target, with neither the caller's port nor the target in its report, and each opening had sequence number 0, so that two flows of one port couldn't be told apart. Now the judge keeps the services to which each route led in any configuration; a request that runs at a target of another service violates ROUTE, with port, route, opening sequence number, target and the target's agent. Each opening has a random sequence number, which its copies repeat. The report counts the violations of ROUTE out of all requests.

The check "wrong service" is replaced: it reported the same requests, since no route of the soak changes its service. Its test now plants a request at the other service's target (soak_judge_test).

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -39,7 +39,8 @@
       in_rotation_(balancers_.size(), true),
       routes_(std::move(routes)),
       events_(std::move(events)),
-      random_{seed} {
+      random_{seed},
+      sequence_random_{~seed} {
   socket_.StartReceiving(
       [this](Endpoint, ByteView bytes) { OnPacketReceived(bytes); });
 }
@@ -66,14 +67,15 @@
 }
 
 auto Callers::OpenFlow(TimePoint now, bool in_final_phase) -> void {
-  CallerFlow flow{.route = routes_[random_() % routes_.size()],
-                  .port = next_port_++,
-                  .in_final_phase = in_final_phase,
-                  .requests_left = random_() % kFlowsPerLongFlow == 0
-                                       ? kLongFlowRequests
-                                       : 0,
-                  .first_sent = now,
-                  .next_send = now + kFirstOpeningRetry};
+  CallerFlow flow{
+      .route = routes_[random_() % routes_.size()],
+      .port = next_port_++,
+      .opening_sequence = static_cast<std::uint32_t>(sequence_random_()),
+      .in_final_phase = in_final_phase,
+      .requests_left =
+          random_() % kFlowsPerLongFlow == 0 ? kLongFlowRequests : 0,
+      .first_sent = now,
+      .next_send = now + kFirstOpeningRetry};
   if (flows_.contains(flow.port)) {
     return;
   }
@@ -133,6 +135,7 @@
   FlowPacket head = packet;
   head.source = {.address = local_.address, .port = flow.port};
   head.destination = flow.route.address;
+  head.sequence = flow.opening_sequence + (head.is_opening ? 0 : 1);
   if (head.has_acknowledgement) {
     head.acknowledgement = flow.target_sequence + 1;
   }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -28,6 +28,10 @@
 struct CallerFlow {
   CalledRoute route;
   std::uint16_t port = 0;
+  /// Initial sequence number that the caller chose for the flow.
+  std::uint32_t opening_sequence = 0;
+  /// Whether an earlier flow to the same route used the port.
+  bool is_port_reused = false;
   bool is_open = false;
   /// Whether the opening or the last request was sent in the final phase.
   bool in_final_phase = false;
@@ -105,6 +109,7 @@
   std::vector<CalledRoute> routes_;
   CallerEvents events_;
   Random random_;
+  Random sequence_random_;
   std::map<std::uint16_t, CallerFlow> flows_;
   std::uint16_t next_port_ = 10'000;
   std::uint64_t next_request_ = 1;
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -44,26 +44,39 @@
   return now - last >= kRecoveryTime;
 }
 
+auto OnRouteStored(InvariantChecker& checker,
+                   Endpoint route,
+                   const std::string& service) -> void {
+  checker.services_by_route[ToString(route)].insert(service);
+}
+
 auto OnRequestSent(InvariantChecker& checker,
                    std::uint64_t request,
-                   const std::string& service) -> void {
-  checker.requests[request].service = service;
+                   const RequestRecord& record) -> void {
+  checker.requests[request] = record;
 }
 
 auto OnRequestExecuted(InvariantChecker& checker,
                        std::uint64_t request,
                        const std::string& service,
+                       const std::string& target,
                        TimePoint now) -> void {
   const auto it = checker.requests.find(request);
   if (it == checker.requests.end()) {
     AddViolation(checker, "unasked", fmt::format("request {}", request), now);
     return;
   }
-  if (it->second.service != service) {
-    AddViolation(checker, "wrong service",
-                 fmt::format("request {} for service {} executed by service {}",
-                             request, it->second.service, service),
-                 now);
+  const RequestRecord& sent = it->second;
+  const std::string route = ToString(sent.route);
+  if (!checker.services_by_route[route].contains(service)) {
+    AddViolation(
+        checker, kRouteInvariant,
+        fmt::format("request {} from port {}{} to {}, opening seq {}, executed "
+                    "by service {} at {}",
+                    request, sent.port,
+                    sent.is_port_reused ? " (used before)" : "", route,
+                    sent.opening_sequence, service, target),
+        now);
   }
   if (++it->second.execution_count > 1) {
     AddViolation(checker, "at most once",
@@ -73,6 +86,13 @@
   }
 }
 
+auto CountViolations(const InvariantChecker& checker,
+                     const std::string& invariant) -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      checker.violations.begin(), checker.violations.end(),
+      [&](const Violation& it) { return it.invariant == invariant; }));
+}
+
 auto OnAnswerReceived(InvariantChecker& checker,
                       std::uint64_t asked,
                       std::uint64_t answered,
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,9 @@
 /// use is the routes version in the metrics of the balancers.
 namespace hawthornbank::soak {
 
+/// Invariant that a request runs only at a service to which its route led.
+inline constexpr const char* kRouteInvariant = "ROUTE";
+
 /// Time after the end of a disturbance in which violations are still excused.
 inline constexpr Duration kRecoveryTime = std::chrono::seconds{4};
 /// Time within which balancers must put in force routes that the store has
@@ -42,7 +46,11 @@
 
 /// A request of a caller. Retransmissions belong to the same request.
 struct RequestRecord {
-  std::string service;
+  Endpoint route;          ///< Called address.
+  std::uint16_t port = 0;  ///< Port of the caller.
+  std::uint32_t opening_sequence = 0;
+  /// Whether an earlier flow to the same route used the port.
+  bool is_port_reused = false;
   int execution_count = 0;
 };
 
@@ -61,6 +69,8 @@
   TimePoint started{};
   std::map<std::string, Disturbance> disturbances;
   std::map<std::uint64_t, RequestRecord> requests;
+  /// Services to which each route led in any configuration.
+  std::map<std::string, std::set<std::string>> services_by_route;
   /// Configuration version last reported by each process, by process name.
   std::map<std::string, std::uint64_t> last_versions;
   /// Time at which the store accepted each configuration version.
@@ -92,19 +102,32 @@
                          bool planned_counts,
                          TimePoint now) -> bool;
 
+/// Records a route of a configuration that the store accepted.
+/// @param route Address that callers open flows to.
+auto OnRouteStored(InvariantChecker& checker,
+                   Endpoint route,
+                   const std::string& service) -> void;
+
 /// Records a request that a caller sends for the first time.
 auto OnRequestSent(InvariantChecker& checker,
                    std::uint64_t request,
-                   const std::string& service) -> void;
+                   const RequestRecord& record) -> void;
 
-/// Checks that the request that a target executes was sent by a caller, was
-/// sent to the target's service and is executed for the first time.
+/// Checks that the request that a target executes was sent by a caller, that
+/// the request's route led to the target's service in some configuration, and
+/// that the request is executed for the first time.
 /// @param service Service of the target.
+/// @param target Name of the target in violations.
 auto OnRequestExecuted(InvariantChecker& checker,
                        std::uint64_t request,
                        const std::string& service,
+                       const std::string& target,
                        TimePoint now) -> void;
 
+/// @return Number of violations of an invariant.
+auto CountViolations(const InvariantChecker& checker,
+                     const std::string& invariant) -> std::size_t;
+
 /// Checks that a caller receives the answer to the request that the caller's
 /// flow waits for.
 /// @param asked Number of the request that waits for an answer on the flow.
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -33,10 +33,11 @@
                             const InvariantChecker& checker) -> int {
   std::cout << fmt::format(
       "seed {}: {} requests served, {} not; final phase {} served, {} not; "
-      "{} resets excused; {} events, {} violations\n",
+      "{} resets excused; {} events, {} violations, ROUTE {} of {}\n",
       options.seed, checker.served, checker.failed, checker.final_served,
       checker.final_failed, checker.excused_resets,
-      environment.GetEventHistory().size(), checker.violations.size());
+      environment.GetEventHistory().size(), checker.violations.size(),
+      CountViolations(checker, kRouteInvariant), checker.requests.size());
   if (checker.violations.empty() && !options.verbose) {
     return 0;
   }
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -94,22 +94,21 @@
                     NodeParameters{.host = host, .service = service});
     targets_.push_back(std::make_unique<TargetStandin>(
         io_, host, ports_, service,
-        TargetEvents{.on_request_executed =
-                         [this, n](std::uint64_t request) {
-                           OnRequestExecuted(checker_, request,
-                                             targets_[n]->service_name(),
-                                             GetMonotonicTime());
-                         },
-                     .on_opening_received =
-                         [this, n] {
-                           const TimePoint since =
-                               targets_[n]->drain_acknowledged_at();
-                           if (since != TimePoint{}) {
-                             OnOpeningAtDrainingTarget(
-                                 checker_, GetAgent(n).subject, since,
-                                 GetMonotonicTime());
-                           }
-                         }}));
+        TargetEvents{
+            .on_request_executed =
+                [this, n](std::uint64_t request) {
+                  OnRequestExecuted(checker_, request,
+                                    targets_[n]->service_name(),
+                                    DescribeTarget(n), GetMonotonicTime());
+                },
+            .on_opening_received =
+                [this, n] {
+                  const TimePoint since = targets_[n]->drain_acknowledged_at();
+                  if (since != TimePoint{}) {
+                    OnOpeningAtDrainingTarget(checker_, GetAgent(n).subject,
+                                              since, GetMonotonicTime());
+                  }
+                }}));
   }
   callers_ = std::make_unique<Callers>(
       io_,
@@ -118,8 +117,12 @@
       CallerEvents{
           .on_request_sent =
               [this](const CallerFlow& flow) {
-                OnRequestSent(checker_, flow.pending_request,
-                              flow.route.service);
+                OnRequestSent(
+                    checker_, flow.pending_request,
+                    RequestRecord{.route = flow.route.address,
+                                  .port = flow.port,
+                                  .opening_sequence = flow.opening_sequence,
+                                  .is_port_reused = flow.is_port_reused});
               },
           .on_answer_received =
               [this](const CallerFlow& flow, std::uint64_t answered) {
@@ -158,6 +161,7 @@
   node.restart_at = node.stop_deadline = {};
   node.is_exit_expected = node.is_frozen = false;
   ++node.start_count;
+  node.started_service = node.parameters.service;
   node.process = std::make_unique<NodeProcess>(
       options_.program, FormatNodeSettings(ports_, node.parameters),
       fmt::format("soak-{}-{}-{}", options_.seed, node.subject,
@@ -340,6 +344,19 @@
   }
 }
 
+// Names the target's address, its agent's last start and, if the agent started
+// for another service, that service.
+auto SoakEnvironment::DescribeTarget(std::size_t target) -> std::string {
+  const Node& agent = GetAgent(target);
+  const bool is_foreign =
+      agent.started_service != targets_[target]->service_name();
+  return fmt::format(
+      "{}, {}#{}{}{}",
+      ToString(Endpoint{.address = agent.parameters.host, .port = ports_.app}),
+      agent.subject, agent.start_count, is_foreign ? " of service " : "",
+      is_foreign ? agent.started_service : "");
+}
+
 auto SoakEnvironment::RecordEvent(const std::string& event) -> void {
   event_history_.push_back(fmt::format(
       "{:.2f} {}",
@@ -580,6 +597,9 @@
     routes.push_back({.address = {.address = 0xC6120009, .port = port},
                       .service = kFirstService});
   }
+  for (const auto& it : routes) {
+    OnRouteStored(checker_, it.address, it.service);
+  }
   checker_.accepted_at[ReplaceRoutes(store_, std::move(routes))] = now;
 }
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -67,7 +67,8 @@
     TimePoint restart_at{};     ///< Earliest time of the next start.
     TimePoint stop_deadline{};  ///< Latest time of exit after SIGTERM.
     int start_count = 0;
-    int failed_probes = 0;  ///< Consecutive failed readiness probes.
+    std::string started_service;  ///< Service at the last start; agents only.
+    int failed_probes = 0;        ///< Consecutive failed readiness probes.
     bool is_in_rotation = false;
     bool is_frozen = false;
     bool is_exit_expected = false;
@@ -100,6 +101,7 @@
   auto OnCallerFlowReset(const CallerFlow& flow) -> void;
   auto OnCallerRequestFinished(const CallerFlow& flow, bool served) -> void;
   auto RecordEvent(const std::string& event) -> void;
+  [[nodiscard]] auto DescribeTarget(std::size_t target) -> std::string;
   [[nodiscard]] auto GetHostAddress(std::uint32_t last) const -> std::uint32_t {
     return options_.network + last;
   }
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -13,6 +13,8 @@
 namespace {
 
 const TimePoint kNow{std::chrono::seconds{1000}};
+const Endpoint kRouteA{.address = 0xC6120001, .port = 443};
+const Endpoint kRouteB{.address = 0xC6120002, .port = 443};
 
 }  // namespace
 
@@ -26,21 +28,46 @@
 };
 
 TEST(InvariantChecker, RequestExecutedTwiceIsReported) {
-  OnRequestSent(checker, 1, "a");
-  OnRequestExecuted(checker, 1, "a", kNow);
+  OnRouteStored(checker, kRouteA, "a");
+  OnRequestSent(checker, 1, RequestRecord{.route = kRouteA});
+  OnRequestExecuted(checker, 1, "a", "a-1", kNow);
   STRCMP_EQUAL("", GetFirstViolatedInvariant());
-  OnRequestExecuted(checker, 1, "a", kNow);
+  OnRequestExecuted(checker, 1, "a", "a-1", kNow);
   STRCMP_EQUAL("at most once", GetFirstViolatedInvariant());
 }
 
-TEST(InvariantChecker, RequestExecutedByAnotherServiceIsReported) {
-  OnRequestSent(checker, 1, "a");
-  OnRequestExecuted(checker, 1, "b", kNow);
-  STRCMP_EQUAL("wrong service", GetFirstViolatedInvariant());
+TEST(InvariantChecker, RequestExecutedByAServiceWithoutItsRouteIsReported) {
+  OnRouteStored(checker, kRouteA, "a");
+  OnRouteStored(checker, kRouteB, "b");
+  OnRequestSent(checker, 1, RequestRecord{.route = kRouteA});
+  OnRequestSent(checker, 2, RequestRecord{.route = kRouteB});
+  OnRequestSent(checker, 3,
+                RequestRecord{.route = kRouteA,
+                              .port = 1025,
+                              .opening_sequence = 77,
+                              .is_port_reused = true});
+  OnRequestExecuted(checker, 1, "a", "a-1", kNow);
+  OnRequestExecuted(checker, 2, "b", "b-1", kNow);
+  LONGS_EQUAL(0, CountViolations(checker, kRouteInvariant));
+  OnRequestExecuted(checker, 3, "b", "b-2", kNow);
+  LONGS_EQUAL(1, CountViolations(checker, "ROUTE"));
+  STRCMP_EQUAL(
+      "request 3 from port 1025 (used before) to 198.18.0.1:443, opening seq "
+      "77, executed by service b at b-2",
+      checker.violations[0].detail.c_str());
+  CHECK(checker.violations[0].at == kNow);
+}
+
+TEST(InvariantChecker, RequestAtAServiceOfAnEarlierConfigurationIsAllowed) {
+  OnRouteStored(checker, kRouteA, "a");
+  OnRouteStored(checker, kRouteA, "b");
+  OnRequestSent(checker, 1, RequestRecord{.route = kRouteA});
+  OnRequestExecuted(checker, 1, "a", "a-1", kNow);
+  STRCMP_EQUAL("", GetFirstViolatedInvariant());
 }
 
 TEST(InvariantChecker, RequestThatNoCallerSentIsReported) {
-  OnRequestExecuted(checker, 9, "a", kNow);
+  OnRequestExecuted(checker, 9, "a", "a-1", kNow);
   STRCMP_EQUAL("unasked", GetFirstViolatedInvariant());
 }
 
