Use callers' ports and targets' addresses again in the soak

No seed of the soak could show a request at another service: each caller's port was used once, and the one fault that gives an address to the other service kills the agent first. Two options add such events: `--reuse`, all kinds along with the series of faults, and `--only KIND` (repeated), these kinds alone: callers' ports used again at once or after some seconds, with late copies of earlier openings; targets that end and are followed 2 s later by a target of the other service at their address, while the former agent ends together with its target, early, late (`--late-ms`) or not at all; drained targets; late heartbeats; balancers suspended and killed; agents killed alone. Without the options nothing changes. `--program` runs another build of hawthornnode.

The stand-in for a target tells flows of one port apart by the sequence number of their opening and names it in its answer; callers ignore answers to other openings. Faults of the store move to a file of their own.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -31,6 +31,7 @@
                  Endpoint local,
                  std::vector<Endpoint> balancers,
                  std::vector<CalledRoute> routes,
+                 CallerPorts ports,
                  std::uint64_t seed,
                  CallerEvents events)
     : socket_(io, local),
@@ -40,7 +41,8 @@
       routes_(std::move(routes)),
       events_(std::move(events)),
       random_{seed},
-      sequence_random_{~seed} {
+      sequence_random_{~seed},
+      ports_(std::move(ports)) {
   socket_.StartReceiving(
       [this](Endpoint, ByteView bytes) { OnPacketReceived(bytes); });
 }
@@ -52,6 +54,7 @@
 auto Callers::OpenFlowsAndSendDuePackets(TimePoint now, bool in_final_phase)
     -> void {
   in_final_phase_ = in_final_phase;
+  SendLateCopies(now);
   for (int n = 0; n < kFlowsPerStep && flows_.size() < kMaxFlows; ++n) {
     OpenFlow(now, in_final_phase);
   }
@@ -69,16 +72,18 @@
 auto Callers::OpenFlow(TimePoint now, bool in_final_phase) -> void {
   CallerFlow flow{
       .route = routes_[random_() % routes_.size()],
-      .port = next_port_++,
+      .port = ports_.TakePort(now),
       .opening_sequence = static_cast<std::uint32_t>(sequence_random_()),
       .in_final_phase = in_final_phase,
       .requests_left =
           random_() % kFlowsPerLongFlow == 0 ? kLongFlowRequests : 0,
+      .opened_at = now,
       .first_sent = now,
       .next_send = now + kFirstOpeningRetry};
   if (flows_.contains(flow.port)) {
     return;
   }
+  flow.is_port_reused = ports_.NoteFlow(flow.port, flow.route.address);
   CallerFlow& added = flows_[flow.port] = std::move(flow);
   SendPacket(added, FlowPacket{.is_opening = true}, now);
 }
@@ -183,7 +188,8 @@
     return;
   }
   if (packet->is_opening) {
-    if (!flow.is_open) {
+    const bool is_answer = packet->acknowledgement == flow.opening_sequence + 1;
+    if (!flow.is_open && is_answer) {
       flow.is_open = true;
       flow.target_sequence = packet->sequence;
       SendRequest(flow, now, in_final_phase_);
@@ -210,10 +216,36 @@
                    std::chrono::milliseconds{random_() % kRequestPauseSpreadMs};
 }
 
+// Sends copies of the opening packets of flows that have ended, of which each
+// is as late as if its flow were still to be opened.
+auto Callers::SendLateCopies(TimePoint now) -> void {
+  while (!late_copies_.empty() && late_copies_.begin()->first <= now) {
+    CallerFlow flow = std::move(late_copies_.begin()->second);
+    late_copies_.erase(late_copies_.begin());
+    SendPacket(flow,
+               FlowPacket{.is_opening = true,
+                          .acknowledgement =
+                              static_cast<std::uint32_t>(flow.retransmissions)},
+               now);
+  }
+}
+
 auto Callers::FinishFlow(std::uint16_t port, bool served) -> void {
   const auto it = flows_.find(port);
   events_.on_request_finished(it->second, served);
+  CallerFlow ended = std::move(it->second);
   flows_.erase(it);
+  const TimePoint now = transport::GetMonotonicTime();
+  if (!ports_.ReleasePort(port, now)) {
+    return;
+  }
+  ended.retransmissions = 0;
+  for (const auto delay : {kFirstOpeningRetry, kSecondOpeningRetry}) {
+    ++ended.retransmissions;
+    if (ended.opened_at + delay > now) {
+      late_copies_.emplace(ended.opened_at + delay, ended);
+    }
+  }
 }
 
 }  // namespace hawthornbank::soak
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -10,6 +10,7 @@
 
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/random.h"
+#include "soak/caller_ports.h"
 #include "transport/udp_socket.h"
 
 /// @file
@@ -45,6 +46,7 @@
   int requests_left = 0;
   /// Number of retransmissions of the opening or of the pending request.
   int retransmissions = 0;
+  TimePoint opened_at{};  ///< Time of the first opening packet.
   TimePoint first_sent{};
   TimePoint next_send{};
   /// Time of the flow's last packet to each balancer, by balancer index.
@@ -67,6 +69,7 @@
   /// @param local Endpoint that all callers send from and receive on.
   /// @param balancers Data endpoints of all balancers.
   /// @param routes Addresses that callers open flows to.
+  /// @param ports Choice of the callers' ports.
   /// @param seed Seed of the random addresses, flow lengths, pauses between
   /// requests and packet losses.
   /// @param events Handlers of caller events.
@@ -74,6 +77,7 @@
           Endpoint local,
           std::vector<Endpoint> balancers,
           std::vector<CalledRoute> routes,
+          CallerPorts ports,
           std::uint64_t seed,
           CallerEvents events);
 
@@ -100,6 +104,7 @@
       -> void;
   auto ChooseBalancer(std::uint16_t port) const -> std::size_t;
   auto OnPacketReceived(ByteView bytes) -> void;
+  auto SendLateCopies(TimePoint now) -> void;
   auto FinishFlow(std::uint16_t port, bool served) -> void;
 
   transport::UdpSocket socket_;
@@ -111,7 +116,10 @@
   Random random_;
   Random sequence_random_;
   std::map<std::uint16_t, CallerFlow> flows_;
-  std::uint16_t next_port_ = 10'000;
+  CallerPorts ports_;
+  /// Copies of opening packets of ended flows, by the time at which they
+  /// arrive at a balancer.
+  std::multimap<TimePoint, CallerFlow> late_copies_;
   std::uint64_t next_request_ = 1;
   double loss_share_ = 0;
   bool in_final_phase_ = false;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -33,11 +33,13 @@
                             const InvariantChecker& checker) -> int {
   std::cout << fmt::format(
       "seed {}: {} requests served, {} not; final phase {} served, {} not; "
-      "{} resets excused; {} events, {} violations, ROUTE {} of {}\n",
+      "{} resets excused; {} events, {} violations, ROUTE {} of {} requests, "
+      "{} addresses handed over\n",
       options.seed, checker.served, checker.failed, checker.final_served,
       checker.final_failed, checker.excused_resets,
       environment.GetEventHistory().size(), checker.violations.size(),
-      CountViolations(checker, kRouteInvariant), checker.requests.size());
+      CountViolations(checker, kRouteInvariant), checker.requests.size(),
+      environment.hand_over_count());
   if (checker.violations.empty() && !options.verbose) {
     return 0;
   }
@@ -55,6 +57,31 @@
   return checker.violations.empty() ? 0 : kViolationsFound;
 }
 
+// Returns the events that the options choose: all with `reuse`, or those named
+// by `only`.
+// Throws CmdLineParseException for an unknown name.
+auto ChooseReuse(bool all, const std::vector<std::string>& only, int late_ms)
+    -> ReuseOptions {
+  ReuseOptions options;
+  if (all) {
+    options.kinds = GetAllReuseKinds();
+  }
+  for (const auto& it : only) {
+    const auto kind = ParseReuseKind(it);
+    if (it == "hand_over") {
+      options.kinds.merge(GetHandOverKinds());
+    } else if (kind.has_value()) {
+      options.kinds.insert(*kind);
+    } else {
+      throw TCLAP::CmdLineParseException("unknown kind", it);
+    }
+  }
+  if (late_ms >= 0) {
+    options.agent_delay = std::chrono::milliseconds{late_ms};
+  }
+  return options;
+}
+
 auto RunSoak(int argc, char** argv) -> int {
   TCLAP::CmdLine command(
       "Runs hawthornnode processes on loopback between stand-ins under a "
@@ -70,16 +97,35 @@
   TCLAP::ValueArg<std::size_t> targets("", "targets", "Targets", false, 5, "N",
                                        command);
   TCLAP::SwitchArg verbose("", "verbose", "List faults, keep logs", command);
+  TCLAP::SwitchArg reuse("", "reuse", "Use ports and addresses again too",
+                         command);
+  TCLAP::MultiArg<std::string> only(
+      "", "only",
+      "Only events of this kind, without the series of faults: reuse_ports, "
+      "hand_over (any way), together, early_agent, late_agent, kept_agent, "
+      "kept_agent_sighup, drained, late_heartbeat, suspended_balancer, "
+      "killed_agent",
+      false, "KIND", command);
+  TCLAP::ValueArg<int> late_ms(
+      "", "late-ms",
+      "Time for which former agents outlive their target's "
+      "successor, with late_agent and drained",
+      false, -1, "MS", command);
+  TCLAP::ValueArg<std::string> program("", "program", "Path of hawthornnode",
+                                       false, HAWTHORNNODE, "PATH", command);
   command.parse(argc, argv);
   const SoakOptions options{
-      .program = HAWTHORNNODE,
+      .program = program.getValue(),
       .seed = seed.getValue(),
       .length = std::chrono::milliseconds{static_cast<std::int64_t>(
           seconds.getValue() * 1000)},
       .balancers = balancers.getValue(),
       .targets = targets.getValue(),
       .network = ChooseLoopbackNetwork(::getpid()),
-      .verbose = verbose.getValue()};
+      .verbose = verbose.getValue(),
+      .has_faults = only.getValue().empty(),
+      .reuse =
+          ChooseReuse(reuse.getValue(), only.getValue(), late_ms.getValue())};
   SoakEnvironment environment(options);
   return PrintReportAndKeepLogs(environment, options,
                                 environment.RunAllPhases());
@@ -90,6 +136,9 @@
 auto main(int argc, char** argv) -> int {
   try {
     return RunSoak(argc, argv);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "soak: " << error.error() << ": " << error.argId() << '\n';
+    return kUsageError;
   } catch (const std::exception& error) {
     std::cerr << "soak: " << error.what() << '\n';
     return kUsageError;
--- a/soak/target_standin.cc
+++ b/soak/target_standin.cc
@@ -46,11 +46,13 @@
     : io_(io),
       outbound_{.address = host, .port = ports.outbound},
       app_{.address = host, .port = ports.app},
+      control_{.address = host, .port = ports.control},
       socket_(io, app_),
-      client_(io, Endpoint{.address = host, .port = ports.control}),
+      client_(io, control_),
       heartbeat_timer_(io),
       events_(std::move(events)),
       service_(std::move(service)),
+      instance_id_(FormatInstanceId(host)),
       random_{host},
       start_time_ms_(ComputeNextStartTimeMs(0)) {
   socket_.StartReceiving(
@@ -74,6 +76,25 @@
   start_time_ms_ = ComputeNextStartTimeMs(start_time_ms_);
 }
 
+auto TargetStandin::TakeOverAddress(const std::string& service,
+                                    bool has_same_id) -> void {
+  RestartTarget(service);
+  if (!has_same_id) {
+    instance_id_ =
+        FormatInstanceId(app_.address) + '-' + std::to_string(start_time_ms_);
+  }
+  SendHeartbeat();
+}
+
+auto TargetStandin::PrepareLateHeartbeat() const -> std::function<void()> {
+  return [&io = io_, control = control_,
+          request = MakeHeartbeat(heartbeat_sequence_ + 1)] {
+    const auto client = std::make_shared<transport::HttpClient>(io, control);
+    client->SendHttpRequest(request, kAgentCallTimeout,
+                            [client](const HttpResponse&) {});
+  };
+}
+
 auto TargetStandin::StartDraining() -> void {
   is_draining_ = true;
 }
@@ -82,33 +103,51 @@
   CrashTarget();
   client_.SendHttpRequest(
       HttpRequest{.method = "DELETE",
-                  .target = "/api/instances/" + FormatInstanceId(app_.address)},
+                  .target = "/api/instances/" + instance_id_},
       kAgentCallTimeout, [](const HttpResponse&) {});
 }
 
-auto TargetStandin::HoldsOpenFlow(const FlowKey& flow) const -> bool {
+auto TargetStandin::HoldsOpenFlow(const FlowKey& flow,
+                                  std::uint32_t opening_sequence) const
+    -> bool {
   const auto it = flows_.find(flow);
-  return is_alive_ && it != flows_.end() && it->second.is_open;
+  if (!is_alive_ || it == flows_.end()) {
+    return false;
+  }
+  const auto held = it->second.find(opening_sequence);
+  return held != it->second.end() && held->second.is_open;
+}
+
+// Returns null for an unknown flow. Callers don't count the bytes that they
+// send: all packets after the opening have the sequence number that follows the
+// opening's.
+auto TargetStandin::FindFlow(const FlowPacket& packet) -> Flow* {
+  FlowsOfPort& flows = flows_[ExtractCallerFlowKey(packet)];
+  const auto it = flows.find(packet.sequence - 1);
+  return it == flows.end() ? nullptr : &it->second;
+}
+
+auto TargetStandin::MakeHeartbeat(std::uint64_t sequence) const -> HttpRequest {
+  const nlohmann::json body = {{"service", service_},
+                               {"addr", ToString(app_)},
+                               {"zone", "a"},
+                               {"version", "v1"},
+                               {"slots", 3},
+                               {"state", is_draining_ ? "draining" : "ready"},
+                               {"warmup_ms", 0},
+                               {"seq", sequence},
+                               {"born", start_time_ms_}};
+  return HttpRequest{.method = "PUT",
+                     .target = "/api/instances/" + instance_id_,
+                     .body = body.dump()};
 }
 
 auto TargetStandin::SendHeartbeat() -> void {
   if (is_alive_ && !client_.HasCallInFlight()) {
     const bool is_draining = is_draining_;
-    const nlohmann::json body = {{"service", service_},
-                                 {"addr", ToString(app_)},
-                                 {"zone", "a"},
-                                 {"version", "v1"},
-                                 {"slots", 3},
-                                 {"state", is_draining ? "draining" : "ready"},
-                                 {"warmup_ms", 0},
-                                 {"seq", ++heartbeat_sequence_},
-                                 {"born", start_time_ms_}};
     client_.SendHttpRequest(
-        HttpRequest{
-            .method = "PUT",
-            .target = "/api/instances/" + FormatInstanceId(app_.address),
-            .body = body.dump()},
-        kAgentCallTimeout, [this, is_draining](const HttpResponse& reply) {
+        MakeHeartbeat(++heartbeat_sequence_), kAgentCallTimeout,
+        [this, is_draining](const HttpResponse& reply) {
           if (is_draining && is_draining_ && reply.status == 200 &&
               drain_acknowledged_at_ == TimePoint{}) {
             drain_acknowledged_at_ = GetMonotonicTime();
@@ -128,10 +167,10 @@
   if (!is_alive_ || is_unresponsive_ || !packet.has_value()) {
     return;
   }
-  const FlowKey key = ExtractCallerFlowKey(*packet);
   if (packet->is_opening) {
     events_.on_opening_received();
-    const auto [it, added] = flows_.try_emplace(key);
+    const auto [it, added] =
+        flows_[ExtractCallerFlowKey(*packet)].try_emplace(packet->sequence);
     if (added) {
       it->second.sequence = static_cast<std::uint32_t>(random_());
     }
@@ -139,27 +178,28 @@
                           .destination = packet->source,
                           .is_opening = true,
                           .has_acknowledgement = true,
-                          .sequence = it->second.sequence},
+                          .sequence = it->second.sequence,
+                          .acknowledgement = packet->sequence + 1},
                0);
     return;
   }
-  const auto it = flows_.find(key);
+  Flow* const flow = FindFlow(*packet);
   const bool holds_flow =
-      it != flows_.end() &&
-      (it->second.is_open || packet->acknowledgement - it->second.sequence <=
-                                 kMaxAcknowledgementLead);
+      flow != nullptr &&
+      (flow->is_open ||
+       packet->acknowledgement - flow->sequence <= kMaxAcknowledgementLead);
   if (!holds_flow) {
     socket_.SendDatagram(outbound_, MarkPacketAsReturned(bytes));
     return;
   }
-  it->second.is_open = true;
+  flow->is_open = true;
   if (packet->is_reset || packet->is_finish) {
-    flows_.erase(it);
+    flows_[ExtractCallerFlowKey(*packet)].erase(packet->sequence - 1);
     return;
   }
   const std::uint64_t request = ReadRequestNumber(bytes);
   if (request != 0) {
-    OnRequestReceived(*packet, it->second, request);
+    OnRequestReceived(*packet, *flow, request);
   }
 }
 
@@ -181,13 +221,13 @@
   timer->async_wait(
       [this, timer, packet, request,
        start_time_ms = start_time_ms_](const asio::error_code& ec) {
-        const auto it = flows_.find(ExtractCallerFlowKey(packet));
+        Flow* const answered = FindFlow(packet);
         if (ec || !is_alive_ || start_time_ms != start_time_ms_ ||
-            it == flows_.end()) {
+            answered == nullptr) {
           return;
         }
-        it->second.running_request = 0;
-        it->second.last_executed = request;
+        answered->running_request = 0;
+        answered->last_executed = request;
         SendAnswer(packet, request);
       });
 }
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -48,6 +49,17 @@
   /// @param service Service of the target from now on.
   auto RestartTarget(const std::string& service) -> void;
 
+  /// Starts a target of another service at the address of one that has ended.
+  /// The first heartbeat is sent at once.
+  /// @param service Service of the target from now on.
+  /// @param has_same_id Whether the target has the former target's instance id.
+  auto TakeOverAddress(const std::string& service, bool has_same_id) -> void;
+
+  /// Keeps a further heartbeat of the present target.
+  /// @return Function that sends the heartbeat to the agent at the target's
+  /// address, also after the target has ended.
+  [[nodiscard]] auto PrepareLateHeartbeat() const -> std::function<void()>;
+
   /// Starts a drain: heartbeats report that the target drains, and each answer
   /// ends the flow on which the answer is sent.
   auto StartDraining() -> void;
@@ -62,8 +74,11 @@
   }
 
   /// @param flow Key with the caller's endpoint and the called service address.
+  /// @param opening_sequence Sequence number of the flow's opening packet.
   /// @return Whether the target is alive and has the flow open.
-  [[nodiscard]] auto HoldsOpenFlow(const FlowKey& flow) const -> bool;
+  [[nodiscard]] auto HoldsOpenFlow(const FlowKey& flow,
+                                   std::uint32_t opening_sequence) const
+      -> bool;
 
   [[nodiscard]] auto service_name() const -> const std::string& {
     return service_;
@@ -87,6 +102,13 @@
     std::uint64_t running_request = 0;  ///< Request being executed; 0: none.
   };
 
+  // Flows of one caller's port to one route, by the sequence number of the
+  // opening packet.
+  using FlowsOfPort = std::map<std::uint32_t, Flow>;
+
+  [[nodiscard]] auto FindFlow(const FlowPacket& packet) -> Flow*;
+  [[nodiscard]] auto MakeHeartbeat(std::uint64_t sequence) const
+      -> transport::HttpRequest;
   auto SendHeartbeat() -> void;
   auto OnPacketReceived(ByteView bytes) -> void;
   auto OnRequestReceived(const FlowPacket& packet,
@@ -98,13 +120,15 @@
   asio::io_context& io_;
   Endpoint outbound_;
   Endpoint app_;
+  Endpoint control_;
   transport::UdpSocket socket_;
   transport::HttpClient client_;
   asio::steady_timer heartbeat_timer_;
   TargetEvents events_;
   std::string service_;
+  std::string instance_id_;
   Random random_;
-  std::unordered_map<FlowKey, Flow> flows_;
+  std::unordered_map<FlowKey, FlowsOfPort> flows_;
   std::uint64_t start_time_ms_ = 0;
   std::uint64_t heartbeat_sequence_ = 0;
   TimePoint drain_acknowledged_at_{};
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -46,10 +46,6 @@
 constexpr const char* kFirstService = "first";
 constexpr const char* kSecondService = "second";
 
-auto GetOtherService(const std::string& service) -> std::string {
-  return service == kFirstService ? kSecondService : kFirstService;
-}
-
 auto ParseRoutesVersion(const std::string& metrics)
     -> std::optional<std::uint64_t> {
   constexpr std::string_view kName = "hawthornbank_routes_version ";
@@ -113,7 +109,10 @@
   callers_ = std::make_unique<Callers>(
       io_,
       Endpoint{.address = GetHostAddress(kCallerHost), .port = ports_.data},
-      data_endpoints, routes_, options_.seed,
+      data_endpoints, routes_,
+      CallerPorts(options_.reuse.kinds.contains(ReuseKind::kPorts),
+                  options_.seed),
+      options_.seed,
       CallerEvents{
           .on_request_sent =
               [this](const CallerFlow& flow) {
@@ -192,9 +191,16 @@
 auto SoakEnvironment::RunAllPhases() -> const InvariantChecker& {
   started_ = last_tick_ = checker_.started = GetMonotonicTime();
   const Duration end = kStartupTime + options_.length;
-  for (const auto& it : GenerateFaultSeries(options_.seed, options_.length)) {
+  if (options_.has_faults) {
+    for (const auto& it : GenerateFaultSeries(options_.seed, options_.length)) {
+      RunAfterDelay(kStartupTime + it.start_offset,
+                    [this, it] { ApplyFault(it, GetMonotonicTime()); });
+    }
+  }
+  for (const auto& it :
+       GenerateReuseSeries(options_.seed, options_.length, options_.reuse)) {
     RunAfterDelay(kStartupTime + it.start_offset,
-                  [this, it] { ApplyFault(it, GetMonotonicTime()); });
+                  [this, it] { ApplyReuse(it, GetMonotonicTime()); });
   }
   // On SIGTERM or SIGINT, the soak ends its child processes before it exits.
   asio::signal_set signals(io_, SIGTERM, SIGINT);
@@ -259,7 +265,7 @@
                       now);
       ended_processes_.push_back(std::move(node.process));
       node.is_in_rotation = false;
-      node.restart_at = now + kRestartPause;
+      node.restart_at = std::max(now + kRestartPause, node.held_until);
     } else if (node.stop_deadline != TimePoint{} && now > node.stop_deadline) {
       checker_.violations.push_back(
           Violation{.invariant = "grace", .detail = node.subject, .at = now});
@@ -320,7 +326,8 @@
       .address = flow.route.address};
   ResetRecord reset{.port = flow.port};
   for (std::size_t n = 0; n < targets_.size(); ++n) {
-    if (targets_[n]->HoldsOpenFlow(key) && !targets_[n]->is_unresponsive()) {
+    if (targets_[n]->HoldsOpenFlow(key, flow.opening_sequence) &&
+        !targets_[n]->is_unresponsive()) {
       reset.target_holds_flow = true;
       reset.agent = GetAgent(n).subject;
     }
@@ -344,19 +351,6 @@
   }
 }
 
-// Names the target's address, its agent's last start and, if the agent started
-// for another service, that service.
-auto SoakEnvironment::DescribeTarget(std::size_t target) -> std::string {
-  const Node& agent = GetAgent(target);
-  const bool is_foreign =
-      agent.started_service != targets_[target]->service_name();
-  return fmt::format(
-      "{}, {}#{}{}{}",
-      ToString(Endpoint{.address = agent.parameters.host, .port = ports_.app}),
-      agent.subject, agent.start_count, is_foreign ? " of service " : "",
-      is_foreign ? agent.started_service : "");
-}
-
 auto SoakEnvironment::RecordEvent(const std::string& event) -> void {
   event_history_.push_back(fmt::format(
       "{:.2f} {}",
@@ -416,52 +410,6 @@
   }
 }
 
-auto SoakEnvironment::ApplyIfStoreFault(const Fault& fault, TimePoint now)
-    -> bool {
-  switch (fault.kind) {
-    case FaultKind::kStoreReset:
-      SetStoreProxyModesForDuration(ProxyMode::kReset, fault.duration, now);
-      return true;
-    case FaultKind::kStoreSilent:
-      SetStoreProxyModesForDuration(ProxyMode::kSilent, fault.duration, now);
-      return true;
-    case FaultKind::kStoreSlow:
-      SetStoreProxyModesForDuration(ProxyMode::kDelay, fault.duration, now);
-      return true;
-    case FaultKind::kStoreNoAnswers:
-      SetStoreProxyModesForDuration(ProxyMode::kNoAnswers, fault.duration, now);
-      return true;
-    case FaultKind::kStoreBusy:
-      store_.is_busy = true;
-      RecordDisturbance(checker_, "store", false, now + fault.duration);
-      RunAfterDelay(fault.duration, [this] { store_.is_busy = false; });
-      return true;
-    case FaultKind::kStoreLapse:
-      EraseLoadBalancerObjects(store_);
-      return true;
-    case FaultKind::kStoreCut: {
-      Node& node = *nodes_[fault.subject_index % nodes_.size()];
-      node.store_proxy->SetProxyMode(ProxyMode::kSilent);
-      RecordDisturbance(checker_, node.subject, false, now + fault.duration);
-      RunAfterDelay(fault.duration, [&node] {
-        node.store_proxy->SetProxyMode(ProxyMode::kForward);
-      });
-      return true;
-    }
-    case FaultKind::kSilentConnections:
-      for (const auto& it : nodes_) {
-        it->store_proxy->SilenceOpenConnections();
-        RecordDisturbance(checker_, it->subject, false, now);
-      }
-      return true;
-    case FaultKind::kConfigure:
-      StoreNewRoutes(now);
-      return true;
-    default:
-      return false;
-  }
-}
-
 // Returns the number of targets of a service. The last target of a service
 // isn't moved to the other service, since callers couldn't be served without a
 // target.
@@ -549,20 +497,6 @@
   });
 }
 
-auto SoakEnvironment::SetStoreProxyModesForDuration(ProxyMode mode,
-                                                    Duration duration,
-                                                    TimePoint now) -> void {
-  RecordDisturbance(checker_, "store", false, now + duration);
-  for (const auto& it : nodes_) {
-    it->store_proxy->SetProxyMode(mode);
-  }
-  RunAfterDelay(duration, [this] {
-    for (const auto& it : nodes_) {
-      it->store_proxy->SetProxyMode(ProxyMode::kForward);
-    }
-  });
-}
-
 // Shuts a target down, stops the target's agent and restarts both, as the
 // platform does. With `reuse`, kills target and agent instead, and restarts
 // both at the same address for the other service.
@@ -573,7 +507,7 @@
   TargetStandin& ended = *targets_[target];
   if (reuse) {
     ended.CrashTarget();
-    agent.parameters.service = GetOtherService(agent.parameters.service);
+    agent.parameters.service = FindOtherService(agent.parameters.service);
     KillProcess(agent, now);
   } else {
     ended.ShutDownTarget();
@@ -584,23 +518,4 @@
   });
 }
 
-// Stores new routes: those that callers use and four further routes, which no
-// caller uses and which change with the routes version.
-auto SoakEnvironment::StoreNewRoutes(TimePoint now) -> void {
-  std::vector<StoredRoute> routes;
-  for (const auto& it : routes_) {
-    routes.push_back({.address = it.address, .service = it.service});
-  }
-  for (std::uint16_t n = 0; n < 4; ++n) {
-    const auto port =
-        static_cast<std::uint16_t>(1000 + (store_.routes_version + n) % 7);
-    routes.push_back({.address = {.address = 0xC6120009, .port = port},
-                      .service = kFirstService});
-  }
-  for (const auto& it : routes) {
-    OnRouteStored(checker_, it.address, it.service);
-  }
-  checker_.accepted_at[ReplaceRoutes(store_, std::move(routes))] = now;
-}
-
 }  // namespace hawthornbank::soak
--- a/soak/world.h
+++ b/soak/world.h
@@ -4,6 +4,8 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,7 @@
 #include "soak/judge.h"
 #include "soak/node_process.h"
 #include "soak/node_settings.h"
+#include "soak/reuse.h"
 #include "soak/store_standin.h"
 #include "soak/target_standin.h"
 #include "soak/tcp_proxy.h"
@@ -34,6 +37,8 @@
   std::uint32_t network = 0x7F000700;
   /// Whether the report lists events and keeps logs even without violations.
   bool verbose = false;
+  bool has_faults = true;  ///< Whether the series of faults is injected.
+  ReuseOptions reuse;      ///< Uses of ports and addresses again.
 };
 
 /// Processes, stand-ins and checks of one soak, on addresses of 127.0.0.0/8.
@@ -52,6 +57,10 @@
     return event_history_;
   }
 
+  /// @return Number of addresses given to a target of another service by an
+  /// event of the option `reuse`.
+  [[nodiscard]] auto hand_over_count() const -> int { return hand_overs_; }
+
   /// Makes all node processes, ended ones too, keep their log files.
   /// @return Paths of the log files, one for each start of a process.
   auto KeepLogFiles() -> std::vector<std::string>;
@@ -64,7 +73,8 @@
     std::unique_ptr<TcpProxy> store_proxy;
     std::unique_ptr<transport::HttpClient> readiness_client;
     std::unique_ptr<NodeProcess> process;
-    TimePoint restart_at{};     ///< Earliest time of the next start.
+    TimePoint restart_at{};  ///< Earliest time of the next start.
+    TimePoint held_until{};  ///< Ended processes start at this time or later.
     TimePoint stop_deadline{};  ///< Latest time of exit after SIGTERM.
     int start_count = 0;
     std::string started_service;  ///< Service at the last start; agents only.
@@ -94,6 +104,17 @@
                                      Duration duration,
                                      TimePoint now) -> void;
   auto ReplaceTarget(std::size_t target, bool reuse, TimePoint now) -> void;
+  auto ApplyReuse(const ReuseEvent& event, TimePoint now) -> void;
+  [[nodiscard]] auto FindTargetToHandOver(const std::string& service,
+                                          std::size_t first) const
+      -> std::optional<std::size_t>;
+  auto StartHandOver(std::size_t target, const ReuseEvent& event, TimePoint now)
+      -> void;
+  auto EndFormerTarget(std::size_t target, const ReuseEvent& event) -> void;
+  auto StopFormerAgent(std::size_t target, TimePoint held_until) -> void;
+  auto StartNextTarget(std::size_t target, const ReuseEvent& event) -> void;
+  [[nodiscard]] auto FindOtherService(const std::string& service) const
+      -> std::string;
   auto StoreNewRoutes(TimePoint now) -> void;
   auto RunAfterDelay(Duration delay, std::function<void()> handler) -> void;
   auto RunPeriodically(Duration interval, std::function<void()> handler)
@@ -124,6 +145,9 @@
   std::unique_ptr<Callers> callers_;
   InvariantChecker checker_;
   std::vector<std::string> event_history_;
+  /// Indices of targets that are being replaced by a ReuseEvent.
+  std::set<std::size_t> handing_over_;
+  int hand_overs_ = 0;
   TimePoint started_{};
   TimePoint last_tick_{};
   bool in_final_phase_ = false;
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -4,7 +4,9 @@
 
 #include <array>
 
+#include "soak/caller_ports.h"
 #include "soak/faults.h"
+#include "soak/reuse.h"
 
 using namespace hawthornbank;
 using namespace hawthornbank::soak;
@@ -167,3 +169,58 @@
     CHECK(it > 0);
   }
 }
+
+TEST_GROUP(Reuse){};
+
+TEST(Reuse, SeriesIsEmptyUnlessAnOptionNamesKinds) {
+  CHECK(GenerateReuseSeries(5, 60s, {}).empty());
+  CHECK(GenerateReuseSeries(5, 60s, {.kinds = {ReuseKind::kPorts}}).empty());
+}
+
+TEST(Reuse, SeriesHasTheNamedKindsAndTheirTimes) {
+  const ReuseOptions late{.kinds = {ReuseKind::kLateAgent},
+                          .agent_delay = 300ms};
+  for (const auto& it : GenerateReuseSeries(5, 60s, late)) {
+    CHECK(it.kind == ReuseKind::kLateAgent && it.agent_end == 300ms);
+  }
+  std::set<ReuseKind> drawn{ReuseKind::kPorts};
+  for (const auto& it :
+       GenerateReuseSeries(5, 300s, {.kinds = GetAllReuseKinds()})) {
+    drawn.insert(it.kind);
+    CHECK(it.late_heartbeat.has_value() ==
+          (it.kind == ReuseKind::kLateHeartbeat));
+    CHECK(it.kind != ReuseKind::kEarlyAgent || *it.agent_end < 0ms);
+  }
+  CHECK(drawn == GetAllReuseKinds());
+}
+
+TEST(Reuse, EachKindIsFoundByItsName) {
+  for (const auto it : GetAllReuseKinds()) {
+    CHECK(ParseReuseKind(ToString(it)) == it);
+  }
+  CHECK(!ParseReuseKind("none").has_value());
+}
+
+TEST(Reuse, PortsComeBackOnlyWhenChosenAndOnlyOnceEach) {
+  CallerPorts growing(false, 1);
+  CallerPorts reused(true, 1);
+  std::set<std::uint16_t> ports;
+  int at_once = 0;
+  for (int n = 0; n < 100; ++n) {
+    const auto it = growing.TakePort(kNow);
+    CHECK(!growing.ReleasePort(it, kNow) && ports.insert(it).second);
+  }
+  ports.clear();
+  for (int n = 0; n < 100; ++n) {
+    ports.insert(reused.TakePort(kNow));
+  }
+  for (const auto it : ports) {
+    at_once += reused.ReleasePort(it, kNow) ? 1 : 0;
+  }
+  CHECK(at_once > 0 && at_once < 100);
+  for (int n = 0; n < at_once; ++n) {
+    CHECK(ports.erase(reused.TakePort(kNow)) == 1);
+  }
+  CHECK(!ports.contains(reused.TakePort(kNow)));
+  CHECK(ports.erase(reused.TakePort(kNow + 20s)) == 1);
+}
