Query restarted agents unless all processes lost power together

Cause: a balancer that is younger than 20 s and has seen a service's targets cold took this for a loss of power, and left agents that don't know their target out of its searches. After targets were replaced, an agent that has just restarted beside its live target looks the same; all others denied its flows.

Change: announcements carry the time since the start of the process, on the monotonic clock, after all other fields. A process that is older than the balancer by more than two seconds shows that power wasn't lost: nothing is left out, and the balancer settles as usual. An agent that the balancer has seen restart is queried in any case.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -168,6 +168,8 @@
   /// Start time of the target that was last announced as cold, Unix
   /// milliseconds; zero when no target was announced as cold.
   std::uint64_t cold_target_started_at_ms = 0;
+  /// This process has known an earlier start of the host's process.
+  bool has_restarted = false;
 };
 
 /// This process's own record and all other hosts that this process knows.
@@ -177,6 +179,9 @@
   std::uint64_t digest = 0;  ///< Digest of all records, `self` included.
   /// Time without contact after which a record is erased.
   Duration expiry_time = kHostExpiryTime;
+  /// Start of the process that has been up for longest, of those that announced
+  /// since when they are up.
+  TimePoint earliest_start = TimePoint::max();
 };
 
 /// @param record A record.
@@ -219,6 +224,12 @@
   return role == HostRole::kBalancer || record.role == HostRole::kBalancer;
 }
 
+/// Records that another process announced since when it is up.
+/// @param fleet Known hosts.
+/// @param uptime Time since the start of the process.
+/// @param now Current time.
+auto RecordUptime(Fleet& fleet, Duration uptime, TimePoint now) -> void;
+
 /// Records the load of a host's target and resets `openings_since_load`.
 /// @param host The host that reported the load.
 /// @param load The reported load.
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -80,6 +80,8 @@
   /// started. Longer than a stopped agent's grace period: an agent whose target
   /// doesn't return is stopped then, and searches don't wait for it.
   Duration restart_period = std::chrono::seconds{20};
+  /// Longest time between the starts of two processes that lost power together.
+  Duration joint_start_time = std::chrono::seconds{2};
 };
 
 /// The agent that a flow is steered to.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -102,6 +102,7 @@
     known.load = {};
     known.warmup_limited_at = {};
     known.suspected_until = {};
+    known.has_restarted = true;
   }
   fleet.digest +=
       ComputeRecordDigest(record) - ComputeRecordDigest(known.record);
@@ -111,6 +112,10 @@
   return MergeOutcome::kChanged;
 }
 
+auto RecordUptime(Fleet& fleet, Duration uptime, TimePoint now) -> void {
+  fleet.earliest_start = std::min(fleet.earliest_start, now - uptime);
+}
+
 auto RecordTargetLoad(KnownHost& host, const TargetLoad& load, TimePoint now)
     -> void {
   host.load = load;
--- a/src/coordination/flow_search_scope.cc
+++ b/src/coordination/flow_search_scope.cc
@@ -25,11 +25,18 @@
   }
 };
 
-// Targets can count as just started only in this period.
+// Targets can count as just started only in this period, and only while every
+// known process has started with this balancer or later: one that has been up
+// for longer shows that this balancer was restarted alone.
+auto MayAllHaveJustStarted(const Steering& steering, TimePoint now) -> bool {
+  return now - steering.started < steering.options.restart_period &&
+         steering.fleet.earliest_start >=
+             steering.started - steering.options.joint_start_time;
+}
+
 auto IsInRestartPeriod(const Steering& steering, TimePoint now) -> bool {
-  const Duration up = now - steering.started;
-  return up >= steering.options.restart_settling_time &&
-         up < steering.options.restart_period;
+  return now - steering.started >= steering.options.restart_settling_time &&
+         MayAllHaveJustStarted(steering, now);
 }
 
 // Returns whether this balancer and all targets of a service have certainly
@@ -60,7 +67,7 @@
 
 // Ranks the agents of one service that haven't been queried yet. Agents that
 // don't know their target's state are left out when the others' targets have
-// just started.
+// just started, unless they have restarted since: their target may have run on.
 auto RankAgentsOfService(Steering& steering,
                          const FlowKey& flow,
                          const FlowSearch& search,
@@ -71,7 +78,7 @@
   const bool just_started = HaveTargetsJustStarted(steering, service, now);
   std::erase_if(ranked, [now, just_started](const RankedAgent& it) {
     return HasTargetExited(*it.host, now) ||
-           (just_started &&
+           (just_started && !it.host->has_restarted &&
             it.host->record.target.state == TargetState::kUnknown);
   });
   return ranked;
@@ -152,7 +159,7 @@
 auto HaveKnownTargetsJustStarted(const Steering& steering,
                                  std::uint32_t service,
                                  TimePoint now) -> bool {
-  if (now - steering.started >= steering.options.restart_period) {
+  if (!MayAllHaveJustStarted(steering, now)) {
     return false;
   }
   TargetStarts starts;
--- a/src/protocol/node_message.cc
+++ b/src/protocol/node_message.cc
@@ -55,6 +55,10 @@
   std::ostream stream(&buf);
   cereal::PortableBinaryOutputArchive archive(stream);
   archive(message);
+  const auto* const announcement = std::get_if<HostAnnouncement>(&message);
+  if (announcement != nullptr && announcement->uptime_ms.has_value()) {
+    wire::SerializeVarint(archive, *announcement->uptime_ms);
+  }
   return datagram;
 }
 
@@ -68,6 +72,10 @@
     cereal::PortableBinaryInputArchive archive(stream);
     NodeMessage message;
     archive(message);
+    auto* const announcement = std::get_if<HostAnnouncement>(&message);
+    if (announcement != nullptr && buf.in_avail() > 0) {
+      wire::SerializeVarint(archive, announcement->uptime_ms.emplace());
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;  // NodeHost handles the datagram as a relayed packet.
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -1,6 +1,7 @@
 #include "transport/node_gossip.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "hawthornbank/random.h"
@@ -15,6 +16,14 @@
   return role == HostRole::kBalancer ? "balancer" : "agent";
 }
 
+// A process that has been up for longer than the largest value is as good as
+// one that reports it.
+auto GetUptimeMilliseconds(Duration uptime) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(uptime).count(),
+      std::numeric_limits<std::uint32_t>::max()));
+}
+
 // Draws the next interval around the mean. Processes that started together
 // would otherwise send all heartbeats at the same moment, and balancers that
 // restart would know no agent until then.
@@ -66,10 +75,12 @@
 }
 
 auto NodeGossip::MakeAnnouncement(TimePoint now) -> HostAnnouncement {
-  return HostAnnouncement{.record = fleet_.self,
-                          .load = load_,
-                          .roster_digest = fleet_.digest,
-                          .routes = callbacks_.describe_routes(now)};
+  return HostAnnouncement{
+      .record = fleet_.self,
+      .load = load_,
+      .roster_digest = fleet_.digest,
+      .routes = callbacks_.describe_routes(now),
+      .uptime_ms = GetUptimeMilliseconds(now - host_.start_time())};
 }
 
 auto NodeGossip::MakeHeartbeat(TimePoint now) -> HostHeartbeat {
@@ -332,6 +343,10 @@
   if (!IsUsable(record, now)) {
     return;
   }
+  if (announcement.uptime_ms.has_value()) {
+    RecordUptime(fleet_, std::chrono::milliseconds{*announcement.uptime_ms},
+                 now);
+  }
   const auto outcome = MergeRecord(record, Duration::zero(), now);
   const auto host = fleet_.hosts.find(record.control);
   if (host == fleet_.hosts.end()) {
--- a/test/flow_search_scope_test.cc
+++ b/test/flow_search_scope_test.cc
@@ -276,6 +276,59 @@
   }
 }
 
+namespace {
+
+// Merges cold records of a service's targets; agent 0 has restarted and doesn't
+// know its target, as when `earlier_target` ran.
+auto ReplaceTargetsAndRestartAgent(SearchingBalancer& balancer,
+                                   std::uint32_t service,
+                                   const TargetStatus& earlier_target) -> void {
+  for (std::uint32_t n = 0; n < kAgentsPerService; ++n) {
+    HostRecord record = MakeAgentRecord(service, n);
+    record.revision = 2;
+    record.target.started_at_ms = 6;
+    record.target.cold = true;
+    if (n == 0) {
+      record.target = earlier_target;
+    }
+    MergeHostRecord(balancer.steering.fleet, record, 0s, kNow);
+  }
+}
+
+}  // namespace
+
+// All targets were replaced, and then this balancer and an agent restarted.
+TEST(FlowSearchScope, RestartedAgentIsQueriedByABalancerThatRestartedAlone) {
+  for (const bool is_joint_start : {true, false}) {
+    SearchingBalancer started;
+    started.PutInForce(MakeRoutes(3, {{.service = 1}}), kNow);
+    started.CompleteHistory(kNow);
+    ReplaceTargetsAndRestartAgent(started, 1, {});
+    RecordUptime(started.steering.fleet, is_joint_start ? 11s : 15s, kNow);
+    const auto result = started.SearchFlow(1, MakeAgentOfService(1, 0), kNow);
+    CHECK(result.is_reset == is_joint_start);
+    CHECK(result.is_found != is_joint_start);
+  }
+}
+
+// All hosts lost power; seconds later an agent restarts beside its new target.
+TEST(FlowSearchScope, AgentThatRestartsAfterAPowerLossIsQueried) {
+  SearchingBalancer started;
+  started.PutInForce(MakeRoutes(3, {{.service = 1}}), kNow);
+  started.CompleteHistory(kNow);
+  ReplaceTargetsAndRestartAgent(
+      started, 1,
+      {.state = TargetState::kReady, .started_at_ms = 6, .cold = true});
+  HostRecord restarted = MakeAgentRecord(1, 0);
+  restarted.incarnation = 2;
+  restarted.target = {};
+  MergeHostRecord(started.steering.fleet, restarted, 0s, kNow);
+  CHECK(started.SearchFlow(1, MakeAgentOfService(1, 0), kNow).is_found);
+  const auto lost = started.SearchFlow(2, Endpoint{}, kNow);
+  CHECK(lost.is_reset);
+  LONGS_EQUAL(kAgentsPerService, lost.queries);
+}
+
 // Agents that restarted don't know their targets' flows.
 TEST(FlowSearchScope, PacketIsOfferedToAnUnsureAgentUnderTheAgentsService) {
   const FlowPacket packet = MakeCallerPacket(1);
--- a/test/node_message_test.cc
+++ b/test/node_message_test.cc
@@ -39,6 +39,18 @@
   LONGS_EQUAL(120, received.routes.age_ms);
 }
 
+TEST(NodeMessage, AnnouncementOfAnEarlierBuildHasNoUptime) {
+  HostAnnouncement sent{.record = MakeHostRecord(1)};
+  const auto earlier = EncodeNodeMessage(sent);
+  CHECK_FALSE(
+      std::get<HostAnnouncement>(*DecodeNodeMessage(earlier)).uptime_ms);
+  sent.uptime_ms = 90'000;
+  const auto datagram = EncodeNodeMessage(sent);
+  LONGS_EQUAL(90'000, std::get<HostAnnouncement>(*DecodeNodeMessage(datagram))
+                          .uptime_ms.value());
+  CHECK(std::equal(earlier.begin(), earlier.end(), datagram.begin()));
+}
+
 TEST(NodeMessage, FullRosterPartFitsOneDatagram) {
   RosterPart part;
   for (std::uint32_t n = 0; n < kMaxRecordsPerRosterPart; ++n) {
