Tell a host whose earlier start outranks it, so that it puts itself right

Balancers took all messages of the later start for late ones of the earlier, kept the record of the process that was stopping, and counted no contact. A process that learns of a record that outranks its own takes a larger incarnation, but nobody told an agent, and an agent dropped its own record when it was in a list.

Change: a process that gets an announcement or a heartbeat of an earlier incarnation than it knows returns the record to its host, at most every 100 ms, and a process merges its own record whatever its role. Late messages of a start that has ended cost one reply, which the running start knows already.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -170,6 +170,9 @@
   std::uint64_t cold_target_started_at_ms = 0;
   /// This process has known an earlier start of the host's process.
   bool has_restarted = false;
+  /// When the host was last sent its own record because it had announced an
+  /// earlier one.
+  TimePoint record_returned_at{};
 };
 
 /// This process's own record and all other hosts that this process knows.
@@ -224,6 +227,28 @@
   return role == HostRole::kBalancer || record.role == HostRole::kBalancer;
 }
 
+/// Tells whether the record in a message is merged: one that the process
+/// stores, or its own, by which it learns that an earlier start outranks it.
+/// @param fleet Known hosts.
+/// @param record The record.
+/// @return Whether the record is merged.
+auto ShouldMergeRecord(const Fleet& fleet, const HostRecord& record) -> bool;
+
+/// Minimum time between two replies to a host that announces an earlier start.
+inline constexpr Duration kRecordReturnInterval =
+    std::chrono::milliseconds{100};
+
+/// Tells whether a host is sent its own record, because a message came from a
+/// start of its process that the record outranks. Incarnations are start times,
+/// so the later start may have the smaller one; it then takes a larger one. A
+/// message of a start that has ended costs the reply.
+/// @param host The host.
+/// @param incarnation Incarnation in the host's message.
+/// @param now Current time.
+/// @return Whether the record is to be sent; records the time if so.
+auto MustReturnRecord(KnownHost& host, std::uint64_t incarnation, TimePoint now)
+    -> bool;
+
 /// Records that another process announced since when it is up.
 /// @param fleet Known hosts.
 /// @param uptime Time since the start of the process.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -112,6 +112,21 @@
   return MergeOutcome::kChanged;
 }
 
+auto ShouldMergeRecord(const Fleet& fleet, const HostRecord& record) -> bool {
+  return record.control == fleet.self.control ||
+         ShouldStoreRecord(record, fleet.self.role);
+}
+
+auto MustReturnRecord(KnownHost& host, std::uint64_t incarnation, TimePoint now)
+    -> bool {
+  if (incarnation >= host.record.incarnation ||
+      now - host.record_returned_at < kRecordReturnInterval) {
+    return false;
+  }
+  host.record_returned_at = now;
+  return true;
+}
+
 auto RecordUptime(Fleet& fleet, Duration uptime, TimePoint now) -> void {
   fleet.earliest_start = std::min(fleet.earliest_start, now - uptime);
 }
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -337,6 +337,20 @@
   callbacks_.on_routes_report(host.record.control, routes, now);
 }
 
+// Sends a host its own record if the host announces an earlier start.
+auto NodeGossip::ReturnRecord(KnownHost& host,
+                              std::uint64_t incarnation,
+                              TimePoint now) -> void {
+  if (!MustReturnRecord(host, incarnation, now)) {
+    return;
+  }
+  host_.event_log().WriteEvent(
+      EventKind::kStateChange, now,
+      "record_returned host={} incarnation={} announced={}",
+      ToString(host.record.control), host.record.incarnation, incarnation);
+  SendRecords(host.record.control, {ForwardHostRecord(host, now)});
+}
+
 auto NodeGossip::OnAnnouncement(const HostAnnouncement& announcement,
                                 TimePoint now) -> void {
   const HostRecord& record = announcement.record;
@@ -354,6 +368,8 @@
   }
   if (outcome != MergeOutcome::kOlderRecord) {
     RecordContact(host->second, announcement.load, announcement.routes, now);
+  } else {
+    ReturnRecord(host->second, record.incarnation, now);
   }
   if (outcome == MergeOutcome::kChanged && record.zone != fleet_.self.zone) {
     RelayLater(record);
@@ -382,7 +398,8 @@
     return;
   }
   if (host->second.record.incarnation != heartbeat.incarnation) {
-    return;  // A late heartbeat of an earlier start of the process.
+    ReturnRecord(host->second, heartbeat.incarnation, now);
+    return;
   }
   RecordContact(host->second, heartbeat.load, heartbeat.routes, now);
   if (host->second.record.role == HostRole::kBalancer) {
@@ -394,8 +411,7 @@
   const bool searched = !KnowsAnyBalancer();
   bool has_new_record = false;
   for (const auto& it : part.records) {
-    if (!IsUsable(it.record, now) ||
-        !ShouldStoreRecord(it.record, fleet_.self.role)) {
+    if (!IsUsable(it.record, now) || !ShouldMergeRecord(fleet_, it.record)) {
       continue;
     }
     const bool is_unknown = !fleet_.hosts.contains(it.record.control);
--- a/src/transport/node_gossip.h
+++ b/src/transport/node_gossip.h
@@ -118,6 +118,8 @@
       -> MergeOutcome;
   auto RelayLater(const HostRecord& record) -> void;
   auto RelayChangedRecords(TimePoint now) -> void;
+  auto ReturnRecord(KnownHost& host, std::uint64_t incarnation, TimePoint now)
+      -> void;
   auto RecordContact(KnownHost& host,
                      const TargetLoad& load,
                      const RoutesReport& routes,
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -63,6 +63,43 @@
   CHECK(MergeHostRecord(fleet, last, 0s, kNow) == MergeOutcome::kKnownRecord);
 }
 
+// The clock of an agent's host has gone back between two starts of the agent.
+TEST(Fleet, AgentThatAnnouncesAnEarlierStartIsToldAndPutsItselfRight) {
+  Fleet balancer = MakeFleet();
+  HostRecord stopped = MakeAgentRecord(70, 4);
+  stopped.is_shutting_down = true;
+  MergeHostRecord(balancer, stopped, 0s, kNow - 1s);
+  Fleet agent{.self = MakeAgentRecord(50, 1)};
+  CHECK(MergeHostRecord(balancer, agent.self, 0s, kNow) ==
+        MergeOutcome::kOlderRecord);
+  KnownHost& known = balancer.hosts.at(kOther);
+  CHECK(MustReturnRecord(known, agent.self.incarnation, kNow));
+  CHECK(ShouldMergeRecord(agent, known.record));
+  CHECK(MergeHostRecord(agent, known.record, 1s, kNow) ==
+        MergeOutcome::kOwnRecordSuperseded);
+  CHECK(MergeHostRecord(balancer, agent.self, 0s, kNow) ==
+        MergeOutcome::kChanged);
+  CHECK_FALSE(known.record.is_shutting_down);
+  // What the earlier start sent late is answered too, and changes nothing.
+  CHECK(MustReturnRecord(known, 70, kNow + kRecordReturnInterval));
+  CHECK(MergeHostRecord(agent, known.record, 0s, kNow) ==
+        MergeOutcome::kKnownRecord);
+}
+
+// Guards the budget of small control messages.
+TEST(Fleet, RecordIsReturnedOnlyToEarlierStartsAndAtIntervals) {
+  Fleet fleet = MakeFleet();
+  MergeHostRecord(fleet, MakeAgentRecord(70, 4), 0s, kNow);
+  KnownHost& known = fleet.hosts.at(kOther);
+  CHECK_FALSE(MustReturnRecord(known, 70, kNow));
+  CHECK_FALSE(MustReturnRecord(known, 71, kNow));
+  CHECK(MustReturnRecord(known, 69, kNow));
+  CHECK_FALSE(MustReturnRecord(known, 69, kNow + kRecordReturnInterval - 1ms));
+  CHECK(MustReturnRecord(known, 69, kNow + kRecordReturnInterval));
+  CHECK_FALSE(ShouldMergeRecord(Fleet{.self = {.role = HostRole::kAgent}},
+                                MakeAgentRecord(1, 1)));
+}
+
 TEST(Fleet, RestartedHostIsNoLongerSuspected) {
   Fleet fleet = MakeFleet();
   MergeHostRecord(fleet, MakeAgentRecord(1, 0), 0s, kNow);
