Keep an opening that the caller has acknowledged from being reset

Callers may see: an open flow is reset 45 ms after its opening when the agent's reply that confirms the opening is lost and no other target is left.

Cause: the balancer offers an unconfirmed opening to the next target and resets the caller when there is none, also after the caller's acknowledgement of the target's answer has passed through this balancer.

Change: a caller's packet with an acknowledgement ends the pending opening; the flow stays unconfirmed, so the packet asks for a reply.

--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -275,6 +275,10 @@
     OnOpeningPacket(steering, packet, *route, bytes, now, out);
     return;
   }
+  if (packet.has_acknowledgement) {
+    // A target has accepted the opening, whose confirmation may be lost.
+    steering.openings.erase(flow);
+  }
   if (detail::HoldPacketForSearch(steering, flow, bytes, out)) {
     return;
   }
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -192,6 +192,17 @@
   }
 }
 
+// The reply that confirms the opening is lost.
+TEST(Steering, OpeningThatTheCallerHasAcknowledgedIsNotOfferedOrReset) {
+  const auto first = SendCallerPacket(MakeCallerPacket(1, true), kNow);
+  FlowPacket acknowledgement = MakeCallerPacket(1, false);
+  acknowledgement.has_acknowledgement = true;
+  CHECK(SendCallerPacket(acknowledgement, kNow + 10ms).to == first.to);
+  out.clear();
+  OnSteeringTick(steering, kNow + 45ms, out);
+  LONGS_EQUAL(0, out.size());
+}
+
 TEST(Steering, OpeningRefusedByAllTargetsIsResetAtOnce) {
   auto action = SendCallerPacket(MakeCallerPacket(1, true), kNow);
   int offers = 0;
