--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -18,9 +18,12 @@
 /// Maximum weight that a target can announce, in percent.
 constexpr std::uint16_t kMaxWeightPercent = 100;
 
-/// Records the header of a digest as a heartbeat of the digest's sender.
+/// Records the header of a digest as a heartbeat of the digest's sender. A
+/// sender of an earlier incarnation than is known is sent its record: if it
+/// runs, its clock has gone back, and it takes a larger incarnation.
 /// @return Whether the sender's full record must be requested.
 auto RecordSenderHeartbeat(Membership& membership,
+                           Endpoint from,
                            const Digest& digest,
                            TimePoint now,
                            Actions& out) -> bool {
@@ -32,6 +35,9 @@
   const auto& held = entry.record;
   if (digest.incarnation < held.incarnation) {
     detail::AppendCountEventAction(MembershipEvent::kStaleRecord, out);
+    Digest answer = detail::MakeEmptyDigest(membership);
+    answer.balancers.push_back(held);
+    detail::SendDigestTo(membership, from, std::move(answer), out);
     return false;
   }
   if (digest.incarnation == held.incarnation &&
@@ -331,7 +337,7 @@
   // Records are merged before the header, because the sender's record may have
   // the sequence of the header and would afterwards count as already known.
   MergeDigestRecords(membership, from, digest, now, out);
-  const bool ask = RecordSenderHeartbeat(membership, digest, now, out);
+  const bool ask = RecordSenderHeartbeat(membership, from, digest, now, out);
   membership.ready =
       membership.ready || (digest.targets_complete && digest.ready);
   membership.is_in_sync = membership.is_in_sync || digest.is_complete;
--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -242,6 +242,37 @@
   CHECK(corrected);
 }
 
+// The clock of a balancer's host has gone back between two of its starts.
+TEST(MembershipRules, BalancerWhoseHeartbeatIsOfAnEarlierStartIsSentItsRecord) {
+  auto membership = MakeLoneMembership();
+  std::vector<MembershipAction> out;
+  const Endpoint from{.address = 9, .port = 9};
+  const BalancerRecord stopped{.id = HostId{2},
+                               .name = "c",
+                               .peer = from,
+                               .zone = "a",
+                               .region = "r",
+                               .incarnation = Incarnation{70}};
+  OnDigestReceived(membership, from,
+                   Digest{.sender = HostId{2},
+                          .incarnation = Incarnation{70},
+                          .balancers = {stopped}},
+                   TimePoint{1s}, out);
+  out.clear();
+  OnDigestReceived(membership, from,
+                   Digest{.sender = HostId{2}, .incarnation = Incarnation{50}},
+                   TimePoint{2s}, out);
+  const auto sent =
+      std::find_if(out.begin(), out.end(), [](const MembershipAction& it) {
+        return std::holds_alternative<SendDigest>(it);
+      });
+  CHECK(sent != out.end());
+  const auto& digest = std::get<SendDigest>(*sent).digest;
+  CHECK(std::get<SendDigest>(*sent).to == from);
+  LONGS_EQUAL(1, digest.balancers.size());
+  CHECK(digest.balancers[0].incarnation == Incarnation{70});
+}
+
 // Guards against a balancer that ends, or ignores all others, because a peer
 // sent one record with values out of range.
 TEST(MembershipRules, RecordWithValuesOutOfRangeCostsOnlyItself) {
