--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -168,6 +168,11 @@
   /// Start time of the target that was last announced as cold, Unix
   /// milliseconds; zero when no target was announced as cold.
   std::uint64_t cold_target_started_at_ms = 0;
+  /// This process has known an earlier start of the host's process.
+  bool has_restarted = false;
+  /// When the host was last sent its own record because it had announced an
+  /// earlier one.
+  TimePoint record_returned_at{};
 };
 
 /// This process's own record and all other hosts that this process knows.
@@ -177,6 +182,9 @@
   std::uint64_t digest = 0;  ///< Digest of all records, `self` included.
   /// Time without contact after which a record is erased.
   Duration expiry_time = kHostExpiryTime;
+  /// Start of the process that has been up for longest, of those that announced
+  /// since when they are up.
+  TimePoint earliest_start = TimePoint::max();
 };
 
 /// @param record A record.
@@ -219,6 +227,34 @@
   return role == HostRole::kBalancer || record.role == HostRole::kBalancer;
 }
 
+/// Tells whether the record in a message is merged: one that the process
+/// stores, or its own, by which it learns that an earlier start outranks it.
+/// @param fleet Known hosts.
+/// @param record The record.
+/// @return Whether the record is merged.
+auto ShouldMergeRecord(const Fleet& fleet, const HostRecord& record) -> bool;
+
+/// Minimum time between two replies to a host that announces an earlier start.
+inline constexpr Duration kRecordReturnInterval =
+    std::chrono::milliseconds{100};
+
+/// Tells whether a host is sent its own record, because a message came from a
+/// start of its process that the record outranks. Incarnations are start times,
+/// so the later start may have the smaller one; it then takes a larger one. A
+/// message of a start that has ended costs the reply.
+/// @param host The host.
+/// @param incarnation Incarnation in the host's message.
+/// @param now Current time.
+/// @return Whether the record is to be sent; records the time if so.
+auto MustReturnRecord(KnownHost& host, std::uint64_t incarnation, TimePoint now)
+    -> bool;
+
+/// Records that another process announced since when it is up.
+/// @param fleet Known hosts.
+/// @param uptime Time since the start of the process.
+/// @param now Current time.
+auto RecordUptime(Fleet& fleet, Duration uptime, TimePoint now) -> void;
+
 /// Records the load of a host's target and resets `openings_since_load`.
 /// @param host The host that reported the load.
 /// @param load The reported load.
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -1,6 +1,7 @@
 #include "transport/node_gossip.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "hawthornbank/random.h"
@@ -15,6 +16,14 @@
   return role == HostRole::kBalancer ? "balancer" : "agent";
 }
 
+// A process that has been up for longer than the largest value is as good as
+// one that reports it.
+auto GetUptimeMilliseconds(Duration uptime) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(uptime).count(),
+      std::numeric_limits<std::uint32_t>::max()));
+}
+
 // Draws the next interval around the mean. Processes that started together
 // would otherwise send all heartbeats at the same moment, and balancers that
 // restart would know no agent until then.
@@ -66,10 +75,12 @@
 }
 
 auto NodeGossip::MakeAnnouncement(TimePoint now) -> HostAnnouncement {
-  return HostAnnouncement{.record = fleet_.self,
-                          .load = load_,
-                          .roster_digest = fleet_.digest,
-                          .routes = callbacks_.describe_routes(now)};
+  return HostAnnouncement{
+      .record = fleet_.self,
+      .load = load_,
+      .roster_digest = fleet_.digest,
+      .routes = callbacks_.describe_routes(now),
+      .uptime_ms = GetUptimeMilliseconds(now - host_.start_time())};
 }
 
 auto NodeGossip::MakeHeartbeat(TimePoint now) -> HostHeartbeat {
@@ -327,12 +338,30 @@
   callbacks_.on_routes_report(host.record.control, routes, now);
 }
 
+// Sends a host its own record if the host announces an earlier start.
+auto NodeGossip::ReturnRecord(KnownHost& host,
+                              std::uint64_t incarnation,
+                              TimePoint now) -> void {
+  if (!MustReturnRecord(host, incarnation, now)) {
+    return;
+  }
+  host_.event_log().WriteEvent(
+      EventKind::kStateChange, now,
+      "record_returned host={} incarnation={} announced={}",
+      ToString(host.record.control), host.record.incarnation, incarnation);
+  SendRecords(host.record.control, {ForwardHostRecord(host, now)});
+}
+
 auto NodeGossip::OnAnnouncement(const HostAnnouncement& announcement,
                                 TimePoint now) -> void {
   const HostRecord& record = announcement.record;
   if (!IsUsable(record, now)) {
     return;
   }
+  if (announcement.uptime_ms.has_value()) {
+    RecordUptime(fleet_, std::chrono::milliseconds{*announcement.uptime_ms},
+                 now);
+  }
   const auto outcome = MergeRecord(record, Duration::zero(), now);
   const auto host = fleet_.hosts.find(record.control);
   if (host == fleet_.hosts.end()) {
@@ -340,6 +369,8 @@
   }
   if (outcome != MergeOutcome::kOlderRecord) {
     RecordContact(host->second, announcement.load, announcement.routes, now);
+  } else {
+    ReturnRecord(host->second, record.incarnation, now);
   }
   if (outcome == MergeOutcome::kChanged && record.zone != fleet_.self.zone) {
     RelayLater(record);
@@ -368,7 +399,8 @@
     return;
   }
   if (host->second.record.incarnation != heartbeat.incarnation) {
-    return;  // A late heartbeat of an earlier start of the process.
+    ReturnRecord(host->second, heartbeat.incarnation, now);
+    return;
   }
   RecordContact(host->second, heartbeat.load, heartbeat.routes, now);
   if (host->second.record.role == HostRole::kBalancer) {
@@ -380,8 +412,7 @@
   const bool searched = !KnowsAnyBalancer();
   bool has_new_record = false;
   for (const auto& it : part.records) {
-    if (!IsUsable(it.record, now) ||
-        !ShouldStoreRecord(it.record, fleet_.self.role)) {
+    if (!IsUsable(it.record, now) || !ShouldMergeRecord(fleet_, it.record)) {
       continue;
     }
     const bool is_unknown = !fleet_.hosts.contains(it.record.control);
