--- a/test/target_warmup_test.cc
+++ b/test/target_warmup_test.cc
@@ -43,10 +43,12 @@
                      .service = kService,
                      .terms = FlowTerms{.warmup_limit = kLimit}};
 
-  auto RelayOpening(std::uint16_t port, TimePoint now = kNow)->TargetReason {
+  auto RelayOpening(std::uint16_t port, TimePoint now = kNow,
+                    std::uint32_t sequence = 0)
+      ->TargetReason {
     out.clear();
-    OnRelayedPacket(target, header, MakeCallerPacket(port, true, 0), {}, now,
-                    out);
+    OnRelayedPacket(target, header, MakeCallerPacket(port, true, sequence), {},
+                    now, out);
     return out[0].reason;
   }
 
@@ -192,3 +194,12 @@
   CHECK(out[0].reason == TargetReason::kReturned);
   CHECK(RelayOpening(9, kNow + 2ms) == TargetReason::kWarmup);
 }
+
+// Guards against an opening of a used port that counted as a copy.
+TEST(TargetWarmup, OpeningOfAUsedPortCountsAndACopyDoesNot) {
+  for (std::uint32_t sequence = 0; sequence < kLimit; ++sequence) {
+    CHECK(RelayOpening(1, kNow, sequence) == TargetReason::kOpened);
+    CHECK(RelayOpening(1, kNow, sequence) == TargetReason::kOpened);
+  }
+  CHECK(RelayOpening(1, kNow, kLimit) == TargetReason::kWarmup);
+}
--- a/test/used_port_test.cc
+++ b/test/used_port_test.cc
@@ -376,26 +376,3 @@
   }
   LONGS_EQUAL(0, resets);
 }
-
-// A copy of an opening that is still unanswered was counted before.
-TEST(UsedPort, UsedPortCountsInTheWarmUp) {
-  TargetFlows agent{
-      .options = {.service = kService, .self = MakeAgentEndpoint(1)},
-      .status = {.state = TargetState::kReady,
-                 .started_at_ms = 5,
-                 .slots = 3,
-                 .cold = true},
-      .knows_all_flows = true,
-      .warmup = {.requests_per_second = 1}};
-  const RelayHeader header{.origin = {.address = 1, .port = 7000},
-                           .service = kService};
-  std::vector<TargetAction> out;
-  for (const auto sequence : {kFirst, kFirst, kSecond}) {
-    OnRelayedPacket(agent, header, MakePacket(true, sequence), bytes, kNow,
-                    out);
-  }
-  LONGS_EQUAL(3, out.size());
-  CHECK(out[0].reason == TargetReason::kOpened);
-  CHECK(out[1].reason == TargetReason::kOpened);
-  CHECK(out[2].reason == TargetReason::kWarmup);
-}
