End a pending opening when its port sends another

A balancer that had forgotten a flow, as its agent returned a packet or the memory was full, kept the pending opening of the port's earlier flow: it went on being offered when the new one found no target, and a return of the new one was dropped if the new one went to an agent found by a search.

PendingOpeningOfTheEarlierFlowEndsThoughTheFlowIsForgotten failed before: expected <0>, was <1> pending openings.

--- a/src/coordination/caller_openings.cc
+++ b/src/coordination/caller_openings.cc
@@ -146,6 +146,11 @@
   const ArrivedOpening opening{
       .packet = packet, .route = route, .bytes = bytes, .now = now};
   const FlowKey flow = ExtractCallerFlowKey(packet);
+  const auto pending = steering.openings.find(flow);
+  if (pending != steering.openings.end() &&
+      pending->second.sequence != packet.sequence) {
+    steering.openings.erase(pending);
+  }
   const auto known = steering.flows.find(flow);
   if (known == steering.flows.end()) {
     OnOpeningOfUnknownFlow(steering, opening, out);
@@ -159,7 +164,6 @@
   }
   if (remembered.opening->sequence != packet.sequence) {
     steering.flows.erase(known);
-    steering.openings.erase(flow);
     EndSearchOfEarlierFlow(steering, flow, out);
     OnOpeningOfUnknownFlow(steering, opening, out);
     return;
--- a/test/used_port_test.cc
+++ b/test/used_port_test.cc
@@ -363,6 +363,17 @@
   LONGS_EQUAL(1, steering.openings.size());
 }
 
+TEST(UsedPort, PendingOpeningOfTheEarlierFlowEndsThoughTheFlowIsForgotten) {
+  agents.clear();
+  Send(true, kFirst, kNow);
+  steering.flows.clear();
+  for (std::uint32_t n = 1; n <= kTargets; ++n) {
+    MergeRecord(n, kService, 2, TargetState::kDraining, kNow);
+  }
+  Send(true, kSecond, kNow + 10ms);
+  LONGS_EQUAL(0, steering.openings.size());
+}
+
 // Packets of the earlier flow wait for a search.
 TEST(UsedPort, SearchForTheEarlierFlowDoesNotResetTheNewOne) {
   std::vector<SteeringAction> out;
