Test that a balancer's line of an opening names its services

The line is awaited, as the target's answer may reach the caller before the balancer has written it.

--- a/test/node_path_test.cc
+++ b/test/node_path_test.cc
@@ -230,9 +230,18 @@
   const std::string opening =
       " flow=" + ToString(Endpoint{.address = kCallerHost, .port = 1000}) +
       ">198.18.0.1:443 reason=";
-  STRCMP_CONTAINS(
-      ("kind=opening event=flow_relayed" + opening + "placed opening=").c_str(),
-      balancer.ReadLogFile().c_str());
+  const std::string relayed =
+      "kind=opening event=flow_relayed" + opening + "placed opening=";
+  std::string balancers_log;
+  CHECK(RunUntil(
+      [&] {
+        balancers_log = balancer.ReadLogFile();
+        return balancers_log.find(relayed) != std::string::npos;
+      },
+      [] {}));
+  STRCMP_CONTAINS("event=service_named service=s hash=#",
+                  balancers_log.c_str());
+  STRCMP_CONTAINS(" service=s record=s incarnation=", balancers_log.c_str());
   const std::string agents_log =
       first_agent.ReadLogFile() + second_agent.ReadLogFile();
   STRCMP_CONTAINS(
