Take a late heartbeat at a restarted agent for no restart of its target

An agent that had just restarted and heard first a late heartbeat of a crashed start and then one of the live start took this for a restart during its own life: it said that it knew all flows, denied those opened before its restart and reset those that the target had since answered.

A later start now counts as a restart only if the present one was running while the agent was: the agent received its first heartbeat, or heard it for two intervals and 300 ms. Otherwise it is replaced without a reset, and the target returns packets of flows that it doesn't hold. A restart of a target that was heard for less than that is known a round trip later per flow, no longer at once.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -70,6 +70,8 @@
   std::uint64_t sequence = 0;  ///< Sequence number of the newest heartbeat.
   TargetStatus status;
   TimePoint last_heartbeat_at{};
+  /// When the first heartbeat of the present start was applied.
+  TimePoint first_heartbeat_at{};
   /// End of the target's warm-up; empty until a heartbeat tells it. Not later
   /// than the present for a target that is warm.
   std::optional<TimePoint> warm_at;
@@ -86,9 +88,11 @@
 
 /// Outcome of a heartbeat, of an announced shutdown or of missing heartbeats.
 enum class PresenceOutcome : std::uint8_t {
-  kKnown,      ///< The target's status is unchanged.
-  kChanged,    ///< The target's status changed.
-  kRestarted,  ///< The target has restarted and lost its flows.
+  kKnown,    ///< The target's status is unchanged.
+  kChanged,  ///< The target's status changed.
+  /// The target has restarted and lost its flows: the start before was running
+  /// while this agent was.
+  kRestarted,
   /// Another start counts as running now. Which flows its target holds is known
   /// only to the target.
   kReplaced,
@@ -137,7 +141,10 @@
     -> TargetStatus;
 
 /// Applies a heartbeat of the target. A start that is unknown and started later
-/// replaces the present one at once. Any other start replaces it when it has
+/// replaces the present one at once. It counts as a restart only if the present
+/// start was running during the agent's life: the agent received its first
+/// heartbeat or heard it for ComputeHeartbeatTimeout(). Otherwise all that was
+/// heard of it may be a late message. Any other start replaces it when it has
 /// sent heartbeats for ComputeHeartbeatTimeout() in which the present one has
 /// been silent. A start of another service replaces the present one when it
 /// started later or the present one is silent; the target is gone then.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -104,6 +104,7 @@
   }
   presence.warm_at = ComputeWarmupEnd(std::nullopt, beat.warmup_ms, now);
   presence.foreign_service.clear();
+  presence.first_heartbeat_at = now;
   ApplyHeartbeat(presence, beat, now);
 }
 
@@ -141,6 +142,15 @@
   return had_target ? PresenceOutcome::kGivenAway : PresenceOutcome::kForeign;
 }
 
+// Whether the present start was running while this agent was. Late messages of
+// an earlier start can't show it, unless its very first message is late.
+auto WasPresentStartRunning(const TargetPresence& presence) -> bool {
+  return HasTarget(presence) && presence.foreign_service.empty() &&
+         (presence.knows_all_flows ||
+          presence.last_heartbeat_at - presence.first_heartbeat_at >=
+              ComputeHeartbeatTimeout(presence.heartbeat_interval));
+}
+
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
                              const TargetHeartbeat& beat,
                              TimePoint now) -> PresenceOutcome {
@@ -150,15 +160,19 @@
     return PresenceOutcome::kOtherStart;
   }
   if (!is_known && beat.started_at_ms > presence.status.started_at_ms) {
-    const bool had_target =
-        HasTarget(presence) && presence.foreign_service.empty();
+    const bool had_target = HasTarget(presence);
+    const bool was_running = WasPresentStartRunning(presence);
     // Every flow has passed through this agent in two cases: the agent received
     // the target's first heartbeat, before which a target holds no flows, or
     // the target restarted while this agent was running.
     presence.knows_all_flows =
-        had_target || beat.sequence <= kFirstHeartbeatSequence;
+        was_running || beat.sequence <= kFirstHeartbeatSequence;
     ReplacePresentStart(presence, beat, now);
-    return had_target ? PresenceOutcome::kRestarted : PresenceOutcome::kChanged;
+    if (!had_target) {
+      return PresenceOutcome::kChanged;
+    }
+    return was_running ? PresenceOutcome::kRestarted
+                       : PresenceOutcome::kReplaced;
   }
   if (!HasReplacedPresentStart(presence, beat, now)) {
     return PresenceOutcome::kOtherStart;
