Don't take the time of reading a heartbeat for the time of its sending

Two faults of an agent that was held up by a busy host, stopped or suspended:

And a heartbeat that lay unread for seconds counted as new, so that openings which lay in the socket, too, were delivered to a target that may have crashed since.

The agent now records when it reads without a pause of 250 ms or more, by the clock that includes suspensions. Only such time counts for a target that is silent after the agent's start. Marking it as gone no longer makes the agent deny flows: it lets their packets pass, and the target returns those that it doesn't hold. A heartbeat read right after a pause counts as sent at the pause's beginning, and a suspension makes the newest one older; both are applied before an opening is looked at.

With pauses not recorded, the tests fail. The simulated agent of the history test of warm-ups now also follows a start that has replaced another.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -33,6 +33,8 @@
   TargetState state = TargetState::kUnknown;
   std::uint16_t slots = 1;
   std::uint32_t warmup_ms = 0;
+  /// Longest time for which the agent may have left it unread.
+  Duration unread_time{};
 };
 
 /// Time from the end of a target after which its address may be given to a
@@ -70,6 +72,9 @@
   std::uint64_t sequence = 0;  ///< Sequence number of the newest heartbeat.
   TargetStatus status;
   TimePoint last_heartbeat_at{};
+  /// Latest time at which the target certainly ran: the newest heartbeat may
+  /// have lain unread.
+  TimePoint heard_at{};
   /// When the first heartbeat of the present start was applied.
   TimePoint first_heartbeat_at{};
   /// End of the target's warm-up; empty until a heartbeat tells it. Not later
@@ -164,13 +169,15 @@
     -> PresenceOutcome;
 
 /// Marks the target as gone when no heartbeat has arrived in the two intervals
-/// (plus an allowance for delays) after this agent's start. A running target
-/// would have sent a heartbeat, because a target sends heartbeats to its own
-/// agent only. Also sets knows_all_flows, because a gone target holds no flows.
+/// (plus an allowance for delays) in which this agent has read its messages
+/// without a pause since its start. A running target would have sent a
+/// heartbeat, because a target sends heartbeats to its own agent only. Which
+/// flows the target holds, if it runs after all, is known only to the target.
 /// @param presence State of the target.
-/// @param up Time since this agent started.
+/// @param listening Time for which the agent has read its messages without a
+/// pause.
 /// @return kChanged when this call marks the target as gone, otherwise kKnown.
-auto MarkSilentTargetGone(TargetPresence& presence, Duration up)
+auto MarkSilentTargetGone(TargetPresence& presence, Duration listening)
     -> PresenceOutcome;
 
 /// @param outcome An outcome.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -79,6 +79,7 @@
   presence.id = beat.id;
   presence.sequence = beat.sequence;
   presence.last_heartbeat_at = now;
+  presence.heard_at = now - beat.unread_time;
   presence.rival.reset();
   presence.status = TargetStatus{.state = beat.state,
                                  .started_at_ms = beat.started_at_ms,
@@ -118,6 +119,7 @@
     if (beat.sequence > presence.sequence) {
       presence.sequence = beat.sequence;
       presence.last_heartbeat_at = now;
+      presence.heard_at = now - beat.unread_time;
       presence.rival.reset();
     }
     return PresenceOutcome::kForeign;
@@ -194,9 +196,8 @@
 }
 
 auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint {
-  return HasTarget(presence)
-             ? presence.last_heartbeat_at + ComputeSilenceLimit(presence)
-             : TimePoint{};
+  return HasTarget(presence) ? presence.heard_at + ComputeSilenceLimit(presence)
+                             : TimePoint{};
 }
 
 auto DescribeTargetStatus(const TargetPresence& presence, TimePoint now)
@@ -246,14 +247,13 @@
   return PresenceOutcome::kChanged;
 }
 
-auto MarkSilentTargetGone(TargetPresence& presence, Duration up)
+auto MarkSilentTargetGone(TargetPresence& presence, Duration listening)
     -> PresenceOutcome {
   if (presence.status.state != TargetState::kUnknown ||
-      up < ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
+      listening < ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
     return PresenceOutcome::kKnown;
   }
   presence.status.state = TargetState::kGone;
-  presence.knows_all_flows = true;
   return PresenceOutcome::kChanged;
 }
 
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "hawthornbank/listening_time.h"
 #include "hawthornbank/target_flows.h"
 #include "hawthornbank/target_presence.h"
 #include "protocol/log_text.h"
@@ -97,9 +98,11 @@
             },
         .on_housekeeping_tick =
             [this](TimePoint now) {
+              NoteActivity(now);
               ExpireFlowsAndRequests(target_, now);
               ApplyPresenceOutcome(
-                  MarkSilentTargetGone(presence_, now - host_.start_time()),
+                  MarkSilentTargetGone(presence_,
+                                       listening_.last - listening_.since),
                   now);
             },
         .on_shutdown = [this](TimePoint now) { BeginShutdown(now); },
@@ -135,6 +138,9 @@
       ++target_.counts[static_cast<std::size_t>(TargetReason::kMalformed)];
       return;
     }
+    if (packet->is_opening) {
+      NoteActivity(now);
+    }
     actions_.clear();
     const auto known_limit = target_.warmup.requests_per_second;
     OnRelayedPacket(target_, *header, *packet, bytes, now, actions_);
@@ -279,6 +285,7 @@
   }
 
   auto RunTargetFlowsTick(TimePoint now) -> void {
+    NoteActivity(now);
     actions_.clear();
     OnTargetTick(target_, now, actions_);
     PerformTargetActions({}, now);
@@ -286,7 +293,9 @@
 
   // Returns the openings that the target hasn't answered yet.
   auto ReturnOpenings(TimePoint now) -> void {
-    RunTargetFlowsTick(now + target_.options.answer_timeout);
+    actions_.clear();
+    OnTargetTick(target_, now + target_.options.answer_timeout, actions_);
+    PerformTargetActions({}, now);
   }
 
   auto OnHttpRequest(const HttpServerRequest& call) -> HttpServerResponse {
@@ -316,8 +325,21 @@
     return HttpServerResponse{.status = invalid.status, .body = "{}"};
   }
 
-  auto OnHeartbeatRequest(const TargetHeartbeat& heartbeat, TimePoint now)
+  // Takes the time for which the host was suspended into account before the
+  // decision on an opening or a heartbeat.
+  auto NoteActivity(TimePoint now) -> void {
+    const Duration suspended =
+        RecordListening(listening_, GetTimeWithSuspensions(), now);
+    if (suspended > Duration::zero()) {
+      presence_.heard_at -= suspended;
+      target_.silent_from = ComputeSilenceStart(presence_);
+    }
+  }
+
+  auto OnHeartbeatRequest(TargetHeartbeat heartbeat, TimePoint now)
       -> HttpServerResponse {
+    NoteActivity(now);
+    heartbeat.unread_time = ComputeMaxUnreadTime(listening_);
     const auto outcome = OnTargetHeartbeat(presence_, heartbeat, now);
     ApplyPresenceOutcome(outcome, now);
     if (outcome == PresenceOutcome::kLate || !IsAcknowledged(outcome)) {
@@ -457,6 +479,8 @@
   Fleet fleet_;
   TargetFlows target_;
   TargetPresence presence_;
+  ListeningTime listening_ =
+      StartListening(GetTimeWithSuspensions(), GetMonotonicTime());
   NodeHost host_;
   UdpSocket outbound_;
 
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -1,6 +1,8 @@
 #ifndef HAWTHORNBANK_SRC_TRANSPORT_CLOCK_H_
 #define HAWTHORNBANK_SRC_TRANSPORT_CLOCK_H_
 
+#include <ctime>
+
 #include "hawthornbank/types.h"
 
 /// @file
@@ -13,6 +15,15 @@
       std::chrono::steady_clock::now().time_since_epoch())};
 }
 
+/// @return The current time of the monotonic clock that goes on while the host
+/// is suspended.
+inline auto GetTimeWithSuspensions() -> TimePoint {
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint{std::chrono::seconds{time.tv_sec} +
+                   std::chrono::nanoseconds{time.tv_nsec}};
+}
+
 /// @return The current time of the wall clock.
 inline auto GetWallTime() -> WallTime {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/test/warmup_history_test.cc
+++ b/test/warmup_history_test.cc
@@ -103,6 +103,8 @@
       outcome == PresenceOutcome::kRestarted) {
     ApplyTargetStatus(history.target, history.presence.status, now,
                       history.out);
+  } else if (outcome == PresenceOutcome::kReplaced) {
+    ApplyReplacedTarget(history.target, history.presence.status, now);
   }
   history.next_heartbeat =
       now + 800ms + std::chrono::milliseconds{Draw(history, 400)};
