--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -33,6 +33,8 @@
   TargetState state = TargetState::kUnknown;
   std::uint16_t slots = 1;
   std::uint32_t warmup_ms = 0;
+  /// Longest time for which the agent may have left it unread.
+  Duration unread_time{};
 };
 
 /// Time from the end of a target after which its address may be given to a
@@ -70,6 +72,11 @@
   std::uint64_t sequence = 0;  ///< Sequence number of the newest heartbeat.
   TargetStatus status;
   TimePoint last_heartbeat_at{};
+  /// Latest time at which the target certainly ran: the newest heartbeat may
+  /// have lain unread.
+  TimePoint heard_at{};
+  /// When the first heartbeat of the present start was applied.
+  TimePoint first_heartbeat_at{};
   /// End of the target's warm-up; empty until a heartbeat tells it. Not later
   /// than the present for a target that is warm.
   std::optional<TimePoint> warm_at;
@@ -86,9 +93,11 @@
 
 /// Outcome of a heartbeat, of an announced shutdown or of missing heartbeats.
 enum class PresenceOutcome : std::uint8_t {
-  kKnown,      ///< The target's status is unchanged.
-  kChanged,    ///< The target's status changed.
-  kRestarted,  ///< The target has restarted and lost its flows.
+  kKnown,    ///< The target's status is unchanged.
+  kChanged,  ///< The target's status changed.
+  /// The target has restarted and lost its flows: the start before was running
+  /// while this agent was.
+  kRestarted,
   /// Another start counts as running now. Which flows its target holds is known
   /// only to the target.
   kReplaced,
@@ -137,7 +146,10 @@
     -> TargetStatus;
 
 /// Applies a heartbeat of the target. A start that is unknown and started later
-/// replaces the present one at once. Any other start replaces it when it has
+/// replaces the present one at once. It counts as a restart only if the present
+/// start was running during the agent's life: the agent received its first
+/// heartbeat or heard it for ComputeHeartbeatTimeout(). Otherwise all that was
+/// heard of it may be a late message. Any other start replaces it when it has
 /// sent heartbeats for ComputeHeartbeatTimeout() in which the present one has
 /// been silent. A start of another service replaces the present one when it
 /// started later or the present one is silent; the target is gone then.
@@ -157,13 +169,15 @@
     -> PresenceOutcome;
 
 /// Marks the target as gone when no heartbeat has arrived in the two intervals
-/// (plus an allowance for delays) after this agent's start. A running target
-/// would have sent a heartbeat, because a target sends heartbeats to its own
-/// agent only. Also sets knows_all_flows, because a gone target holds no flows.
+/// (plus an allowance for delays) in which this agent has read its messages
+/// without a pause since its start. A running target would have sent a
+/// heartbeat, because a target sends heartbeats to its own agent only. Which
+/// flows the target holds, if it runs after all, is known only to the target.
 /// @param presence State of the target.
-/// @param up Time since this agent started.
+/// @param listening Time for which the agent has read its messages without a
+/// pause.
 /// @return kChanged when this call marks the target as gone, otherwise kKnown.
-auto MarkSilentTargetGone(TargetPresence& presence, Duration up)
+auto MarkSilentTargetGone(TargetPresence& presence, Duration listening)
     -> PresenceOutcome;
 
 /// @param outcome An outcome.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -79,6 +79,7 @@
   presence.id = beat.id;
   presence.sequence = beat.sequence;
   presence.last_heartbeat_at = now;
+  presence.heard_at = now - beat.unread_time;
   presence.rival.reset();
   presence.status = TargetStatus{.state = beat.state,
                                  .started_at_ms = beat.started_at_ms,
@@ -104,6 +105,7 @@
   }
   presence.warm_at = ComputeWarmupEnd(std::nullopt, beat.warmup_ms, now);
   presence.foreign_service.clear();
+  presence.first_heartbeat_at = now;
   ApplyHeartbeat(presence, beat, now);
 }
 
@@ -117,6 +119,7 @@
     if (beat.sequence > presence.sequence) {
       presence.sequence = beat.sequence;
       presence.last_heartbeat_at = now;
+      presence.heard_at = now - beat.unread_time;
       presence.rival.reset();
     }
     return PresenceOutcome::kForeign;
@@ -141,6 +144,15 @@
   return had_target ? PresenceOutcome::kGivenAway : PresenceOutcome::kForeign;
 }
 
+// Whether the present start was running while this agent was. Late messages of
+// an earlier start can't show it, unless its very first message is late.
+auto WasPresentStartRunning(const TargetPresence& presence) -> bool {
+  return HasTarget(presence) && presence.foreign_service.empty() &&
+         (presence.knows_all_flows ||
+          presence.last_heartbeat_at - presence.first_heartbeat_at >=
+              ComputeHeartbeatTimeout(presence.heartbeat_interval));
+}
+
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
                              const TargetHeartbeat& beat,
                              TimePoint now) -> PresenceOutcome {
@@ -150,15 +162,19 @@
     return PresenceOutcome::kOtherStart;
   }
   if (!is_known && beat.started_at_ms > presence.status.started_at_ms) {
-    const bool had_target =
-        HasTarget(presence) && presence.foreign_service.empty();
+    const bool had_target = HasTarget(presence);
+    const bool was_running = WasPresentStartRunning(presence);
     // Every flow has passed through this agent in two cases: the agent received
     // the target's first heartbeat, before which a target holds no flows, or
     // the target restarted while this agent was running.
     presence.knows_all_flows =
-        had_target || beat.sequence <= kFirstHeartbeatSequence;
+        was_running || beat.sequence <= kFirstHeartbeatSequence;
     ReplacePresentStart(presence, beat, now);
-    return had_target ? PresenceOutcome::kRestarted : PresenceOutcome::kChanged;
+    if (!had_target) {
+      return PresenceOutcome::kChanged;
+    }
+    return was_running ? PresenceOutcome::kRestarted
+                       : PresenceOutcome::kReplaced;
   }
   if (!HasReplacedPresentStart(presence, beat, now)) {
     return PresenceOutcome::kOtherStart;
@@ -180,9 +196,8 @@
 }
 
 auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint {
-  return HasTarget(presence)
-             ? presence.last_heartbeat_at + ComputeSilenceLimit(presence)
-             : TimePoint{};
+  return HasTarget(presence) ? presence.heard_at + ComputeSilenceLimit(presence)
+                             : TimePoint{};
 }
 
 auto DescribeTargetStatus(const TargetPresence& presence, TimePoint now)
@@ -232,14 +247,13 @@
   return PresenceOutcome::kChanged;
 }
 
-auto MarkSilentTargetGone(TargetPresence& presence, Duration up)
+auto MarkSilentTargetGone(TargetPresence& presence, Duration listening)
     -> PresenceOutcome {
   if (presence.status.state != TargetState::kUnknown ||
-      up < ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
+      listening < ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
     return PresenceOutcome::kKnown;
   }
   presence.status.state = TargetState::kGone;
-  presence.knows_all_flows = true;
   return PresenceOutcome::kChanged;
 }
 
