Don't take an unsure agent's target for one that has just started

Callers may see: all targets of a service are replaced, then all balancers and agents are restarted within two seconds; a balancer that has been up for 1.2 s resets a flow that is open at a live target.

Cause: nothing is older than the balancer, so it takes this for a loss of power, and leaves out the one agent that doesn't know its target. The other agents have all replied that they are unsure, which they aren't when they have started with their targets.

--- a/include/hawthornbank/flow_search.h
+++ b/include/hawthornbank/flow_search.h
@@ -63,6 +63,9 @@
   /// Agents that replied that they don't know whether their target holds the
   /// flow, and that haven't been offered the first waiting packet yet.
   std::vector<Endpoint> unsure_agents;
+  /// An agent replied that it is unsure: its target started before it did, so
+  /// they haven't started together after a power loss.
+  bool has_unsure_reply = false;
   /// Unsure agent that was offered the first waiting packet and hasn't returned
   /// the packet; empty if there is no such agent.
   Endpoint offered_to;
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -303,6 +303,7 @@
   OnQueriesEnded(steering.searches.window, 1);
   if (reply.ownership == FlowOwnership::kUnsure) {
     search.unsure_agents.push_back(reply.agent);
+    search.has_unsure_reply = true;
   }
   if (search.unanswered.empty()) {
     OnRoundAnswered(steering.searches.window);
--- a/src/coordination/flow_search_scope.cc
+++ b/src/coordination/flow_search_scope.cc
@@ -67,7 +67,8 @@
 
 // Ranks the agents of one service that haven't been queried yet. Agents that
 // don't know their target's state are left out when the others' targets have
-// just started, unless they have restarted since: their target may have run on.
+// just started, unless they have restarted since or other agents have: their
+// targets may have run on.
 auto RankAgentsOfService(Steering& steering,
                          const FlowKey& flow,
                          const FlowSearch& search,
@@ -75,7 +76,8 @@
                          TimePoint now) -> std::vector<RankedAgent> {
   auto ranked = RankAgentsForFlow(steering.fleet, service, HashFlow(flow),
                                   search.queried_addresses);
-  const bool just_started = HaveTargetsJustStarted(steering, service, now);
+  const bool just_started = !search.has_unsure_reply &&
+                            HaveTargetsJustStarted(steering, service, now);
   std::erase_if(ranked, [now, just_started](const RankedAgent& it) {
     return HasTargetExited(*it.host, now) ||
            (just_started && !it.host->has_restarted &&
@@ -206,7 +208,7 @@
                                     const FlowKey& flow,
                                     const FlowSearch& search,
                                     TimePoint now) -> bool {
-  if (search.is_widened ||
+  if (search.is_widened || search.has_unsure_reply ||
       !HaveTargetsJustStarted(steering, search.service, now)) {
     return false;
   }
--- a/test/flow_search_scope_test.cc
+++ b/test/flow_search_scope_test.cc
@@ -311,6 +311,28 @@
   }
 }
 
+// All targets were replaced, and then all balancers and agents restarted.
+TEST(FlowSearchScope, UnsureAgentShowsThatTargetsHaveRunOn) {
+  SearchingBalancer started;
+  started.PutInForce(MakeRoutes(3, {{.service = 1}}), kNow);
+  started.CompleteHistory(kNow);
+  ReplaceTargetsAndRestartAgent(started, 1, {});
+  const FlowPacket packet = MakeCallerPacket(1);
+  std::vector<SteeringAction> out;
+  OnCallerPacket(started.steering, packet, std::vector<std::uint8_t>(1232),
+                 kNow, out);
+  for (std::uint32_t n = 1; n < kAgentsPerService; ++n) {
+    out.clear();
+    OnFlowReply(started.steering,
+                FlowReply{.flow = ExtractCallerFlowKey(packet),
+                          .agent = MakeAgentOfService(1, n),
+                          .ownership = FlowOwnership::kUnsure},
+                kNow, out);
+  }
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].receivers == std::vector{MakeAgentOfService(1, 0)});
+}
+
 // All hosts lost power; seconds later an agent restarts beside its new target.
 TEST(FlowSearchScope, AgentThatRestartsAfterAPowerLossIsQueried) {
   SearchingBalancer started;
