Let open flows move between balancers in every other world of the model

Packets of an open flow went through one balancer while that was up, so that few searches ran in calm times. In worlds of even seeds a quarter of them now goes through any balancer, from five seconds after the first start on.

--- a/test/restart_world.h
+++ b/test/restart_world.h
@@ -13,6 +13,8 @@
 /// Targets, callers and their flows beside a RestartFleet.
 namespace hawthornbank::test {
 
+// Until then all processes have just started together.
+inline constexpr Duration kSettlingTime = 5s;
 inline constexpr Duration kWarmup = 8s;
 inline constexpr std::uint32_t kSequenceStep = 1'000'000;  // Between targets.
 
@@ -38,11 +40,13 @@
 struct RestartWorld : RestartFleet {
   std::map<std::uint32_t, Target> targets;
   std::map<std::uint16_t, CallerFlow> callers;
+  bool do_flows_move;
   std::uint16_t next_port = 1;
   std::string wrong_resets;  // A line for each reset of an open flow.
   int carried = 0;           // Packets of open flows that reached their target.
 
-  explicit RestartWorld(std::uint32_t seed) : RestartFleet(seed) {
+  explicit RestartWorld(std::uint32_t seed)
+      : RestartFleet(seed), do_flows_move(seed % 2 == 0) {
     for (std::uint32_t n = 1; n <= kBalancers; ++n) {
       Start(MakeBalancerEndpoint(n));
     }
@@ -226,9 +230,15 @@
   }
 
   auto SendCallerPacket(std::uint16_t port, CallerFlow& caller) -> void {
-    // Routers send a flow to the same balancer while that is up.
+    // Routers send a flow to the same balancer; in some worlds they send some
+    // packets of open flows to others.
     std::uint32_t n = port;
-    while (n < port + kBalancers && !processes[ChooseBalancer(n)].up) {
+    if (do_flows_move && caller.is_open && now - kBegin > kSettlingTime &&
+        Draw(4) == 0) {
+      n = Draw(kBalancers);
+    }
+    for (const auto last = n + kBalancers;
+         n < last && !processes[ChooseBalancer(n)].up;) {
       ++n;
     }
     const Endpoint control = ChooseBalancer(n);
