--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -272,7 +272,7 @@
   auto ReturnOpenings(TimePoint now) -> void {
     actions_.clear();
     OnTargetTick(target_, now + target_.options.answer_timeout, actions_);
-    PerformTargetActions({}, now);
+    PerformTargetActions({}, {}, now);
   }
 
   auto OnHttpRequest(const HttpServerRequest& call) -> HttpServerResponse {
