--- a/test/node_identity_test.cc
+++ b/test/node_identity_test.cc
@@ -7,9 +7,13 @@
 #include <optional>
 #include <string>
 
+#include "hawthornbank/relay.h"
+#include "hawthornbank/types.h"
+#include "packet_head.h"
 #include "soak/node_process.h"
 #include "soak/node_settings.h"
 #include "transport/http_client.h"
+#include "transport/udp_socket.h"
 
 // Runs an agent on loopback whose settings file or addresses change hands.
 
@@ -130,3 +134,53 @@
   }
   LONGS_EQUAL(2, code.value_or(-1));
 }
+
+// Guards against openings that run at a target of another service, which got
+// the address of a target that had crashed.
+TEST(NodeIdentity, AgentReturnsOpeningsWhileItsTargetIsSilent) {
+  constexpr std::uint32_t kBalancerHost = 0x7F000122;
+  soak::NodeProcess agent(HAWTHORNNODE, BuildSettings("s"), "silent");
+  UdpSocket app(io, Endpoint{.address = kHost, .port = ports.app});
+  UdpSocket balancer(
+      io, Endpoint{.address = kBalancerHost, .port = ports.internal});
+  int delivered = 0;
+  int returned = 0;
+  app.StartReceiving([&](Endpoint, ByteView) { ++delivered; });
+  balancer.StartReceiving([&](Endpoint, ByteView bytes) {
+    std::size_t size = 0;
+    const auto header = DecodeRelayHeader(bytes, size);
+    returned += header.has_value() && header->is_returned ? 1 : 0;
+  });
+  std::uint16_t port = 1000;
+  const auto send_opening = [&] {
+    Bytes datagram;
+    AppendRelayHeader(
+        RelayHeader{.origin = balancer.local_endpoint(),
+                    .service = static_cast<std::uint32_t>(HashName("s"))},
+        datagram);
+    const auto packet = platform::EncodeResetPacket(
+        FlowKey{.caller = {.address = 0xC6120001, .port = 443},
+                .address = {.address = kBalancerHost, .port = ++port}},
+        0);
+    datagram.insert(datagram.end(), packet.begin(), packet.end());
+    datagram[datagram.size() - packet.size()] = 0x40;  // An opening.
+    balancer.SendDatagram({.address = kHost, .port = ports.internal}, datagram);
+    io.run_for(50ms);
+    io.restart();
+  };
+  CHECK(WaitForStatus(200, "s", 1000));
+  send_opening();
+  LONGS_EQUAL(1, delivered);
+  // Two intervals of 200 ms and 300 ms without a heartbeat.
+  io.run_for(1s);
+  io.restart();
+  delivered = returned = 0;
+  for (int n = 0; n < 20; ++n) {
+    send_opening();
+  }
+  LONGS_EQUAL(0, delivered);
+  LONGS_EQUAL(20, returned);
+  CHECK(WaitForStatus(200, "s", 1000));
+  send_opening();
+  LONGS_EQUAL(1, delivered);
+}
