Separate late copies from used ports in the soak

With `reuse_ports`, copies of an ended flow's opening also arrived while its port was in use again, so that one run mixed two events. `late_copies` is a kind of its own now.

A caller counted any reset as one of its flow. On a port that was used before, agents and balancers may still reset the earlier flow to the same route; by the protocol the caller then compares the reset's sequence number with its last acknowledgement and ignores those more than 76,800 away. The soak's callers now do so on open flows of used ports, and on these only: for a port that is used once each reset counts as before.

--- a/soak/caller_ports.cc
+++ b/soak/caller_ports.cc
@@ -30,7 +30,7 @@
               : now + std::chrono::milliseconds{kMinReuseMs +
                                                 random_() % kReuseSpreadMs},
       port);
-  return at_once;
+  return at_once && has_late_copies_;
 }
 
 }  // namespace hawthornbank::soak
--- a/soak/caller_ports.h
+++ b/soak/caller_ports.h
@@ -18,16 +18,19 @@
 class CallerPorts {
  public:
   /// @param reuses Whether ports of ended flows are used again.
+  /// @param has_late_copies Whether copies of the opening of an ended flow
+  /// arrive when its port is in use again.
   /// @param seed Seed of the times after which a port is used again.
-  CallerPorts(bool reuses, std::uint64_t seed)
-      : random_{seed}, reuses_(reuses) {}
+  CallerPorts(bool reuses, bool has_late_copies, std::uint64_t seed)
+      : random_{seed}, reuses_(reuses), has_late_copies_(has_late_copies) {}
 
   /// @return A port that no open flow uses.
   auto TakePort(TimePoint now) -> std::uint16_t;
 
   /// Notes the end of a flow. Its port may be used again some seconds later,
   /// or at once.
-  /// @return Whether the port may be used at once.
+  /// @return Whether the port may be used at once and late copies of the flow's
+  /// opening follow.
   auto ReleasePort(std::uint16_t port, TimePoint now) -> bool;
 
   /// Notes a flow.
@@ -39,6 +42,7 @@
  private:
   Random random_;
   bool reuses_ = false;
+  bool has_late_copies_ = false;
   std::uint16_t next_port_ = 10'000;
   /// Ports that may be used again, by the time from which they may be.
   std::multimap<TimePoint, std::uint16_t> released_;
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -1,6 +1,7 @@
 #include "soak/callers.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "packet_head.h"
@@ -12,6 +13,9 @@
 
 constexpr std::size_t kMaxFlows = 150;
 constexpr int kFlowsPerStep = 2;
+// Greatest difference between a reset's sequence number and the caller's last
+// acknowledgement number, in both directions.
+constexpr std::int64_t kMaxResetDistance = 76'800;
 constexpr int kFlowsPerLongFlow = 8;
 constexpr int kLongFlowRequests = 30;
 constexpr std::chrono::milliseconds kFirstOpeningRetry{200};
@@ -25,6 +29,12 @@
 constexpr std::chrono::milliseconds kMinRequestPause{100};
 constexpr std::uint32_t kRequestPauseSpreadMs = 500;
 
+auto IsResetOfFlow(const CallerFlow& flow, std::uint32_t sequence) -> bool {
+  const auto distance =
+      static_cast<std::int32_t>(sequence - (flow.target_sequence + 1));
+  return std::abs(std::int64_t{distance}) <= kMaxResetDistance;
+}
+
 }  // namespace
 
 Callers::Callers(asio::io_context& io,
@@ -180,6 +190,10 @@
   CallerFlow& flow = it->second;
   const TimePoint now = transport::GetMonotonicTime();
   if (packet->is_reset) {
+    if (flow.is_open && flow.is_port_reused &&
+        !IsResetOfFlow(flow, packet->sequence)) {
+      return;  // Reset of an earlier flow of the port.
+    }
     flow.was_reset = true;
     if (flow.is_open && IsResetByLoadBalancer(bytes)) {
       events_.on_flow_reset(flow);
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -102,6 +102,7 @@
   TCLAP::MultiArg<std::string> only(
       "", "only",
       "Only events of this kind, without the series of faults: reuse_ports, "
+      "late_copies (with reuse_ports), "
       "hand_over (any way), together, early_agent, late_agent, kept_agent, "
       "kept_agent_sighup, drained, late_heartbeat, suspended_balancer, "
       "killed_agent",
--- a/soak/reuse.h
+++ b/soak/reuse.h
@@ -22,6 +22,7 @@
 /// What is used again, and how.
 enum class ReuseKind : std::uint8_t {
   kPorts,       ///< Callers use ports again, after some seconds or at once.
+  kLateCopies,  ///< Copies of openings arrive after their port's next opening.
   kTogether,    ///< The agent ends just before the next target listens.
   kEarlyAgent,  ///< The agent ends up to 2 s before.
   kLateAgent,   ///< The agent ends some time after.
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -111,6 +111,7 @@
       Endpoint{.address = GetHostAddress(kCallerHost), .port = ports_.data},
       data_endpoints, routes_,
       CallerPorts(options_.reuse.kinds.contains(ReuseKind::kPorts),
+                  options_.reuse.kinds.contains(ReuseKind::kLateCopies),
                   options_.seed),
       options_.seed,
       CallerEvents{
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -183,7 +183,7 @@
   for (const auto& it : GenerateReuseSeries(5, 60s, late)) {
     CHECK(it.kind == ReuseKind::kLateAgent && it.agent_end == 300ms);
   }
-  std::set<ReuseKind> drawn{ReuseKind::kPorts};
+  std::set<ReuseKind> drawn{ReuseKind::kPorts, ReuseKind::kLateCopies};
   for (const auto& it :
        GenerateReuseSeries(5, 300s, {.kinds = GetAllReuseKinds()})) {
     drawn.insert(it.kind);
@@ -202,8 +202,8 @@
 }
 
 TEST(Reuse, PortsComeBackOnlyWhenChosenAndOnlyOnceEach) {
-  CallerPorts growing(false, 1);
-  CallerPorts reused(true, 1);
+  CallerPorts growing(false, false, 1);
+  CallerPorts reused(true, true, 1);
   std::set<std::uint16_t> ports;
   int at_once = 0;
   for (int n = 0; n < 100; ++n) {
