Keep an open flow until the caller has opened the port's other one

Callers saw open flows reset at live targets (FLOW): a held-back copy of an earlier opening of the port, or an opening that the agent then returned, erased the agent's record of the open flow; its next packet was answered with not_here, the search left that agent out, and the flow was reset with flow_unknown.

Cause: an opening with another sequence number was taken for the end of the flow, though it may have come before the flow's own. What tells which flow of the port is open is the caller's acknowledgement. The agent now keeps the open flow when it returns an opening or the target leaves it unanswered or returns it, and replaces it when the caller acknowledges the target's answer to the other opening.

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -96,6 +96,11 @@
   /// Sequence number of the packet in which the target accepted the opening;
   /// empty once the caller has acknowledged that packet.
   std::optional<std::uint32_t> unacknowledged_sequence;
+  /// Sequence number of the packet in which the target accepted the opening;
+  /// empty if the agent hasn't seen that packet.
+  std::optional<std::uint32_t> accepted_sequence;
+  /// Number after the latest byte that the target has sent.
+  std::optional<std::uint32_t> sent_sequence;
   /// Latest acknowledgement number sent by the target. Data before it is a
   /// repetition and no new request.
   std::optional<std::uint32_t> acknowledged_by_target;
@@ -113,6 +118,16 @@
   bool target_ended = false;
 };
 
+/// A flow that the target has accepted while an earlier flow of the same port
+/// was open, and that the caller hasn't confirmed yet.
+struct ReopenedFlow {
+  RelayHeader header;  ///< Relay header of the opening.
+  /// Sequence number of the opening; empty if the answer came late.
+  std::optional<std::uint32_t> opening_sequence;
+  std::uint32_t accepted_sequence = 0;  ///< See TargetFlow.
+  TimePoint accepted_at{};
+};
+
 /// An opening packet that the target hasn't answered yet.
 struct UnansweredOpening {
   std::vector<std::uint8_t> packet;
@@ -213,6 +228,7 @@
   bool has_untracked_flows = false;
   std::unordered_map<FlowKey, TargetFlow> flows;
   std::unordered_map<FlowKey, UnansweredOpening> openings;
+  std::unordered_map<FlowKey, ReopenedFlow> reopened;
   std::array<ReturnablePacket, kReturnablePackets> returnable_packets;
   std::uint32_t next_return_id = 1;
   std::uint16_t running = 0;  ///< Number of flows with `occupies_slot`.
@@ -256,9 +272,11 @@
 /// flow if the query shows that the caller opened it at another target.
 /// @param target What the agent keeps about its target's flows.
 /// @param query The balancer's query.
+/// @param now Current time.
 /// @param out A reply is appended to it.
 auto OnFlowQuery(TargetFlows& target,
                  const FlowQuery& query,
+                 TimePoint now,
                  std::vector<TargetAction>& out) -> void;
 
 /// Handles a packet that the target sent to a caller,
--- a/src/coordination/target_flow_expiry.cc
+++ b/src/coordination/target_flow_expiry.cc
@@ -74,6 +74,7 @@
   target.health = {};
   target.unresponsive_until = {};
   target.openings.clear();
+  target.reopened.clear();
   ForgetTargetCapacity(target.order);
 }
 
@@ -101,6 +102,16 @@
   }
 }
 
+// Returns whether the port's open flow isn't that of the opening. A target may
+// leave a late copy of an earlier opening unanswered.
+auto HasEarlierOpenFlow(const TargetFlows& target,
+                        const FlowKey& key,
+                        std::uint32_t sequence) -> bool {
+  const auto known = target.flows.find(key);
+  return known != target.flows.end() && detail::IsFlowOpen(known->second) &&
+         known->second.opening_sequence != sequence;
+}
+
 }  // namespace
 
 auto ApplyTargetStatus(TargetFlows& target,
@@ -142,9 +153,11 @@
       ++it;
       continue;
     }
-    target.unresponsive_until = now + kUnresponsiveTime;
-    SuspectTargetRestart(target.warmup, now);
-    EraseFlow(target, it->first);
+    if (!HasEarlierOpenFlow(target, it->first, it->second.sequence)) {
+      target.unresponsive_until = now + kUnresponsiveTime;
+      SuspectTargetRestart(target.warmup, now);
+      EraseFlow(target, it->first);
+    }
     it->second.header.may_be_accepted = true;
     AppendReturnAction(target, it->first, std::move(it->second.header),
                        TargetReason::kSilent, out);
@@ -167,6 +180,9 @@
 }
 
 auto ExpireFlowsAndRequests(TargetFlows& target, TimePoint now) -> void {
+  std::erase_if(target.reopened, [&](const auto& it) {
+    return now - it.second.accepted_at > target.options.closed_flow_retention;
+  });
   for (auto it = target.flows.begin(); it != target.flows.end();) {
     TargetFlow& flow = it->second;
     const bool is_closed =
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -152,10 +152,11 @@
 using detail::StoreReturnableHeader;
 using Kind = TargetAction::Kind;
 
-// Maximum number of bytes by which the caller's first acknowledgement number is
-// ahead of the target's sequence number: a target sends no more before that
-// packet arrives. A larger lead shows that the caller chose another target.
-constexpr std::uint32_t kMaxAcknowledgementLead = 76'800;
+using detail::kMaxAcknowledgementLead;
+
+// Maximum number of bytes that a target can have sent on a flow after a packet
+// that is acknowledged by a late packet of the caller.
+constexpr std::int32_t kMaxAcknowledgementLag = 1 << 24;
 
 constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
     "delivered",     "opened",      "offered",   "answered",
@@ -181,18 +182,29 @@
   }
 }
 
+// Forgets an opening that the target has returned, or whose flow's packet the
+// target has returned.
+auto EraseUnansweredOpening(TargetFlows& target,
+                            const FlowKey& key,
+                            const FlowPacket& packet) -> void {
+  const auto opening = target.openings.find(key);
+  if (opening != target.openings.end() &&
+      (!packet.is_opening || opening->second.sequence == packet.sequence)) {
+    target.openings.erase(opening);
+  }
+}
+
 auto OnPacketReturnedByTarget(TargetFlows& target,
                               const FlowPacket& packet,
                               TimePoint now,
                               std::vector<TargetAction>& out) -> void {
   const FlowKey key = ExtractCallerFlowKey(packet);
   const auto known = target.flows.find(key);
-  const bool is_of_earlier_flow =
+  const bool is_of_other_flow =
       packet.is_opening && known != target.flows.end() &&
-      known->second.opening_sequence.value_or(packet.sequence) !=
-          packet.sequence;
+      known->second.opening_sequence != packet.sequence;
   if (known != target.flows.end() && known->second.is_accepted &&
-      !is_of_earlier_flow) {
+      !is_of_other_flow) {
     SuspectTargetRestart(target.warmup, now);
   }
   const ReturnablePacket& stored =
@@ -205,23 +217,41 @@
                         out);
     return;
   }
-  if (!is_of_earlier_flow) {
-    target.openings.erase(key);
+  EraseUnansweredOpening(target, key, packet);
+  if (!is_of_other_flow) {
     EraseFlow(target, key);
   }
   AppendReturnAction(target, key, stored.header, TargetReason::kReturned, out);
 }
 
-// Checks the caller's first acknowledgement number after the opening and
-// returns whether the caller opened the flow at another target. Two targets may
-// accept the same opening packet; the number shows which target the caller
-// chose. After a matching number, later numbers aren't checked.
+// Returns whether an acknowledgement number is one of the flow at this target.
+// A packet may be late, so it can be far behind what the target has sent.
+auto IsAcknowledgementPlausible(const TargetFlow& flow,
+                                std::uint32_t acknowledgement) -> bool {
+  if (!flow.sent_sequence.has_value()) {
+    return true;
+  }
+  const auto lead =
+      static_cast<std::int32_t>(acknowledgement - *flow.sent_sequence);
+  return lead <= static_cast<std::int32_t>(kMaxAcknowledgementLead) &&
+         lead >= -kMaxAcknowledgementLag;
+}
+
+// Returns whether the caller's acknowledgement number shows that the caller
+// opened the flow at another target. Two targets may accept the same opening
+// packet, or one the opening of a flow and the other that of a later flow of
+// the same port. The first number after the opening is checked against the
+// number of the target's acceptance.
 auto CheckIfOpenedAtAnotherTarget(TargetFlow& flow,
                                   bool has_acknowledgement,
                                   std::uint32_t acknowledgement) -> bool {
-  if (!flow.unacknowledged_sequence.has_value() || !has_acknowledgement) {
+  if (!has_acknowledgement) {
     return false;
   }
+  if (!flow.unacknowledged_sequence.has_value()) {
+    return flow.is_accepted &&
+           !IsAcknowledgementPlausible(flow, acknowledgement);
+  }
   if (acknowledgement - *flow.unacknowledged_sequence >
       kMaxAcknowledgementLead) {
     return true;
@@ -344,6 +374,8 @@
                             out);
     return;
   }
+  detail::ReplaceFlowIfReopened(target, flow, packet.has_acknowledgement,
+                                packet.acknowledgement, now);
   const auto known = target.flows.find(flow);
   if (known == target.flows.end()) {
     if (target.knows_all_flows && !target.has_untracked_flows) {
@@ -383,7 +415,10 @@
 
 auto OnFlowQuery(TargetFlows& target,
                  const FlowQuery& query,
+                 TimePoint now,
                  std::vector<TargetAction>& out) -> void {
+  detail::ReplaceFlowIfReopened(target, query.flow, query.has_acknowledgement,
+                                query.acknowledgement, now);
   const auto known = target.flows.find(query.flow);
   auto ownership = FlowOwnership::kUnsure;
   if (known == target.flows.end()) {
@@ -413,6 +448,10 @@
     return;
   }
   const FlowKey key = ExtractTargetFlowKey(packet);
+  if (packet.is_opening && detail::RecordAnswerToLaterOpening(
+                               target, key, packet.sequence, now, out)) {
+    return;
+  }
   TargetFlow& flow = target.flows[key];
   flow.last_packet_at = now;
   if (flow.target_started_at_ms == 0) {
@@ -422,11 +461,18 @@
     flow.is_accepted = true;
     flow.accepted_at = now;
     if (packet.is_opening) {
-      flow.unacknowledged_sequence = packet.sequence;
+      flow.unacknowledged_sequence = flow.accepted_sequence = packet.sequence;
     }
     target.openings.erase(key);
     AppendReplyAction(key, flow.last_balancer, FlowOwnership::kHeld, out);
   }
+  const std::uint32_t sent_until = packet.sequence + packet.data_bytes;
+  if (!packet.is_reset &&
+      (!flow.sent_sequence.has_value() ||
+       (!packet.is_opening &&
+        IsSequenceAfter(sent_until, *flow.sent_sequence)))) {
+    flow.sent_sequence = sent_until;
+  }
   if (packet.has_acknowledgement &&
       (!flow.acknowledged_by_target.has_value() ||
        IsSequenceAfter(packet.acknowledgement, *flow.acknowledged_by_target))) {
--- a/src/coordination/target_flows_internal.h
+++ b/src/coordination/target_flows_internal.h
@@ -11,6 +11,11 @@
 /// Declarations shared by the source files of an agent's packet handling.
 namespace hawthornbank::detail {
 
+/// Maximum number of bytes by which the caller's first acknowledgement number
+/// is ahead of the target's sequence number: a target sends no more before that
+/// packet arrives. A larger lead shows that the caller chose another target.
+inline constexpr std::uint32_t kMaxAcknowledgementLead = 76'800;
+
 /// Counts an action's reason and appends the action to `out`.
 auto AppendCountedAction(TargetFlows& target,
                          TargetAction action,
@@ -67,6 +72,42 @@
                              TimePoint now,
                              std::vector<TargetAction>& out) -> void;
 
+/// @return Whether the flow is known to have another opening than the one with
+/// the sequence number.
+auto HasOtherOpening(const TargetFlow& flow, std::uint32_t sequence) -> bool;
+
+/// @return Whether the target has accepted the flow and it hasn't been closed.
+auto IsFlowOpen(const TargetFlow& flow) -> bool;
+
+/// Records the flow of an opening that was delivered to the target, and that
+/// the target may accept.
+/// @param sequence Sequence number of the opening; empty if unknown.
+auto RecordOpenedFlow(TargetFlows& target,
+                      const RelayHeader& header,
+                      const FlowKey& flow,
+                      std::optional<std::uint32_t> sequence,
+                      TimePoint now) -> void;
+
+/// Records that the target has accepted a later opening of the port of an open
+/// flow. The caller's next acknowledgement tells which of the two flows is
+/// open, as the opening may be a late copy of an earlier one.
+/// @param accepted_sequence Sequence number of the target's answer.
+/// @return Whether the answer is of another flow than the open one. It is
+/// passed on to the caller then.
+auto RecordAnswerToLaterOpening(TargetFlows& target,
+                                const FlowKey& key,
+                                std::uint32_t accepted_sequence,
+                                TimePoint now,
+                                std::vector<TargetAction>& out) -> bool;
+
+/// Replaces an open flow if the caller's acknowledgement number shows that the
+/// caller has opened the port's later flow at this target.
+auto ReplaceFlowIfReopened(TargetFlows& target,
+                           const FlowKey& key,
+                           bool has_acknowledgement,
+                           std::uint32_t acknowledgement,
+                           TimePoint now) -> void;
+
 /// Handles an opening that a balancer relayed: delivers it, returns it to the
 /// balancer or rejects it.
 /// @param sequence Sequence number of the opening. An opening of a known flow
--- a/src/coordination/target_openings.cc
+++ b/src/coordination/target_openings.cc
@@ -50,22 +50,46 @@
 // has returned it.
 auto MayRejectOpening(const TargetFlows& target,
                       const RelayHeader& header,
-                      const FlowKey& flow) -> bool {
-  return !header.may_be_accepted && !target.flows.contains(flow);
+                      const FlowKey& flow,
+                      std::uint32_t sequence) -> bool {
+  const auto known = target.flows.find(flow);
+  return !header.may_be_accepted && (known == target.flows.end() ||
+                                     HasOtherOpening(known->second, sequence));
+}
+
+// Forgets what is left of an earlier opening of the port. An earlier flow that
+// is open is kept until the target answers the opening, which may be a late
+// copy of an opening that came before the flow's.
+auto EraseEarlierOpening(TargetFlows& target,
+                         const FlowKey& flow,
+                         std::uint32_t sequence) -> void {
+  const auto known = target.flows.find(flow);
+  if (known != target.flows.end() && !IsFlowOpen(known->second) &&
+      HasOtherOpening(known->second, sequence)) {
+    EraseFlow(target, flow);
+  }
+  const auto opening = target.openings.find(flow);
+  if (opening != target.openings.end() &&
+      opening->second.sequence != sequence) {
+    target.openings.erase(opening);
+  }
+}
+
+}  // namespace
+
+auto HasOtherOpening(const TargetFlow& flow, std::uint32_t sequence) -> bool {
+  return flow.opening_sequence.value_or(sequence) != sequence;
+}
+
+auto IsFlowOpen(const TargetFlow& flow) -> bool {
+  return flow.is_accepted && flow.closed_at == TimePoint{};
 }
 
-// Records the flow of an opening that is delivered to the target.
 auto RecordOpenedFlow(TargetFlows& target,
                       const RelayHeader& header,
                       const FlowKey& flow,
-                      std::uint32_t sequence,
+                      std::optional<std::uint32_t> sequence,
                       TimePoint now) -> void {
-  const auto known = target.flows.find(flow);
-  if (known != target.flows.end() &&
-      !known->second.opening_sequence.has_value()) {
-    // The target's answer tells whether the opening is a copy.
-    EraseFlow(target, flow);
-  }
   if (target.flows.size() >= target.options.max_flows) {
     target.has_untracked_flows = true;
     return;
@@ -85,24 +109,6 @@
   target.delivered_openings.push_back({.flow = flow, .delivered_at = now});
 }
 
-// Ends the flow of an earlier opening: the caller uses its port again.
-auto EraseEarlierFlow(TargetFlows& target,
-                      const FlowKey& flow,
-                      std::uint32_t sequence) -> void {
-  const auto known = target.flows.find(flow);
-  if (known != target.flows.end() &&
-      known->second.opening_sequence.value_or(sequence) != sequence) {
-    EraseFlow(target, flow);
-  }
-  const auto opening = target.openings.find(flow);
-  if (opening != target.openings.end() &&
-      opening->second.sequence != sequence) {
-    target.openings.erase(opening);
-  }
-}
-
-}  // namespace
-
 auto OnOpeningPacket(TargetFlows& target,
                      const RelayHeader& header,
                      const FlowKey& flow,
@@ -110,7 +116,7 @@
                      std::span<const std::uint8_t> bytes,
                      TimePoint now,
                      std::vector<TargetAction>& out) -> void {
-  EraseEarlierFlow(target, flow, sequence);
+  EraseEarlierOpening(target, flow, sequence);
   const auto known = target.flows.find(flow);
   if (now >= target.silent_from) {
     AppendReturnAction(target, flow, header, TargetReason::kNotHeard, out);
@@ -118,7 +124,7 @@
     return;
   }
   if (known != target.flows.end() && known->second.is_accepted &&
-      known->second.opening_sequence.has_value()) {
+      known->second.opening_sequence == sequence) {
     known->second.last_balancer = header.origin;
     AppendDeliverAction(target, flow, TargetReason::kDelivered,
                         StoreReturnableHeader(target, header), out);
@@ -157,7 +163,7 @@
     return;
   }
   RecordPriority(target.order, header.terms);
-  if (MayRejectOpening(target, header, flow) &&
+  if (MayRejectOpening(target, header, flow, sequence) &&
       MustRejectOpening(target.order, target.status.slots, header.terms,
                         target.expected_requests)) {
     AppendCountedAction(
@@ -172,7 +178,13 @@
   if (!target.openings.contains(flow)) {
     CountWarmupRequest(target.warmup, now);
   }
-  RecordOpenedFlow(target, header, flow, sequence, now);
+  if (known == target.flows.end() || !IsFlowOpen(known->second)) {
+    if (known != target.flows.end() &&
+        known->second.opening_sequence != sequence) {
+      EraseFlow(target, flow);
+    }
+    RecordOpenedFlow(target, header, flow, sequence, now);
+  }
   target.openings[flow] =
       UnansweredOpening{.packet = {bytes.begin(), bytes.end()},
                         .sequence = sequence,
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -151,7 +151,7 @@
 
   auto OnFlowQueryReceived(const FlowQuery& query, TimePoint now) -> void {
     actions_.clear();
-    OnFlowQuery(target_, query, actions_);
+    OnFlowQuery(target_, query, now, actions_);
     PerformTargetActions({}, {}, now);
   }
 
