Let the soak's targets send heartbeats at the interval of real ones

The soak's targets sent a heartbeat each 200 ms, so an agent takes a silent one for gone 1.3 s before its address is used again.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -112,6 +112,9 @@
       "Time for which former agents outlive their target's "
       "successor, with late_agent and drained",
       false, -1, "MS", command);
+  TCLAP::ValueArg<int> heartbeat_ms("", "heartbeat-ms",
+                                    "Time between two heartbeats of a target",
+                                    false, 200, "MS", command);
   TCLAP::ValueArg<std::string> program("", "program", "Path of hawthornnode",
                                        false, HAWTHORNNODE, "PATH", command);
   command.parse(argc, argv);
@@ -125,6 +128,7 @@
       .network = ChooseLoopbackNetwork(::getpid()),
       .verbose = verbose.getValue(),
       .has_faults = only.getValue().empty(),
+      .heartbeat_interval = std::chrono::milliseconds{heartbeat_ms.getValue()},
       .reuse =
           ChooseReuse(reuse.getValue(), only.getValue(), late_ms.getValue())};
   SoakEnvironment environment(options);
--- a/soak/node_settings.cc
+++ b/soak/node_settings.cc
@@ -38,9 +38,9 @@
   const bool is_agent = !parameters.service.empty();
   std::string text = fmt::format(
       "node = \"{}\"\nzone = \"{}\"\nip = \"{}\"\ninternal_ports = [{}]\n"
-      "heartbeat_ms = 200\nseeds = [{}]\n",
+      "heartbeat_ms = {}\nseeds = [{}]\n",
       parameters.name, parameters.zone, address.substr(0, address.find(':')),
-      ports.internal, seeds);
+      ports.internal, parameters.heartbeat_interval.count(), seeds);
   if (is_agent) {
     text += fmt::format("service = \"{}\"\napp = \"{}\"\n", parameters.service,
                         format_endpoint(ports.app));
--- a/soak/node_settings.h
+++ b/soak/node_settings.h
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNBANK_SOAK_NODE_SETTINGS_H_
 #define HAWTHORNBANK_SOAK_NODE_SETTINGS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -37,6 +38,8 @@
   Endpoint store;
   std::string service;  ///< Service of an agent's target; empty for a balancer.
   std::string zone = "a";
+  /// Mean time between two heartbeats of a target.
+  std::chrono::milliseconds heartbeat_interval{200};
 };
 
 /// @param ports Port numbers, the same on all hosts.
--- a/soak/target_standin.cc
+++ b/soak/target_standin.cc
@@ -15,7 +15,6 @@
 using transport::HttpRequest;
 using transport::HttpResponse;
 
-constexpr std::chrono::milliseconds kHeartbeatInterval{200};
 constexpr std::chrono::milliseconds kAgentCallTimeout{1000};
 constexpr std::uint32_t kMinWorkMs = 5;
 constexpr std::uint32_t kWorkSpreadMs = 30;
@@ -42,6 +41,7 @@
                              std::uint32_t host,
                              const HostPorts& ports,
                              std::string service,
+                             std::chrono::milliseconds heartbeat_interval,
                              TargetEvents events)
     : io_(io),
       outbound_{.address = host, .port = ports.outbound},
@@ -50,6 +50,7 @@
       socket_(io, app_),
       client_(io, control_),
       heartbeat_timer_(io),
+      heartbeat_interval_(heartbeat_interval),
       events_(std::move(events)),
       service_(std::move(service)),
       instance_id_(FormatInstanceId(host)),
@@ -154,7 +155,7 @@
           }
         });
   }
-  heartbeat_timer_.expires_after(kHeartbeatInterval);
+  heartbeat_timer_.expires_after(heartbeat_interval_);
   heartbeat_timer_.async_wait([this](const asio::error_code& ec) {
     if (!ec) {
       SendHeartbeat();
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -34,11 +34,13 @@
   /// @param host Address of the target's host.
   /// @param ports Port numbers, the same on all hosts.
   /// @param service Service of the target.
+  /// @param heartbeat_interval Time between two heartbeats.
   /// @param events Handlers of target events.
   TargetStandin(asio::io_context& io,
                 std::uint32_t host,
                 const HostPorts& ports,
                 std::string service,
+                std::chrono::milliseconds heartbeat_interval,
                 TargetEvents events);
 
   /// Ends the target without notice to the agent. The target loses all flows
@@ -124,6 +126,7 @@
   transport::UdpSocket socket_;
   transport::HttpClient client_;
   asio::steady_timer heartbeat_timer_;
+  std::chrono::milliseconds heartbeat_interval_;
   TargetEvents events_;
   std::string service_;
   std::string instance_id_;
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -79,17 +79,22 @@
     const auto host =
         GetHostAddress(kFirstBalancerHost + static_cast<std::uint32_t>(n));
     data_endpoints.push_back({.address = host, .port = ports_.data});
-    AddAndStartNode(fmt::format("balancer-{}", n),
-                    NodeParameters{.host = host});
+    AddAndStartNode(
+        fmt::format("balancer-{}", n),
+        NodeParameters{.host = host,
+                       .heartbeat_interval = options_.heartbeat_interval});
   }
   for (std::size_t n = 0; n < options_.targets; ++n) {
     const auto host =
         GetHostAddress(kFirstTargetHost + static_cast<std::uint32_t>(n));
     const std::string service = n % 5 < 3 ? kFirstService : kSecondService;
-    AddAndStartNode(fmt::format("agent-{}", n),
-                    NodeParameters{.host = host, .service = service});
+    AddAndStartNode(
+        fmt::format("agent-{}", n),
+        NodeParameters{.host = host,
+                       .service = service,
+                       .heartbeat_interval = options_.heartbeat_interval});
     targets_.push_back(std::make_unique<TargetStandin>(
-        io_, host, ports_, service,
+        io_, host, ports_, service, options_.heartbeat_interval,
         TargetEvents{
             .on_request_executed =
                 [this, n](std::uint64_t request) {
--- a/soak/world.h
+++ b/soak/world.h
@@ -38,7 +38,9 @@
   /// Whether the report lists events and keeps logs even without violations.
   bool verbose = false;
   bool has_faults = true;  ///< Whether the series of faults is injected.
-  ReuseOptions reuse;      ///< Uses of ports and addresses again.
+  /// Mean time between two heartbeats of a target.
+  std::chrono::milliseconds heartbeat_interval{200};
+  ReuseOptions reuse;  ///< Uses of ports and addresses again.
 };
 
 /// Processes, stand-ins and checks of one soak, on addresses of 127.0.0.0/8.
