Don't end a live target on one heartbeat of another service

One late heartbeat of the target that had an address before ended the live target there: its flows were reset, balancers saw it as gone without a start time and searches skipped its agent. It was enough that the live target was silent, as at 1.7 s after its last heartbeat, or that its start time was smaller, as after a clock went back. Starts of the own service have to show that they run before they replace another; those of other services didn't have to. An agent that had just started took its live target for gone, too, after late heartbeats of two services, or of one with a larger start time.

Such a heartbeat now claims the address. Openings stop at once, as before; the target is announced as of unknown state with its start time, and its flows go on. The target is gone when the claiming start goes on sending heartbeats for two intervals and 300 ms in which the present start is silent. The claim is rejected when the present start does so in which the claiming one is silent: as strict as what a replaced own start had to show before. A shorter time, such as half an interval, would let late heartbeats of a crashed target open an address that another service uses, as its target needn't send one in between. Heartbeats read after a pause count as sent when the pause began, also those of rivals, so that they don't decide while others lie unread beside them. Only an own start that is later than the claiming one opens the address at once, as before.

An agent without a target that hears one of another service leaves its target's state unknown, also at the second such start, and while own heartbeats arrive that aren't applied yet.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -58,6 +58,17 @@
   TimePoint first_heard_at{};
 };
 
+/// A start of another service that may have the address of the present start's
+/// target. Its heartbeats may be late.
+struct ForeignClaim {
+  TargetStart start;
+  /// When its first heartbeat since the newest one of the present start came.
+  TimePoint first_heard_at{};
+  /// When the first heartbeat of the present start since the newest one of this
+  /// start came; empty if none has.
+  std::optional<TimePoint> own_heard_at;
+};
+
 /// Number of replaced starts that an agent remembers.
 inline constexpr std::size_t kMaxReplacedStarts = 8;
 
@@ -84,6 +95,7 @@
   /// has passed through this agent.
   bool knows_all_flows = false;
   std::optional<RivalStart> rival;
+  std::optional<ForeignClaim> claim;
   /// Service of the present start when its target is of another service: the
   /// address has been given away. Empty otherwise.
   std::string foreign_service;
@@ -104,6 +116,9 @@
   kLate,        ///< A newer heartbeat of the same start is known.
   kOtherStart,  ///< Sent by a start that doesn't count as running; not applied.
   kForeign,     ///< The heartbeat belongs to another service.
+  /// The heartbeat belongs to another service, which may have the target's
+  /// address: the target's state is unknown, its flows go on.
+  kClaimed,
   /// The target's address belongs to a target of another service now.
   kGivenAway,
 };
@@ -116,6 +131,7 @@
 constexpr auto IsAcknowledged(PresenceOutcome outcome) -> bool {
   return outcome != PresenceOutcome::kOtherStart &&
          outcome != PresenceOutcome::kForeign &&
+         outcome != PresenceOutcome::kClaimed &&
          outcome != PresenceOutcome::kGivenAway;
 }
 
@@ -133,12 +149,14 @@
 
 /// Computes when the target counts as silent unless it sends a heartbeat.
 /// @param presence State of the target.
-/// @return The time; before the present if no heartbeat has been received.
+/// @return The time; before the present if no heartbeat has been received or
+/// another service may have the target's address.
 auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint;
 
-/// Describes the target for balancers. A silent target that was ready is of
-/// unknown state and keeps its start time: its flows may still be open. No
-/// start time is given while a target of another service has the address.
+/// Describes the target for balancers. A target that was ready and is silent,
+/// or whose address another service may have, is of unknown state and keeps its
+/// start time: its flows may still be open. No start time is given while a
+/// target of another service has the address.
 /// @param presence State of the target.
 /// @param now Current time.
 /// @return The status.
@@ -151,8 +169,12 @@
 /// heartbeat or heard it for ComputeHeartbeatTimeout(). Otherwise all that was
 /// heard of it may be a late message. Any other start replaces it when it has
 /// sent heartbeats for ComputeHeartbeatTimeout() in which the present one has
-/// been silent. A start of another service replaces the present one when it
-/// started later or the present one is silent; the target is gone then.
+/// been silent. A start of another service claims the address when it started
+/// later or the present one is silent: the target counts as silent. It replaces
+/// the present one, and the target is gone, when it has sent heartbeats for
+/// ComputeHeartbeatTimeout() in which the present one has been silent. The
+/// claim is rejected when the present one has sent heartbeats for as long in
+/// which the other one has been silent.
 /// @param presence State of the target.
 /// @param beat The heartbeat.
 /// @param now Current time.
@@ -173,6 +195,7 @@
 /// without a pause since its start. A running target would have sent a
 /// heartbeat, because a target sends heartbeats to its own agent only. Which
 /// flows the target holds, if it runs after all, is known only to the target.
+/// A target whose heartbeats aren't applied yet isn't gone.
 /// @param presence State of the target.
 /// @param listening Time for which the agent has read its messages without a
 /// pause.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -51,7 +51,8 @@
 
 // Records a heartbeat of a start that may have replaced the present one.
 // Returns whether it has: a single late message of an earlier start doesn't
-// show it, and neither do several that arrive together.
+// show it, and neither do several that arrive together. Heartbeats of the
+// present one may lie unread beside one that has.
 auto HasReplacedPresentStart(TargetPresence& presence,
                              const TargetHeartbeat& beat,
                              TimePoint now) -> bool {
@@ -68,10 +69,75 @@
     return false;
   }
   rival.start.sequence = beat.sequence;
-  return now - rival.first_heard_at >=
+  return now - beat.unread_time - rival.first_heard_at >=
          ComputeHeartbeatTimeout(presence.heartbeat_interval);
 }
 
+auto HasOwnTarget(const TargetPresence& presence) -> bool {
+  return HasTarget(presence) && presence.foreign_service.empty();
+}
+
+auto IsSameClaim(const TargetPresence& presence, const TargetHeartbeat& beat)
+    -> bool {
+  return presence.claim.has_value() && IsSameStart(presence.claim->start, beat);
+}
+
+auto RememberReplacedStart(TargetPresence& presence, const TargetStart& start)
+    -> void {
+  std::erase_if(presence.replaced, [&](const TargetStart& it) {
+    return it.id == start.id && it.started_at_ms == start.started_at_ms;
+  });
+  presence.replaced.push_back(start);
+  if (presence.replaced.size() > kMaxReplacedStarts) {
+    presence.replaced.erase(presence.replaced.begin());
+  }
+}
+
+auto RejectClaim(TargetPresence& presence) -> void {
+  if (presence.claim.has_value()) {
+    RememberReplacedStart(presence, presence.claim->start);
+    presence.claim.reset();
+  }
+}
+
+// Records a heartbeat of a target of another service that may have the address.
+// Returns whether it has it: like a rival, it must go on while the present
+// start is silent. Own heartbeats may lie unread beside one that has.
+auto HasTakenAddress(TargetPresence& presence,
+                     const TargetHeartbeat& beat,
+                     TimePoint now) -> bool {
+  if (!IsSameClaim(presence, beat) ||
+      presence.claim->own_heard_at.has_value()) {
+    RejectClaim(presence);
+    presence.claim = ForeignClaim{.start = {.id = beat.id,
+                                            .started_at_ms = beat.started_at_ms,
+                                            .sequence = beat.sequence},
+                                  .first_heard_at = now};
+    return false;
+  }
+  presence.claim->start.sequence = beat.sequence;
+  return now - beat.unread_time - presence.claim->first_heard_at >=
+         ComputeHeartbeatTimeout(presence.heartbeat_interval);
+}
+
+// Records a heartbeat of the present start while another service may have its
+// address. In the time after which the claim is rejected, a target of the other
+// service would have sent a heartbeat.
+auto AnswerClaim(TargetPresence& presence,
+                 const TargetHeartbeat& beat,
+                 TimePoint now) -> void {
+  if (!presence.claim.has_value()) {
+    return;
+  }
+  auto& own_heard_at = presence.claim->own_heard_at;
+  if (!own_heard_at.has_value()) {
+    own_heard_at = now;
+  } else if (now - beat.unread_time - *own_heard_at >=
+             ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
+    RejectClaim(presence);
+  }
+}
+
 auto ApplyHeartbeat(TargetPresence& presence,
                     const TargetHeartbeat& beat,
                     TimePoint now) -> PresenceOutcome {
@@ -98,10 +164,7 @@
     presence.replaced.erase(known);
   }
   if (HasTarget(presence)) {
-    presence.replaced.push_back(GetPresentStart(presence));
-  }
-  if (presence.replaced.size() > kMaxReplacedStarts) {
-    presence.replaced.erase(presence.replaced.begin());
+    RememberReplacedStart(presence, GetPresentStart(presence));
   }
   presence.warm_at = ComputeWarmupEnd(std::nullopt, beat.warmup_ms, now);
   presence.foreign_service.clear();
@@ -109,8 +172,38 @@
   ApplyHeartbeat(presence, beat, now);
 }
 
-// Applies a heartbeat of a target of another service. A late one of a target
-// that had the address before is older than the present start.
+// Makes a start of another service the present one.
+auto FollowForeignStart(TargetPresence& presence,
+                        const TargetHeartbeat& beat,
+                        TargetState state,
+                        TimePoint now) -> void {
+  ReplacePresentStart(presence, beat, now);
+  presence.claim.reset();
+  presence.foreign_service = beat.service;
+  presence.status =
+      TargetStatus{.state = state, .started_at_ms = beat.started_at_ms};
+  presence.warm_at.reset();
+  presence.knows_all_flows = false;
+}
+
+// Whether a heartbeat of another service says nothing about the present: it was
+// repeated or overtaken, or it is older than the present start, which is heard.
+auto IsLateForeignHeartbeat(TargetPresence& presence,
+                            const TargetHeartbeat& beat,
+                            TimePoint now) -> bool {
+  if (IsSameClaim(presence, beat)) {
+    return beat.sequence <= presence.claim->start.sequence;
+  }
+  const auto known = FindReplacedStart(presence, beat);
+  if (known != presence.replaced.end() && beat.sequence <= known->sequence) {
+    return true;
+  }
+  return beat.started_at_ms <= presence.status.started_at_ms &&
+         now < presence.heard_at + ComputeSilenceLimit(presence);
+}
+
+// Applies a heartbeat of a target of another service, which may be a late one
+// of a target that had the address before.
 auto OnForeignHeartbeat(TargetPresence& presence,
                         const TargetHeartbeat& beat,
                         TimePoint now) -> PresenceOutcome {
@@ -124,30 +217,26 @@
     }
     return PresenceOutcome::kForeign;
   }
-  const auto known = FindReplacedStart(presence, beat);
-  const bool is_late =
-      known != presence.replaced.end() && beat.sequence <= known->sequence;
-  const bool is_later_start =
-      beat.started_at_ms > presence.status.started_at_ms;
-  if (is_late || (!is_later_start && now < ComputeSilenceStart(presence))) {
+  if (IsLateForeignHeartbeat(presence, beat, now)) {
     return PresenceOutcome::kForeign;
   }
-  const bool had_target = HasTarget(presence);
-  const TargetState state =
-      had_target ? TargetState::kGone : presence.status.state;
-  ReplacePresentStart(presence, beat, now);
-  presence.foreign_service = beat.service;
-  presence.status =
-      TargetStatus{.state = state, .started_at_ms = beat.started_at_ms};
-  presence.warm_at.reset();
-  presence.knows_all_flows = false;
-  return had_target ? PresenceOutcome::kGivenAway : PresenceOutcome::kForeign;
+  if (!HasOwnTarget(presence)) {
+    FollowForeignStart(presence, beat, presence.status.state, now);
+    return PresenceOutcome::kForeign;
+  }
+  const bool was_claimed = presence.claim.has_value();
+  presence.rival.reset();
+  if (HasTakenAddress(presence, beat, now)) {
+    FollowForeignStart(presence, beat, TargetState::kGone, now);
+    return PresenceOutcome::kGivenAway;
+  }
+  return was_claimed ? PresenceOutcome::kForeign : PresenceOutcome::kClaimed;
 }
 
 // Whether the present start was running while this agent was. Late messages of
 // an earlier start can't show it, unless its very first message is late.
 auto WasPresentStartRunning(const TargetPresence& presence) -> bool {
-  return HasTarget(presence) && presence.foreign_service.empty() &&
+  return HasOwnTarget(presence) &&
          (presence.knows_all_flows ||
           presence.last_heartbeat_at - presence.first_heartbeat_at >=
               ComputeHeartbeatTimeout(presence.heartbeat_interval));
@@ -170,6 +259,12 @@
     presence.knows_all_flows =
         was_running || beat.sequence <= kFirstHeartbeatSequence;
     ReplacePresentStart(presence, beat, now);
+    if (presence.claim.has_value()) {
+      presence.claim->own_heard_at = now;
+      if (beat.started_at_ms > presence.claim->start.started_at_ms) {
+        RejectClaim(presence);
+      }
+    }
     if (!had_target) {
       return PresenceOutcome::kChanged;
     }
@@ -181,6 +276,7 @@
   }
   presence.knows_all_flows = false;
   ReplacePresentStart(presence, beat, now);
+  RejectClaim(presence);
   return PresenceOutcome::kReplaced;
 }
 
@@ -196,8 +292,9 @@
 }
 
 auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint {
-  return HasTarget(presence) ? presence.heard_at + ComputeSilenceLimit(presence)
-                             : TimePoint{};
+  return HasTarget(presence) && !presence.claim.has_value()
+             ? presence.heard_at + ComputeSilenceLimit(presence)
+             : TimePoint{};
 }
 
 auto DescribeTargetStatus(const TargetPresence& presence, TimePoint now)
@@ -226,6 +323,7 @@
     return PresenceOutcome::kLate;
   }
   presence.warm_at = ComputeWarmupEnd(presence.warm_at, beat.warmup_ms, now);
+  AnswerClaim(presence, beat, now);
   return ApplyHeartbeat(presence, beat, now);
 }
 
@@ -250,6 +348,7 @@
 auto MarkSilentTargetGone(TargetPresence& presence, Duration listening)
     -> PresenceOutcome {
   if (presence.status.state != TargetState::kUnknown ||
+      presence.rival.has_value() ||
       listening < ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
     return PresenceOutcome::kKnown;
   }
@@ -258,9 +357,9 @@
 }
 
 auto ToString(PresenceOutcome outcome) -> const char* {
-  constexpr std::array kNames = {"known",    "changed",   "restarted",
-                                 "replaced", "late",      "other_start",
-                                 "foreign",  "given_away"};
+  constexpr std::array kNames = {"known",    "changed", "restarted",
+                                 "replaced", "late",    "other_start",
+                                 "foreign",  "claimed", "given_away"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -373,6 +373,8 @@
       case PresenceOutcome::kReplaced:
         ApplyReplacedTarget(target_, presence_.status, now);
         break;
+      case PresenceOutcome::kClaimed:
+        break;
       case PresenceOutcome::kKnown:
         if (IsAnnouncedAsSilent() && now < target_.silent_from) {
           host_.gossip().AnnounceSelf(now);
--- a/test/node_identity_test.cc
+++ b/test/node_identity_test.cc
@@ -183,4 +183,16 @@
   CHECK(WaitForStatus(200, "s", 1000));
   send_opening();
   LONGS_EQUAL(1, delivered);
+  // One heartbeat of another service's later start may be a late message.
+  LONGS_EQUAL(kConflict, SendHeartbeat("t", 2000));
+  send_opening();
+  LONGS_EQUAL(1, delivered);
+  const auto end = std::chrono::steady_clock::now() + kStepTimeout;
+  while (delivered == 1 && std::chrono::steady_clock::now() < end) {
+    LONGS_EQUAL(200, SendHeartbeat("s", 1000));
+    send_opening();
+  }
+  LONGS_EQUAL(2, delivered);
+  CHECK(agent.ReadLogFile().find("target_claimed") != std::string::npos);
+  CHECK(agent.ReadLogFile().find("given_away") == std::string::npos);
 }
