Read both clocks together when looking for a suspension of the host

An agent that was throttled between the time of a handler and the reading of the second clock took the difference for a suspension of its host: its target's heartbeat counted as older than it was, so that a live target could be refused as not heard, and the next real suspension was undercounted. Both clocks are now read at the same place, and a smaller difference corrects the baseline. The new test fails on the code before.

--- a/src/coordination/listening_time.cc
+++ b/src/coordination/listening_time.cc
@@ -1,5 +1,7 @@
 #include "hawthornbank/listening_time.h"
 
+#include <algorithm>
+
 namespace hawthornbank {
 namespace {
 
@@ -26,6 +28,8 @@
   listening.last = now;
   const Duration suspended = now - awake_now - listening.suspended;
   if (suspended < kMinSuspension) {
+    // The clocks were read closer to each other than before.
+    listening.suspended += std::min(suspended, Duration::zero());
     return Duration::zero();
   }
   listening.suspended += suspended;
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -94,7 +94,7 @@
             },
         .on_housekeeping_tick =
             [this](TimePoint now) {
-              NoteActivity(now);
+              NoteActivity();
               ExpireFlowsAndRequests(target_, now);
               ApplyPresenceOutcome(
                   MarkSilentTargetGone(presence_,
@@ -136,7 +136,7 @@
     }
     const auto opening = DescribeRelayedOpening(target_, *header, *packet);
     if (packet->is_opening) {
-      NoteActivity(now);
+      NoteActivity();
     }
     actions_.clear();
     const auto known_limit = target_.warmup.requests_per_second;
@@ -262,7 +262,7 @@
   }
 
   auto RunTargetFlowsTick(TimePoint now) -> void {
-    NoteActivity(now);
+    NoteActivity();
     actions_.clear();
     OnTargetTick(target_, now, actions_);
     PerformTargetActions({}, {}, now);
@@ -304,9 +304,10 @@
 
   // Takes the time for which the host was suspended into account before the
   // decision on an opening or a heartbeat.
-  auto NoteActivity(TimePoint now) -> void {
-    const Duration suspended =
-        RecordListening(listening_, GetTimeWithSuspensions(), now);
+  // Reads both clocks: `now` of a handler may be older than the present.
+  auto NoteActivity() -> void {
+    const Duration suspended = RecordListening(
+        listening_, GetTimeWithSuspensions(), GetMonotonicTime());
     if (suspended > Duration::zero()) {
       presence_.heard_at -= suspended;
       target_.silent_from = ComputeSilenceStart(presence_);
@@ -315,7 +316,7 @@
 
   auto OnHeartbeatRequest(TargetHeartbeat heartbeat, TimePoint now)
       -> HttpServerResponse {
-    NoteActivity(now);
+    NoteActivity();
     heartbeat.unread_time = ComputeMaxUnreadTime(listening_);
     const auto outcome = OnTargetHeartbeat(presence_, heartbeat, now);
     ApplyPresenceOutcome(outcome, now);
--- a/test/listening_time_test.cc
+++ b/test/listening_time_test.cc
@@ -71,3 +71,13 @@
   CHECK(ComputeMaxUnreadTime(listening) == 5s);
   CHECK(RecordListening(listening, kStart + 5200ms, kAwakeStart + 200ms) == 0s);
 }
+
+// Guards against a suspension that is missed because an earlier reading of the
+// two clocks was interrupted.
+TEST(ListeningTime, InterruptedReadingOfTheClocksHidesNoLaterSuspension) {
+  RecordListening(listening, kStart + 1100ms, kAwakeStart + 1s);
+  CHECK(RecordListening(listening, kStart + 1200ms, kAwakeStart + 1200ms) ==
+        0s);
+  CHECK(RecordListening(listening, kStart + 1400ms, kAwakeStart + 1300ms) ==
+        100ms);
+}
