Tell a later flow of a port from the remembered one by the caller's numbers

Trace by the new log lines: balancer-2 remembered port 10400 at a target of which an earlier flow had been found; balancer-1 opened the port's next flow at agent-0; 3.5 s later a packet of it came to balancer-2, whose remembered target had exited: flow_reset reason=target_lost.

Cause: as with openings, caller, port and route were taken for the flow. A balancer that hasn't seen the later opening can still tell the flows apart by the sequence numbers of the caller's packets. It remembers the latest, and a packet that is more than 16 MB away starts a search, which the agents answer by the packet's acknowledgement. A wrong guess costs a search and breaks nothing.

The new test fails on the code before (one reset).

--- a/include/hawthornbank/flow_search.h
+++ b/include/hawthornbank/flow_search.h
@@ -74,6 +74,7 @@
   /// Agents that didn't reply and count as unreachable
   /// (FlowSearchOptions::unreachable_after).
   std::vector<Endpoint> unreachable;
+  std::uint32_t sequence = 0;  ///< Sequence number of the first waiting packet.
   /// Acknowledgement number of the first waiting packet.
   std::uint32_t acknowledgement = 0;
   bool has_acknowledgement = false;  ///< `acknowledgement` is valid.
--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -98,6 +98,8 @@
   std::uint64_t target_started_at_ms = 0;
   /// Empty if this balancer hasn't placed the flow's opening.
   std::optional<FlowOpening> opening;
+  /// Sequence number of the caller's latest packet, if one was seen.
+  std::optional<std::uint32_t> caller_sequence;
   bool confirmed = false;  ///< The agent replied that its target has the flow.
   TimePoint last_used{};   ///< When the agent was recorded or sent a packet.
 };
--- a/src/coordination/caller_openings.cc
+++ b/src/coordination/caller_openings.cc
@@ -111,6 +111,7 @@
   }
   flow.opening = FlowOpening{.sequence = opening.packet.sequence,
                              .service = route_service};
+  flow.caller_sequence = opening.packet.sequence;
   flow.confirmed = false;
   RelayToFlowAgent(steering, known, opening, earlier, out);
 }
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -210,6 +210,10 @@
                                      bool confirmed,
                                      TimePoint now,
                                      std::vector<SteeringAction>& out) -> void {
+  const auto known = steering.flows.find(entry->first);
+  if (known != steering.flows.end()) {
+    known->second.caller_sequence = entry->second.sequence;
+  }
   auto& [flow, search] = *entry;
   const SteeringReason reason =
       DescribeFoundService(steering, flow, search.service, now);
@@ -254,6 +258,7 @@
   FlowSearch search{.service = service,
                     .queried_addresses = {agents_without_flow.begin(),
                                           agents_without_flow.end()},
+                    .sequence = packet.sequence,
                     .acknowledgement = packet.acknowledgement,
                     .has_acknowledgement = packet.has_acknowledgement,
                     .first_packet_is_reset = packet.is_reset};
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -76,6 +76,7 @@
                                   ? 0
                                   : host->second.record.target.started_at_ms,
       .opening = recorded.opening,
+      .caller_sequence = recorded.caller_sequence,
       .confirmed = confirmed,
       .last_used = now};
   return &recorded;
@@ -121,6 +122,10 @@
 using detail::RecordFlowAgent;
 using Kind = SteeringAction::Kind;
 
+// Maximum number of bytes between the packets of a flow that one balancer sees:
+// other balancers may get those between them.
+constexpr std::uint32_t kMaxSequenceDistance = 1U << 24U;
+
 constexpr std::array<std::string_view, kSteeringReasonCount> kReasonNames = {
     "placed",       "repeated",    "remembered",   "looked_for",
     "held",         "found",       "unsure",       "search_limit",
@@ -132,6 +137,17 @@
 };
 static_assert(!kReasonNames.back().empty());
 
+// Returns whether a packet belongs to another flow of the port than the one
+// that is remembered. Another balancer may have opened it.
+auto IsPacketOfOtherFlow(const SteeredFlow& flow, const FlowPacket& packet)
+    -> bool {
+  if (!flow.caller_sequence.has_value() || packet.is_reset) {
+    return false;
+  }
+  const std::uint32_t lead = packet.sequence - *flow.caller_sequence;
+  return lead > kMaxSequenceDistance && 0 - lead > kMaxSequenceDistance;
+}
+
 auto HasFlowTargetExited(const Steering& steering,
                          const SteeredFlow& flow,
                          TimePoint now) -> bool {
@@ -229,7 +245,12 @@
   if (detail::HoldPacketForSearch(steering, flow, bytes, out)) {
     return;
   }
-  const auto known = steering.flows.find(flow);
+  auto known = steering.flows.find(flow);
+  if (known != steering.flows.end() &&
+      IsPacketOfOtherFlow(known->second, packet)) {
+    steering.flows.erase(known);
+    known = steering.flows.end();
+  }
   if (known == steering.flows.end() ||
       !IsFlowAgentUsable(steering, known->second, now)) {
     detail::StartFlowSearch(steering, flow, packet, bytes,
@@ -244,6 +265,7 @@
     return;
   }
   known->second.last_used = now;
+  known->second.caller_sequence = packet.sequence;
   AppendRelayAction(
       steering, flow, known->second.agent,
       RelayHeader{.origin = steering.fleet.self.control,
--- a/src/coordination/steering_openings.cc
+++ b/src/coordination/steering_openings.cc
@@ -103,6 +103,7 @@
   if (recorded != nullptr) {
     recorded->opening = FlowOpening{.sequence = opening.sequence,
                                     .service = opening.header.service};
+    recorded->caller_sequence = opening.sequence;
   }
   AppendSteeringAction(steering,
                        SteeringAction{.kind = Kind::kRelay,
--- a/test/used_port_test.cc
+++ b/test/used_port_test.cc
@@ -329,6 +329,25 @@
   LONGS_EQUAL(1, agent.flows.size());
 }
 
+// Another balancer has opened the port's later flow.
+TEST(UsedPort, TargetThatExitedDoesNotEndALaterFlowOfThePort) {
+  const Endpoint first = MakeAgentEndpoint(OpenFlow());
+  Send(false, kFirst + 1, kNow);
+  HostRecord& record = steering.fleet.hosts.at(first).record;
+  record.target.state = TargetState::kGone;
+  record.is_shutting_down = true;
+  agents.erase(first.address);
+  auto& later = *agents.begin();
+  later.second.flows[ExtractCallerFlowKey(MakePacket(true, kSecond))] =
+      TargetFlow{.is_accepted = true};
+  constexpr std::uint32_t kFarSequence = 500'000'000;
+  Send(false, kFarSequence, kNow + 5s);
+  LONGS_EQUAL(0, resets);
+  LONGS_EQUAL(later.first, delivered.back());
+  Send(false, kFarSequence + 100, kNow + 5s);
+  LONGS_EQUAL(later.first, delivered.back());
+}
+
 // The earlier flow's agent replies to a packet that it got before the port was
 // used again.
 TEST(UsedPort, LateReplyAboutTheEarlierFlowDoesNotMoveTheNewOne) {
