Use ports and addresses again in the soak of the checks

A run of 20 s with ten targets; callers' ports and targets' addresses are used again beside the series of faults.

--- a/support/check.sh
+++ b/support/check.sh
@@ -111,6 +111,10 @@
 run_step demo support/demo.sh
 run_step soak build/release/soak/soak --seed 1 --seconds 6
 tail -n 1 "$LOGS/soak.log"
+# Ports and addresses are used again, so ten targets are needed.
+run_step soak-reuse build/release/soak/soak --seed 1 --seconds 20 --targets 10 \
+  --reuse
+tail -n 1 "$LOGS/soak-reuse.log"
 sed -n '/what callers saw/,$p' "$LOGS/demo.log"
 if [ -s KNOWN-RED.txt ]; then
   echo "known failures, passed over:"
