--- a/bench/opening_log_cost.cc
+++ b/bench/opening_log_cost.cc
@@ -4,10 +4,11 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdlib>
 #include <ctime>
+#include <new>
 #include <string>
 
-#include "common/allocation_count.h"
 #include "common/report.h"
 #include "transport/node_steering_log.h"
 #include "transport/node_target_log.h"
@@ -17,6 +18,32 @@
 /// time with the write to a pipe, bytes, and what an opening beyond the limit
 /// on lines costs.
 
+namespace {
+
+std::size_t allocation_count = 0;
+
+}  // namespace
+
+// The operators aren't inlined: the compiler would report an inlined malloc
+// paired with delete, or new paired with an inlined free, as a mismatch.
+[[gnu::noinline]] auto operator new(std::size_t size) -> void* {
+  ++allocation_count;
+  void* const memory = std::malloc(size);
+  if (memory == nullptr) {
+    throw std::bad_alloc();
+  }
+  return memory;
+}
+
+[[gnu::noinline]] auto operator delete(void* memory) noexcept -> void {
+  std::free(memory);
+}
+
+[[gnu::noinline]] auto operator delete(void* memory, std::size_t) noexcept
+    -> void {
+  std::free(memory);
+}
+
 namespace hawthornbank::bench {
 namespace {
 
@@ -95,13 +122,13 @@
       }
       const auto middle = GetProcessorTime();
       write(log, 0, now);  // Begins the count.
-      const std::size_t allocations_before = GetAllocationCount();
+      const std::size_t allocations_before = allocation_count;
       const auto counted_start = GetProcessorTime();
       for (std::uint32_t n = 0; n < kLines; ++n) {
         write(log, n, now);
       }
       const auto end = GetProcessorTime();
-      allocations = GetAllocationCount() - allocations_before;
+      allocations = allocation_count - allocations_before;
       bytes = DrainPipe(ends[0]);
       line_ns = std::min(
           line_ns, static_cast<double>((middle - start).count()) / kLines);
--- a/bench/routing_cost.cc
+++ b/bench/routing_cost.cc
@@ -1,10 +1,11 @@
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
+#include <new>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
-#include "common/allocation_count.h"
 #include "common/report.h"
 #include "hawthornbank/routing.h"
 
@@ -12,6 +13,32 @@
 /// Cost of routing a packet whose flow is cached: allocations, bytes, and time
 /// relative to a hash lookup.
 
+namespace {
+
+std::size_t allocation_count = 0;
+
+}  // namespace
+
+// The operators aren't inlined: the compiler would report an inlined malloc
+// paired with delete, or new paired with an inlined free, as a mismatch.
+[[gnu::noinline]] auto operator new(std::size_t size) -> void* {
+  ++allocation_count;
+  void* const memory = std::malloc(size);
+  if (memory == nullptr) {
+    throw std::bad_alloc();
+  }
+  return memory;
+}
+
+[[gnu::noinline]] auto operator delete(void* memory) noexcept -> void {
+  std::free(memory);
+}
+
+[[gnu::noinline]] auto operator delete(void* memory, std::size_t) noexcept
+    -> void {
+  std::free(memory);
+}
+
 namespace hawthornbank::bench {
 namespace {
 
@@ -98,13 +125,13 @@
   for (std::uint32_t flow = 0; flow < kFlows; ++flow) {
     route(flow);
   }
-  const std::size_t allocations_before = GetAllocationCount();
+  const std::size_t allocations_before = allocation_count;
   const auto hits_before = ReadCounter(counters, Counter::kCacheHits);
   for (std::uint32_t flow = 0; flow < kFlows; ++flow) {
     route(flow);
   }
   PrintFigure("allocations",
-              static_cast<double>(GetAllocationCount() - allocations_before),
+              static_cast<double>(allocation_count - allocations_before),
               "allocations");
   PrintFigure("hit_share",
               static_cast<double>(ReadCounter(counters, Counter::kCacheHits) -
