Let a violation of the soak name its flow

A violation named its flow only in its text, in another form for each check.

Adds the flow and the sequence number of its opening to Violation, so that the lines of a flow can be found in the logs of all processes. No check sets them yet.

--- a/soak/judge.h
+++ b/soak/judge.h
@@ -3,10 +3,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "hawthornbank/flow_key.h"
 #include "hawthornbank/types.h"
 
 /// @file
@@ -34,6 +36,8 @@
   std::string invariant;
   std::string detail;
   TimePoint at{};
+  std::optional<FlowKey> flow{};       ///< If the invariant is about one flow.
+  std::uint32_t opening_sequence = 0;  ///< Of the flow's opening packet.
 };
 
 /// End times of the last disturbances of a process or of the store.
