Play stepped clocks, late messages and moved routes in the soak

The soak restarted processes and targets on one clock only, delivered one late heartbeat of a target whose address had been handed over, and never changed a called route or the idle timeout.

Existing seeds keep their series.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -28,6 +28,15 @@
 constexpr std::chrono::seconds kRequestTimeout{8};
 constexpr std::chrono::milliseconds kMinRequestPause{100};
 constexpr std::uint32_t kRequestPauseSpreadMs = 500;
+constexpr std::uint32_t kLongFlowsPerPausingFlow = 6;
+constexpr int kPausingFlowRequests = 3;
+constexpr std::uint32_t kMinLongPauseMs = 2000;
+constexpr std::uint32_t kLongPauseSpreadMs = 10'000;
+// Every few pauses last longer than any constant that the load balancer may
+// have in place of the configured idle timeout.
+constexpr std::uint32_t kPausesPerVeryLongPause = 6;
+constexpr std::uint32_t kMinVeryLongPauseMs = 31'000;
+constexpr std::uint32_t kVeryLongPauseSpreadMs = 5000;
 
 auto IsResetOfFlow(const CallerFlow& flow, std::uint32_t sequence) -> bool {
   const auto distance =
@@ -35,6 +44,13 @@
   return std::abs(std::int64_t{distance}) <= kMaxResetDistance;
 }
 
+auto DrawLongPause(Random& random) -> std::chrono::milliseconds {
+  const bool is_very_long = random() % kPausesPerVeryLongPause == 0;
+  return std::chrono::milliseconds{
+      is_very_long ? kMinVeryLongPauseMs + random() % kVeryLongPauseSpreadMs
+                   : kMinLongPauseMs + random() % kLongPauseSpreadMs};
+}
+
 }  // namespace
 
 Callers::Callers(asio::io_context& io,
@@ -93,6 +109,11 @@
   if (flows_.contains(flow.port)) {
     return;
   }
+  if (pause_random_.has_value() && flow.requests_left != 0 &&
+      (*pause_random_)() % kLongFlowsPerPausingFlow == 0) {
+    flow.has_long_pauses = true;
+    flow.requests_left = kPausingFlowRequests;
+  }
   flow.is_port_reused = ports_.NoteFlow(flow.port, flow.route.address);
   CallerFlow& added = flows_[flow.port] = std::move(flow);
   SendPacket(added, FlowPacket{.is_opening = true}, now);
@@ -138,7 +159,7 @@
   flow.pending_request = next_request_++;
   flow.in_final_phase = in_final_phase;
   flow.retransmissions = 0;
-  flow.first_sent = now;
+  flow.first_sent = flow.resumed_at = now;
   flow.next_send = now + kRequestRetryInterval;
   events_.on_request_sent(flow);
   SendPacket(flow, FlowPacket{.has_acknowledgement = true}, now);
@@ -206,6 +227,7 @@
     if (!flow.is_open && is_answer) {
       flow.is_open = true;
       flow.target_sequence = packet->sequence;
+      flow.idle_since = now;
       SendRequest(flow, now, in_final_phase_);
     }
     return;
@@ -226,8 +248,12 @@
   events_.on_request_finished(flow, true);
   --flow.requests_left;
   flow.pending_request = 0;
-  flow.next_send = now + kMinRequestPause +
-                   std::chrono::milliseconds{random_() % kRequestPauseSpreadMs};
+  flow.idle_since = flow.resumed_at = now;
+  flow.next_send =
+      now + (flow.has_long_pauses
+                 ? DrawLongPause(*pause_random_)
+                 : kMinRequestPause + std::chrono::milliseconds{
+                                          random_() % kRequestPauseSpreadMs});
 }
 
 // Sends copies of the opening packets of flows that have ended, of which each
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,10 @@
   int requests_left = 0;
   /// Number of retransmissions of the opening or of the pending request.
   int retransmissions = 0;
-  TimePoint opened_at{};  ///< Time of the first opening packet.
+  bool has_long_pauses = false;  ///< Whether pauses last for seconds.
+  TimePoint opened_at{};         ///< Time of the first opening packet.
+  TimePoint idle_since{};        ///< Time of the last answer or opening.
+  TimePoint resumed_at{};        ///< Time of the request after `idle_since`.
   TimePoint first_sent{};
   TimePoint next_send{};
   /// Time of the flow's last packet to each balancer, by balancer index.
@@ -92,10 +96,19 @@
   /// @param in_rotation For each balancer, whether the balancer is in rotation.
   auto SetBalancersInRotation(std::vector<bool> in_rotation) -> void;
 
+  /// Lets some flows pause for 2 to 36 s between their requests from now on.
+  /// @param seed Seed of the choice of these flows and of their pauses.
+  auto StartFlowsWithLongPauses(std::uint64_t seed) -> void {
+    pause_random_ = Random{seed, kPauseStream};
+  }
+
   /// @param share Share of packets from callers to balancers to drop, 0 to 1.
   auto SetPacketLossShare(double share) -> void { loss_share_ = share; }
 
  private:
+  // Stream of the random numbers of long pauses.
+  static constexpr std::uint64_t kPauseStream = 15;
+
   auto OpenFlow(TimePoint now, bool in_final_phase) -> void;
   auto SendDuePacket(CallerFlow& flow, TimePoint now) -> bool;
   auto SendRequest(CallerFlow& flow, TimePoint now, bool in_final_phase)
@@ -115,6 +128,7 @@
   CallerEvents events_;
   Random random_;
   Random sequence_random_;
+  std::optional<Random> pause_random_;  ///< If some flows have long pauses.
   std::map<std::uint16_t, CallerFlow> flows_;
   CallerPorts ports_;
   /// Copies of opening packets of ended flows, by the time at which they
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -64,6 +64,10 @@
   /// Whether a live and responsive target has the flow open.
   bool target_holds_flow = false;
   std::string agent;  ///< Agent of the target that holds the flow, or empty.
+  /// Subject name of the target that holds the flow, or empty.
+  std::string target;
+  /// Whether the flow is too old, was idle too long or lost its route.
+  bool is_exempt = false;
   /// Balancers that the caller used for the flow in the 2 s before the reset.
   std::vector<std::string> recent_balancers;
 };
@@ -142,8 +146,9 @@
                       TimePoint now) -> void;
 
 /// Checks a reset that the load balancer, not a target, sent to a caller. The
-/// reset is excused when no target holds the flow, or within kRecoveryTime
-/// after an unplanned disturbance of the agent or of a balancer in the record.
+/// reset is excused when no target holds the flow, when the flow is exempt, or
+/// within kRecoveryTime after an unplanned disturbance of the agent, of the
+/// target or of a balancer in the record.
 auto OnFlowReset(InvariantChecker& checker,
                  const ResetRecord& reset,
                  TimePoint now) -> void;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -72,7 +72,7 @@
       options.kinds.merge(GetHandOverKinds());
     } else if (kind.has_value()) {
       options.kinds.insert(*kind);
-    } else {
+    } else if (!ParseRestartKind(it).has_value()) {
       throw TCLAP::CmdLineParseException("unknown kind", it);
     }
   }
@@ -82,6 +82,23 @@
   return options;
 }
 
+// Returns the kinds of events around restarts that the options choose: all
+// with `restarts`, and those named by `only`.
+auto ChooseRestarts(bool all, const std::vector<std::string>& only)
+    -> std::set<RestartKind> {
+  std::set<RestartKind> kinds;
+  if (all) {
+    kinds = GetAllRestartKinds();
+  }
+  for (const auto& it : only) {
+    const auto kind = ParseRestartKind(it);
+    if (kind.has_value()) {
+      kinds.insert(*kind);
+    }
+  }
+  return kinds;
+}
+
 auto RunSoak(int argc, char** argv) -> int {
   TCLAP::CmdLine command(
       "Runs hawthornnode processes on loopback between stand-ins under a "
@@ -99,13 +116,19 @@
   TCLAP::SwitchArg verbose("", "verbose", "List faults, keep logs", command);
   TCLAP::SwitchArg reuse("", "reuse", "Use ports and addresses again too",
                          command);
+  TCLAP::SwitchArg restarts("", "restarts",
+                            "Restart with stepped clocks, late messages, "
+                            "other idle timeouts and routes too",
+                            command);
   TCLAP::MultiArg<std::string> only(
       "", "only",
       "Only events of this kind, without the series of faults: reuse_ports, "
       "late_copies (with reuse_ports), "
       "hand_over (any way), together, early_agent, late_agent, kept_agent, "
       "kept_agent_sighup, drained, late_heartbeat, suspended_balancer, "
-      "killed_agent",
+      "killed_agent, step_clock, earlier_heartbeat, heartbeat_at_restart, "
+      "late_deregistration, idle_timeout, replace_most, drop_route, "
+      "move_route",
       false, "KIND", command);
   TCLAP::ValueArg<int> late_ms(
       "", "late-ms",
@@ -117,6 +140,10 @@
                                     false, 200, "MS", command);
   TCLAP::ValueArg<std::string> program("", "program", "Path of hawthornnode",
                                        false, HAWTHORNNODE, "PATH", command);
+  TCLAP::ValueArg<std::string> clock_library(
+      "", "clock-library",
+      "Path of the library that is preloaded into processes whose clocks step",
+      false, SOAK_CLOCK, "PATH", command);
   command.parse(argc, argv);
   const SoakOptions options{
       .program = program.getValue(),
@@ -130,7 +157,9 @@
       .has_faults = only.getValue().empty(),
       .heartbeat_interval = std::chrono::milliseconds{heartbeat_ms.getValue()},
       .reuse =
-          ChooseReuse(reuse.getValue(), only.getValue(), late_ms.getValue())};
+          ChooseReuse(reuse.getValue(), only.getValue(), late_ms.getValue()),
+      .restarts = ChooseRestarts(restarts.getValue(), only.getValue()),
+      .clock_library = clock_library.getValue()};
   SoakEnvironment environment(options);
   return PrintReportAndKeepLogs(environment, options,
                                 environment.RunAllPhases());
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -16,22 +16,27 @@
 
 NodeProcess::NodeProcess(const std::string& program,
                          const std::string& settings,
-                         const std::string& name) {
+                         const std::string& name,
+                         std::vector<std::string> environment) {
   const auto base_path = std::filesystem::temp_directory_path() /
                          (name + '-' + std::to_string(::getpid()));
   log_path_ = base_path.string() + ".log";
   settings_path_ = base_path.string() + ".toml";
   WriteSettingsFile(settings);
   std::string program_path = program;
-  std::string variable = "HAWTHORNBANK_NODE_FILE=" + settings_path_.string();
-  std::array<char*, 2> environment = {variable.data(), nullptr};
+  environment.push_back("HAWTHORNBANK_NODE_FILE=" + settings_path_.string());
+  std::vector<char*> variables;
+  for (auto& it : environment) {
+    variables.push_back(it.data());
+  }
+  variables.push_back(nullptr);
   std::array<char*, 2> arguments = {program_path.data(), nullptr};
   posix_spawn_file_actions_t actions{};
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path_.c_str(),
                                    O_CREAT | O_APPEND | O_WRONLY, 0600);
   const int ec = ::posix_spawn(&pid_, program_path.c_str(), &actions, nullptr,
-                               arguments.data(), environment.data());
+                               arguments.data(), variables.data());
   posix_spawn_file_actions_destroy(&actions);
   if (ec != 0) {
     throw Error(ErrorKind::kInternal, program + ": process can't be started");
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// @file
 /// Child process that runs hawthornnode and is killed by the destructor.
@@ -19,10 +20,12 @@
   /// @param settings Text of the settings file.
   /// @param name Prefix of the names of the log file and the settings file,
   /// which are in the system's directory for temporary files.
+  /// @param environment Further environment variables, each as "NAME=value".
   /// @throws Error kInternal when the process can't be started.
   NodeProcess(const std::string& program,
               const std::string& settings,
-              const std::string& name);
+              const std::string& name,
+              std::vector<std::string> environment = {});
   NodeProcess(const NodeProcess&) = delete;
   auto operator=(const NodeProcess&) -> NodeProcess& = delete;
   ~NodeProcess();
--- /dev/null
+++ b/soak/restart_events.cc
@@ -0,0 +1,395 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+
+#include "hawthornbank/error.h"
+#include "soak/world.h"
+#include "transport/clock.h"
+
+/// @file
+/// Plays the events of soak/restarts.h.
+namespace hawthornbank::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::GetMonotonicTime;
+using transport::GetWallTime;
+using transport::HttpClient;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+constexpr milliseconds kLateMessageTimeout{1000};
+constexpr milliseconds kRestartPollInterval{10};
+constexpr std::chrono::seconds kMaxRestartTime{8};
+constexpr milliseconds kPauseAfterRestart{500};
+// A target's drain, longer than the platform's `drain_ms`.
+constexpr milliseconds kDrainBeforeReplacement{3200};
+constexpr milliseconds kReplacementSpread{2500};
+constexpr milliseconds kBalancerRestartGap{1500};
+constexpr milliseconds kAgentRestartGap{300};
+// Greatest time between the start of a process and its first log line. It is
+// less than the offset of each clock at the first start.
+constexpr milliseconds kMaxFirstLogDelay{1900};
+constexpr milliseconds kClockCheckInterval{500};
+
+auto ToMilliseconds(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+auto GetTargetSubject(std::size_t target) -> std::string {
+  return fmt::format("target-{}", target);
+}
+
+}  // namespace
+
+auto SoakEnvironment::HasRestartKind(RestartKind kind) const -> bool {
+  return options_.restarts.contains(kind);
+}
+
+// Adds a route that changes its service, if the events need one.
+auto SoakEnvironment::AddMovedRoute() -> void {
+  if (HasRestartKind(RestartKind::kDropRoute) ||
+      HasRestartKind(RestartKind::kMoveRoute)) {
+    moved_route_ =
+        MovedRoute{.route = {.address = ParseEndpoint("198.18.0.3:443"),
+                             .service = routes_.front().service}};
+  }
+}
+
+auto SoakEnvironment::GetCalledRoutes() const -> std::vector<CalledRoute> {
+  std::vector<CalledRoute> called = routes_;
+  if (moved_route_.has_value()) {
+    called.push_back(moved_route_->route);
+  }
+  return called;
+}
+
+auto SoakEnvironment::AddClock(Node& node) -> void {
+  if (!HasRestartKind(RestartKind::kStepClock)) {
+    return;
+  }
+  node.clock = std::make_unique<ProcessClock>(
+      options_.clock_library,
+      fmt::format("soak-{}-{}", options_.seed, node.subject));
+  node.clock->StepBy(DrawFirstClockOffset(options_.seed, nodes_.size()));
+}
+
+auto SoakEnvironment::StartRestartSeries() -> void {
+  if (HasRestartKind(RestartKind::kIdleTimeout)) {
+    callers_->StartFlowsWithLongPauses(options_.seed);
+  }
+  for (const auto& it : GenerateRestartSeries(options_.seed, options_.length,
+                                              options_.restarts)) {
+    RunAfterDelay(kStartupTime + it.start_offset,
+                  [this, it] { ApplyRestartEvent(it, GetMonotonicTime()); });
+  }
+  if (HasRestartKind(RestartKind::kStepClock)) {
+    RunPeriodically(kClockCheckInterval, [this] { CheckClocks(); });
+  }
+}
+
+// Checks that the first log line of each process has the time of the process's
+// clock.
+auto SoakEnvironment::CheckClocks() -> void {
+  for (const auto& it : nodes_) {
+    Node& node = *it;
+    if (node.start_count != 1 || node.process == nullptr ||
+        node.is_clock_checked) {
+      continue;
+    }
+    const auto logged_ms = ReadFirstLogTime(node.process->ReadLogFile());
+    if (!logged_ms.has_value()) {
+      continue;
+    }
+    node.is_clock_checked = true;
+    const std::int64_t delay_ms =
+        *logged_ms - node.started_at_wall_time.time_since_epoch().count() -
+        ToMilliseconds(node.clock->offset());
+    if (delay_ms < 0 || delay_ms > kMaxFirstLogDelay.count()) {
+      throw Error(
+          ErrorKind::kInternal,
+          fmt::format("{} doesn't follow its clock, which is {} ms "
+                      "ahead: its first log line has t={}; is {} loaded?",
+                      node.subject, ToMilliseconds(node.clock->offset()),
+                      *logged_ms, options_.clock_library));
+    }
+  }
+}
+
+auto SoakEnvironment::ApplyRestartEvent(const RestartEvent& event,
+                                        TimePoint now) -> void {
+  switch (event.kind) {
+    case RestartKind::kStepClock:
+      StepClockOfProcess(event, now);
+      break;
+    case RestartKind::kEarlierHeartbeat:
+    case RestartKind::kHeartbeatAtRestart:
+    case RestartKind::kLateDeregistration:
+      EndTargetWithLateMessages(event, now);
+      break;
+    case RestartKind::kIdleTimeout:
+      RecordEvent(fmt::format("idle_timeout {} ms",
+                              ToMilliseconds(event.idle_timeout)));
+      store_.idle_timeout =
+          std::chrono::duration_cast<milliseconds>(event.idle_timeout);
+      OnIdleTimeoutStored(exemptions_, event.idle_timeout, now);
+      StoreNewRoutes(now);
+      break;
+    case RestartKind::kReplaceMost:
+      ReplaceMostTargets(event);
+      break;
+    case RestartKind::kDropRoute:
+    case RestartKind::kMoveRoute:
+      MoveRoute(event, now);
+      break;
+    case RestartKind::kCount:
+      break;
+  }
+}
+
+auto SoakEnvironment::StepClockOfProcess(const RestartEvent& event,
+                                         TimePoint now) -> void {
+  Node& node = *nodes_[event.subject_index % nodes_.size()];
+  const auto step_and_restart = [this, &node, event](Duration step,
+                                                     TimePoint time) {
+    if (event.restarts) {
+      StopProcess(node, time);
+    }
+    RunAfterDelay(
+        event.restarts ? event.pause : Duration{}, [this, &node, step, event] {
+          node.clock->StepBy(step);
+          RecordDisturbance(checker_, node.subject, false, GetMonotonicTime());
+          RecordEvent(fmt::format(
+              "{} {} by {} ms to {} ms{}", ToString(event.kind), node.subject,
+              ToMilliseconds(step), ToMilliseconds(node.clock->offset()),
+              event.restarts ? ", at a restart" : ""));
+        });
+  };
+  step_and_restart(event.clock_step, now);
+  if (event.duration.has_value()) {
+    RunAfterDelay(event.pause + *event.duration, [step_and_restart, event] {
+      step_and_restart(-event.clock_step, GetMonotonicTime());
+    });
+  }
+}
+
+auto SoakEnvironment::CanTargetRestart(std::size_t target) const -> bool {
+  return targets_[target]->is_alive() && !targets_[target]->is_draining() &&
+         !handing_over_.contains(target);
+}
+
+// Returns the first target, from `first` on, that can be restarted and whose
+// service has another one.
+auto SoakEnvironment::FindTargetToRestart(std::size_t first) const
+    -> std::optional<std::size_t> {
+  std::map<std::string, int> alive;
+  for (std::size_t n = 0; n < targets_.size(); ++n) {
+    alive[targets_[n]->service_name()] += CanTargetRestart(n) ? 1 : 0;
+  }
+  for (std::size_t n = 0; n < targets_.size(); ++n) {
+    const std::size_t it = (first + n) % targets_.size();
+    if (CanTargetRestart(it) && alive[targets_[it]->service_name()] > 1) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+auto SoakEnvironment::EndTargetWithLateMessages(const RestartEvent& event,
+                                                TimePoint now) -> void {
+  const auto found = FindTargetToRestart(event.subject_index);
+  if (!found.has_value()) {
+    return;
+  }
+  const std::size_t n = *found;
+  TargetStandin& target = *targets_[n];
+  handing_over_.insert(n);
+  RecordEvent(fmt::format("{} target {} of {}, starts again after {} ms{}",
+                          ToString(event.kind), n, target.service_name(),
+                          ToMilliseconds(event.pause),
+                          event.has_same_id ? ", same id" : ""));
+  // Messages of a start arrive in another order than they were sent.
+  std::vector<HttpRequest> messages = {target.MakeLateHeartbeat(2),
+                                       target.MakeLateHeartbeat(1)};
+  if (event.kind == RestartKind::kLateDeregistration) {
+    messages.insert(messages.begin(), target.MakeDeregistration());
+  } else {
+    RecordDisturbance(checker_, GetTargetSubject(n), false, now + event.pause);
+  }
+  if (earlier_heartbeats_.contains(n)) {
+    messages.push_back(earlier_heartbeats_[n]);
+  }
+  earlier_heartbeats_[n] = target.MakeLateHeartbeat(3);
+  target.CrashTarget();
+  RunAfterDelay(event.pause, [this, n, event] { StartTargetAgain(n, event); });
+  if (event.kind == RestartKind::kHeartbeatAtRestart) {
+    RunAfterDelay(event.pause + event.agent_stop, [this, n,
+                                                   message = messages.front()] {
+      Node& agent = GetAgent(n);
+      const TimePoint stopped = GetMonotonicTime();
+      RecordEvent(fmt::format("stop {}", agent.subject));
+      StopProcess(agent, stopped);
+      SendToNextStart(n, message, agent.start_count, stopped + kMaxRestartTime);
+    });
+    return;
+  }
+  for (std::size_t k = 0; k < event.late_arrivals.size(); ++k) {
+    RunAfterDelay(event.late_arrivals[k],
+                  [this, n, message = messages[k % messages.size()]] {
+                    SendLateMessage(n, message, [](bool) {});
+                  });
+  }
+}
+
+auto SoakEnvironment::SendLateMessage(
+    std::size_t target,
+    const HttpRequest& message,
+    std::function<void(bool is_answered)> on_end) -> void {
+  const auto client =
+      std::make_shared<HttpClient>(io_, targets_[target]->control());
+  client->SendHttpRequest(
+      message, kLateMessageTimeout,
+      [this, client, target, message,
+       on_end = std::move(on_end)](const HttpResponse& reply) {
+        if (reply.status != 0) {
+          RecordEvent(fmt::format("late {} {} {} at {}#{}: status {}",
+                                  message.method, message.target, message.body,
+                                  GetAgent(target).subject,
+                                  GetAgent(target).start_count, reply.status));
+        }
+        on_end(reply.status != 0);
+      });
+}
+
+// Sends a late message to the next start of a target's agent as soon as that
+// start takes calls.
+auto SoakEnvironment::SendToNextStart(std::size_t target,
+                                      const HttpRequest& message,
+                                      int start_count,
+                                      TimePoint until) -> void {
+  const auto try_again = [this, target, message, start_count, until] {
+    if (GetMonotonicTime() < until) {
+      RunAfterDelay(kRestartPollInterval,
+                    [this, target, message, start_count, until] {
+                      SendToNextStart(target, message, start_count, until);
+                    });
+    }
+  };
+  if (GetAgent(target).start_count == start_count) {
+    try_again();
+    return;
+  }
+  SendLateMessage(target, message, [try_again](bool is_answered) {
+    if (!is_answered) {
+      try_again();
+    }
+  });
+}
+
+auto SoakEnvironment::StartTargetAgain(std::size_t target,
+                                       const RestartEvent& event) -> void {
+  TargetStandin& next = *targets_[target];
+  if (!next.is_alive()) {
+    next.StepClock(event.clock_step);
+    if (event.clock_step != Duration{}) {
+      RecordDisturbance(checker_, GetTargetSubject(target), false,
+                        GetMonotonicTime());
+    }
+    next.TakeOverAddress(next.service_name(), event.has_same_id);
+  }
+  RunAfterDelay(kPauseAfterRestart,
+                [this, target] { handing_over_.erase(target); });
+}
+
+auto SoakEnvironment::StopInTurn(std::size_t first,
+                                 std::size_t count,
+                                 Duration begin,
+                                 Duration gap) -> void {
+  for (std::size_t n = 0; n < count; ++n) {
+    RunAfterDelay(begin + gap * n, [this, n = first + n] {
+      RecordEvent(fmt::format("stop {}", nodes_[n]->subject));
+      StopProcess(*nodes_[n], GetMonotonicTime());
+    });
+  }
+}
+
+auto SoakEnvironment::ReplaceMostTargets(const RestartEvent& event) -> void {
+  const CalledRoute& route =
+      event.subject_index % 2 == 0 ? routes_.front() : routes_.back();
+  std::vector<std::size_t> replaced;
+  for (std::size_t n = 0; n < targets_.size(); ++n) {
+    if (targets_[n]->service_name() == route.service && CanTargetRestart(n)) {
+      replaced.push_back(n);
+    }
+  }
+  if (replaced.size() < 2) {
+    return;
+  }
+  replaced.erase(replaced.begin() + static_cast<std::ptrdiff_t>(
+                                        event.subject_index % replaced.size()));
+  RecordEvent(fmt::format("{} {} targets of {}{}", ToString(event.kind),
+                          replaced.size(), route.service,
+                          event.drains ? ", drained" : ""));
+  Duration begin{};
+  if (event.has_early_balancers) {
+    StopInTurn(0, options_.balancers, begin, kBalancerRestartGap);
+    begin = kBalancerRestartGap * options_.balancers;
+  }
+  const Duration drain = event.drains ? kDrainBeforeReplacement : Duration{};
+  for (std::size_t k = 0; k < replaced.size(); ++k) {
+    const std::size_t n = replaced[k];
+    const Duration start = begin + kReplacementSpread * k / replaced.size();
+    handing_over_.insert(n);
+    if (event.drains) {
+      RunAfterDelay(start, [this, n] { targets_[n]->StartDraining(); });
+    }
+    RunAfterDelay(start + drain, [this, n, event] { EndTarget(n, event); });
+    RunAfterDelay(start + drain + event.pause,
+                  [this, n, event] { StartTargetAgain(n, event); });
+  }
+  const Duration end = begin + kReplacementSpread + drain + event.pause;
+  StopInTurn(options_.balancers, options_.targets, end, kAgentRestartGap);
+  StopInTurn(0, options_.balancers, end + kAgentRestartGap * options_.targets,
+             kBalancerRestartGap);
+}
+
+auto SoakEnvironment::EndTarget(std::size_t target, const RestartEvent& event)
+    -> void {
+  if (event.drains) {
+    targets_[target]->ShutDownTarget();
+    return;
+  }
+  targets_[target]->CrashTarget();
+  RecordDisturbance(checker_, GetTargetSubject(target), false,
+                    GetMonotonicTime() + event.pause);
+}
+
+auto SoakEnvironment::MoveRoute(const RestartEvent& event, TimePoint now)
+    -> void {
+  if (!moved_route_->is_stored) {
+    return;  // Dropped by an earlier event.
+  }
+  const Endpoint address = moved_route_->route.address;
+  const std::string service = FindOtherService(moved_route_->route.service);
+  const bool is_dropped = event.kind == RestartKind::kDropRoute;
+  RecordEvent(fmt::format("{} {} to {}{}", ToString(event.kind),
+                          ToString(address), service,
+                          is_dropped ? ", after some time" : ""));
+  moved_route_->route.service = service;
+  if (!is_dropped) {
+    StoreNewRoutes(now);
+    return;
+  }
+  moved_route_->is_stored = false;
+  OnRouteDropped(exemptions_, address, now);
+  StoreNewRoutes(now);
+  RunAfterDelay(*event.duration, [this, address] {
+    RecordEvent(fmt::format("{} returns", ToString(address)));
+    moved_route_->is_stored = true;
+    OnRouteReturned(exemptions_, address, GetMonotonicTime());
+    StoreNewRoutes(GetMonotonicTime());
+  });
+}
+
+}  // namespace hawthornbank::soak
--- a/soak/store_faults.cc
+++ b/soak/store_faults.cc
@@ -70,6 +70,10 @@
   for (const auto& it : routes_) {
     routes.push_back({.address = it.address, .service = it.service});
   }
+  if (moved_route_.has_value() && moved_route_->is_stored) {
+    routes.push_back({.address = moved_route_->route.address,
+                      .service = moved_route_->route.service});
+  }
   for (std::uint16_t n = 0; n < 4; ++n) {
     const auto port =
         static_cast<std::uint16_t>(1000 + (store_.routes_version + n) % 7);
--- a/soak/store_standin.cc
+++ b/soak/store_standin.cc
@@ -22,8 +22,12 @@
          {"path_prefix", '/' + text.substr(text.find(':') + 1) + '/'},
          {"service", it.service}});
   }
+  json spec = {{"version", store.routes_version}, {"routes", routes}};
+  if (store.idle_timeout.count() != 0) {
+    spec["limits"] = {{"idle_timeout_ms", store.idle_timeout.count()}};
+  }
   return {{"meta", {{"name", "main"}, {"revision", store.revision}}},
-          {"spec", {{"version", store.routes_version}, {"routes", routes}}}};
+          {"spec", spec}};
 }
 
 auto ListObjects(const StoreStandin& store, const std::string& kind)
--- a/soak/store_standin.h
+++ b/soak/store_standin.h
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNBANK_SOAK_STORE_STANDIN_H_
 #define HAWTHORNBANK_SOAK_STORE_STANDIN_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,6 +28,8 @@
   /// store has no routes.
   std::uint64_t routes_version = 0;
   std::vector<StoredRoute> routes;
+  /// Idle timeout of flows in the configuration; 0: the configuration has none.
+  std::chrono::milliseconds idle_timeout{};
   /// Objects of the load balancer's own kinds: JSON text by kind and name.
   std::map<std::string, std::map<std::string, std::string>>
       load_balancer_objects;
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -62,6 +62,22 @@
   /// address, also after the target has ended.
   [[nodiscard]] auto PrepareLateHeartbeat() const -> std::function<void()>;
 
+  /// @param ahead Number of heartbeats from the last one sent.
+  /// @return A further heartbeat of the present target, to be sent to
+  /// `control()` when the target has ended.
+  [[nodiscard]] auto MakeLateHeartbeat(std::uint64_t ahead) const
+      -> transport::HttpRequest {
+    return MakeHeartbeat(heartbeat_sequence_ + ahead);
+  }
+
+  /// @return Announcement of the present target's shutdown, to be sent to
+  /// `control()`.
+  [[nodiscard]] auto MakeDeregistration() const -> transport::HttpRequest;
+
+  /// Steps the target's time of day, from which its next start time is taken.
+  /// @param step Negative for a step back.
+  auto StepClock(Duration step) -> void { clock_offset_ += step; }
+
   /// Starts a drain: heartbeats report that the target drains, and each answer
   /// ends the flow on which the answer is sent.
   auto StartDraining() -> void;
@@ -85,6 +101,8 @@
   [[nodiscard]] auto service_name() const -> const std::string& {
     return service_;
   }
+  /// @return Address of the agent on the target's host.
+  [[nodiscard]] auto control() const -> Endpoint { return control_; }
   [[nodiscard]] auto is_alive() const -> bool { return is_alive_; }
   [[nodiscard]] auto is_unresponsive() const -> bool {
     return is_unresponsive_;
@@ -133,6 +151,7 @@
   Random random_;
   std::unordered_map<FlowKey, FlowsOfPort> flows_;
   std::uint64_t start_time_ms_ = 0;
+  Duration clock_offset_{};
   std::uint64_t heartbeat_sequence_ = 0;
   TimePoint drain_acknowledged_at_{};
   bool is_alive_ = true;
--- a/soak/world.h
+++ b/soak/world.h
@@ -3,6 +3,7 @@
 
 #include <asio.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,9 +12,12 @@
 
 #include "soak/callers.h"
 #include "soak/faults.h"
+#include "soak/flow_exemptions.h"
 #include "soak/judge.h"
 #include "soak/node_process.h"
 #include "soak/node_settings.h"
+#include "soak/process_clock.h"
+#include "soak/restarts.h"
 #include "soak/reuse.h"
 #include "soak/store_standin.h"
 #include "soak/target_standin.h"
@@ -40,9 +44,14 @@
   bool has_faults = true;  ///< Whether the series of faults is injected.
   /// Mean time between two heartbeats of a target.
   std::chrono::milliseconds heartbeat_interval{200};
-  ReuseOptions reuse;  ///< Uses of ports and addresses again.
+  ReuseOptions reuse;              ///< Uses of ports and addresses again.
+  std::set<RestartKind> restarts;  ///< Kinds of events around restarts.
+  std::string clock_library;       ///< Path of the built clock_standin.cc.
 };
 
+/// Time between the start of the processes and of the series of faults.
+inline constexpr Duration kStartupTime = std::chrono::seconds{2};
+
 /// Processes, stand-ins and checks of one soak, on addresses of 127.0.0.0/8.
 class SoakEnvironment {
  public:
@@ -74,7 +83,10 @@
     NodeParameters parameters;
     std::unique_ptr<TcpProxy> store_proxy;
     std::unique_ptr<transport::HttpClient> readiness_client;
+    std::unique_ptr<ProcessClock> clock;  ///< Null if clocks don't step.
     std::unique_ptr<NodeProcess> process;
+    WallTime started_at_wall_time{};  ///< Machine's time at the last start.
+    bool is_clock_checked = false;
     TimePoint restart_at{};  ///< Earliest time of the next start.
     TimePoint held_until{};  ///< Ended processes start at this time or later.
     TimePoint stop_deadline{};  ///< Latest time of exit after SIGTERM.
@@ -86,6 +98,12 @@
     bool is_exit_expected = false;
   };
 
+  // A called route that events drop, return and give to the other service.
+  struct MovedRoute {
+    CalledRoute route;
+    bool is_stored = true;
+  };
+
   auto AddAndStartNode(const std::string& subject, NodeParameters parameters)
       -> void;
   auto StartNodeProcess(Node& node) -> void;
@@ -115,6 +133,34 @@
   auto EndFormerTarget(std::size_t target, const ReuseEvent& event) -> void;
   auto StopFormerAgent(std::size_t target, TimePoint held_until) -> void;
   auto StartNextTarget(std::size_t target, const ReuseEvent& event) -> void;
+  [[nodiscard]] auto HasRestartKind(RestartKind kind) const -> bool;
+  auto AddMovedRoute() -> void;
+  [[nodiscard]] auto GetCalledRoutes() const -> std::vector<CalledRoute>;
+  auto AddClock(Node& node) -> void;
+  auto StartRestartSeries() -> void;
+  auto CheckClocks() -> void;
+  auto ApplyRestartEvent(const RestartEvent& event, TimePoint now) -> void;
+  auto StepClockOfProcess(const RestartEvent& event, TimePoint now) -> void;
+  [[nodiscard]] auto CanTargetRestart(std::size_t target) const -> bool;
+  [[nodiscard]] auto FindTargetToRestart(std::size_t first) const
+      -> std::optional<std::size_t>;
+  auto EndTargetWithLateMessages(const RestartEvent& event, TimePoint now)
+      -> void;
+  auto SendLateMessage(std::size_t target,
+                       const transport::HttpRequest& message,
+                       std::function<void(bool is_answered)> on_end) -> void;
+  auto SendToNextStart(std::size_t target,
+                       const transport::HttpRequest& message,
+                       int start_count,
+                       TimePoint until) -> void;
+  auto StartTargetAgain(std::size_t target, const RestartEvent& event) -> void;
+  auto StopInTurn(std::size_t first,
+                  std::size_t count,
+                  Duration begin,
+                  Duration gap) -> void;
+  auto ReplaceMostTargets(const RestartEvent& event) -> void;
+  auto EndTarget(std::size_t target, const RestartEvent& event) -> void;
+  auto MoveRoute(const RestartEvent& event, TimePoint now) -> void;
   [[nodiscard]] auto FindOtherService(const std::string& service) const
       -> std::string;
   auto StoreNewRoutes(TimePoint now) -> void;
@@ -144,11 +190,15 @@
   std::vector<std::unique_ptr<NodeProcess>> ended_processes_;
   std::vector<std::unique_ptr<TargetStandin>> targets_;
   std::vector<CalledRoute> routes_;
+  std::optional<MovedRoute> moved_route_;
   std::unique_ptr<Callers> callers_;
   InvariantChecker checker_;
+  FlowExemptions exemptions_;
   std::vector<std::string> event_history_;
-  /// Indices of targets that are being replaced by a ReuseEvent.
+  /// Indices of targets that an event is replacing.
   std::set<std::size_t> handing_over_;
+  /// A heartbeat of the last start of each target that an event has ended.
+  std::map<std::size_t, transport::HttpRequest> earlier_heartbeats_;
   int hand_overs_ = 0;
   TimePoint started_{};
   TimePoint last_tick_{};
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -95,6 +95,23 @@
   STRCMP_EQUAL("broken flow", GetFirstViolatedInvariant());
 }
 
+TEST(InvariantChecker, ResetIsExcusedByADisturbedTargetAndOfAnExemptFlow) {
+  ResetRecord reset{.port = 1,
+                    .target_holds_flow = true,
+                    .agent = "a",
+                    .target = "t",
+                    .recent_balancers = {"b"}};
+  RecordDisturbance(checker, "t", false, kNow);
+  OnFlowReset(checker, reset, kNow + 3999ms);
+  reset.is_exempt = true;
+  OnFlowReset(checker, reset, kNow + 4s);
+  STRCMP_EQUAL("", GetFirstViolatedInvariant());
+  LONGS_EQUAL(2, checker.excused_resets);
+  reset.is_exempt = false;
+  OnFlowReset(checker, reset, kNow + 4s);
+  STRCMP_EQUAL("broken flow", GetFirstViolatedInvariant());
+}
+
 TEST(InvariantChecker, ResetOfFlowThatNoTargetHoldsIsExcused) {
   OnFlowReset(checker, ResetRecord{.port = 1, .agent = "t"}, kNow);
   STRCMP_EQUAL("", GetFirstViolatedInvariant());
--- /dev/null
+++ b/test/soak_restarts_test.cc
@@ -0,0 +1,276 @@
+#include "soak/restarts.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "hawthornbank/error.h"
+#include "run_program.h"
+#include "soak/flow_exemptions.h"
+#include "soak/judge.h"
+#include "soak/node_process.h"
+#include "soak/process_clock.h"
+#include "soak/store_standin.h"
+#include "transport/clock.h"
+
+using namespace hawthornbank;
+using namespace hawthornbank::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{std::chrono::seconds{1000}};
+const Endpoint kRoute{.address = 0xC6120003, .port = 443};
+
+// Returns a flow that was opened 20 s before kNow and whose last pause began
+// 10 s before.
+auto MakePausedFlow(Duration pause) -> FlowTimes {
+  return {.route = kRoute,
+          .opened_at = kNow - 20s,
+          .idle_since = kNow - 10s,
+          .resumed_at = kNow - 10s + pause};
+}
+
+// Runs a program under a clock and returns its standard output.
+auto RunUnderClock(const std::string& script, const ProcessClock& clock)
+    -> std::string {
+  std::string line;
+  for (const auto& it : clock.GetEnvironment()) {
+    line += it + ' ';
+  }
+  line += script;
+  FILE* const pipe = popen(line.c_str(), "r");
+  std::string output;
+  std::array<char, 256> buf = {};
+  while (const auto n = fread(buf.data(), 1, buf.size(), pipe)) {
+    output.append(buf.data(), n);
+  }
+  pclose(pipe);
+  return output;
+}
+
+auto GetMachineTimeMs() -> std::int64_t {
+  return transport::GetWallTime().time_since_epoch().count();
+}
+
+}  // namespace
+
+TEST_GROUP(RestartSeries){};
+
+TEST(RestartSeries, IsEmptyWithoutKinds) {
+  CHECK(GenerateRestartSeries(5, 60s, {}).empty());
+}
+
+TEST(RestartSeries, SameSeedGivesTheSameSeriesWithAllKinds) {
+  const auto events = GenerateRestartSeries(5, 300s, GetAllRestartKinds());
+  const auto repeated = GenerateRestartSeries(5, 300s, GetAllRestartKinds());
+  const auto other = GenerateRestartSeries(6, 300s, GetAllRestartKinds());
+  LONGS_EQUAL(events.size(), repeated.size());
+  CHECK(events[0].start_offset != other[0].start_offset);
+  std::set<RestartKind> drawn;
+  for (std::size_t n = 0; n < events.size(); ++n) {
+    const RestartEvent& it = events[n];
+    CHECK(it.kind == repeated[n].kind &&
+          it.start_offset == repeated[n].start_offset &&
+          it.late_arrivals == repeated[n].late_arrivals);
+    CHECK(n == 0 || it.start_offset > events[n - 1].start_offset);
+    drawn.insert(it.kind);
+  }
+  CHECK(drawn == GetAllRestartKinds());
+}
+
+TEST(RestartSeries, EventsHaveTheFieldsOfTheirKinds) {
+  int forward = 0;
+  int same_id = 0;
+  int low_timeouts = 0;
+  std::size_t repeated_messages = 0;
+  const auto events = GenerateRestartSeries(5, 300s, GetAllRestartKinds());
+  for (const auto& it : events) {
+    const Duration step = std::max(it.clock_step, -it.clock_step);
+    CHECK(it.clock_step == Duration{} || (step >= 100ms && step <= 10s));
+    CHECK(it.kind != RestartKind::kStepClock || it.clock_step != Duration{});
+    CHECK(it.kind != RestartKind::kDropRoute || it.duration.has_value());
+    CHECK(it.idle_timeout >= 2s && it.idle_timeout < kFlowLifetime);
+    CHECK(!it.late_arrivals.empty());
+    for (const auto late : it.late_arrivals) {
+      CHECK(late >= 100ms && late <= it.pause + kRecoveryTime + 5s);
+    }
+    forward += it.clock_step > Duration{} ? 1 : 0;
+    same_id += it.has_same_id ? 1 : 0;
+    low_timeouts += it.idle_timeout < kDefaultIdleTimeout ? 1 : 0;
+    repeated_messages += it.late_arrivals.size() - 1;
+  }
+  const auto count = static_cast<int>(events.size());
+  CHECK(forward > 0 && same_id > 0 && same_id < count);
+  CHECK(low_timeouts > 0 && low_timeouts < count && repeated_messages > 0);
+}
+
+TEST(RestartSeries, EachKindIsFoundByItsName) {
+  for (const auto it : GetAllRestartKinds()) {
+    CHECK(ParseRestartKind(ToString(it)) == it);
+  }
+  CHECK(!ParseRestartKind("late_heartbeat").has_value());
+}
+
+TEST(RestartSeries, ClocksOfProcessesStartSecondsApartFromTheMachines) {
+  for (std::size_t n = 0; n < 20; ++n) {
+    const Duration offset = DrawFirstClockOffset(5, n);
+    CHECK(std::max(offset, -offset) >= 2s && offset <= 6s && offset >= -6s);
+    CHECK(offset != DrawFirstClockOffset(5, n + 1));
+  }
+}
+
+TEST(RestartSeries, SoakRejectsUnknownKindsAndAMissingLibrary) {
+  const auto unknown = test::RunBuiltProgram("soak/soak", "--only step_clocks");
+  LONGS_EQUAL(2, unknown.exit_code);
+  STRCMP_CONTAINS("step_clocks", unknown.output.c_str());
+  const auto missing = test::RunBuiltProgram(
+      "soak/soak", "--restarts --clock-library /nowhere/clock.so");
+  LONGS_EQUAL(2, missing.exit_code);
+  STRCMP_CONTAINS("/nowhere/clock.so: no such library", missing.output.c_str());
+}
+
+TEST(RestartSeries, SoakEndsWhenAProcessDoesNotFollowItsClock) {
+  // A file that exists and that the dynamic linker ignores.
+  const auto ignored = test::RunBuiltProgram(
+      "soak/soak", "--only step_clock --seconds 1 --clock-library /dev/null");
+  LONGS_EQUAL(2, ignored.exit_code);
+  STRCMP_CONTAINS("doesn't follow its clock", ignored.output.c_str());
+}
+
+TEST_GROUP(ProcessClock){};
+
+TEST(ProcessClock, ProgramSeesTheOffsetAndItsSteps) {
+  ProcessClock clock(SOAK_CLOCK, "soak-clock-test");
+  const auto read_offset_ms = [&] {
+    return std::stoll(RunUnderClock("date +%s%3N", clock)) - GetMachineTimeMs();
+  };
+  CHECK(std::abs(read_offset_ms()) < 1000);
+  clock.StepBy(-100s);
+  CHECK(std::abs(read_offset_ms() + 100'000) < 1000);
+  clock.StepBy(150s);
+  CHECK(std::abs(read_offset_ms() - 50'000) < 1000);
+  CHECK(clock.offset() == 50s);
+}
+
+TEST(ProcessClock, RunningProgramSeesAStep) {
+  ProcessClock clock(SOAK_CLOCK, "soak-clock-step-test");
+  clock.StepBy(-50s);
+  // Steps until the program, which may start late, has seen one.
+  std::atomic<bool> has_ended = false;
+  std::thread steps([&] {
+    while (!has_ended) {
+      std::this_thread::sleep_for(200ms);
+      clock.StepBy(100s);
+    }
+  });
+  const std::string output = RunUnderClock(
+      "python3 -c 'import time; start = time.time(); "
+      "[time.sleep(0.01) for n in range(1000) if time.time() - start < 100]; "
+      "print(int(time.time() - start))'",
+      clock);
+  has_ended = true;
+  steps.join();
+  CHECK(std::stoll(output) >= 100);
+}
+
+TEST(ProcessClock, ProgramWithoutAReadableOffsetIsEnded) {
+  const std::string output = [] {
+    ProcessClock clock(SOAK_CLOCK, "soak-clock-missing-test");
+    std::string line = clock.GetEnvironment().front() +
+                       " HAWTHORNBANK_SOAK_CLOCK=/nowhere/clock date 2>&1";
+    FILE* const pipe = popen(line.c_str(), "r");
+    std::array<char, 256> buf = {};
+    const auto n = fread(buf.data(), 1, buf.size(), pipe);
+    pclose(pipe);
+    return std::string(buf.data(), n);
+  }();
+  STRCMP_CONTAINS("clock_standin: the file that HAWTHORNBANK_SOAK_CLOCK names",
+                  output.c_str());
+}
+
+TEST(ProcessClock, MissingLibraryIsReported) {
+  CHECK_THROWS(Error, ProcessClock("/nowhere/clock.so", "soak-clock-test"));
+}
+
+TEST(ProcessClock, FirstLogTimeIsThatOfTheFirstCompleteLine) {
+  CHECK(ReadFirstLogTime("t=1790 node=a event=start\nt=9 b\n") == 1790);
+  CHECK(!ReadFirstLogTime("").has_value());
+  CHECK(!ReadFirstLogTime("t=1790 node=a").has_value());
+  CHECK(!ReadFirstLogTime("time 3\n").has_value());
+}
+
+TEST_GROUP(FlowExemptions) {
+  FlowExemptions exemptions;
+};
+
+TEST(FlowExemptions, PauseCountsBeyondTheIdleTimeoutOnly) {
+  CHECK(!IsExemptFlow(exemptions, MakePausedFlow(10s), kNow));
+  OnIdleTimeoutStored(exemptions, 8s, kNow - 100s);
+  CHECK(!IsExemptFlow(exemptions, MakePausedFlow(8s), kNow));
+  CHECK(IsExemptFlow(exemptions, MakePausedFlow(8001ms), kNow));
+}
+
+TEST(FlowExemptions, SmallestIdleTimeoutInForceDuringThePauseCounts) {
+  // In force for 3 s after the next one was stored, which is before the pause.
+  OnIdleTimeoutStored(exemptions, 2s, kNow - 60s);
+  OnIdleTimeoutStored(exemptions, 50s, kNow - 13001ms);
+  CHECK(!IsExemptFlow(exemptions, MakePausedFlow(9s), kNow));
+  // Lowered during the pause.
+  OnIdleTimeoutStored(exemptions, 5s, kNow - 8s);
+  OnIdleTimeoutStored(exemptions, 50s, kNow - 7s);
+  CHECK(!IsExemptFlow(exemptions, MakePausedFlow(5s), kNow));
+  CHECK(IsExemptFlow(exemptions, MakePausedFlow(6s), kNow));
+  // Stored after the pause.
+  OnIdleTimeoutStored(exemptions, 1s, kNow - 1s);
+  CHECK(!IsExemptFlow(exemptions, MakePausedFlow(4s), kNow));
+}
+
+TEST(FlowExemptions, RaisedIdleTimeoutIsInForceLater) {
+  OnIdleTimeoutStored(exemptions, 2s, kNow - 60s);
+  OnIdleTimeoutStored(exemptions, 50s, kNow - 12s);
+  CHECK(IsExemptFlow(exemptions, MakePausedFlow(3s), kNow));
+}
+
+TEST(FlowExemptions, FlowBeyondItsLifetimeIsExempt) {
+  FlowTimes flow = MakePausedFlow(1s);
+  flow.opened_at = kNow - kFlowLifetime;
+  CHECK(!IsExemptFlow(exemptions, flow, kNow));
+  CHECK(IsExemptFlow(exemptions, flow, kNow + 1ms));
+}
+
+TEST(FlowExemptions, FlowWhoseRouteWasDroppedWhileItWasOpenIsExempt) {
+  const FlowTimes flow = MakePausedFlow(1s);
+  OnRouteDropped(exemptions, kRoute, kNow - 40s);
+  OnRouteReturned(exemptions, kRoute, kNow - 30s);
+  CHECK(!IsExemptFlow(exemptions, flow, kNow));
+  OnRouteDropped(exemptions, Endpoint{.address = 1, .port = 443}, kNow - 5s);
+  CHECK(!IsExemptFlow(exemptions, flow, kNow));
+  OnRouteDropped(exemptions, kRoute, kNow + 1s);
+  CHECK(!IsExemptFlow(exemptions, flow, kNow));
+  CHECK(IsExemptFlow(exemptions, flow, kNow + 1s));
+}
+
+TEST(FlowExemptions, RouteThatReturnedJustBeforeTheOpeningCounts) {
+  OnRouteDropped(exemptions, kRoute, kNow - 40s);
+  OnRouteReturned(exemptions, kRoute, kNow - 22s);
+  CHECK(IsExemptFlow(exemptions, MakePausedFlow(1s), kNow));
+}
+
+TEST_GROUP(StoredIdleTimeout){};
+
+TEST(StoredIdleTimeout, IsPartOfTheConfigurationWhenSet) {
+  StoreStandin store;
+  ReplaceRoutes(store, {{.address = kRoute, .service = "a"}});
+  const auto read_spec = [&] {
+    const auto reply = ExecuteStoreCall(
+        store, {.method = "GET", .target = "/api/objects/config"});
+    return nlohmann::json::parse(reply.body)["items"][0]["spec"];
+  };
+  CHECK(!read_spec().contains("limits"));
+  store.idle_timeout = 2500ms;
+  LONGS_EQUAL(2500, read_spec()["limits"]["idle_timeout_ms"].get<int>());
+}
