--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -224,14 +224,13 @@
   target.CrashTarget();
   RunAfterDelay(event.pause, [this, n, event] { StartTargetAgain(n, event); });
   if (event.kind == RestartKind::kHeartbeatAtRestart) {
-    RunAfterDelay(event.pause + event.agent_stop, [this, n,
-                                                   message = messages.front()] {
-      Node& agent = GetAgent(n);
-      const TimePoint stopped = GetMonotonicTime();
-      RecordEvent(fmt::format("stop {}", agent.subject));
-      StopProcess(agent, stopped);
-      SendToNextStart(n, message, agent.start_count, stopped + kMaxRestartTime);
-    });
+    RunAfterDelay(event.pause + event.agent_stop,
+                  [this, n, message = messages.front()] {
+                    Node& agent = GetAgent(n);
+                    StopWithinSeries(agent);
+                    SendToNextStart(n, message, agent.start_count,
+                                    GetMonotonicTime() + kMaxRestartTime);
+                  });
     return;
   }
   for (std::size_t k = 0; k < event.late_arrivals.size(); ++k) {
@@ -307,10 +306,17 @@
                                  Duration begin,
                                  Duration gap) -> void {
   for (std::size_t n = 0; n < count; ++n) {
-    RunAfterDelay(begin + gap * n, [this, n = first + n] {
-      RecordEvent(fmt::format("stop {}", nodes_[n]->subject));
-      StopProcess(*nodes_[n], GetMonotonicTime());
-    });
+    RunAfterDelay(begin + gap * n,
+                  [this, n = first + n] { StopWithinSeries(*nodes_[n]); });
+  }
+}
+
+// Stops a process, unless the series has ended.
+auto SoakEnvironment::StopWithinSeries(Node& node) -> void {
+  const TimePoint now = GetMonotonicTime();
+  if (now - started_ < kStartupTime + options_.length) {
+    RecordEvent(fmt::format("stop {}", node.subject));
+    StopProcess(node, now);
   }
 }
 
--- a/soak/target_standin.cc
+++ b/soak/target_standin.cc
@@ -72,6 +72,7 @@
 }
 
 auto TargetStandin::RestartTarget(const std::string& service) -> void {
+  flows_.clear();
   service_ = service;
   is_alive_ = true;
   is_draining_ = false;
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -47,7 +47,8 @@
   /// and stops sending packets and heartbeats.
   auto CrashTarget() -> void;
 
-  /// Starts the target again after a crash or shutdown.
+  /// Starts the target again after a crash or shutdown, or instead of the
+  /// running start. The next start has no flows.
   /// @param service Service of the target from now on.
   auto RestartTarget(const std::string& service) -> void;
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -158,6 +158,7 @@
                   std::size_t count,
                   Duration begin,
                   Duration gap) -> void;
+  auto StopWithinSeries(Node& node) -> void;
   auto ReplaceMostTargets(const RestartEvent& event) -> void;
   auto EndTarget(std::size_t target, const RestartEvent& event) -> void;
   auto MoveRoute(const RestartEvent& event, TimePoint now) -> void;
