--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -26,6 +26,7 @@
   std::string program_path = program;
   environment.push_back("HAWTHORNBANK_NODE_FILE=" + settings_path_.string());
   std::vector<char*> variables;
+  variables.reserve(environment.size() + 1);
   for (auto& it : environment) {
     variables.push_back(it.data());
   }
