Let the first heartbeat of a crashed start arrive at a restarted agent

Heartbeats that the soak delivers late were later ones than the agent had heard. A late first one makes a restarted agent believe that it knows all flows of its target, so a third of the events heartbeat_at_restart now deliver it.

--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -1,9 +1,6 @@
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <csignal>
 
-#include "hawthornbank/error.h"
 #include "soak/world.h"
 #include "transport/clock.h"
 
@@ -14,7 +11,6 @@
 
 using std::chrono::milliseconds;
 using transport::GetMonotonicTime;
-using transport::GetWallTime;
 using transport::HttpClient;
 using transport::HttpRequest;
 using transport::HttpResponse;
@@ -28,9 +24,6 @@
 constexpr milliseconds kReplacementSpread{2500};
 constexpr milliseconds kBalancerRestartGap{1500};
 constexpr milliseconds kAgentRestartGap{300};
-// Greatest time between the start of a process and its first log line. It is
-// less than the offset of each clock at the first start.
-constexpr milliseconds kMaxFirstLogDelay{1900};
 constexpr milliseconds kClockCheckInterval{500};
 
 auto ToMilliseconds(Duration duration) -> std::int64_t {
@@ -65,16 +58,6 @@
   return called;
 }
 
-auto SoakEnvironment::AddClock(Node& node) -> void {
-  if (!HasRestartKind(RestartKind::kStepClock)) {
-    return;
-  }
-  node.clock = std::make_unique<ProcessClock>(
-      options_.clock_library,
-      fmt::format("soak-{}-{}", options_.seed, node.subject));
-  node.clock->StepBy(DrawFirstClockOffset(options_.seed, nodes_.size()));
-}
-
 auto SoakEnvironment::StartRestartSeries() -> void {
   if (HasRestartKind(RestartKind::kIdleTimeout)) {
     callers_->StartFlowsWithLongPauses(options_.seed);
@@ -89,34 +72,6 @@
   }
 }
 
-// Checks that the first log line of each process has the time of the process's
-// clock.
-auto SoakEnvironment::CheckClocks() -> void {
-  for (const auto& it : nodes_) {
-    Node& node = *it;
-    if (node.start_count != 1 || node.process == nullptr ||
-        node.is_clock_checked) {
-      continue;
-    }
-    const auto logged_ms = ReadFirstLogTime(node.process->ReadLogFile());
-    if (!logged_ms.has_value()) {
-      continue;
-    }
-    node.is_clock_checked = true;
-    const std::int64_t delay_ms =
-        *logged_ms - node.started_at_wall_time.time_since_epoch().count() -
-        ToMilliseconds(node.clock->offset());
-    if (delay_ms < 0 || delay_ms > kMaxFirstLogDelay.count()) {
-      throw Error(
-          ErrorKind::kInternal,
-          fmt::format("{} doesn't follow its clock, which is {} ms "
-                      "ahead: its first log line has t={}; is {} loaded?",
-                      node.subject, ToMilliseconds(node.clock->offset()),
-                      *logged_ms, options_.clock_library));
-    }
-  }
-}
-
 auto SoakEnvironment::ApplyRestartEvent(const RestartEvent& event,
                                         TimePoint now) -> void {
   switch (event.kind) {
@@ -148,32 +103,6 @@
   }
 }
 
-auto SoakEnvironment::StepClockOfProcess(const RestartEvent& event,
-                                         TimePoint now) -> void {
-  Node& node = *nodes_[event.subject_index % nodes_.size()];
-  const auto step_and_restart = [this, &node, event](Duration step,
-                                                     TimePoint time) {
-    if (event.restarts) {
-      StopProcess(node, time);
-    }
-    RunAfterDelay(
-        event.restarts ? event.pause : Duration{}, [this, &node, step, event] {
-          node.clock->StepBy(step);
-          RecordDisturbance(checker_, node.subject, false, GetMonotonicTime());
-          RecordEvent(fmt::format(
-              "{} {} by {} ms to {} ms{}", ToString(event.kind), node.subject,
-              ToMilliseconds(step), ToMilliseconds(node.clock->offset()),
-              event.restarts ? ", at a restart" : ""));
-        });
-  };
-  step_and_restart(event.clock_step, now);
-  if (event.duration.has_value()) {
-    RunAfterDelay(event.pause + *event.duration, [step_and_restart, event] {
-      step_and_restart(-event.clock_step, GetMonotonicTime());
-    });
-  }
-}
-
 auto SoakEnvironment::CanTargetRestart(std::size_t target) const -> bool {
   return targets_[target]->is_alive() && !targets_[target]->is_draining() &&
          !handing_over_.contains(target);
@@ -196,6 +125,28 @@
   return std::nullopt;
 }
 
+// Returns messages of a target's present start, in another order than the
+// target would send them, and a heartbeat of an earlier start.
+auto SoakEnvironment::PrepareLateMessages(std::size_t target,
+                                          const RestartEvent& event)
+    -> std::vector<HttpRequest> {
+  const TargetStandin& ended = *targets_[target];
+  std::vector<HttpRequest> messages;
+  if (event.kind == RestartKind::kLateDeregistration) {
+    messages.push_back(ended.MakeDeregistration());
+  } else if (event.kind == RestartKind::kHeartbeatAtRestart &&
+             event.is_first_heartbeat) {
+    messages.push_back(ended.MakeFirstHeartbeat());
+  }
+  messages.push_back(ended.MakeLateHeartbeat(2));
+  messages.push_back(ended.MakeLateHeartbeat(1));
+  if (earlier_heartbeats_.contains(target)) {
+    messages.push_back(earlier_heartbeats_[target]);
+  }
+  earlier_heartbeats_[target] = ended.MakeLateHeartbeat(3);
+  return messages;
+}
+
 auto SoakEnvironment::EndTargetWithLateMessages(const RestartEvent& event,
                                                 TimePoint now) -> void {
   const auto found = FindTargetToRestart(event.subject_index);
@@ -209,18 +160,10 @@
                           ToString(event.kind), n, target.service_name(),
                           ToMilliseconds(event.pause),
                           event.has_same_id ? ", same id" : ""));
-  // Messages of a start arrive in another order than they were sent.
-  std::vector<HttpRequest> messages = {target.MakeLateHeartbeat(2),
-                                       target.MakeLateHeartbeat(1)};
-  if (event.kind == RestartKind::kLateDeregistration) {
-    messages.insert(messages.begin(), target.MakeDeregistration());
-  } else {
+  const std::vector<HttpRequest> messages = PrepareLateMessages(n, event);
+  if (event.kind != RestartKind::kLateDeregistration) {
     RecordDisturbance(checker_, GetTargetSubject(n), false, now + event.pause);
   }
-  if (earlier_heartbeats_.contains(n)) {
-    messages.push_back(earlier_heartbeats_[n]);
-  }
-  earlier_heartbeats_[n] = target.MakeLateHeartbeat(3);
   target.CrashTarget();
   RunAfterDelay(event.pause, [this, n, event] { StartTargetAgain(n, event); });
   if (event.kind == RestartKind::kHeartbeatAtRestart) {
--- a/soak/restarts.cc
+++ b/soak/restarts.cc
@@ -118,6 +118,7 @@
     event.idle_timeout = random() % 2 == 0 ? low : high;
     event.drains = random() % 2 == 0;
     event.has_early_balancers = random() % 2 == 0;
+    event.is_first_heartbeat = random() % 3 == 0;
     events.push_back(std::move(event));
     start += DrawDuration(random, kMinEventPause, kMaxEventPause);
   }
--- a/soak/restarts.h
+++ b/soak/restarts.h
@@ -66,6 +66,9 @@
   /// Time from the target's next start to the stop of its agent
   /// (kHeartbeatAtRestart).
   Duration agent_stop{};
+  /// Whether the late heartbeat is the target's first one
+  /// (kHeartbeatAtRestart).
+  bool is_first_heartbeat = false;
   Duration idle_timeout{};  ///< New value (kIdleTimeout).
   bool drains = false;      ///< Whether replaced targets drain (kReplaceMost).
   /// Whether balancers also restart before the targets (kReplaceMost).
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -71,6 +71,12 @@
     return MakeHeartbeat(heartbeat_sequence_ + ahead);
   }
 
+  /// @return The first heartbeat of the present target, as for
+  /// MakeLateHeartbeat.
+  [[nodiscard]] auto MakeFirstHeartbeat() const -> transport::HttpRequest {
+    return MakeHeartbeat(1);
+  }
+
   /// @return Announcement of the present target's shutdown, to be sent to
   /// `control()`.
   [[nodiscard]] auto MakeDeregistration() const -> transport::HttpRequest;
--- a/soak/world.h
+++ b/soak/world.h
@@ -144,6 +144,8 @@
   [[nodiscard]] auto CanTargetRestart(std::size_t target) const -> bool;
   [[nodiscard]] auto FindTargetToRestart(std::size_t first) const
       -> std::optional<std::size_t>;
+  auto PrepareLateMessages(std::size_t target, const RestartEvent& event)
+      -> std::vector<transport::HttpRequest>;
   auto EndTargetWithLateMessages(const RestartEvent& event, TimePoint now)
       -> void;
   auto SendLateMessage(std::size_t target,
