--- a/soak/world.cc
+++ b/soak/world.cc
@@ -356,7 +356,14 @@
       reset.recent_balancers.push_back(GetBalancer(balancer).subject);
     }
   }
+  const std::uint64_t excused_before = checker_.excused_resets;
   OnFlowReset(checker_, reset, now);
+  if (reset.target_holds_flow && checker_.excused_resets != excused_before) {
+    RecordEvent(fmt::format(
+        "excused reset of a held flow: caller port {}, {} of {}, {}", flow.port,
+        reset.target, reset.agent,
+        reset.is_exempt ? "exempt flow" : "after a disturbance"));
+  }
 }
 
 auto SoakEnvironment::OnCallerRequestFinished(const CallerFlow& flow,
