Replace the soak's targets by slow ones, and balancers with the agents

Half of the events now also replace the last target, half restart balancers and agents together, and replaced targets announce a warm-up of two seconds.

--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include <algorithm>
 
 #include "soak/world.h"
 #include "transport/clock.h"
@@ -22,6 +23,7 @@
 // A target's drain, longer than the platform's `drain_ms`.
 constexpr milliseconds kDrainBeforeReplacement{3200};
 constexpr milliseconds kReplacementSpread{2500};
+constexpr std::chrono::seconds kWarmupTime{2};
 constexpr milliseconds kBalancerRestartGap{1500};
 constexpr milliseconds kAgentRestartGap{300};
 constexpr milliseconds kClockCheckInterval{500};
@@ -275,9 +277,12 @@
   if (replaced.size() < 2) {
     return;
   }
-  replaced.erase(replaced.begin() + static_cast<std::ptrdiff_t>(
-                                        event.subject_index % replaced.size()));
-  RecordEvent(fmt::format("{} {} targets of {}{}", ToString(event.kind),
+  const auto last =
+      replaced.begin() +
+      static_cast<std::ptrdiff_t>(event.subject_index % replaced.size());
+  std::rotate(last, last + 1, replaced.end());
+  RecordEvent(fmt::format("{} {} of {} targets of {}{}", ToString(event.kind),
+                          replaced.size() - (event.replaces_last ? 0 : 1),
                           replaced.size(), route.service,
                           event.drains ? ", drained" : ""));
   Duration begin{};
@@ -285,22 +290,41 @@
     StopInTurn(0, options_.balancers, begin, kBalancerRestartGap);
     begin = kBalancerRestartGap * options_.balancers;
   }
-  const Duration drain = event.drains ? kDrainBeforeReplacement : Duration{};
-  for (std::size_t k = 0; k < replaced.size(); ++k) {
-    const std::size_t n = replaced[k];
-    const Duration start = begin + kReplacementSpread * k / replaced.size();
-    handing_over_.insert(n);
-    if (event.drains) {
-      RunAfterDelay(start, [this, n] { targets_[n]->StartDraining(); });
-    }
-    RunAfterDelay(start + drain, [this, n, event] { EndTarget(n, event); });
-    RunAfterDelay(start + drain + event.pause,
-                  [this, n, event] { StartTargetAgain(n, event); });
+  const std::size_t others = replaced.size() - 1;
+  for (std::size_t k = 0; k < others; ++k) {
+    ReplaceTargetLater(replaced[k], event,
+                       begin + kReplacementSpread * k / others);
+  }
+  const Duration replacement =
+      event.pause + (event.drains ? kDrainBeforeReplacement : Duration{});
+  Duration end = begin + kReplacementSpread + replacement;
+  if (event.replaces_last) {
+    ReplaceTargetLater(replaced.back(), event, end);
+    end += replacement;
   }
-  const Duration end = begin + kReplacementSpread + drain + event.pause;
   StopInTurn(options_.balancers, options_.targets, end, kAgentRestartGap);
-  StopInTurn(0, options_.balancers, end + kAgentRestartGap * options_.targets,
-             kBalancerRestartGap);
+  if (!event.has_joint_restarts) {
+    end += kAgentRestartGap * options_.targets;
+  }
+  StopInTurn(0, options_.balancers, end, kBalancerRestartGap);
+}
+
+// Ends a target after a delay and starts it again, slow at first.
+auto SoakEnvironment::ReplaceTargetLater(std::size_t target,
+                                         const RestartEvent& event,
+                                         Duration delay) -> void {
+  const Duration end =
+      delay + (event.drains ? kDrainBeforeReplacement : Duration{});
+  handing_over_.insert(target);
+  if (event.drains) {
+    RunAfterDelay(delay, [this, target] { targets_[target]->StartDraining(); });
+  }
+  RunAfterDelay(end, [this, target, event] { EndTarget(target, event); });
+  RunAfterDelay(end + event.pause, [this, target, event] {
+    targets_[target]->SetWarmupTime(kWarmupTime);
+    StartTargetAgain(target, event);
+    targets_[target]->SetWarmupTime({});
+  });
 }
 
 auto SoakEnvironment::EndTarget(std::size_t target, const RestartEvent& event)
--- a/soak/restarts.cc
+++ b/soak/restarts.cc
@@ -119,6 +119,8 @@
     event.drains = random() % 2 == 0;
     event.has_early_balancers = random() % 2 == 0;
     event.is_first_heartbeat = random() % 3 == 0;
+    event.replaces_last = random() % 2 == 0;
+    event.has_joint_restarts = random() % 2 == 0;
     events.push_back(std::move(event));
     start += DrawDuration(random, kMinEventPause, kMaxEventPause);
   }
--- a/soak/restarts.h
+++ b/soak/restarts.h
@@ -25,7 +25,7 @@
   /// Deregistrations and heartbeats of an ended target arrive late.
   kLateDeregistration,
   kIdleTimeout,  ///< `idle_timeout_ms` is raised or lowered.
-  /// All targets of a service but one restart, then agents and balancers.
+  /// Nearly all targets of a service restart, then agents and balancers.
   kReplaceMost,
   kDropRoute,  ///< A route is dropped and returns for the other service.
   kMoveRoute,  ///< A route is given to the other service.
@@ -73,6 +73,11 @@
   bool drains = false;      ///< Whether replaced targets drain (kReplaceMost).
   /// Whether balancers also restart before the targets (kReplaceMost).
   bool has_early_balancers = false;
+  /// Whether the service's last target restarts, too, once the others have
+  /// (kReplaceMost).
+  bool replaces_last = false;
+  /// Whether balancers restart while agents do, not after them (kReplaceMost).
+  bool has_joint_restarts = false;
 };
 
 /// Draws a series of events, about one each second.
--- a/soak/target_standin.cc
+++ b/soak/target_standin.cc
@@ -1,5 +1,6 @@
 #include "soak/target_standin.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -79,6 +80,7 @@
   is_unresponsive_ = false;
   drain_acknowledged_at_ = {};
   heartbeat_sequence_ = 0;
+  warm_at_ = GetMonotonicTime() + warmup_time_;
   start_time_ms_ = ComputeNextStartTimeMs(start_time_ms_, clock_offset_);
 }
 
@@ -137,13 +139,15 @@
 }
 
 auto TargetStandin::MakeHeartbeat(std::uint64_t sequence) const -> HttpRequest {
+  const auto warmup = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(warm_at_ - GetMonotonicTime(), Duration{}));
   const nlohmann::json body = {{"service", service_},
                                {"addr", ToString(app_)},
                                {"zone", "a"},
                                {"version", "v1"},
                                {"slots", 3},
                                {"state", is_draining_ ? "draining" : "ready"},
-                               {"warmup_ms", 0},
+                               {"warmup_ms", warmup.count()},
                                {"seq", sequence},
                                {"born", start_time_ms_}};
   return HttpRequest{.method = "PUT",
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -85,6 +85,12 @@
   /// @param step Negative for a step back.
   auto StepClock(Duration step) -> void { clock_offset_ += step; }
 
+  /// @param warmup_time Time after each later start for which heartbeats report
+  /// that the target is slow.
+  auto SetWarmupTime(Duration warmup_time) -> void {
+    warmup_time_ = warmup_time;
+  }
+
   /// Starts a drain: heartbeats report that the target drains, and each answer
   /// ends the flow on which the answer is sent.
   auto StartDraining() -> void;
@@ -159,6 +165,8 @@
   std::unordered_map<FlowKey, FlowsOfPort> flows_;
   std::uint64_t start_time_ms_ = 0;
   Duration clock_offset_{};
+  Duration warmup_time_{};
+  TimePoint warm_at_{};  ///< End of the present start's warm-up.
   std::uint64_t heartbeat_sequence_ = 0;
   TimePoint drain_acknowledged_at_{};
   bool is_alive_ = true;
--- a/soak/world.h
+++ b/soak/world.h
@@ -162,6 +162,9 @@
                   Duration gap) -> void;
   auto StopWithinSeries(Node& node) -> void;
   auto ReplaceMostTargets(const RestartEvent& event) -> void;
+  auto ReplaceTargetLater(std::size_t target,
+                          const RestartEvent& event,
+                          Duration delay) -> void;
   auto EndTarget(std::size_t target, const RestartEvent& event) -> void;
   auto MoveRoute(const RestartEvent& event, TimePoint now) -> void;
   [[nodiscard]] auto FindOtherService(const std::string& service) const
