--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -94,7 +94,7 @@
       StoreNewRoutes(now);
       break;
     case RestartKind::kReplaceMost:
-      ReplaceMostTargets(event);
+      ReplaceMostTargets(event, now);
       break;
     case RestartKind::kDropRoute:
     case RestartKind::kMoveRoute:
@@ -265,7 +265,10 @@
   }
 }
 
-auto SoakEnvironment::ReplaceMostTargets(const RestartEvent& event) -> void {
+// One replacement at a time, so that balancers are up for some seconds before
+// the agents restart.
+auto SoakEnvironment::ReplaceMostTargets(const RestartEvent& event,
+                                         TimePoint now) -> void {
   const CalledRoute& route =
       event.subject_index % 2 == 0 ? routes_.front() : routes_.back();
   std::vector<std::size_t> replaced;
@@ -274,7 +277,7 @@
       replaced.push_back(n);
     }
   }
-  if (replaced.size() < 2) {
+  if (replaced.size() < 2 || now < replacement_end_) {
     return;
   }
   const auto last =
@@ -307,6 +310,7 @@
     end += kAgentRestartGap * options_.targets;
   }
   StopInTurn(0, options_.balancers, end, kBalancerRestartGap);
+  replacement_end_ = now + end + kBalancerRestartGap * options_.balancers;
 }
 
 // Ends a target after a delay and starts it again, slow at first.
--- a/soak/world.h
+++ b/soak/world.h
@@ -161,7 +161,7 @@
                   Duration begin,
                   Duration gap) -> void;
   auto StopWithinSeries(Node& node) -> void;
-  auto ReplaceMostTargets(const RestartEvent& event) -> void;
+  auto ReplaceMostTargets(const RestartEvent& event, TimePoint now) -> void;
   auto ReplaceTargetLater(std::size_t target,
                           const RestartEvent& event,
                           Duration delay) -> void;
@@ -205,6 +205,7 @@
   std::set<std::size_t> handing_over_;
   /// A heartbeat of the last start of each target that an event has ended.
   std::map<std::size_t, transport::HttpRequest> earlier_heartbeats_;
+  TimePoint replacement_end_{};  ///< Of the last event kReplaceMost.
   int hand_overs_ = 0;
   TimePoint started_{};
   TimePoint last_tick_{};
