--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -91,23 +91,6 @@
                        .routes = callbacks_.describe_routes(now)};
 }
 
-// Returns the seeds that are not in the fleet yet. While no balancer is known,
-// the result also contains the balancers that the store lists.
-auto NodeGossip::ListUnknownSeeds() const -> std::vector<Endpoint> {
-  std::vector<Endpoint> unknown;
-  const auto add = [&](Endpoint it) {
-    if (it != fleet_.self.control && !fleet_.hosts.contains(it)) {
-      unknown.push_back(it);
-    }
-  };
-  const auto& seeds = host_.settings().seeds;
-  std::for_each(seeds.begin(), seeds.end(), add);
-  if (!KnowsAnyBalancer()) {
-    std::for_each(listed_balancers_.begin(), listed_balancers_.end(), add);
-  }
-  return unknown;
-}
-
 auto NodeGossip::AnnounceSelf(TimePoint now) -> void {
   UpdateOwnState(now);
   const Bytes datagram = EncodeNodeMessage(MakeAnnouncement(now));
@@ -117,22 +100,6 @@
   SendToUnknownSeeds(now);
 }
 
-// Announces this node to the seeds that it doesn't know. While it knows no
-// balancer, it asks one of them at a time for records.
-auto NodeGossip::SendToUnknownSeeds(TimePoint now) -> void {
-  const std::vector<Endpoint> seeds = ListUnknownSeeds();
-  HostAnnouncement announcement = MakeAnnouncement(now);
-  const bool is_searching = !KnowsAnyBalancer();
-  for (std::size_t n = 0; n < seeds.size(); ++n) {
-    announcement.wants_roster =
-        is_searching &&
-        n == (search_round_ + fleet_.self.control.address) % seeds.size();
-    host_.SendControlDatagram(DatagramKind::kAnnouncement, seeds[n],
-                              EncodeNodeMessage(announcement));
-  }
-  ++search_round_;
-}
-
 auto NodeGossip::SendAnnouncement(Endpoint to, TimePoint now) -> void {
   UpdateOwnState(now);
   host_.SendControlDatagram(DatagramKind::kAnnouncement, to,
@@ -185,48 +152,6 @@
   }
 }
 
-// Reads the store's list of balancers if a read is due, because all seeds may
-// stay down for a long time while other balancers run.
-auto NodeGossip::RequestBalancersFromRegistry(TimePoint now) -> void {
-  RegistryClient& registry = host_.registry_client();
-  if (now < next_registry_read_ || registry.HasCallInFlight()) {
-    return;
-  }
-  next_registry_read_ = now + kRegistryRetryInterval;
-  has_asked_registry_ = true;
-  registry.RequestBalancerList([this](const std::vector<Endpoint>& hosts) {
-    const TimePoint then = GetMonotonicTime();
-    host_.event_log().WriteEvent(EventKind::kStateChange, then,
-                                 "registry_read balancers={}", hosts.size());
-    has_read_registry_ = true;
-    listed_balancers_ = hosts;
-    AnnounceSelf(then);
-    if (IsBalancer()) {
-      JoinListedBalancers(then);
-    }
-  });
-}
-
-// Whether a starting balancer that already knows others still has to read the
-// list of balancers.
-auto NodeGossip::MustReadRegistry(TimePoint now) const -> bool {
-  return !has_read_registry_ &&
-         now - host_.start_time() < ComputeSettlingTime(size_);
-}
-
-// Announces this balancer to some of the listed balancers that it doesn't know
-// yet, and asks the first of them for records.
-auto NodeGossip::JoinListedBalancers(TimePoint now) -> void {
-  HostAnnouncement announcement = MakeAnnouncement(now);
-  const auto receivers =
-      ListBalancersToJoin(fleet_, listed_balancers_, host_.random());
-  for (std::size_t n = 0; n < receivers.size(); ++n) {
-    announcement.wants_roster = n < kRostersAtJoin;
-    host_.SendControlDatagram(DatagramKind::kAnnouncement, receivers[n],
-                              EncodeNodeMessage(announcement));
-  }
-}
-
 auto NodeGossip::RunGossipTick() -> void {
   const TimePoint now = GetMonotonicTime();
   size_ = CountBalancers(fleet_);
@@ -408,146 +333,6 @@
   }
 }
 
-auto NodeGossip::OnRosterPart(const RosterPart& part, TimePoint now) -> void {
-  const bool searched = !KnowsAnyBalancer();
-  bool has_new_record = false;
-  for (const auto& it : part.records) {
-    if (!IsUsable(it.record, now) || !ShouldMergeRecord(fleet_, it.record)) {
-      continue;
-    }
-    const bool is_unknown = !fleet_.hosts.contains(it.record.control);
-    const auto outcome =
-        MergeRecord(it.record, std::chrono::milliseconds{it.age_ms}, now);
-    const bool is_near =
-        IsFullMesh(size_) || it.record.zone == fleet_.self.zone;
-    if (outcome == MergeOutcome::kChanged && is_unknown && !searched &&
-        is_near && it.record.role == HostRole::kBalancer) {
-      // The balancer has started since this process announced itself.
-      SendAnnouncement(it.record.control, now);
-    }
-    has_new_record = has_new_record || outcome == MergeOutcome::kChanged;
-  }
-  if (searched && has_new_record) {
-    RunGossipTick();
-  }
-  if (has_new_record && IsBalancer() && !has_begun_comparisons_ &&
-      !IsFullMesh(CountBalancers(fleet_))) {
-    has_begun_comparisons_ = true;
-    RunFirstComparisons(now);
-  }
-}
-
-// Comparison of records -----------------------------------------------------
-
-auto NodeGossip::CompareRecordsIfDue(const HostRecord& peer,
-                                     std::uint64_t peer_digest,
-                                     TimePoint now) -> void {
-  SyncSchedule& sync =
-      peer.zone == fleet_.self.zone ? same_zone_sync_ : other_zones_sync_;
-  if (!IsBalancer() || peer_digest == fleet_.digest || now < sync.next_at) {
-    return;
-  }
-  sync.interval = sync.has_changed
-                      ? kSyncInterval
-                      : std::min(sync.interval * 2, kMaxSyncInterval);
-  sync.next_at = now + sync.interval;
-  sync.has_changed = false;
-  CompareRecords(peer.control);
-}
-
-auto NodeGossip::CompareRecords(Endpoint peer) -> void {
-  host_.SendControlDatagram(DatagramKind::kRoster, peer,
-                            EncodeNodeMessage(RosterComparison{
-                                .buckets = ComputeRosterBuckets(fleet_)}));
-}
-
-// Compares records with balancers of all zones, one after the other, until this
-// balancer certainly knows every agent.
-auto NodeGossip::RunFirstComparisons(TimePoint now) -> void {
-  const auto peer =
-      ChooseComparisonPeer(fleet_, first_comparisons_, host_.random(), now);
-  if (peer.has_value()) {
-    ++first_comparisons_;
-    CompareRecords(*peer);
-  }
-  if (now - host_.start_time() < ComputeSettlingTime(size_)) {
-    NodeHost::ScheduleHandler(
-        comparison_timer_, kFirstSyncInterval,
-        [this](TimePoint then) { RunFirstComparisons(then); });
-  }
-}
-
-auto NodeGossip::OnRosterComparison(Endpoint from,
-                                    const RosterComparison& comparison,
-                                    TimePoint now) -> void {
-  SendRecords(from, ListDifferingRecords(fleet_, comparison.buckets, now));
-}
-
-// Sends a starting process the records of all balancers and, in a small fleet,
-// of all agents. In a large fleet a starting balancer gets the agents' records
-// by comparisons with many balancers, because all processes ask the same few
-// seeds.
-auto NodeGossip::SendRosterToNewcomer(const HostRecord& receiver, TimePoint now)
-    -> void {
-  const bool sends_agents =
-      IsFullMesh(size_) && receiver.role == HostRole::kBalancer;
-  std::vector<ForwardedHostRecord> records{{.record = fleet_.self}};
-  for (const auto& [control, host] : fleet_.hosts) {
-    if (control != receiver.control &&
-        (sends_agents || host.record.role == HostRole::kBalancer)) {
-      records.push_back(ForwardHostRecord(host, now));
-    }
-  }
-  SendRecords(receiver.control, records);
-}
-
-auto NodeGossip::SendRecords(Endpoint to,
-                             const std::vector<ForwardedHostRecord>& records)
-    -> void {
-  RosterPart part;
-  const auto flush = [&] {
-    host_.SendControlDatagram(DatagramKind::kRoster, to,
-                              EncodeNodeMessage(part));
-    part.records.clear();
-  };
-  for (const auto& it : records) {
-    part.records.push_back(it);
-    if (part.records.size() == kMaxRecordsPerRosterPart) {
-      flush();
-    }
-  }
-  if (!part.records.empty()) {
-    flush();
-  }
-}
-
-// Forwarding between zones --------------------------------------------------
-
-auto NodeGossip::RelayLater(const HostRecord& record) -> void {
-  if (!IsBalancer() || IsFullMesh(size_)) {
-    return;
-  }
-  if (changed_.empty()) {
-    NodeHost::ScheduleHandler(relay_timer_, kRelayDelay, [this](TimePoint now) {
-      RelayChangedRecords(now);
-    });
-  }
-  changed_.push_back(record.control);
-}
-
-auto NodeGossip::RelayChangedRecords(TimePoint now) -> void {
-  std::vector<ForwardedHostRecord> records;
-  for (const auto it : std::exchange(changed_, {})) {
-    const auto host = fleet_.hosts.find(it);
-    if (host != fleet_.hosts.end()) {
-      records.push_back(ForwardHostRecord(host->second, now));
-    }
-  }
-  for (const auto it : ListRelayReceivers(fleet_, now)) {
-    SendRecords(it, records);
-  }
-}
-
 auto NodeGossip::EraseExpiredHosts(TimePoint now) -> void {
   for (const auto it : EraseSilentHosts(fleet_, now)) {
     host_.event_log().WriteEvent(EventKind::kStateChange, now,
