Tell a restarted agent which start of its target it had before

An agent that restarts beside a target which counts its heartbeats from 0 took the second heartbeat, number 1, for the target's first. It then denied the flows that its earlier process had opened in the interval before, and balancers reset them.

The number alone can't tell: other targets count from 1, and agents that start with their targets must know all flows after a loss of power. The balancers know it. When an agent has restarted and hasn't heard of its target yet, each balancer that it announces itself to returns the start of the target that the earlier process had announced, in a record of that process. An agent whose target still has this start doesn't know all flows.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -170,8 +170,11 @@
   std::uint64_t cold_target_started_at_ms = 0;
   /// This process has known an earlier start of the host's process.
   bool has_restarted = false;
+  /// Start time of the target that the latest of these starts had announced,
+  /// Unix milliseconds; zero when none had.
+  std::uint64_t former_target_started_at_ms = 0;
   /// When the host was last sent its own record because it had announced an
-  /// earlier one.
+  /// earlier one, or that of an earlier start.
   TimePoint record_returned_at{};
 };
 
@@ -249,6 +252,27 @@
 auto MustReturnRecord(KnownHost& host, std::uint64_t incarnation, TimePoint now)
     -> bool;
 
+/// Tells whether an agent is sent the record of an earlier start of its
+/// process: it has just started, so it can't tell whether its target has
+/// restarted too.
+/// @param host The host of the agent.
+/// @param now Current time.
+/// @return Whether the record is to be sent; records the time if so.
+auto MustSendFormerRecord(KnownHost& host, TimePoint now) -> bool;
+
+/// @param host The host of an agent.
+/// @return Record of an earlier start of its process, which no record of the
+/// process is older than.
+auto MakeFormerRecord(const KnownHost& host) -> HostRecord;
+
+/// Returns the target's start time in a record of an earlier start of this
+/// process.
+/// @param fleet Known hosts.
+/// @param record A received record.
+/// @return The start time in Unix milliseconds; 0 for any other record.
+auto FindFormerTargetStart(const Fleet& fleet, const HostRecord& record)
+    -> std::uint64_t;
+
 /// Records that another process announced since when it is up.
 /// @param fleet Known hosts.
 /// @param uptime Time since the start of the process.
--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -41,7 +41,8 @@
 /// target of another service, unless the settings say otherwise.
 inline constexpr Duration kDefaultReuseDelay = std::chrono::seconds{2};
 
-/// Sequence number of the first heartbeat after a target's start.
+/// Largest sequence number of the first heartbeat after a target's start: some
+/// targets count from 0, others from 1.
 inline constexpr std::uint64_t kFirstHeartbeatSequence = 1;
 
 /// A start of a target.
@@ -101,6 +102,10 @@
   std::string foreign_service;
   /// Starts that counted as running before, the latest last.
   std::vector<TargetStart> replaced;
+  /// Start times of the starts that an earlier process of this agent had, in
+  /// Unix milliseconds, as balancers remember them. Flows of these starts may
+  /// have passed through that process only.
+  std::vector<std::uint64_t> former_starts_ms;
 };
 
 /// Outcome of a heartbeat, of an announced shutdown or of missing heartbeats.
@@ -183,6 +188,15 @@
                        const TargetHeartbeat& beat,
                        TimePoint now) -> PresenceOutcome;
 
+/// Records the start that an earlier process of this agent had. If it is the
+/// present one, the agent doesn't know all flows, whatever the number of the
+/// first heartbeat that it has received: targets may count from any number.
+/// @param presence State of the target.
+/// @param started_at_ms Start time in Unix milliseconds.
+/// @return Whether the start wasn't recorded before.
+auto RecordFormerStart(TargetPresence& presence, std::uint64_t started_at_ms)
+    -> bool;
+
 /// Handles the shutdown announcement of a target.
 /// @param presence State of the target.
 /// @param id Id of the target that is shutting down.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -103,6 +103,9 @@
     known.warmup_limited_at = {};
     known.suspected_until = {};
     known.has_restarted = true;
+    if (known.record.target.started_at_ms != 0) {
+      known.former_target_started_at_ms = known.record.target.started_at_ms;
+    }
   }
   fleet.digest +=
       ComputeRecordDigest(record) - ComputeRecordDigest(known.record);
@@ -127,6 +130,34 @@
   return true;
 }
 
+auto MustSendFormerRecord(KnownHost& host, TimePoint now) -> bool {
+  if (host.record.role != HostRole::kAgent ||
+      host.former_target_started_at_ms == 0 ||
+      host.record.target.started_at_ms != 0 ||
+      now - host.record_returned_at < kRecordReturnInterval) {
+    return false;
+  }
+  host.record_returned_at = now;
+  return true;
+}
+
+auto MakeFormerRecord(const KnownHost& host) -> HostRecord {
+  return HostRecord{
+      .control = host.record.control,
+      .role = host.record.role,
+      .service = host.record.service,
+      .zone = host.record.zone,
+      .target = {.started_at_ms = host.former_target_started_at_ms}};
+}
+
+auto FindFormerTargetStart(const Fleet& fleet, const HostRecord& record)
+    -> std::uint64_t {
+  return record.control == fleet.self.control &&
+                 record.incarnation != fleet.self.incarnation
+             ? record.target.started_at_ms
+             : 0;
+}
+
 auto RecordUptime(Fleet& fleet, Duration uptime, TimePoint now) -> void {
   fleet.earliest_start = std::min(fleet.earliest_start, now - uptime);
 }
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -233,6 +233,12 @@
   return was_claimed ? PresenceOutcome::kForeign : PresenceOutcome::kClaimed;
 }
 
+auto IsFormerStart(const TargetPresence& presence, std::uint64_t started_at_ms)
+    -> bool {
+  const auto& starts = presence.former_starts_ms;
+  return std::find(starts.begin(), starts.end(), started_at_ms) != starts.end();
+}
+
 // Whether the present start was running while this agent was. Late messages of
 // an earlier start can't show it, unless its very first message is late.
 auto WasPresentStartRunning(const TargetPresence& presence) -> bool {
@@ -257,7 +263,8 @@
     // the target's first heartbeat, before which a target holds no flows, or
     // the target restarted while this agent was running.
     presence.knows_all_flows =
-        was_running || beat.sequence <= kFirstHeartbeatSequence;
+        (was_running || beat.sequence <= kFirstHeartbeatSequence) &&
+        !IsFormerStart(presence, beat.started_at_ms);
     ReplacePresentStart(presence, beat, now);
     if (presence.claim.has_value()) {
       presence.claim->own_heard_at = now;
@@ -327,6 +334,22 @@
   return ApplyHeartbeat(presence, beat, now);
 }
 
+auto RecordFormerStart(TargetPresence& presence, std::uint64_t started_at_ms)
+    -> bool {
+  auto& starts = presence.former_starts_ms;
+  if (IsFormerStart(presence, started_at_ms)) {
+    return false;
+  }
+  if (starts.size() >= kMaxReplacedStarts) {
+    starts.erase(starts.begin());
+  }
+  starts.push_back(started_at_ms);
+  if (IsFormerStart(presence, presence.status.started_at_ms)) {
+    presence.knows_all_flows = false;
+  }
+  return true;
+}
+
 auto OnTargetShutdownAnnounced(TargetPresence& presence, const std::string& id)
     -> PresenceOutcome {
   if (!HasTarget(presence)) {
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -88,6 +88,10 @@
               }
               peers_.OnPeerReport(peer, report, stored_routes_version_, now);
             },
+        .on_former_target =
+            [this](std::uint64_t started_at_ms, TimePoint now) {
+              OnFormerTarget(started_at_ms, now);
+            },
         .on_http_request =
             [this](const HttpServerRequest& call) {
               return OnHttpRequest(call);
@@ -341,6 +345,17 @@
     return MakePresenceResponse(outcome);
   }
 
+  auto OnFormerTarget(std::uint64_t started_at_ms, TimePoint now) -> void {
+    if (!RecordFormerStart(presence_, started_at_ms)) {
+      return;
+    }
+    target_.knows_all_flows = presence_.knows_all_flows;
+    host_.event_log().WriteEvent(
+        EventKind::kStateChange, now,
+        "former_target_known former={} born={} knows_all={}", started_at_ms,
+        presence_.status.started_at_ms, presence_.knows_all_flows);
+  }
+
   [[nodiscard]] auto IsAnnouncedAsSilent() const -> bool {
     return presence_.status.state == TargetState::kReady &&
            fleet_.self.target.state == TargetState::kUnknown;
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -352,6 +352,13 @@
   SendRecords(host.record.control, {ForwardHostRecord(host, now)});
 }
 
+// Tells an agent that has restarted which start of its target it had before.
+auto NodeGossip::SendFormerRecord(KnownHost& host, TimePoint now) -> void {
+  if (IsBalancer() && MustSendFormerRecord(host, now)) {
+    SendRecords(host.record.control, {{.record = MakeFormerRecord(host)}});
+  }
+}
+
 auto NodeGossip::OnAnnouncement(const HostAnnouncement& announcement,
                                 TimePoint now) -> void {
   const HostRecord& record = announcement.record;
@@ -369,6 +376,7 @@
   }
   if (outcome != MergeOutcome::kOlderRecord) {
     RecordContact(host->second, announcement.load, announcement.routes, now);
+    SendFormerRecord(host->second, now);
   } else {
     ReturnRecord(host->second, record.incarnation, now);
   }
@@ -415,6 +423,10 @@
     if (!IsUsable(it.record, now) || !ShouldMergeRecord(fleet_, it.record)) {
       continue;
     }
+    const auto former_start = FindFormerTargetStart(fleet_, it.record);
+    if (former_start != 0 && callbacks_.on_former_target) {
+      callbacks_.on_former_target(former_start, now);
+    }
     const bool is_unknown = !fleet_.hosts.contains(it.record.control);
     const auto outcome =
         MergeRecord(it.record, std::chrono::milliseconds{it.age_ms}, now);
--- a/src/transport/node_gossip.h
+++ b/src/transport/node_gossip.h
@@ -60,6 +60,10 @@
   /// Handles the version of a peer's routes.
   std::function<void(Endpoint peer, const RoutesReport& report, TimePoint now)>
       on_routes_report;
+  /// Handles the start time, in Unix milliseconds, of a target that an earlier
+  /// start of this process had. Unset for balancers.
+  std::function<void(std::uint64_t started_at_ms, TimePoint now)>
+      on_former_target;
 };
 
 /// Gossip of one node.
@@ -120,6 +124,7 @@
   auto RelayChangedRecords(TimePoint now) -> void;
   auto ReturnRecord(KnownHost& host, std::uint64_t incarnation, TimePoint now)
       -> void;
+  auto SendFormerRecord(KnownHost& host, TimePoint now) -> void;
   auto RecordContact(KnownHost& host,
                      const TargetLoad& load,
                      const RoutesReport& routes,
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -89,7 +89,8 @@
   gossip_.StartGossip(
       GossipCallbacks{.describe_self = role_.describe_self,
                       .describe_routes = role_.describe_routes,
-                      .on_routes_report = role_.on_routes_report});
+                      .on_routes_report = role_.on_routes_report,
+                      .on_former_target = role_.on_former_target});
   RunHousekeepingTick();
   CheckSettingsFile();
   io_.run();
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -54,6 +54,10 @@
   /// Handles the version of a peer's routes.
   std::function<void(Endpoint peer, const RoutesReport& report, TimePoint now)>
       on_routes_report;
+  /// Handles the start time, in Unix milliseconds, of a target that an earlier
+  /// start of this process had. Unset for balancers.
+  std::function<void(std::uint64_t started_at_ms, TimePoint now)>
+      on_former_target;
   std::function<HttpServerResponse(const HttpServerRequest& call)>
       on_http_request;
   std::function<void(TimePoint now)> on_housekeeping_tick;
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -253,3 +253,34 @@
   named.zone = "f\xc3\xb8rde 2";  // UTF-8
   CHECK(CheckRecord(named) == nullptr);
 }
+
+// Guards against a restarted agent that can't tell whether its target has
+// restarted too.
+TEST(Fleet, RestartedAgentIsToldOnceInAWhileWhichTargetItHad) {
+  Fleet balancer = MakeFleet();
+  HostRecord record = MakeAgentRecord(1, 2);
+  record.target.started_at_ms = 300;
+  MergeHostRecord(balancer, record, 0s, kNow);
+  KnownHost& host = balancer.hosts.at(kOther);
+  CHECK_FALSE(MustSendFormerRecord(host, kNow));
+  MergeHostRecord(balancer, MakeAgentRecord(2, 0), 0s, kNow);
+  CHECK(MustSendFormerRecord(host, kNow));
+  CHECK_FALSE(MustSendFormerRecord(host, kNow + kRecordReturnInterval - 1ms));
+  // It restarts again before it has heard of its target.
+  MergeHostRecord(balancer, MakeAgentRecord(3, 0), 0s, kNow);
+  CHECK(MustSendFormerRecord(host, kNow + kRecordReturnInterval));
+
+  Fleet agent{.self = MakeAgentRecord(3, 0)};
+  const HostRecord former = MakeFormerRecord(host);
+  CHECK(CheckRecord(former) == nullptr);
+  CHECK(ShouldMergeRecord(agent, former));
+  LONGS_EQUAL(300, FindFormerTargetStart(agent, former));
+  CHECK(MergeHostRecord(agent, former, 0s, kNow) == MergeOutcome::kKnownRecord);
+  LONGS_EQUAL(0, FindFormerTargetStart(agent, agent.self));
+  LONGS_EQUAL(0, FindFormerTargetStart(MakeFleet(), former));
+  // Once it has heard of its target, it needs no record.
+  record = MakeAgentRecord(3, 1);
+  record.target.started_at_ms = 300;
+  MergeHostRecord(balancer, record, 0s, kNow);
+  CHECK_FALSE(MustSendFormerRecord(host, kNow + 9s));
+}
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -322,3 +322,29 @@
   CHECK_FALSE(presence.knows_all_flows);
   CHECK(presence.status.state == TargetState::kReady);
 }
+
+// Guards against the denial of flows that an agent's earlier process has opened
+// at a target which counts its heartbeats from 0.
+TEST(TargetPresence, StartOfAnEarlierProcessIsntHeardFromItsBeginning) {
+  for (std::uint64_t n = 0; n <= kFirstHeartbeatSequence; ++n) {
+    TargetPresence heard{.service = "s"};
+    OnTargetHeartbeat(heard, MakeHeartbeat(100, n, TargetState::kReady), kNow);
+    CHECK(heard.knows_all_flows);
+    // The record may arrive after the heartbeat.
+    CHECK(RecordFormerStart(heard, 100));
+    CHECK_FALSE(RecordFormerStart(heard, 100));
+    CHECK_FALSE(heard.knows_all_flows);
+    TargetPresence told{.service = "s"};
+    RecordFormerStart(told, 100);
+    OnTargetHeartbeat(told, MakeHeartbeat(100, n, TargetState::kReady), kNow);
+    CHECK_FALSE(told.knows_all_flows);
+    CHECK(told.status.state == TargetState::kReady);
+  }
+  for (std::uint64_t n = 1; n < 100; ++n) {
+    RecordFormerStart(presence, n);
+  }
+  LONGS_EQUAL(kMaxReplacedStarts, presence.former_starts_ms.size());
+  // A later start has opened no flows before.
+  ReceiveHeartbeat(200, 1, TargetState::kReady);
+  CHECK(presence.knows_all_flows);
+}
