Confirm a deregistration of a ready target by silence

A deregistration carries no start. A late or repeated one of an earlier start with the same id ended the running start: the agent took its target for gone until the next heartbeat, and an agent that was stopped in this time reset all open flows of the live target.

A server reports that it drains before it deregisters, so a start that was heard draining is gone at once, as before. The deregistration of a start that counts as ready is provisional: openings go back at once, balancers see the target as of unknown state with its start time, and its flows go on. The target is gone when it has sent no heartbeat for two intervals and 300 ms in which its agent has read its messages; the resets of its flows are due at the same time as before, 3 s after the deregistration and the target's last packet. A heartbeat of the start cancels it.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -95,6 +95,10 @@
   /// Whether every flow since the target's last start
   /// has passed through this agent.
   bool knows_all_flows = false;
+  /// When a deregistration of the present start's id came; empty if a heartbeat
+  /// of the start has followed. While the target counts as ready, the
+  /// deregistration may be a late one of an earlier start.
+  std::optional<TimePoint> deregistered_at;
   std::optional<RivalStart> rival;
   std::optional<ForeignClaim> claim;
   /// Service of the present start when its target is of another service: the
@@ -126,6 +130,9 @@
   kClaimed,
   /// The target's address belongs to a target of another service now.
   kGivenAway,
+  /// The target has deregistered without having been heard draining. It may be
+  /// that an earlier start has: the target's state is unknown, its flows go on.
+  kDeregistered,
 };
 
 /// Tells whether a heartbeat or deregistration with this outcome is applied, or
@@ -154,14 +161,14 @@
 
 /// Computes when the target counts as silent unless it sends a heartbeat.
 /// @param presence State of the target.
-/// @return The time; before the present if no heartbeat has been received or
-/// another service may have the target's address.
+/// @return The time; before the present if no heartbeat has been received, if
+/// the target may have deregistered or if another service may have its address.
 auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint;
 
-/// Describes the target for balancers. A target that was ready and is silent,
-/// or whose address another service may have, is of unknown state and keeps its
-/// start time: its flows may still be open. No start time is given while a
-/// target of another service has the address.
+/// Describes the target for balancers. A target that was ready and is silent or
+/// may have deregistered, or whose address another service may have, is of
+/// unknown state and keeps its start time: its flows may still be open. No
+/// start time is given while a target of another service has the address.
 /// @param presence State of the target.
 /// @param now Current time.
 /// @return The status.
@@ -197,12 +204,31 @@
 auto RecordFormerStart(TargetPresence& presence, std::uint64_t started_at_ms)
     -> bool;
 
-/// Handles the shutdown announcement of a target.
+/// Handles a deregistration. It carries no start, so it may be a late one of an
+/// earlier start with the same id. A target that was heard draining is gone at
+/// once. Any other counts as silent from now on, and is gone when
+/// ConfirmDeregistration() says so, unless it sends a heartbeat before.
 /// @param presence State of the target.
 /// @param id Id of the target that is shutting down.
-/// @return Outcome of the announcement.
-auto OnTargetShutdownAnnounced(TargetPresence& presence, const std::string& id)
-    -> PresenceOutcome;
+/// @param now Current time.
+/// @return Outcome of the deregistration.
+auto OnTargetShutdownAnnounced(TargetPresence& presence,
+                               const std::string& id,
+                               TimePoint now) -> PresenceOutcome;
+
+/// Marks a target as gone that has deregistered while it counted as ready, and
+/// has sent no heartbeat for ComputeHeartbeatTimeout() in which this agent has
+/// read its messages without a pause. A rival start with the same id may have
+/// sent the deregistration, so the present one isn't gone while a rival may
+/// still replace it.
+/// @param presence State of the target.
+/// @param listening Time for which the agent has read its messages without a
+/// pause.
+/// @param now Current time.
+/// @return kChanged when this call marks the target as gone, otherwise kKnown.
+auto ConfirmDeregistration(TargetPresence& presence,
+                           Duration listening,
+                           TimePoint now) -> PresenceOutcome;
 
 /// Marks the target as gone when no heartbeat has arrived in the two intervals
 /// (plus an allowance for delays) in which this agent has read its messages
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -146,6 +146,7 @@
   presence.sequence = beat.sequence;
   presence.last_heartbeat_at = now;
   presence.heard_at = now - beat.unread_time;
+  presence.deregistered_at.reset();
   presence.rival.reset();
   presence.status = TargetStatus{.state = beat.state,
                                  .started_at_ms = beat.started_at_ms,
@@ -299,7 +300,9 @@
 }
 
 auto ComputeSilenceStart(const TargetPresence& presence) -> TimePoint {
-  return HasTarget(presence) && !presence.claim.has_value()
+  const bool may_have_ended = presence.deregistered_at.has_value() &&
+                              presence.status.state == TargetState::kReady;
+  return HasTarget(presence) && !presence.claim.has_value() && !may_have_ended
              ? presence.heard_at + ComputeSilenceLimit(presence)
              : TimePoint{};
 }
@@ -350,39 +353,10 @@
   return true;
 }
 
-auto OnTargetShutdownAnnounced(TargetPresence& presence, const std::string& id)
-    -> PresenceOutcome {
-  if (!HasTarget(presence)) {
-    return PresenceOutcome::kKnown;  // An unknown target takes no new flows.
-  }
-  if (id != presence.id) {
-    return PresenceOutcome::kOtherStart;
-  }
-  if (!presence.foreign_service.empty()) {
-    return PresenceOutcome::kForeign;
-  }
-  if (presence.status.state == TargetState::kGone) {
-    return PresenceOutcome::kKnown;
-  }
-  presence.status.state = TargetState::kGone;
-  return PresenceOutcome::kChanged;
-}
-
-auto MarkSilentTargetGone(TargetPresence& presence, Duration listening)
-    -> PresenceOutcome {
-  if (presence.status.state != TargetState::kUnknown ||
-      presence.rival.has_value() ||
-      listening < ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
-    return PresenceOutcome::kKnown;
-  }
-  presence.status.state = TargetState::kGone;
-  return PresenceOutcome::kChanged;
-}
-
 auto ToString(PresenceOutcome outcome) -> const char* {
-  constexpr std::array kNames = {"known",    "changed", "restarted",
-                                 "replaced", "late",    "other_start",
-                                 "foreign",  "claimed", "given_away"};
+  constexpr std::array kNames = {
+      "known",       "changed", "restarted", "replaced",   "late",
+      "other_start", "foreign", "claimed",   "given_away", "deregistered"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -261,6 +261,7 @@
     NodeHost::ScheduleHandler(load_timer_, kLoadSampleInterval,
                               [this](TimePoint now) {
                                 RunTargetFlowsTick(now);
+                                CheckDeregistration(now);
                                 ScheduleLoadSample();
                               });
   }
@@ -333,7 +334,8 @@
 
   auto OnDeregistrationRequest(const DeregistrationRequest& departure,
                                TimePoint now) -> HttpServerResponse {
-    const auto outcome = OnTargetShutdownAnnounced(presence_, departure.id);
+    const auto outcome =
+        OnTargetShutdownAnnounced(presence_, departure.id, now);
     ApplyPresenceOutcome(outcome, now);
     if (!IsAcknowledged(outcome)) {
       host_.event_log().WriteEvent(
@@ -356,6 +358,14 @@
         presence_.status.started_at_ms, presence_.knows_all_flows);
   }
 
+  auto CheckDeregistration(TimePoint now) -> void {
+    const auto outcome = ConfirmDeregistration(
+        presence_, listening_.last - listening_.since, now);
+    if (outcome == PresenceOutcome::kChanged) {
+      ApplyPresenceOutcome(outcome, now);
+    }
+  }
+
   [[nodiscard]] auto IsAnnouncedAsSilent() const -> bool {
     return presence_.status.state == TargetState::kReady &&
            fleet_.self.target.state == TargetState::kUnknown;
@@ -384,12 +394,16 @@
       case PresenceOutcome::kGivenAway:
         actions_.clear();
         ApplyTargetStatus(target_, presence_.status, now, actions_);
+        if (presence_.status.state == TargetState::kGone) {
+          target_.gone_since = presence_.deregistered_at.value_or(now);
+        }
         PerformTargetActions({}, {}, now);
         break;
       case PresenceOutcome::kReplaced:
         ApplyReplacedTarget(target_, presence_.status, now);
         break;
       case PresenceOutcome::kClaimed:
+      case PresenceOutcome::kDeregistered:
         break;
       case PresenceOutcome::kKnown:
         if (IsAnnouncedAsSilent() && now < target_.silent_from) {
