Hold SIGTERM and SIGHUP while hawthornnode starts

A SIGHUP in the first milliseconds of a process, when the settings file changes while hosts start, ended it: no handler was installed before the first role. A SIGTERM ended it without the exit code 0 of a stop.

RunNode() lets them through once its handlers are installed, and the first role handles them: SIGHUP reads the settings again, SIGTERM stops. Signals before main(), while the program is loaded, still end it.

--- a/src/transport/node.h
+++ b/src/transport/node.h
@@ -24,6 +24,10 @@
 /// @return Whether these are the same in both.
 auto HasSameIdentity(const NodeSettings& a, const NodeSettings& b) -> bool;
 
+/// Keeps SIGTERM and SIGHUP from ending a process that is starting: they wait
+/// until RunNode() handles them. To be called before the settings are read.
+auto HoldSignals() -> void;
+
 /// Runs a node until SIGTERM stops it. When its settings make it another node,
 /// the present role ends and a new one starts with nothing of its state. While
 /// another process uses an address of the node, tries again, at the start of
--- a/src/transport/node_runner.cc
+++ b/src/transport/node_runner.cc
@@ -18,6 +18,14 @@
 constexpr Duration kBindRetryInterval = std::chrono::milliseconds{100};
 constexpr Duration kBindLogInterval = std::chrono::seconds{1};
 
+auto SetSignalsHeld(int how) -> void {
+  sigset_t signals{};
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGTERM);
+  ::sigaddset(&signals, SIGHUP);
+  ::pthread_sigmask(how, &signals, nullptr);
+}
+
 // Returns whether the process goes on: false after SIGTERM.
 auto WaitForNextBind() -> bool {
   asio::io_context io;
@@ -91,11 +99,16 @@
          (a.role != HostRole::kAgent || a.service == b.service);
 }
 
+auto HoldSignals() -> void {
+  SetSignalsHeld(SIG_BLOCK);
+}
+
 auto RunNode(NodeSettings settings, const NodeCodec& codec) -> int {
   // Keeps a signal between two roles from ending the process; it is handled by
   // the next role.
   asio::io_context io;
   const asio::signal_set signals(io, SIGTERM, SIGHUP);
+  SetSignalsHeld(SIG_UNBLOCK);
   for (bool has_changed = false;; has_changed = true) {
     NodeExit end = RunRoleWhenBound(settings, codec, has_changed);
     if (!end.changed.has_value()) {
