Stop on a SIGTERM that is read with a change of identity

A process that got SIGHUP for settings that made it another node, and SIGTERM before it had read the first signal, went on as the other node until SIGKILL. The handler of SIGHUP stopped the event loop; the signal set with the SIGTERM was destroyed with the role. The same could happen to a SIGTERM in the moment in which a wait for an address ended.

A role waits for the next signal before it handles one, and a change of identity takes effect after the handlers that are due. What a role doesn't see, a signal set beside the roles does: it waits all the time, and is asked between two roles and in the wait for an address.

node_signals_test suspends a process, sends SIGHUP with another service in the settings and SIGTERM, and resumes it. Before the change a second role started; now the process exits with code 0.

--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -172,6 +172,7 @@
     if (ec) {
       return;
     }
+    WaitForSignal();
     const TimePoint now = GetMonotonicTime();
     if (signal == SIGHUP) {
       ReloadSettings(now, "signal");
@@ -181,7 +182,6 @@
                       ToMilliseconds(settings_.grace_period));
       role_.on_shutdown(now);
     }
-    WaitForSignal();
   });
 }
 
@@ -192,7 +192,10 @@
   try {
     NodeSettings changed = codec_.load_settings();
     if (!HasSameIdentity(settings_, changed)) {
-      EndWithChangedIdentity(std::move(changed), now, cause);
+      // Handles a SIGTERM first that has been read together with this change.
+      asio::post(io_, [this, changed = std::move(changed), now, cause] {
+        EndWithChangedIdentity(changed, now, cause);
+      });
       return;
     }
     // Only these settings change at runtime. The others change at the next
@@ -219,7 +222,7 @@
 auto NodeHost::EndWithChangedIdentity(NodeSettings changed,
                                       TimePoint now,
                                       const char* cause) -> void {
-  if (is_stopping_) {
+  if (is_stopping_ || changed_.has_value()) {
     return;
   }
   log_.WriteEvent(
--- a/src/transport/node_runner.cc
+++ b/src/transport/node_runner.cc
@@ -26,23 +26,40 @@
   ::pthread_sigmask(how, &signals, nullptr);
 }
 
-// Returns whether the process goes on: false after SIGTERM.
-auto WaitForNextBind() -> bool {
-  asio::io_context io;
-  asio::signal_set signals(io, SIGTERM);
-  asio::steady_timer timer(io);
-  bool is_stopped = false;
-  signals.async_wait([&](const asio::error_code& ec, int) {
-    if (!ec) {
-      is_stopped = true;
-      timer.cancel();
-    }
-  });
-  NodeHost::ScheduleHandler(timer, kBindRetryInterval,
-                            [&](TimePoint) { signals.cancel(); });
-  io.run();
-  return !is_stopped;
-}
+// Signals that no role handles: those between two roles, while an address can't
+// be bound, and those that a role has read when it ends.
+class ProcessSignals {
+ public:
+  ProcessSignals() : signals_(io_, SIGTERM, SIGHUP) {
+    WaitForSignal();
+    SetSignalsHeld(SIG_UNBLOCK);
+  }
+
+  // Waits until SIGTERM comes, for at most a time. Returns whether it has come,
+  // now or earlier.
+  auto WaitForStop(Duration time) -> bool {
+    const auto end = std::chrono::steady_clock::now() + time;
+    io_.restart();
+    do {
+      io_.poll();
+    } while (!is_stopped_ && io_.run_one_until(end) > 0);
+    return is_stopped_;
+  }
+
+ private:
+  auto WaitForSignal() -> void {
+    signals_.async_wait([this](const asio::error_code& ec, int signal) {
+      if (!ec) {
+        is_stopped_ = is_stopped_ || signal == SIGTERM;
+        WaitForSignal();
+      }
+    });
+  }
+
+  asio::io_context io_;
+  asio::signal_set signals_;
+  bool is_stopped_ = false;
+};
 
 // Reads settings that may have changed while an address couldn't be bound.
 auto ReadSettingsAgain(NodeSettings& settings,
@@ -65,6 +82,7 @@
 // process of a node whose settings have changed doesn't end for want of them.
 auto RunRoleWhenBound(NodeSettings& settings,
                       const NodeCodec& codec,
+                      ProcessSignals& signals,
                       bool has_changed) -> NodeExit {
   const TimePoint begin = GetMonotonicTime();
   TimePoint logged{};
@@ -84,7 +102,7 @@
         ReadSettingsAgain(settings, codec, log);
       }
     }
-  } while (WaitForNextBind());
+  } while (!signals.WaitForStop(kBindRetryInterval));
   return {};
 }
 
@@ -104,14 +122,10 @@
 }
 
 auto RunNode(NodeSettings settings, const NodeCodec& codec) -> int {
-  // Keeps a signal between two roles from ending the process; it is handled by
-  // the next role.
-  asio::io_context io;
-  const asio::signal_set signals(io, SIGTERM, SIGHUP);
-  SetSignalsHeld(SIG_UNBLOCK);
+  ProcessSignals signals;
   for (bool has_changed = false;; has_changed = true) {
-    NodeExit end = RunRoleWhenBound(settings, codec, has_changed);
-    if (!end.changed.has_value()) {
+    NodeExit end = RunRoleWhenBound(settings, codec, signals, has_changed);
+    if (!end.changed.has_value() || signals.WaitForStop(Duration::zero())) {
       return end.code;
     }
     settings = std::move(*end.changed);
--- a/test/node_signals_test.cc
+++ b/test/node_signals_test.cc
@@ -17,6 +17,7 @@
 #include <string>
 #include <thread>
 
+#include "soak/node_process.h"
 #include "soak/node_settings.h"
 
 // Sends signals to the program `hawthornnode` at moments at which no role
@@ -141,6 +142,18 @@
                              .service = service});
   }
 
+  static auto CountLines(const soak::NodeProcess& process,
+                         const std::string& text)
+      ->int {
+    const std::string log = process.ReadLogFile();
+    int count = 0;
+    for (auto at = log.find(text); at != std::string::npos;
+         at = log.find(text, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
   void setup() override {
     ::signal(SIGPIPE, SIG_IGN);
   }
@@ -174,3 +187,21 @@
   CHECK(WaitUntil([&] { return process.PollExitCode().has_value(); }));
   LONGS_EQUAL(0, *process.PollExitCode());
 }
+
+// Guards against a process that goes on after SIGTERM, as the signal was read
+// together with one that made it another node.
+TEST(NodeSignals, TerminationReadWithAChangeOfIdentityStopsTheProcess) {
+  soak::NodeProcess process(HAWTHORNNODE, BuildSettings("s"), "signals");
+  CHECK(WaitUntil([&] { return CountLines(process, "event=start ") == 1; }));
+  process.SendSignal(SIGSTOP);
+  process.WriteSettingsFile(BuildSettings("t"));
+  process.SendSignal(SIGHUP);
+  process.SendSignal(SIGTERM);
+  process.SendSignal(SIGCONT);
+  std::optional<int> code;
+  CHECK(WaitUntil([&] {
+    code = code.has_value() ? code : process.PollExitCode();
+    return code.has_value() || CountLines(process, "event=start ") > 1;
+  }));
+  LONGS_EQUAL(0, code.value_or(-1));
+}
