Log a stop in the wait for an address

A process that got SIGTERM while another one still used its address ended without a line: its log stopped at bind_failed, as after a kill.

It writes `stop cause=bind` now. node_signals_test runs two processes with the same addresses and stops the second; the line was missing before the change.

--- a/src/transport/node_runner.cc
+++ b/src/transport/node_runner.cc
@@ -103,6 +103,8 @@
       }
     }
   } while (!signals.WaitForStop(kBindRetryInterval));
+  EventLog(STDOUT_FILENO, settings.name)
+      .WriteEvent(EventKind::kProcess, GetMonotonicTime(), "stop cause=bind");
   return {};
 }
 
--- a/test/node_signals_test.cc
+++ b/test/node_signals_test.cc
@@ -205,3 +205,18 @@
   }));
   LONGS_EQUAL(0, code.value_or(-1));
 }
+
+TEST(NodeSignals, TerminationWhileAnAddressIsInUseIsLogged) {
+  soak::NodeProcess former(HAWTHORNNODE, BuildSettings("s"), "former");
+  CHECK(WaitUntil([&] { return CountLines(former, "event=start ") == 1; }));
+  soak::NodeProcess process(HAWTHORNNODE, BuildSettings("t"), "waiting");
+  CHECK(WaitUntil([&] { return CountLines(process, "bind_failed") == 1; }));
+  process.SendSignal(SIGTERM);
+  std::optional<int> code;
+  CHECK(WaitUntil([&] {
+    code = code.has_value() ? code : process.PollExitCode();
+    return code.has_value();
+  }));
+  LONGS_EQUAL(0, *code);
+  LONGS_EQUAL(1, CountLines(process, "event=stop cause=bind"));
+}
