Reject heartbeats whose number can't be counted on

A heartbeat with the number 2^64 - 1, from another writer, was applied. All later heartbeats of the start then counted as late ones: they were acknowledged without effect, a drain too.

Numbers above 2^53 - 1, the largest that every writer of JSON represents exactly, are answered with 400 like other unusable fields. 0 and 1 are taken.

--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -1,6 +1,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <array>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -267,6 +269,64 @@
   }
 }
 
+// Guards against heartbeats of other writers: none is applied that lacks a
+// field of the platform's page or has one that can't be used.
+TEST(Platform, HeartbeatNeedsEachFieldWithAUsableValue) {
+  const std::map<std::string, std::string> whole = {
+      {"service", "\"s\""},     {"addr", "\"10.1.0.9:80\""},
+      {"zone", "\"z\""},        {"version", "\"v1\""},
+      {"slots", "3"},           {"state", "\"ready\""},
+      {"warmup_ms", "0"},       {"seq", "4"},
+      {"born", "1777777777000"}};
+  const auto decode = [](const std::map<std::string, std::string>& fields) {
+    std::string body;
+    for (const auto& [name, value] : fields) {
+      body += (body.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    }
+    return DecodeNodeRequest("PUT", "/api/instances/i-7", body + "}");
+  };
+  const auto is_rejected = [&](const std::string& name,
+                               const std::optional<std::string>& value) {
+    auto fields = whole;
+    fields.erase(name);
+    if (value.has_value()) {
+      fields[name] = *value;
+    }
+    const auto call = decode(fields);
+    const auto* const invalid = std::get_if<transport::InvalidRequest>(&call);
+    return invalid != nullptr && invalid->status == 400;
+  };
+  for (const auto& [name, value] : whole) {
+    CHECK_TEXT(is_rejected(name, std::nullopt), name.c_str());
+    for (const char* const it : {"null", "true", "[]", "{}"}) {
+      CHECK_TEXT(is_rejected(name, it), name.c_str());
+    }
+    // A number as a string, or a string as a number.
+    CHECK_TEXT(is_rejected(name, value[0] == '"' ? "7" : "\"7\""),
+               name.c_str());
+  }
+  for (const char* const name : {"slots", "warmup_ms", "seq", "born"}) {
+    for (const char* const it :
+         {"-1", "1.5", "4.0", "-0.5", "1e3", "18446744073709551616", "1e999"}) {
+      CHECK_TEXT(is_rejected(name, it), (std::string(name) + it).c_str());
+    }
+  }
+  CHECK(is_rejected("born", "0"));
+  CHECK(is_rejected("born", "253402300800000"));
+  CHECK(is_rejected("slots", "0"));
+  // A number after which no later heartbeat of the start would be applied.
+  CHECK(is_rejected("seq", "18446744073709551615"));
+  CHECK(is_rejected("seq", "9007199254740992"));
+  // Targets may count from 0.
+  for (const char* const it : {"0", "1", "9007199254740991"}) {
+    auto fields = whole;
+    fields["seq"] = it;
+    const auto call = decode(fields);
+    STRCMP_EQUAL(
+        it, std::to_string(std::get<TargetHeartbeat>(call).sequence).c_str());
+  }
+}
+
 TEST(Platform, ReadinessAndDeregistrationRequestsAreDecoded) {
   CHECK(std::holds_alternative<transport::ReadinessRequest>(
       DecodeNodeRequest("GET", "/api/readyz", "")));
