Don't tell a restarted agent of a target that was gone

Balancers told an agent that has restarted of the start that its earlier process had announced last, also if that target had ended: a new machine at the address of a replaced one would take itself for a restarted process for no reason. A target that was announced as gone is forgotten now when the agent restarts. Covered by fleet_test, which failed before.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -171,7 +171,7 @@
   /// This process has known an earlier start of the host's process.
   bool has_restarted = false;
   /// Start time of the target that the latest of these starts had announced,
-  /// Unix milliseconds; zero when none had.
+  /// Unix milliseconds; zero when none had, or the target was gone.
   std::uint64_t former_target_started_at_ms = 0;
   /// When the host was last sent its own record because it had announced an
   /// earlier one, or that of an earlier start.
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -103,7 +103,9 @@
     known.warmup_limited_at = {};
     known.suspected_until = {};
     known.has_restarted = true;
-    if (known.record.target.started_at_ms != 0) {
+    if (known.record.target.state == TargetState::kGone) {
+      known.former_target_started_at_ms = 0;
+    } else if (known.record.target.started_at_ms != 0) {
       known.former_target_started_at_ms = known.record.target.started_at_ms;
     }
   }
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -283,4 +283,10 @@
   record.target.started_at_ms = 300;
   MergeHostRecord(balancer, record, 0s, kNow);
   CHECK_FALSE(MustSendFormerRecord(host, kNow + 9s));
+  // A target that has ended holds no flows.
+  record.revision = 2;
+  record.target.state = TargetState::kGone;
+  MergeHostRecord(balancer, record, 0s, kNow);
+  MergeHostRecord(balancer, MakeAgentRecord(4, 0), 0s, kNow);
+  CHECK_FALSE(MustSendFormerRecord(host, kNow + 9s));
 }
