Take no late first heartbeat as proof that all flows are known

An agent whose process restarts beside a running target, and to which the first heartbeat of an earlier, crashed start arrives late, took all of the target's flows for known. When the running start was heard next, it counted as a restart: the agent denied its flows for the rest of its life, and reset those that it had learnt meanwhile.

When balancers have told the agent which start it had before, the first heartbeat of another start is proof only once that start has been heard for two intervals and 300 ms. Where no balancer remembers it, as after a loss of power, nothing changes, so searches there end as soon as before.

LateFirstHeartbeatAtARestartedAgentIsNoProof fails without the change.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -89,6 +89,8 @@
   TimePoint heard_at{};
   /// When the first heartbeat of the present start was applied.
   TimePoint first_heartbeat_at{};
+  /// That one had the number of a target's first heartbeat.
+  bool has_first_heartbeat = false;
   /// End of the target's warm-up; empty until a heartbeat tells it. Not later
   /// than the present for a target that is warm.
   std::optional<TimePoint> warm_at;
@@ -198,6 +200,9 @@
 /// Records the start that an earlier process of this agent had. If it is the
 /// present one, the agent doesn't know all flows, whatever the number of the
 /// first heartbeat that it has received: targets may count from any number.
+/// If the present start is another one, its first heartbeat may be a late
+/// message: the agent knows all flows when it has heard it for
+/// ComputeHeartbeatTimeout().
 /// @param presence State of the target.
 /// @param started_at_ms Start time in Unix milliseconds.
 /// @return Whether the start wasn't recorded before.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -170,6 +170,7 @@
   presence.warm_at = ComputeWarmupEnd(std::nullopt, beat.warmup_ms, now);
   presence.foreign_service.clear();
   presence.first_heartbeat_at = now;
+  presence.has_first_heartbeat = beat.sequence <= kFirstHeartbeatSequence;
   ApplyHeartbeat(presence, beat, now);
 }
 
@@ -240,13 +241,28 @@
   return std::find(starts.begin(), starts.end(), started_at_ms) != starts.end();
 }
 
+// Whether the present start has been heard for so long that late messages of an
+// earlier start can't be all that was heard, unless its very first one is late.
+auto WasHeardForTwoIntervals(const TargetPresence& presence) -> bool {
+  return presence.last_heartbeat_at - presence.first_heartbeat_at >=
+         ComputeHeartbeatTimeout(presence.heartbeat_interval);
+}
+
+// Whether every flow has passed through this agent since the present start's
+// first heartbeat, before which a target holds no flows. The first heartbeat of
+// an earlier start may be late at an agent whose process has restarted.
+auto WasHeardFromItsFirstHeartbeat(const TargetPresence& presence) -> bool {
+  return presence.has_first_heartbeat &&
+         !IsFormerStart(presence, presence.status.started_at_ms) &&
+         (presence.former_starts_ms.empty() ||
+          WasHeardForTwoIntervals(presence));
+}
+
 // Whether the present start was running while this agent was. Late messages of
 // an earlier start can't show it, unless its very first message is late.
 auto WasPresentStartRunning(const TargetPresence& presence) -> bool {
   return HasOwnTarget(presence) &&
-         (presence.knows_all_flows ||
-          presence.last_heartbeat_at - presence.first_heartbeat_at >=
-              ComputeHeartbeatTimeout(presence.heartbeat_interval));
+         (presence.knows_all_flows || WasHeardForTwoIntervals(presence));
 }
 
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
@@ -260,13 +276,13 @@
   if (!is_known && beat.started_at_ms > presence.status.started_at_ms) {
     const bool had_target = HasTarget(presence);
     const bool was_running = WasPresentStartRunning(presence);
-    // Every flow has passed through this agent in two cases: the agent received
-    // the target's first heartbeat, before which a target holds no flows, or
-    // the target restarted while this agent was running.
-    presence.knows_all_flows =
-        (was_running || beat.sequence <= kFirstHeartbeatSequence) &&
-        !IsFormerStart(presence, beat.started_at_ms);
     ReplacePresentStart(presence, beat, now);
+    // Every flow has passed through this agent in two cases: it has heard the
+    // start from its first heartbeat on, or the target restarted while this
+    // agent was running.
+    presence.knows_all_flows =
+        WasHeardFromItsFirstHeartbeat(presence) ||
+        (was_running && !IsFormerStart(presence, beat.started_at_ms));
     if (presence.claim.has_value()) {
       presence.claim->own_heard_at = now;
       if (beat.started_at_ms > presence.claim->start.started_at_ms) {
@@ -334,7 +350,10 @@
   }
   presence.warm_at = ComputeWarmupEnd(presence.warm_at, beat.warmup_ms, now);
   AnswerClaim(presence, beat, now);
-  return ApplyHeartbeat(presence, beat, now);
+  const auto outcome = ApplyHeartbeat(presence, beat, now);
+  presence.knows_all_flows =
+      presence.knows_all_flows || WasHeardFromItsFirstHeartbeat(presence);
+  return outcome;
 }
 
 auto RecordFormerStart(TargetPresence& presence, std::uint64_t started_at_ms)
@@ -347,7 +366,8 @@
     starts.erase(starts.begin());
   }
   starts.push_back(started_at_ms);
-  if (IsFormerStart(presence, presence.status.started_at_ms)) {
+  if (!WasHeardForTwoIntervals(presence) ||
+      IsFormerStart(presence, presence.status.started_at_ms)) {
     presence.knows_all_flows = false;
   }
   return true;
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -397,5 +397,32 @@
   LONGS_EQUAL(kMaxReplacedStarts, presence.former_starts_ms.size());
   // A later start has opened no flows before.
   ReceiveHeartbeat(200, 1, TargetState::kReady);
+  ReceiveHeartbeat(200, 2, TargetState::kReady, 2300ms);
   CHECK(presence.knows_all_flows);
 }
+
+// Guards against the denial of a running start's flows after a late first
+// heartbeat of a crashed start.
+TEST(TargetPresence, LateFirstHeartbeatAtARestartedAgentIsNoProof) {
+  RecordFormerStart(presence, 200);
+  for (std::uint64_t n = 0; n < 9; ++n) {
+    ReceiveHeartbeat(100, n, TargetState::kReady, n * 100ms);
+    CHECK_FALSE(presence.knows_all_flows);
+  }
+  CHECK(ReceiveHeartbeat(200, 50, TargetState::kReady, 1s) ==
+        PresenceOutcome::kReplaced);
+  ReceiveHeartbeat(200, 51, TargetState::kReady, 9s);
+  CHECK_FALSE(presence.knows_all_flows);
+  // Nor if balancers answer after that heartbeat.
+  TargetPresence told{.service = "s"};
+  OnTargetHeartbeat(told, MakeHeartbeat(100, 1, TargetState::kReady), kNow);
+  RecordFormerStart(told, 200);
+  CHECK_FALSE(told.knows_all_flows);
+  // The start runs.
+  OnTargetHeartbeat(told, MakeHeartbeat(100, 4, TargetState::kReady),
+                    kNow + 2299ms);
+  CHECK_FALSE(told.knows_all_flows);
+  OnTargetHeartbeat(told, MakeHeartbeat(100, 5, TargetState::kReady),
+                    kNow + 2300ms);
+  CHECK(told.knows_all_flows);
+}
