Model late messages, clock steps and drains of targets in the model of restarts

The model of restarts knew neither late messages of targets nor drains, and a failure named the reset alone. Now targets also

- send heartbeats that are late or repeated by up to 6 s, of the present start and of earlier, crashed ones, so that they cross;
- deregister late and repeatedly, under a used or a new id (kDelaysDeregistrations);
- repeat their first heartbeat later (kRepeatsFirstHeartbeats);
- start with clocks that have gone back or forward by up to 3 s, under a used or a new id, at once or up to 3 s after the end;
- drain, are acknowledged, and deregister 3 to 6 s later.

Callers fall silent for up to 12 s while the idle timeout changes between 1, 5 and 15 s. Agents mark silent targets as gone, expire flows and reset flows of targets that have ended when they are shut down, as their process does.

Checked besides resets: no opening reaches a draining target later than 3 s after the acknowledgement through an agent that has been up for 4 s. One that has just restarted may first hear a late heartbeat of a time when its target took openings, and isn't in touch.

A failure prints the seed and the latest events, 60 at most, that concern the flow, its target, the target's agent and the balancers. RESTART_ORDER_SEEDS=1-300 plays other seeds than the 20 of the default.

--- a/test/restart_fleet.h
+++ b/test/restart_fleet.h
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNBANK_TEST_RESTART_FLEET_H_
 #define HAWTHORNBANK_TEST_RESTART_FLEET_H_
 
+#include <array>
 #include <map>
 #include <memory>
 #include <random>
@@ -10,6 +11,7 @@
 #include "hawthornbank/target_flows.h"
 #include "hawthornbank/target_presence.h"
 #include "protocol/node_message.h"
+#include "restart_events.h"
 #include "steering_fixture.h"
 
 /// @file
@@ -44,6 +46,7 @@
   bool up = false;
   TimePoint started{};
   TimePoint next_heartbeat{};
+  TimePoint next_housekeeping{};
   TimePoint restart_at{};
   Duration clock_step{};
   std::unique_ptr<Steering> steering;  // Balancers.
@@ -58,10 +61,24 @@
   return Endpoint{.address = 0x0A020000 + n, .port = 7000};
 }
 
+// Returns the number of a balancer or an agent.
+inline auto GetNumber(Endpoint control) -> std::uint32_t {
+  return control.address & 0xFF;
+}
+
+inline auto NameMessage(const NodeMessage& message) -> const char* {
+  constexpr std::array kNames = {"announcement",  "roster",    "reply",
+                                 "query",         "heartbeat", "comparison",
+                                 "record request"};
+  static_assert(kNames.size() == std::variant_size_v<NodeMessage>);
+  return kNames.at(message.index());
+}
+
 // Balancers and agents whose messages are late, repeated or lost.
 struct RestartFleet {
   std::mt19937 random;
   TimePoint now = kBegin;
+  EventOrder order{.begin = kBegin, .events = {}};
   std::map<Endpoint, Process, EndpointOrder> processes;
   std::multimap<TimePoint, Datagram> network;
 
@@ -75,10 +92,27 @@
     return (control.address & 0xFFFF0000) == 0x0A020000;
   }
 
+  static auto Name(Endpoint control) -> std::string {
+    return fmt::format("{} {}", IsBalancer(control) ? "balancer" : "agent",
+                       GetNumber(control));
+  }
+
+  auto RecordProcess(Endpoint control, const std::string& text) -> void {
+    order.Record({.at = now,
+                  .agent = IsBalancer(control) ? 0 : GetNumber(control),
+                  .text = Name(control) + " " + text});
+  }
+
+  auto StepClock(Endpoint control, Duration step) -> void {
+    processes[control].clock_step = step;
+    RecordProcess(control,
+                  fmt::format("has its clock set to {:+} ms", step / 1ms));
+  }
+
   auto Start(Endpoint control) -> void {
     Process& it = processes[control];
     it.up = true;
-    it.started = it.next_heartbeat = now;
+    it.started = it.next_heartbeat = it.next_housekeeping = now;
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
         now.time_since_epoch() + it.clock_step);
     HostRecord self{
@@ -103,6 +137,8 @@
       it.agent_fleet = {};
     }
     it.fleet().self = self;
+    RecordProcess(control,
+                  fmt::format("starts, incarnation {}", self.incarnation));
     Announce(it, true);
   }
 
@@ -111,6 +147,7 @@
     if (!it.up) {
       return;
     }
+    RecordProcess(control, is_crash ? "crashes" : "shuts down");
     if (!is_crash) {
       HostRecord record = it.fleet().self;
       record.is_shutting_down = true;
@@ -128,11 +165,42 @@
     const bool is_of_flow = std::holds_alternative<FlowQuery>(message) ||
                             std::holds_alternative<FlowReply>(message);
     const auto copies = Draw(25) == 0 ? 0 : Draw(25) == 0 ? 2 : 1;
+    if (copies == 0) {
+      RecordMessage(from, to, message, "lost");
+    }
     for (int n = 0; n < copies; ++n) {
       const bool is_late = !is_of_flow && Draw(40) == 0;
-      network.emplace(now + 1ms * (1 + Draw(is_late ? 4000 : 10)),
-                      Datagram{from, to, message});
+      const Duration delay = 1ms * (1 + Draw(is_late ? 4000 : 10));
+      if (is_late) {
+        RecordMessage(from, to, message,
+                      fmt::format("late by {} ms", delay / 1ms));
+      }
+      network.emplace(now + delay, Datagram{from, to, message});
+    }
+  }
+
+  auto RecordMessage(Endpoint from,
+                     Endpoint to,
+                     const NodeMessage& message,
+                     const std::string& fate) -> void {
+    const bool is_between_balancers = IsBalancer(from) && IsBalancer(to);
+    if (is_between_balancers &&
+        std::holds_alternative<HostHeartbeat>(message)) {
+      return;  // Too many to report.
+    }
+    std::uint16_t port = 0;
+    if (const auto* query = std::get_if<FlowQuery>(&message)) {
+      port = query->flow.caller.port;
+    } else if (const auto* reply = std::get_if<FlowReply>(&message)) {
+      port = reply->flow.caller.port;
     }
+    const Endpoint agent = IsBalancer(from) ? to : from;
+    order.Record(
+        {.at = now,
+         .agent = IsBalancer(agent) ? 0 : GetNumber(agent),
+         .port = port,
+         .text = fmt::format("{} of {} to {} is {}", NameMessage(message),
+                             Name(from), Name(to), fate)});
   }
 
   auto MakeAnnouncement(Process& from, bool wants_roster) -> HostAnnouncement {
--- a/test/restart_order_test.cc
+++ b/test/restart_order_test.cc
@@ -1,5 +1,12 @@
-// Processes stop, crash and start in any order, clocks step, and messages are
-// late, repeated or lost.
+// Processes and targets stop, crash and start in any order, targets drain,
+// clocks step, the idle timeout changes, and messages of present and earlier
+// starts are late, repeated or lost.
+//
+// RESTART_ORDER_SEEDS=1-300 plays the seeds 1 to 300.
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,24 +19,53 @@
 namespace {
 
 constexpr Duration kStep = 10ms;
+constexpr std::uint32_t kMaxIdleMs = 12'000;
+constexpr std::array<Duration, 3> kIdleTimeouts = {1s, 5s, 15s};
+// Range of seeds to play, as in 1-300; the default is kDefaultSeeds.
+constexpr const char* kSeedsVariable = "RESTART_ORDER_SEEDS";
+constexpr std::pair<std::uint32_t, std::uint32_t> kDefaultSeeds = {1, 20};
+
+auto ReadSeeds() -> std::pair<std::uint32_t, std::uint32_t> {
+  auto seeds = kDefaultSeeds;
+  if (const char* const text = std::getenv(kSeedsVariable)) {
+    const int count = std::sscanf(text, "%u-%u", &seeds.first, &seeds.second);
+    CHECK_EQUAL_TEXT(2, count, kSeedsVariable);
+  }
+  return seeds;
+}
 
 struct RandomRestarts : RestartWorld {
   using RestartWorld::RestartWorld;
+  Duration idle_timeout = kIdleTimeouts.back();
 
   // In bursts, targets are replaced, then balancers and agents restart; clocks
-  // step all the time.
+  // step, targets drain and crash, and the idle timeout changes all the time.
   auto CauseEvent() -> void {
     const Duration phase = (now - kBegin) % 30s;
     const Endpoint agent = MakeAgentEndpoint(1 + Draw(kAgents));
     const Endpoint balancer = MakeBalancerEndpoint(1 + Draw(kBalancers));
     if (Draw(4) == 0) {
-      processes[Draw(3) == 0 ? balancer : agent].clock_step =
-          1ms * (static_cast<int>(Draw(6000)) - 3000);
+      StepClock(Draw(3) == 0 ? balancer : agent,
+                1ms * (static_cast<int>(Draw(2 * kMaxClockStepMs)) -
+                       static_cast<int>(kMaxClockStepMs)));
+    }
+    if (Draw(8) == 0) {
+      idle_timeout = kIdleTimeouts.at(Draw(kIdleTimeouts.size()));
     }
     if (phase < 6s) {
-      StartTarget(agent.address & 0xFF);
+      StartTarget(GetNumber(agent));
+    } else if (Draw(6) == 0) {
+      CauseTargetEvent(GetNumber(agent));
     } else if (phase < 20s) {
-      Stop(Draw(4) == 0 ? balancer : agent, Draw(5) == 0);
+      StopProcess(Draw(4) == 0 ? balancer : agent, Draw(5) == 0);
+    }
+  }
+
+  auto CauseTargetEvent(std::uint32_t n) -> void {
+    if (Draw(3) == 0) {
+      CrashTarget(n);
+    } else {
+      DrainTarget(n);
     }
   }
 
@@ -50,11 +86,7 @@
     for (auto& [control, it] : processes) {
       RunProcess(control, it);
     }
-    for (auto& [n, it] : targets) {
-      if (now >= it.next_heartbeat) {
-        SendTargetHeartbeat(n, it);
-      }
-    }
+    RunTargets();
     if (Draw(40) == 0) {
       CauseEvent();
     }
@@ -63,8 +95,10 @@
       ++next_port;
     }
     for (const auto& [port, it] : std::map(callers)) {
-      if (Draw(25) == 0 && callers.contains(port)) {
-        SendCallerPacket(port, callers[port]);
+      if (now >= it.idle_until && Draw(25) == 0 && callers.contains(port)) {
+        CallerFlow& caller = callers[port];
+        caller.idle_until = now + 1ms * (Draw(40) == 0 ? Draw(kMaxIdleMs) : 0);
+        SendCallerPacket(port, caller);
       }
     }
   }
@@ -79,11 +113,22 @@
     if (now >= it.next_heartbeat) {
       SendHeartbeats(it);
     }
+    const bool is_housekeeping_due = now >= it.next_housekeeping;
+    if (is_housekeeping_due) {
+      it.next_housekeeping = now + 1s;
+    }
     if (it.steering) {
+      if (is_housekeeping_due) {
+        it.steering->routes.idle_timeout = idle_timeout;
+        EraseIdleFlows(*it.steering, now);
+      }
       std::vector<SteeringAction> out;
       OnSteeringTick(*it.steering, now, out);
       Perform(control, out, {});
     } else {
+      if (is_housekeeping_due) {
+        RunAgentHousekeeping(control, it);
+      }
       std::vector<TargetAction> out;
       OnTargetTick(*it.flows, now, out);
       Perform(control, out, {});
@@ -95,16 +140,27 @@
 
 TEST_GROUP(RestartOrder){};
 
-TEST(RestartOrder, NoOrderOfRestartsResetsAnOpenFlowOfALiveTarget) {
+TEST(RestartOrder, NoOrderResetsAnOpenFlowOrOpensOneAtADrainedTarget) {
+  const auto [first, last] = ReadSeeds();
   int carried = 0;
-  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+  int drains = 0;
+  int late = 0;
+  std::string broken;
+  for (std::uint32_t seed = first; seed <= last; ++seed) {
     RandomRestarts world(seed);
     for (int n = 0; n < 9000; ++n) {
       world.RunStep();
     }
-    STRCMP_EQUAL_TEXT("", world.wrong_resets.c_str(),
-                      ("seed " + std::to_string(seed)).c_str());
+    if (!world.violations.empty()) {
+      broken += fmt::format("seed {}:\n{}", seed, world.violations);
+    }
     carried += world.carried;
+    drains += world.acknowledged_drains;
+    late += world.late_messages;
   }
-  CHECK(carried > 10'000);
+  STRCMP_EQUAL("", broken.c_str());
+  const int worlds = static_cast<int>(last - first + 1);
+  CHECK(carried > 500 * worlds);
+  CHECK(drains > 5 * worlds);
+  CHECK(late > 50 * worlds);
 }
--- a/test/restart_world.h
+++ b/test/restart_world.h
@@ -2,51 +2,52 @@
 #define HAWTHORNBANK_TEST_RESTART_WORLD_H_
 
 #include <cstring>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "restart_fleet.h"
+#include "restart_targets.h"
 
 /// @file
-/// Targets, callers and their flows beside a RestartFleet.
+/// Callers and their flows beside RestartTargets, and the check of what reaches
+/// them.
 namespace hawthornbank::test {
 
 // Until then all processes have just started together.
 inline constexpr Duration kSettlingTime = 5s;
-inline constexpr Duration kWarmup = 8s;
+// Time from its start until an agent is in touch. The first message that it
+// gets may be a late one, of a time when its target took openings.
+inline constexpr Duration kStableTime = 4s;
 inline constexpr std::uint32_t kSequenceStep = 1'000'000;  // Between targets.
 
-struct Target {
-  std::uint64_t started_at_ms = 0;
-  std::uint64_t sequence = 0;
-  TimePoint started{};
-  TimePoint next_heartbeat{};
-  std::set<std::uint16_t> held;
-};
-
 struct CallerFlow {
   std::uint32_t target = 0;  // Number of the agent; 0 until it has answered.
   bool is_open = false;
   std::uint32_t acknowledgement = 0;  // Of an opening: its earlier copies.
+  TimePoint idle_until{};
 };
 
+inline auto NameOwnership(FlowOwnership ownership) -> const char* {
+  constexpr std::array kNames = {"held", "not held", "unsure", "rejected"};
+  return kNames.at(static_cast<std::size_t>(ownership));
+}
+
 inline auto MakeFlowKey(std::uint16_t port) -> FlowKey {
   return FlowKey{.caller = {.address = 0x64400007, .port = port},
                  .address = kAddress};
 }
 
-struct RestartWorld : RestartFleet {
-  std::map<std::uint32_t, Target> targets;
+struct RestartWorld : RestartTargets {
   std::map<std::uint16_t, CallerFlow> callers;
   bool do_flows_move;
   std::uint16_t next_port = 1;
-  std::string wrong_resets;  // A line for each reset of an open flow.
-  int carried = 0;           // Packets of open flows that reached their target.
+  // A line for each reset of an open flow and each opening at a drained target,
+  // after the first one the order of events that led to it.
+  std::string violations;
+  int carried = 0;  // Packets of open flows that reached their target.
 
   explicit RestartWorld(std::uint32_t seed)
-      : RestartFleet(seed), do_flows_move(seed % 2 == 0) {
+      : RestartTargets(seed), do_flows_move(seed % 2 == 0) {
     for (std::uint32_t n = 1; n <= kBalancers; ++n) {
       Start(MakeBalancerEndpoint(n));
     }
@@ -56,50 +57,26 @@
     }
   }
 
-  auto StartTarget(std::uint32_t n) -> void {
+  // The flows of a target end with it.
+  auto OnTargetEnded(std::uint32_t n) -> void override {
     std::erase_if(callers,
                   [&](const auto& it) { return it.second.target == n; });
-    targets[n] =
-        Target{.started_at_ms = static_cast<std::uint64_t>(
-                   std::chrono::duration_cast<std::chrono::milliseconds>(
-                       now.time_since_epoch())
-                       .count()),
-               .started = now,
-               .next_heartbeat = now + 1ms * Draw(200)};
   }
 
-  auto SendTargetHeartbeat(std::uint32_t n, Target& target) -> void {
-    target.next_heartbeat = now + 1s;
-    ++target.sequence;
-    Process& agent = processes[MakeAgentEndpoint(n)];
-    if (!agent.up) {
-      return;
-    }
-    const Duration warm_in = target.started + kWarmup - now;
-    const auto outcome = OnTargetHeartbeat(
-        agent.presence,
-        TargetHeartbeat{.id = std::to_string(target.started_at_ms),
-                        .service = "s",
-                        .started_at_ms = target.started_at_ms,
-                        .sequence = target.sequence,
-                        .state = TargetState::kReady,
-                        .slots = 50,
-                        .warmup_ms = static_cast<std::uint32_t>(
-                            std::max<std::int64_t>(0, warm_in / 1ms))},
-        now);
-    agent.flows->knows_all_flows = agent.presence.knows_all_flows;
-    std::vector<TargetAction> out;
-    if (outcome == PresenceOutcome::kReplaced) {
-      ApplyReplacedTarget(*agent.flows, agent.presence.status, now);
-    } else {
-      ApplyTargetStatus(*agent.flows, agent.presence.status, now, out);
-    }
-    Perform(MakeAgentEndpoint(n), out, {});
-    HostRecord record = agent.fleet().self;
-    record.target = agent.presence.status;
-    if (UpdateOwnRecord(agent.fleet(), record)) {
-      Announce(agent, false);
-    }
+  auto RecordFlow(std::uint32_t agent,
+                  std::uint16_t port,
+                  const std::string& text) -> void {
+    order.Record({.at = now, .agent = agent, .port = port, .text = text});
+  }
+
+  auto ReportViolation(std::uint32_t agent,
+                       std::uint16_t port,
+                       const std::string& text) -> void {
+    RecordFlow(agent, port, text);
+    const std::string line = order.Format(order.events.back());
+    violations += violations.empty()
+                      ? line + " after\n" + order.Describe(agent, port)
+                      : line;
   }
 
   auto OnMessage(Process& to, Endpoint from, const NodeMessage& message)
@@ -143,10 +120,10 @@
       return;
     }
     if (it->second.is_open) {
-      wrong_resets += std::to_string((now - kBegin) / 1ms) + " ms: port " +
-                      std::to_string(flow.caller.port) + " of target " +
-                      std::to_string(it->second.target) + " reset by " +
-                      ToString(by) + ", " + std::string(reason) + "\n";
+      ReportViolation(
+          it->second.target, flow.caller.port,
+          fmt::format("port {} of target {} reset by {}: {}", flow.caller.port,
+                      it->second.target, Name(by), reason));
     }
     callers.erase(it);
   }
@@ -158,6 +135,9 @@
       if (it.kind == SteeringAction::Kind::kReset) {
         OnReset(self, it.flow, ToString(it.reason));
       } else if (it.kind == SteeringAction::Kind::kQuery) {
+        RecordFlow(0, it.flow.caller.port,
+                   fmt::format("{} queries {} agents", Name(self),
+                               it.receivers.size()));
         for (const auto receiver : it.receivers) {
           SendMessage(self, receiver, it.query);
         }
@@ -172,7 +152,7 @@
 
   auto Perform(Endpoint self,
                const std::vector<TargetAction>& actions,
-               const FlowPacket& packet) -> void {
+               const FlowPacket& packet) -> void override {
     for (const auto& it : actions) {
       const FlowPacket chosen = ChoosePacket(it.opening, packet);
       if (it.kind == TargetAction::Kind::kReset) {
@@ -184,6 +164,9 @@
             now + 1ms * (1 + Draw(8)),
             Datagram{self, it.to, RelayedPacket{it.header, chosen}});
       } else if (it.kind == TargetAction::Kind::kReplyToBalancer) {
+        RecordFlow(GetNumber(self), it.flow.caller.port,
+                   fmt::format("{} replies {} to {}", Name(self),
+                               NameOwnership(it.ownership), Name(it.to)));
         SendMessage(
             self, it.to,
             FlowReply{
@@ -192,11 +175,28 @@
     }
   }
 
+  auto CheckOpening(std::uint32_t n, std::uint16_t port) -> void {
+    const Target& target = targets[n];
+    if (target.state == TargetState::kDraining &&
+        now - processes[MakeAgentEndpoint(n)].started >= kStableTime &&
+        target.drain_acknowledged_at != TimePoint::max() &&
+        now - target.drain_acknowledged_at > kDrainTime) {
+      ReportViolation(
+          n, port,
+          fmt::format("opening of port {} reaches target {}, which "
+                      "drains, {} ms after the acknowledgement",
+                      port, n, (now - target.drain_acknowledged_at) / 1ms));
+    }
+  }
+
   auto DeliverToTarget(Endpoint agent, FlowPacket packet, std::uint32_t id)
       -> void {
-    const std::uint32_t n = agent.address & 0xFF;
+    const std::uint32_t n = GetNumber(agent);
     Target& target = targets[n];
     const std::uint16_t port = packet.source.port;
+    if (target.state == TargetState::kGone) {
+      return;
+    }
     CallerFlow* const caller =
         callers.contains(port) ? &callers[port] : nullptr;
     FlowPacket answer{.source = packet.destination,
@@ -204,6 +204,7 @@
                       .has_acknowledgement = true,
                       .sequence = n * kSequenceStep};
     if (packet.is_opening) {
+      CheckOpening(n, port);
       target.held.insert(port);
       answer.is_opening = true;
       if (caller != nullptr && caller->target == 0) {
@@ -212,6 +213,10 @@
     } else if (target.held.contains(port) &&
                packet.acknowledgement == answer.sequence + 1) {
       if (caller != nullptr && caller->target == n) {
+        if (!caller->is_open) {
+          RecordFlow(n, port,
+                     fmt::format("port {} opens at target {}", port, n));
+        }
         carried += caller->is_open ? 1 : 0;
         caller->is_open = true;
       }
