Drop an unconfirmed opening for which no target is left instead of resetting it

Callers may see: an open flow is reset 45 ms after its opening, when the agent's reply that confirms the opening is lost, no other target is left, and the caller's acknowledgement has gone through another balancer.

Cause: a balancer took the silence of an agent that is up for a refusal. It can't know whether the target has accepted the opening; only a caller's packet through this balancer told it.

Change: the opening is dropped, with the same reason, if an agent that didn't confirm it was heard from within the time after which hosts are suspected. The caller's next copy, 200 ms later, is placed anew. An opening that all targets have returned, or that was offered to silent hosts only, is reset at once as before.

steering_test: UnconfirmedOpeningIsDroppedWhenNoTargetIsLeft failed before (a reset); OpeningForATargetWhoseAgentIsSilentIsReset held before and after.

--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -397,6 +397,11 @@
     }
     opening.header.returned_by.push_back(opening.agent.address);
     opening.header.may_be_accepted = true;
+    // The confirmation of an agent that is up may be lost, and the caller's
+    // answer may have gone through another balancer.
+    opening.may_be_open |=
+        host != steering.fleet.hosts.end() &&
+        now - host->second.last_contact < host->second.unresponsive_after;
     if (OfferOpeningToNextTarget(steering, it->first, opening,
                                  SteeringReason::kUnconfirmed, now, out)) {
       ++it;
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -213,6 +213,33 @@
   LONGS_EQUAL(0, out.size());
 }
 
+// The reply that confirms the opening is lost, and the caller's acknowledgement
+// goes through another balancer.
+TEST(Steering, UnconfirmedOpeningIsDroppedWhenNoTargetIsLeft) {
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    MergeAgentRecord(n, TargetState::kDraining, false, 2);
+  }
+  CHECK(SendCallerPacket(MakeCallerPacket(1, true), kNow).kind == Kind::kRelay);
+  out.clear();
+  OnSteeringTick(steering, kNow + 45ms, out);
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].kind == Kind::kDrop);
+  CHECK(out[0].reason == SteeringReason::kAllTargetsRefused);
+  CHECK(steering.openings.empty());
+}
+
+TEST(Steering, OpeningForATargetWhoseAgentIsSilentIsReset) {
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    MergeAgentRecord(n, TargetState::kDraining, false, 2);
+  }
+  steering.fleet.hosts.at(MakeAgentEndpoint(5)).last_contact = kNow - 3s;
+  CHECK(SendCallerPacket(MakeCallerPacket(1, true), kNow).kind == Kind::kRelay);
+  out.clear();
+  OnSteeringTick(steering, kNow + 45ms, out);
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].kind == Kind::kReset);
+}
+
 TEST(Steering, OpeningRefusedByAllTargetsIsResetAtOnce) {
   auto action = SendCallerPacket(MakeCallerPacket(1, true), kNow);
   int offers = 0;
