Give addresses to targets of another service in the model of restarts

A target may be followed by one of another service at the same address, two seconds after its end or later, and the reverse; heartbeats of both are late and repeated, too. Checked besides: no opening reaches the other service's target through an agent that has been up for 4 s.

--- a/test/restart_fleet.h
+++ b/test/restart_fleet.h
@@ -24,6 +24,7 @@
 inline constexpr std::uint32_t kBalancers = 3;
 inline constexpr std::uint32_t kAgents = 6;
 inline const TimePoint kBegin{std::chrono::seconds{100'000}};
+inline constexpr const char* kServiceName = "s";  // Of all agents.
 
 struct EndpointOrder {
   auto operator()(Endpoint a, Endpoint b) const -> bool {
@@ -133,7 +134,7 @@
       it.flows = std::make_unique<TargetFlows>();
       it.flows->options.service = kService;
       it.flows->options.self = control;
-      it.presence = TargetPresence{.service = "s"};
+      it.presence = TargetPresence{.service = kServiceName};
       it.agent_fleet = {};
     }
     it.fleet().self = self;
--- a/test/restart_targets.h
+++ b/test/restart_targets.h
@@ -24,6 +24,11 @@
 inline constexpr std::uint32_t kMaxMessageDelayMs = 6000;
 inline constexpr std::uint32_t kMaxClockStepMs = 3000;
 
+// A target of another service may start at the address of one that has ended
+// after this time, and the reverse.
+inline constexpr Duration kReuseDelay = 2s;
+inline constexpr const char* kOtherServiceName = "t";
+
 // Whether the first heartbeat of a start is repeated after later messages.
 inline constexpr bool kRepeatsFirstHeartbeats = false;
 // Whether deregistrations arrive after later messages.
@@ -43,6 +48,7 @@
 struct Target {
   std::uint32_t start = 0;  // Number of the present start.
   TargetState state = TargetState::kGone;
+  std::string service = kServiceName;
   std::string id;
   std::uint64_t started_at_ms = 0;  // By the clock of the target's host.
   std::uint64_t sequence = 0;
@@ -51,6 +57,7 @@
   TimePoint next_heartbeat{};
   TimePoint next_start = TimePoint::max();
   TimePoint end = TimePoint::max();  // Of a draining target.
+  TimePoint ended = kBegin;          // Of the start before.
   TimePoint drain_acknowledged_at = TimePoint::max();
   bool is_heartbeat_late = false;       // The newest one.
   std::set<std::uint64_t> start_times;  // Of all starts.
@@ -115,9 +122,13 @@
     }
     target.started_at_ms = ChooseStartTime(target);
     target.state = TargetState::kReady;
+    if (now - target.ended >= kReuseDelay) {
+      target.service = Draw(4) == 0 ? kOtherServiceName : kServiceName;
+    }
     target.sequence = 0;
     target.started = now;
-    target.next_heartbeat = now + 1ms * Draw(200);
+    target.next_heartbeat =
+        now + (target.service == kServiceName ? 1ms * Draw(200) : 0ms);
     target.next_start = target.end = TimePoint::max();
     target.drain_acknowledged_at = TimePoint::max();
     RecordTarget(n, fmt::format("starts for the {}th time, id={} born={}",
@@ -126,6 +137,7 @@
 
   auto EndTarget(std::uint32_t n, const std::string& how) -> void {
     targets[n].state = TargetState::kGone;
+    targets[n].ended = now;
     targets[n].held.clear();
     RecordTarget(n, how);
     OnTargetEnded(n);
@@ -135,7 +147,7 @@
     Target& target = targets[n];
     if (target.state != TargetState::kGone) {
       EndTarget(n, "crashes");
-      target.next_start = now + 1ms * Draw(3000);
+      target.next_start = now + 1ms * Draw(4000);
     }
   }
 
@@ -190,7 +202,7 @@
                        .sent_at = now,
                        .content = TargetHeartbeat{
                            .id = target.id,
-                           .service = "s",
+                           .service = target.service,
                            .started_at_ms = target.started_at_ms,
                            .sequence = target.sequence,
                            .state = target.state,
@@ -205,7 +217,7 @@
                        .sent_at = now,
                        .content = Deregistration{target.id}});
     EndTarget(n, "has drained and ends");
-    target.next_start = now + 1ms * Draw(3000);
+    target.next_start = now + 1ms * Draw(4000);
   }
 
   auto OnTargetMessage(const TargetMessage& message) -> void {
--- a/test/restart_world.h
+++ b/test/restart_world.h
@@ -41,8 +41,9 @@
   std::map<std::uint16_t, CallerFlow> callers;
   bool do_flows_move;
   std::uint16_t next_port = 1;
-  // A line for each reset of an open flow and each opening at a drained target,
-  // after the first one the order of events that led to it.
+  // A line for each reset of an open flow and each opening at a target that has
+  // drained or is of another service; after the first one the order of events
+  // that led to it.
   std::string violations;
   int carried = 0;  // Packets of open flows that reached their target.
 
@@ -177,8 +178,16 @@
 
   auto CheckOpening(std::uint32_t n, std::uint16_t port) -> void {
     const Target& target = targets[n];
+    if (now - processes[MakeAgentEndpoint(n)].started < kStableTime) {
+      return;
+    }
+    if (target.service != kServiceName) {
+      ReportViolation(n, port,
+                      fmt::format("opening of port {} reaches target {}, which "
+                                  "is of another service",
+                                  port, n));
+    }
     if (target.state == TargetState::kDraining &&
-        now - processes[MakeAgentEndpoint(n)].started >= kStableTime &&
         target.drain_acknowledged_at != TimePoint::max() &&
         now - target.drain_acknowledged_at > kDrainTime) {
       ReportViolation(
