Query agents that are up although their last record says their target is gone

Callers may see: a flow that is open at a target that has just started is reset by another balancer than the one that opened it.

Cause: a search left out each agent whose record says that its target is gone, without a start time. The record may be out of date: the agent's announcement of the next target is lost, and the next heartbeat, up to 0.9 s later, tells the balancer so. All other agents deny the flow.

Change: such an agent is queried, after all others, if it isn't shutting down and is live. If it holds the flow, the flow is found. If it is unsure, that counts as before: nobody would return a packet that is offered to it, so nothing is offered and the reset isn't delayed but for the query's round trip. Cost: one query and reply for each such agent and search.

flow_search_scope_test: AgentThatHasAnnouncedTheExitOfItsTargetIsQueried failed before (not found), UnsureAgentOfAnExitedTargetDoesNotDelayAReset, too (no query).

--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -131,6 +131,16 @@
                            steering.options.search.unreachable_after, now);
 }
 
+// Returns whether an agent has announced that its target has exited. Nobody
+// would return a packet that is offered to it.
+auto IsTargetKnownAsExited(const Steering& steering,
+                           Endpoint agent,
+                           TimePoint now) -> bool {
+  const auto host = steering.fleet.hosts.find(agent);
+  return host != steering.fleet.hosts.end() &&
+         HasTargetExited(host->second, now);
+}
+
 // Queries the next agents. When all agents have been queried, offers the first
 // waiting packet to the next unsure agent.
 // When no unsure agent is left either, ends the search.
@@ -316,7 +326,8 @@
     return;  // The reply came after the timeout or is a duplicate.
   }
   OnQueriesEnded(steering.searches.window, 1);
-  if (reply.ownership == FlowOwnership::kUnsure) {
+  if (reply.ownership == FlowOwnership::kUnsure &&
+      !IsTargetKnownAsExited(steering, reply.agent, now)) {
     search.unsure_agents.push_back(reply.agent);
     search.has_unsure_reply = true;
   }
--- a/src/coordination/flow_search_scope.cc
+++ b/src/coordination/flow_search_scope.cc
@@ -60,6 +60,7 @@
 enum class SearchPriority : std::uint8_t {
   kTargetKnown,
   kTargetUnknown,
+  kTargetExited,
   kUnresponsive
 };
 
@@ -67,10 +68,20 @@
   if (!IsHostLive(host, now)) {
     return SearchPriority::kUnresponsive;
   }
+  if (HasTargetExited(host, now)) {
+    return SearchPriority::kTargetExited;
+  }
   return IsTargetStartUnknown(host) ? SearchPriority::kTargetUnknown
                                     : SearchPriority::kTargetKnown;
 }
 
+// Whether the target of an agent's host holds no flows. An agent that is up may
+// have got another target since it announced the exit of the one before.
+auto HasExitedForGood(const KnownHost& host, TimePoint now) -> bool {
+  return HasTargetExited(host, now) &&
+         (host.record.is_shutting_down || !IsHostLive(host, now));
+}
+
 // Ranks the agents of one service that haven't been queried yet. Agents that
 // don't know their target's state are left out when the others' targets have
 // just started, unless they have restarted since or other agents have: their
@@ -85,7 +96,7 @@
   const bool just_started = !search.has_unsure_reply &&
                             HaveTargetsJustStarted(steering, service, now);
   std::erase_if(ranked, [now, just_started](const RankedAgent& it) {
-    return HasTargetExited(*it.host, now) ||
+    return HasExitedForGood(*it.host, now) ||
            (just_started && !it.host->has_restarted &&
             IsTargetStartUnknown(*it.host));
   });
--- a/test/flow_search_scope_test.cc
+++ b/test/flow_search_scope_test.cc
@@ -333,6 +333,44 @@
   CHECK(out[0].receivers == std::vector{MakeAgentOfService(1, 0)});
 }
 
+// The announcement of the agent's next target is lost.
+TEST(FlowSearchScope, AgentThatHasAnnouncedTheExitOfItsTargetIsQueried) {
+  const Endpoint agent = MakeAgentOfService(1, 0);
+  HostRecord record = MakeAgentRecord(1, 0);
+  record.revision = 2;
+  record.target = {.state = TargetState::kGone};
+  MergeHostRecord(balancer.steering.fleet, record, Duration::zero(), kNow);
+  CHECK(balancer.SearchFlow(1, agent, kNow).is_found);
+}
+
+// Nobody would return a packet that is offered to a target that has exited.
+TEST(FlowSearchScope, UnsureAgentOfAnExitedTargetDoesNotDelayAReset) {
+  for (std::uint32_t n = 0; n < kAgentsPerService; ++n) {
+    HostRecord record = MakeAgentRecord(1, n);
+    record.revision = 2;
+    record.target = {.state = TargetState::kGone};
+    MergeHostRecord(balancer.steering.fleet, record, Duration::zero(), kNow);
+  }
+  MoveRoute(4, {{.service = 1}});
+  balancer.steering.routes.history.former.clear();
+  const FlowPacket packet = MakeCallerPacket(1);
+  std::vector<SteeringAction> out;
+  OnCallerPacket(balancer.steering, packet, std::vector<std::uint8_t>(1232),
+                 kNow, out);
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].kind == Kind::kQuery);
+  for (std::uint32_t n = 0; n < kAgentsPerService; ++n) {
+    out.clear();
+    OnFlowReply(balancer.steering,
+                FlowReply{.flow = ExtractCallerFlowKey(packet),
+                          .agent = MakeAgentOfService(1, n),
+                          .ownership = FlowOwnership::kUnsure},
+                kNow, out);
+  }
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].kind == Kind::kReset);
+}
+
 // All hosts lost power; seconds later an agent restarts beside its new target.
 TEST(FlowSearchScope, AgentThatRestartsAfterAPowerLossIsQueried) {
   SearchingBalancer started;
