--- a/test/restart_targets.h
+++ b/test/restart_targets.h
@@ -31,6 +31,10 @@
 
 // Whether the first heartbeat of a start is repeated after later messages.
 inline constexpr bool kRepeatsFirstHeartbeats = false;
+// Whether heartbeats of ended starts arrive at agents that don't know the start
+// and take it for the present one: its start time is the later one, or another
+// service has the address.
+inline constexpr bool kDelaysHeartbeatsOfUnknownStarts = false;
 // Whether deregistrations arrive after later messages.
 inline constexpr bool kDelaysDeregistrations = false;
 
@@ -220,6 +224,23 @@
     target.next_start = now + 1ms * Draw(4000);
   }
 
+  // Whether a message of an ended start is the first that the agent gets of it.
+  auto IsOfUnknownStart(const TargetPresence& presence,
+                        const TargetMessage& message) -> bool {
+    const auto& beat = std::get<TargetHeartbeat>(message.content);
+    const auto is_same_start = [&](const TargetStart& start) {
+      return start.id == beat.id && start.started_at_ms == beat.started_at_ms;
+    };
+    const Target& target = targets[message.target];
+    return message.start != target.start &&
+           (beat.started_at_ms > target.started_at_ms ||
+            target.service != kServiceName) &&
+           (presence.id != beat.id ||
+            presence.status.started_at_ms != beat.started_at_ms) &&
+           std::none_of(presence.replaced.begin(), presence.replaced.end(),
+                        is_same_start);
+  }
+
   auto OnTargetMessage(const TargetMessage& message) -> void {
     const Endpoint control = MakeAgentEndpoint(message.target);
     Process& agent = processes[control];
@@ -227,6 +248,10 @@
       return;
     }
     const auto* beat = std::get_if<TargetHeartbeat>(&message.content);
+    if (!kDelaysHeartbeatsOfUnknownStarts && beat != nullptr &&
+        IsOfUnknownStart(agent.presence, message)) {
+      return;
+    }
     const auto outcome =
         beat != nullptr
             ? OnTargetHeartbeat(agent.presence, *beat, now)
