Restart all processes and let some targets live on in the model of restarts

At times all balancers and agents restart beside their targets. In one of four worlds three of the six targets live for the whole time, so that flows outlast the longest pauses.

--- a/test/restart_order_test.cc
+++ b/test/restart_order_test.cc
@@ -20,6 +20,8 @@
 
 constexpr Duration kStep = 10ms;
 constexpr std::uint32_t kMaxIdleMs = 40'000;
+// Targets that live on in worlds in which targets are replaced once.
+constexpr std::uint32_t kLastingTargets = 3;
 constexpr std::array<Duration, 4> kIdleTimeouts = {1s, 5s, 15s, 50s};
 // Range of seeds to play, as in 1-300; the default is kDefaultSeeds.
 constexpr const char* kSeedsVariable = "RESTART_ORDER_SEEDS";
@@ -60,12 +62,25 @@
       StartTarget(GetNumber(agent));
     } else if (Draw(6) == 0) {
       CauseTargetEvent(GetNumber(agent));
+    } else if (phase < 20s && Draw(50) == 0) {
+      RestartAll();
     } else if (phase < 20s) {
       StopProcess(Draw(4) == 0 ? balancer : agent, Draw(5) == 0);
     }
   }
 
+  // Restarts all balancers and agents beside their targets.
+  auto RestartAll() -> void {
+    const bool is_crash = Draw(2) == 0;
+    for (const auto& [control, it] : processes) {
+      StopProcess(control, is_crash);
+    }
+  }
+
   auto CauseTargetEvent(std::uint32_t n) -> void {
+    if (are_targets_replaced_once && n <= kLastingTargets) {
+      return;
+    }
     if (Draw(3) == 0) {
       CrashTarget(n);
     } else {
