--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -295,6 +295,7 @@
   if (!ports_.ReleasePort(port, now)) {
     return;
   }
+  ended.ended_at = now;
   ended.retransmissions = 0;
   for (const auto delay : {kFirstOpeningRetry, kSecondOpeningRetry}) {
     ++ended.retransmissions;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -49,6 +49,7 @@
   TimePoint opened_at{};  ///< Time of the first opening packet.
   TimePoint first_sent{};
   TimePoint next_send{};
+  TimePoint ended_at{};      ///< Zero while the flow goes on.
   TimePoint last_sent{};     ///< Time of the last packet to a balancer.
   Duration longest_pause{};  ///< Between two packets to balancers.
   /// Time of the flow's last packet to each balancer, by balancer index.
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -87,7 +87,8 @@
   /// Time at which an agent acknowledged that the target drains or is gone;
   /// zero if it doesn't.
   TimePoint leaving_since{};
-  bool is_gone = false;  ///< Whether the target has ended.
+  bool is_gone = false;   ///< Whether the target has ended.
+  bool is_known = false;  ///< Whether the target has the flow already.
 };
 
 /// Routes of a configuration that the store accepted.
@@ -162,6 +163,7 @@
   /// `served` and `failed` when the last disturbance began.
   std::uint64_t served_before_fault = 0;
   std::uint64_t failed_before_fault = 0;
+  TimePoint final_phase_start{};
   std::uint64_t final_served = 0;
   std::uint64_t final_failed = 0;
   std::uint64_t excused_resets = 0;
@@ -210,7 +212,8 @@
 /// Records that the operator takes an order back.
 auto OnZoneReturned(InvariantChecker& checker, const std::string& zone) -> void;
 
-/// Records an opening packet that a caller sends.
+/// Records an opening packet that a caller sends. The time is that at which the
+/// caller sends it, even if the packet reaches the balancer later.
 /// @param copy Number of earlier copies of the packet.
 auto OnOpeningSent(InvariantChecker& checker,
                    const FlowId& flow,
@@ -221,7 +224,9 @@
 /// CONFIG, DRAIN and EVAC. DRAIN, CONFIG and EVAC hold if the agent and the
 /// balancer that took the packet weren't disturbed in the last kRecoveryTime;
 /// CONFIG and EVAC also require that the store wasn't. A target that has ended
-/// is only checked for DRAIN.
+/// is only checked for DRAIN. A copy of an opening that the target has taken
+/// before starts no flow and is only checked for UNASKED and our own check of
+/// late openings.
 auto OnOpeningTaken(InvariantChecker& checker,
                     const TakenOpening& opening,
                     TimePoint now) -> void;
@@ -323,11 +328,14 @@
 /// Notes that a fault or other event begins, for RECOVER.
 auto OnFaultStarted(InvariantChecker& checker) -> void;
 
-/// Checks RECOVER: that at least kMinRecoveredShare of the requests of the
-/// final phase was served if as large a share was before the last fault. The
-/// final phase starts at least kRecoverTime after the last fault. Otherwise
-/// checks that the final phase had requests and that at least kMinServedShare
-/// of them was served.
+/// Notes that the final phase begins.
+auto OnFinalPhaseStarted(InvariantChecker& checker, TimePoint now) -> void;
+
+/// Checks RECOVER: if the last disturbance ended at least kRecoverTime before
+/// the final phase, that at least kMinRecoveredShare of the requests of the
+/// final phase was served, unless less was served before the last fault.
+/// Otherwise checks that the final phase had requests and that at least
+/// kMinServedShare of them was served.
 auto CheckServedShareOfFinalPhase(InvariantChecker& checker, TimePoint now)
     -> void;
 
--- a/soak/judge_configuration.cc
+++ b/soak/judge_configuration.cc
@@ -145,6 +145,9 @@
         now);
     return;
   }
+  if (opening.copy > 0) {
+    return;  // Copies may follow their flow, which older routes have led.
+  }
   auto& versions = checker.seen_versions[process];
   const auto effect =
       FindOldestVersion(checker, route, opening.service,
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -36,10 +36,14 @@
           [this](const CallerFlow& flow, std::uint32_t copy,
                  std::size_t balancer) {
             const Node& node = GetBalancer(balancer);
-            OnOpeningSent(checker_, MakeFlowId(flow), copy,
-                          SentOpening{.balancer = {.subject = node.subject,
-                                                   .number = node.start_count},
-                                      .at = GetMonotonicTime()});
+            OnOpeningSent(
+                checker_, MakeFlowId(flow), copy,
+                SentOpening{.balancer = {.subject = node.subject,
+                                         .number = node.start_count},
+                            // A packet of an ended flow was under way.
+                            .at = flow.ended_at == TimePoint{}
+                                      ? GetMonotonicTime()
+                                      : flow.ended_at});
           },
       .on_request_sent =
           [this](const CallerFlow& flow) {
@@ -77,8 +81,8 @@
                               DescribeTarget(target), GetMonotonicTime());
           },
       .on_opening_received =
-          [this, target](const FlowPacket& packet) {
-            OnOpeningReceived(target, packet);
+          [this, target](const FlowPacket& packet, bool is_known) {
+            OnOpeningReceived(target, packet, is_known);
           },
       .on_flow_packet_received =
           [this, target](const FlowPacket& packet, bool holds_flow) {
@@ -94,7 +98,8 @@
 }
 
 auto SoakEnvironment::OnOpeningReceived(std::size_t target,
-                                        const FlowPacket& packet) -> void {
+                                        const FlowPacket& packet,
+                                        bool is_known) -> void {
   const TargetStandin& it = *targets_[target];
   OnOpeningTaken(
       checker_,
@@ -107,7 +112,8 @@
                    .target = DescribeTarget(target),
                    .leaving_since = it.is_alive() ? it.drain_acknowledged_at()
                                                   : it.end_acknowledged_at(),
-                   .is_gone = !it.is_alive()},
+                   .is_gone = !it.is_alive(),
+                   .is_known = is_known},
       GetMonotonicTime());
 }
 
--- a/soak/rules.h
+++ b/soak/rules.h
@@ -41,7 +41,8 @@
 inline constexpr const char* kGraceCheck = "grace";
 /// Share served in the final phase, which has no faults.
 inline constexpr const char* kServedShareCheck = "served share";
-/// DRAIN behind a disturbed balancer, which the rule exempts.
+/// DRAIN behind a disturbed balancer, or by the copy of an opening that the
+/// target has taken before, which the rule exempts.
 inline constexpr const char* kLateOpeningCheck = "late opening";
 /// EXIT during a disturbance of the process, which the rule exempts.
 inline constexpr const char* kExitCheck = "exit in a disturbance";
--- a/soak/target_standin.cc
+++ b/soak/target_standin.cc
@@ -192,15 +192,15 @@
     return;
   }
   if (!is_alive_ && packet->is_opening && end_acknowledged_at_ != TimePoint{}) {
-    events_.on_opening_received(*packet);
+    events_.on_opening_received(*packet, false);
   }
   if (!is_alive_ || is_unresponsive_) {
     return;
   }
   if (packet->is_opening) {
-    events_.on_opening_received(*packet);
     const auto [it, added] =
         flows_[ExtractCallerFlowKey(*packet)].try_emplace(packet->sequence);
+    events_.on_opening_received(*packet, !added);
     if (added) {
       it->second.sequence = static_cast<std::uint32_t>(random_());
     }
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -25,8 +25,10 @@
 struct TargetEvents {
   std::function<void(const FlowPacket& packet, std::uint64_t request)>
       on_request_executed;
-  /// Also called for an ended target that has announced its end.
-  std::function<void(const FlowPacket& packet)> on_opening_received;
+  /// Also called for an ended target that has announced its end. `is_known` is
+  /// set for a copy of the opening of a flow that the target has.
+  std::function<void(const FlowPacket& packet, bool is_known)>
+      on_opening_received;
   /// Called for a packet that isn't an opening.
   std::function<void(const FlowPacket& packet, bool holds_flow)>
       on_flow_packet_received;
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -196,8 +196,10 @@
   RunPeriodically(kTickInterval, [this] { OnTickTimerExpired(); });
   RunPeriodically(kReadinessInterval, [this] { ProbeBalancerReadiness(); });
   RunPeriodically(kMetricsInterval, [this] { CheckRoutesVersions(); });
-  RunAfterDelay(end + kRecoveryLength + kDrainDuration,
-                [this] { in_final_phase_ = true; });
+  RunAfterDelay(end + kRecoveryLength + kDrainDuration, [this] {
+    in_final_phase_ = true;
+    OnFinalPhaseStarted(checker_, GetMonotonicTime());
+  });
   io_.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(
       end + kRecoveryLength + kDrainDuration + kFinalPhaseLength));
   if (in_final_phase_) {
--- a/soak/world.h
+++ b/soak/world.h
@@ -150,7 +150,9 @@
   auto SendForgedPackets() -> void;
   auto MakeCallerEvents() -> CallerEvents;
   auto MakeTargetEvents(std::size_t target) -> TargetEvents;
-  auto OnOpeningReceived(std::size_t target, const FlowPacket& packet) -> void;
+  auto OnOpeningReceived(std::size_t target,
+                         const FlowPacket& packet,
+                         bool is_known) -> void;
   auto OnFlowPacketReceived(std::size_t target,
                             const FlowPacket& packet,
                             bool holds_flow) -> void;
--- a/test/soak_rules_test.cc
+++ b/test/soak_rules_test.cc
@@ -136,6 +136,19 @@
   CheckViolationNamesFlow();
 }
 
+TEST(Rules, CopiesOfOpeningsThatTheTargetHasTakenBeforeBreakNoRule) {
+  StoreRoute(1, "a", kNow - 60s);
+  StoreRoute(2, "b", kNow);
+  OnZoneOut(checker, "z", kNow);
+  Open("a", kNow + 9s, kNow + 9s, {.zone = "z", .is_known = true});
+  Open("other", kNow + 9s, kNow + 9s, {.is_known = true});
+  STRCMP_EQUAL("", GetReported().c_str());
+  Open("b", kNow + 9s, kNow + 9s, {.leaving_since = kNow, .is_known = true});
+  STRCMP_EQUAL("late opening", GetReported().c_str());
+  Open("b", kNow, kNow, {.copy = 1, .is_known = true});
+  STRCMP_EQUAL("late opening,UNASKED", GetReported().c_str());
+}
+
 TEST(Rules, ConfigAllowsEachVersionThatMayBeInForce) {
   StoreRoute(1, "a", kNow - 60s);
   StoreRoute(2, "b", kNow);
@@ -189,6 +202,22 @@
   STRCMP_EQUAL("CONFIG", GetReported().c_str());
 }
 
+TEST(Rules, ConfigTakesNoCopyOfAnOpeningForTheEffectOfAVersion) {
+  StoreRoute(1, "a", kNow - 60s);
+  StoreRoute(2, "b", kNow);
+  StoreRoute(3, "a", kNow + 1s);
+  Open("b", kNow + 1s, kNow + 1s);
+  // Follows the flow that version 1 has led.
+  OnOpeningSent(
+      checker, kFlow, 1,
+      SentOpening{.balancer = {.subject = "b", .number = 1}, .at = kNow + 1s});
+  OnOpeningTaken(checker,
+                 {.flow = kFlow, .copy = 1, .service = "a", .agent = "t"},
+                 kNow + 1s);
+  Open("b", kNow + 2s, kNow + 2s);
+  STRCMP_EQUAL("", GetReported().c_str());
+}
+
 TEST(Rules, ConfigKnowsEachStartOfAProcessAnew) {
   StoreRoute(1, "a", kNow - 60s);
   StoreRoute(2, "b", kNow);
@@ -345,6 +374,18 @@
   STRCMP_EQUAL("served share,RECOVER", GetReported().c_str());
 }
 
+TEST(Rules, RecoverHoldsFromSixSecondsAfterTheLastDisturbanceOn) {
+  OnRequestFinished(checker, true, false);
+  OnRequestFinished(checker, false, true);
+  RecordDisturbance(checker, "b", true, kNow);
+  OnFinalPhaseStarted(checker, kNow + 5999ms);
+  CheckServedShareOfFinalPhase(checker, kNow + 9s);
+  STRCMP_EQUAL("served share", GetReported().c_str());
+  OnFinalPhaseStarted(checker, kNow + 6s);
+  CheckServedShareOfFinalPhase(checker, kNow + 9s);
+  STRCMP_EQUAL("served share,RECOVER", GetReported().c_str());
+}
+
 TEST(Rules, RecoverNeedsAQuarterServedBeforeTheLastFault) {
   for (int n = 0; n < 5; ++n) {
     OnRequestFinished(checker, n == 0, false);
