--- a/soak/flow_exemptions.cc
+++ b/soak/flow_exemptions.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "soak/judge.h"
+#include "soak/rules.h"
 
 namespace hawthornbank::soak {
 namespace {
--- a/soak/flow_exemptions.h
+++ b/soak/flow_exemptions.h
@@ -15,8 +15,6 @@
 
 /// Idle timeout of a configuration that sets none.
 inline constexpr Duration kDefaultIdleTimeout = std::chrono::seconds{15};
-/// Lifetime of a flow, `flow_ttl_s` of the platform's bounds.
-inline constexpr Duration kFlowLifetime = std::chrono::seconds{60};
 
 /// Time in which the store's configuration had no route.
 struct RouteAbsence {
--- a/soak/store_standin.h
+++ b/soak/store_standin.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
   std::vector<StoredRoute> routes;
   /// Idle timeout of flows in the configuration; 0: the configuration has none.
   std::chrono::milliseconds idle_timeout{};
+  /// Names of the objects `evacuations/ZONE`.
+  std::set<std::string> zones_out;
   /// Objects of the load balancer's own kinds: JSON text by kind and name.
   std::map<std::string, std::map<std::string, std::string>>
       load_balancer_objects;
@@ -43,6 +46,12 @@
 auto ReplaceRoutes(StoreStandin& store, std::vector<StoredRoute> routes)
     -> std::uint64_t;
 
+/// Creates or deletes the operator's order that takes a zone out of service.
+/// @param is_out Whether the zone is out of service from now on.
+auto SetZoneOutOfService(StoreStandin& store,
+                         const std::string& zone,
+                         bool is_out) -> void;
+
 /// Erases all objects of the load balancer's own kinds.
 /// @param store The store.
 auto EraseLoadBalancerObjects(StoreStandin& store) -> void;
