Judge refused openings by the services that routes lead to now

The check took a ready target of any service that a route had ever led to for proof that an opening could be placed. The check now needs a ready target in touch of each service that a balancer may have in force.

--- a/soak/judge.h
+++ b/soak/judge.h
@@ -143,7 +143,8 @@
   /// Balancers that the caller used for the opening.
   std::vector<std::string> balancers;
   TimePoint sent{};  ///< Time of the opening packet.
-  /// Agents of the ready targets of the services to which the route leads.
+  /// Agents of the ready targets of FindServicesInForce(); none if one of these
+  /// services has no ready target whose agent is in touch.
   std::vector<std::string> ready_agents;
 };
 
@@ -305,6 +306,13 @@
                  const ResetRecord& reset,
                  TimePoint now) -> void;
 
+/// @return Services to which the configurations lead a route that a balancer
+/// may have in force for an opening sent at `sent`: the newest one accepted
+/// more than kPropagationTime before, and all later ones.
+auto FindServicesInForce(const InvariantChecker& checker,
+                         Endpoint route,
+                         TimePoint sent) -> std::set<std::string>;
+
 /// Checks that the load balancer doesn't reset an opening to a route as only a
 /// configuration without the route allows. The cause of a reset can't be seen,
 /// so the reset is excused unless an older configuration has no route and the
--- a/soak/judge_configuration.cc
+++ b/soak/judge_configuration.cc
@@ -158,6 +158,21 @@
   }
 }
 
+auto FindServicesInForce(const InvariantChecker& checker,
+                         Endpoint route,
+                         TimePoint sent) -> std::set<std::string> {
+  const std::string name = ToString(route);
+  const std::uint64_t due = FindDueVersion(checker, sent);
+  std::set<std::string> services;
+  for (const auto& it : checker.stored_routes) {
+    if (it.version >= due) {
+      services.insert(FindService(it, name));
+    }
+  }
+  services.erase("");
+  return services;
+}
+
 auto OnOpeningReset(InvariantChecker& checker,
                     const RefusalRecord& refusal,
                     TimePoint now) -> void {
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -199,14 +199,22 @@
   RefusalRecord refusal{.flow = MakeFlowId(flow),
                         .balancers = FindRecentBalancers(flow, now),
                         .sent = flow.opened_at};
-  const auto& services =
-      checker_.services_by_route[ToString(flow.route.address)];
-  for (std::size_t n = 0; n < targets_.size(); ++n) {
-    const TargetStandin& it = *targets_[n];
-    if (it.is_alive() && !it.is_draining() && !it.is_unresponsive() &&
-        services.contains(it.service_name()) &&
-        !checker_.zones_out.contains(it.zone_name())) {
-      refusal.ready_agents.push_back(GetAgent(n).subject);
+  for (const auto& service :
+       FindServicesInForce(checker_, flow.route.address, flow.opened_at)) {
+    bool has_target_in_touch = false;
+    for (std::size_t n = 0; n < targets_.size(); ++n) {
+      const TargetStandin& it = *targets_[n];
+      const std::string& agent = GetAgent(n).subject;
+      if (it.is_alive() && !it.is_draining() && !it.is_unresponsive() &&
+          it.service_name() == service &&
+          !checker_.zones_out.contains(it.zone_name())) {
+        refusal.ready_agents.push_back(agent);
+        has_target_in_touch = has_target_in_touch ||
+                              HasSubjectRecovered(checker_, agent, true, now);
+      }
+    }
+    if (!has_target_in_touch) {
+      return;  // The opening may have been reset for want of a target.
     }
   }
   OnOpeningReset(checker_, refusal, now);
--- a/test/soak_configuration_rule_test.cc
+++ b/test/soak_configuration_rule_test.cc
@@ -132,3 +132,15 @@
                  kNow + 9s);
   STRCMP_EQUAL("", GetReported().c_str());
 }
+
+TEST(ConfigurationRule, ServicesInForceAreThoseOfTheDueVersionAndLaterOnes) {
+  const auto find = [&](TimePoint sent) {
+    return FindServicesInForce(checker, kFlow.key.address, sent);
+  };
+  StoreRoute(1, "a", kNow - 60s);
+  StoreRoute(2, "", kNow);
+  StoreRoute(3, "b", kNow + 1s);
+  CHECK((find(kNow + 3s) == std::set<std::string>{"a", "b"}));
+  CHECK((find(kNow + 3001ms) == std::set<std::string>{"b"}));
+  CHECK((find(kNow + 60s) == std::set<std::string>{"b"}));
+}
