Explain a flow from the logs of balancers and agents

To tell why a request went where it did, an operator searched the logs of all machines by hand and had to know which lines of which nodes belong together.

Lines that are too long, cut, merged, not text or of other programs are skipped and counted; files that can't be read are listed.

--- a/apps/hawthornctl/commands.h
+++ b/apps/hawthornctl/commands.h
@@ -30,6 +30,7 @@
 auto RunStatusCommand(const Words& words) -> int;
 auto RunWatchCommand(const Words& words) -> int;
 auto RunMetricsCommand(const Words& words) -> int;
+auto RunExplainCommand(const Words& words) -> int;
 
 }  // namespace hawthornbank::hawthornctl
 
--- a/apps/hawthornctl/main.cc
+++ b/apps/hawthornctl/main.cc
@@ -53,6 +53,8 @@
      ctl::RunStatusCommand},
     {"watch", "print each change until interrupted", ctl::RunWatchCommand},
     {"metrics", "print the metrics of balancers", ctl::RunMetricsCommand},
+    {"explain", "show from logs why a flow went where it did",
+     ctl::RunExplainCommand},
 });
 
 auto PrintCommandHelp(std::ostream& out) -> void {
--- /dev/null
+++ b/src/transport/node_log_findings.cc
@@ -0,0 +1,339 @@
+#include "transport/node_log_findings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace hawthornbank::transport {
+namespace {
+
+using Findings = std::vector<TimelineFinding>;
+
+constexpr const char* kRouteRule = "ROUTE";
+constexpr const char* kDrainRule = "DRAIN";
+constexpr const char* kFlowRule = "FLOW";
+constexpr const char* kZoneRule = "EVAC";
+constexpr const char* kTwiceRule = "MIXED";
+
+// Lines about one opening, and those without a number after it.
+struct OpeningStory {
+  std::string_view number;
+  std::vector<LogLine> offers;
+  std::vector<LogLine> deliveries;  ///< To a target, first and repeated.
+  std::vector<LogLine> returns;
+  std::vector<LogLine> confirmations;
+  std::vector<LogLine> resets;  ///< Of the opening or of the open flow.
+  std::vector<LogLine> violations;
+};
+
+auto AddToStory(OpeningStory& story, const LogLine& line) -> void {
+  if (line.kind == kViolationKind) {
+    story.violations.push_back(line);
+  } else if (line.event == "flow_relayed" &&
+             !FindField(line, "opening").empty()) {
+    story.offers.push_back(line);
+  } else if (line.event == "flow_opened" || line.event == "opening_delivered") {
+    story.deliveries.push_back(line);
+  } else if (line.event == "flow_sent_back" &&
+             !FindField(line, "opening").empty()) {
+    story.returns.push_back(line);
+  } else if (line.event == "flow_confirmed") {
+    story.confirmations.push_back(line);
+  } else if (line.event == "flow_reset" && line.kind != kCallerKind) {
+    story.resets.push_back(line);
+  }
+}
+
+// Returns the lines of the flow by opening, in the order of the first lines.
+auto CollectStories(const Timeline& timeline) -> std::vector<OpeningStory> {
+  std::vector<OpeningStory> stories;
+  for (const auto& it : timeline.lines) {
+    const auto parsed = ParseLogLine(it.text);
+    const auto* const line = std::get_if<LogLine>(&parsed);
+    if (it.role != LineRole::kFlow || line == nullptr) {
+      continue;
+    }
+    const std::string_view number = FindField(*line, "opening");
+    auto story = stories.rbegin();
+    if (!number.empty()) {
+      story = std::find_if(
+          stories.rbegin(), stories.rend(),
+          [&](const OpeningStory& other) { return other.number == number; });
+    }
+    if (story == stories.rend()) {
+      stories.push_back({.number = number});
+      story = stories.rbegin();
+    }
+    AddToStory(*story, *line);
+  }
+  return stories;
+}
+
+// Returns the offer that a delivery follows, or null.
+auto FindOffer(const OpeningStory& story, const LogLine& delivery)
+    -> const LogLine* {
+  const auto it = std::find_if(
+      story.offers.begin(), story.offers.end(), [&](const LogLine& offer) {
+        return FindField(offer, "copy") == FindField(delivery, "copy") &&
+               FindField(offer, "asked") == FindField(delivery, "asked");
+      });
+  return it == story.offers.end() ? nullptr : &*it;
+}
+
+auto CountMoreOf(const std::vector<LogLine>& lines) -> std::string {
+  return lines.size() > 1 ? fmt::format(" and {} more", lines.size() - 1) : "";
+}
+
+// Says where the opening ended.
+auto AddOutcome(const Timeline& timeline,
+                const OpeningStory& story,
+                Findings& out) -> void {
+  const std::string opening = story.number.empty()
+                                  ? "lines without an opening"
+                                  : fmt::format("opening {}", story.number);
+  if (!story.deliveries.empty()) {
+    const LogLine& last = story.deliveries.back();
+    const LogLine* const offer = FindOffer(story, last);
+    out.push_back(
+        {.text = fmt::format(
+             "{}: sent to target {} (started at {}) of service {} "
+             "by agent {}{}; offered by {} as service {}",
+             opening, FindField(last, "target"), FindField(last, "born"),
+             ResolveService(timeline.directory, FindField(last, "own")),
+             last.node, CountMoreOf(story.deliveries),
+             offer == nullptr
+                 ? DescribeControl(timeline.directory, FindField(last, "from"))
+                 : std::string(offer->node),
+             ResolveService(timeline.directory, FindField(last, "service")))});
+  } else if (!story.confirmations.empty()) {
+    const LogLine& last = story.confirmations.back();
+    out.push_back(
+        {.text = fmt::format(
+             "{}: confirmed by agent {}; the agent's lines "
+             "aren't among the files",
+             opening,
+             DescribeControl(timeline.directory, FindField(last, "agent")))});
+  } else if (!story.offers.empty() || !story.returns.empty()) {
+    out.push_back({.text = fmt::format(
+                       "{}: offered {} times, returned {} times; no line tells "
+                       "that a target got it",
+                       opening, story.offers.size(), story.returns.size())});
+  } else {
+    out.push_back({.text = opening + ": no line tells of an offer"});
+  }
+}
+
+auto CheckOffers(const Timeline& timeline,
+                 const OpeningStory& story,
+                 Findings& out) -> void {
+  std::set<std::string_view> placed_by_routes;  // Services.
+  std::set<std::string> reported;
+  for (const auto& it : story.offers) {
+    const std::string_view service = FindField(it, "service");
+    const std::string_view route = FindField(it, "route");
+    if (route.empty()) {
+      placed_by_routes.insert(service);
+      continue;
+    }
+    if (!reported
+             .insert(fmt::format("{} {} {} {}", it.node, service, route,
+                                 FindField(it, "agent")))
+             .second) {
+      continue;  // A further copy.
+    }
+    if (placed_by_routes.contains(service)) {
+      out.push_back({.text = fmt::format(
+                         "{} offered a copy as service {}, for which the "
+                         "opening was placed before the routes changed to {}",
+                         it.node, ResolveService(timeline.directory, service),
+                         ResolveService(timeline.directory, route))});
+      continue;
+    }
+    out.push_back(
+        {.rule = kRouteRule,
+         .text = fmt::format(
+             "{} told agent {} service {}, though routes version {} led to {}; "
+             "reason {}{}{}",
+             it.node,
+             DescribeControl(timeline.directory, FindField(it, "agent")),
+             ResolveService(timeline.directory, service),
+             FindField(it, "version"),
+             ResolveService(timeline.directory, route), FindField(it, "reason"),
+             FindField(it, "remembered") == "no" ||
+                     FindField(it, "remembered").empty()
+                 ? ""
+                 : fmt::format(", as it remembered the flow ({}, used {} ms "
+                               "before)",
+                               FindField(it, "remembered"),
+                               FindField(it, "remembered_ms")),
+             FindField(it, "remembered_born").empty()
+                 ? std::string()
+                 : fmt::format(", at a target started at {}, while {} is there "
+                               "now",
+                               FindField(it, "remembered_born"),
+                               FindField(it, "born")))});
+  }
+}
+
+// Returns what other heartbeats an agent got, or an empty text.
+auto DescribeForeignHeartbeat(const Timeline& timeline, std::string_view agent)
+    -> std::string {
+  for (const auto& it : timeline.lines) {
+    const auto parsed = ParseLogLine(it.text);
+    const auto* const line = std::get_if<LogLine>(&parsed);
+    if (line != nullptr && line->node == agent &&
+        line->event == "heartbeat_ignored" &&
+        FindField(*line, "service") != FindField(*line, "own")) {
+      return fmt::format(
+          "; {} of service {} sent heartbeats to it", FindField(*line, "id"),
+          ResolveService(timeline.directory, FindField(*line, "service")));
+    }
+  }
+  return "";
+}
+
+auto CheckDeliveries(const Timeline& timeline,
+                     const OpeningStory& story,
+                     Findings& out) -> void {
+  std::set<std::string_view> targets;
+  for (const auto& it : story.deliveries) {
+    if (!targets.insert(FindField(it, "born")).second) {
+      continue;  // A further copy.
+    }
+    const std::string_view service = FindField(it, "service");
+    const std::string_view own = FindField(it, "own");
+    if (service != own && ResolveService(timeline.directory, service) !=
+                              ResolveService(timeline.directory, own)) {
+      out.push_back(
+          {.rule = kRouteRule,
+           .text = fmt::format("agent {} of service {} sent its target an "
+                               "opening for service {}",
+                               it.node, ResolveService(timeline.directory, own),
+                               ResolveService(timeline.directory, service))});
+    }
+    const std::string_view state = FindField(it, "state");
+    if (it.event == "flow_opened" && state != "ready") {
+      out.push_back({.rule = kDrainRule,
+                     .text = fmt::format("agent {} opened it at a target that "
+                                         "was {}",
+                                         it.node, state)});
+    }
+    const auto age = FindNumber(it, "heartbeat_ms");
+    const std::string foreign = DescribeForeignHeartbeat(timeline, it.node);
+    if (age.value_or(0) >= kDoubtfulHeartbeatAge.count() || !foreign.empty()) {
+      out.push_back(
+          {.rule = kRouteRule,
+           .text = fmt::format("agent {} sent it to an address that may "
+                               "belong to another target: the last heartbeat "
+                               "was {} ms old{}",
+                               it.node, age.value_or(0), foreign)});
+    }
+  }
+  if (targets.size() > 1) {
+    out.push_back({.rule = kTwiceRule,
+                   .text = fmt::format("the opening was sent to {} targets; "
+                                       "the caller must keep only one",
+                                       targets.size())});
+  }
+}
+
+// An open flow may end with its target or agent; their lines say so.
+auto CheckResets(const Timeline& timeline,
+                 const OpeningStory& story,
+                 Findings& out) -> void {
+  for (const auto& it : story.resets) {
+    if (!FindField(it, "opening").empty()) {
+      out.push_back({.text = fmt::format("{} reset the opening: {}", it.node,
+                                         FindField(it, "reason"))});
+      continue;
+    }
+    std::vector<std::string> causes;
+    for (const auto& other : timeline.lines) {
+      const auto parsed = ParseLogLine(other.text);
+      const auto* const line = std::get_if<LogLine>(&parsed);
+      const bool is_holder = line != nullptr && !story.deliveries.empty() &&
+                             line->node == story.deliveries.back().node;
+      if (is_holder && line->time_ms <= it.time_ms &&
+          line->time_ms >= story.deliveries.back().time_ms &&
+          (line->event == "start" || line->event == "stopping" ||
+           line->event.starts_with("target_"))) {
+        causes.push_back(fmt::format("{} at {}", line->event, line->node));
+      }
+    }
+    const bool is_explained = !causes.empty();
+    out.push_back(
+        {.rule = is_explained ? "" : kFlowRule,
+         .text = fmt::format(
+             "{} reset the open flow: {}{}", it.node, FindField(it, "reason"),
+             is_explained ? ", after " + causes.back()
+                          : std::string("; no line tells that the agent or "
+                                        "its target ended"))});
+  }
+}
+
+// Compares the zones of the agents that opened the flow with the latest list of
+// zones out of service that its balancer had.
+auto CheckZones(const Timeline& timeline,
+                const OpeningStory& story,
+                Findings& out) -> void {
+  for (const auto& it : story.deliveries) {
+    const LogLine* const offer = FindOffer(story, it);
+    const auto agent = timeline.directory.nodes.find(it.node);
+    if (offer == nullptr || it.event != "flow_opened" ||
+        agent == timeline.directory.nodes.end() || agent->second.zone.empty()) {
+      continue;
+    }
+    std::string zones;
+    for (const auto& other : timeline.lines) {
+      const auto parsed = ParseLogLine(other.text);
+      const auto* const line = std::get_if<LogLine>(&parsed);
+      if (line != nullptr && line->node == offer->node &&
+          line->time_ms <= offer->time_ms &&
+          line->event == "zones_out_of_service") {
+        zones = fmt::format(" {} ", FindField(*line, "zones"));
+      }
+    }
+    std::replace(zones.begin(), zones.end(), ',', ' ');
+    if (zones.find(fmt::format(" {} ", agent->second.zone)) !=
+        std::string::npos) {
+      out.push_back(
+          {.rule = kZoneRule,
+           .text = fmt::format("{} offered it to {} in zone {}, "
+                               "which it knew to be out of service",
+                               offer->node, it.node, agent->second.zone)});
+    }
+  }
+}
+
+auto EraseRepeated(Findings& findings) -> void {
+  std::set<std::pair<std::string, std::string>> known;
+  std::erase_if(findings, [&](const TimelineFinding& it) {
+    return !known.emplace(it.rule, it.text).second;
+  });
+}
+
+}  // namespace
+
+auto FindConclusions(const Timeline& timeline) -> Findings {
+  Findings findings;
+  for (const auto& it : CollectStories(timeline)) {
+    AddOutcome(timeline, it, findings);
+    for (const auto& violation : it.violations) {
+      findings.push_back({.rule = std::string(violation.event),
+                          .text = std::string(FindField(violation, "detail")),
+                          .is_seen = true});
+    }
+    CheckOffers(timeline, it, findings);
+    CheckDeliveries(timeline, it, findings);
+    CheckZones(timeline, it, findings);
+    CheckResets(timeline, it, findings);
+  }
+  EraseRepeated(findings);
+  return findings;
+}
+
+}  // namespace hawthornbank::transport
--- a/support/hawthornctl-completion.bash
+++ b/support/hawthornctl-completion.bash
@@ -15,9 +15,10 @@
   local words=""
   COMPREPLY=()
   if [ "$COMP_CWORD" -eq 1 ]; then
-    words="sheet service target balancer plan status watch metrics --help --version"
+    words="sheet service target balancer plan status watch metrics explain --help --version"
   elif [ "$COMP_CWORD" -eq 2 ] && [[ $word != --* ]]; then
     case $group in
+      explain) mapfile -t COMPREPLY < <(compgen -d -- "$word") && return ;;
       sheet) words="check diff import" ;;
       service) words="list show set" ;;
       target) words="list drain undrain" ;;
@@ -28,6 +29,7 @@
     words="--platform --region --balancer --json --help"
     case "$group $verb" in
       "sheet check") words="--json --help" ;;
+      explain*) words="--flow --request --opening --from --to --window --json --help" ;;
       "sheet import" | "service set" | target*drain | "balancer stop" | \
         "balancer resume")
         words+=" --dry-run --wait --wait-limit-s --author --operation" ;;
@@ -44,6 +46,7 @@
   else
     case "$group $verb" in
       sheet*) mapfile -t COMPREPLY < <(compgen -f -- "$word") && return ;;
+      explain*) mapfile -t COMPREPLY < <(compgen -d -- "$word") && return ;;
       "service show" | "service set" | "plan show")
         words=$(_hawthornctl_list_names service list) ;;
       target*drain) words=$(_hawthornctl_list_names target list) ;;
--- a/test/fuzz_test.cc
+++ b/test/fuzz_test.cc
@@ -11,6 +11,8 @@
 #include "protocol/message.h"
 #include "protocol/sheet.h"
 #include "protocol/status_json.h"
+#include "transport/node_log_line.h"
+#include "transport/node_log_reading.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -51,6 +53,37 @@
 
 TEST_GROUP(Fuzz){};
 
+TEST(Fuzz, LogReaderAcceptsOnlyPlainTextInBounds) {
+  const std::string text =
+      "t=1790036980058 node=edge-1 kind=opening event=flow_relayed "
+      "flow=10.0.0.1:5>10.0.0.2:6 reason=placed opening=7 copy=0 "
+      "agent=10.0.0.3:7 service=#0000004d record=none asked=0 id=\"a b\" "
+      "version=4";
+  std::size_t parsed = 0;
+  std::size_t skipped = 0;
+  DecodeMutatedSamples({Bytes(text.begin(), text.end())}, [&](const Bytes& it) {
+    const std::string mutated(it.begin(), it.end());
+    transport::LogLineSplitter splitter(
+        [&](std::string_view line,
+            std::optional<transport::LogLineFault> fault) {
+          const auto result = transport::ParseLogLine(line);
+          const auto* const found = std::get_if<transport::LogLine>(&result);
+          skipped += fault.has_value() || found == nullptr ? 1 : 0;
+          if (found != nullptr) {
+            ++parsed;
+            CHECK(!transport::DescribeLogLine(*found, {}).empty());
+            CHECK(transport::FindField(*found, "version").size() <=
+                  mutated.size());
+          }
+        });
+    splitter.AppendBytes(mutated.substr(0, mutated.size() / 2));
+    splitter.AppendBytes(mutated.substr(mutated.size() / 2) + "\n");
+    splitter.EndFile();
+  });
+  CHECK(parsed > 0);
+  CHECK(skipped > 0);
+}
+
 TEST(Fuzz, PacketParserNeverReadsOutsideThePacket) {
   Bytes tcp = BuildUdpPacket(kCaller, kAddress, Bytes(24, 0));
   tcp[9] = 6;
--- a/test/hawthornctl_test.cc
+++ b/test/hawthornctl_test.cc
@@ -241,6 +241,37 @@
   STRCMP_CONTAINS("Accepted: generation 1", result.output.c_str());
 }
 
+TEST(Hawthornctl, ExplainShowsTheTimelineOfAFlow) {
+  const auto folder = std::filesystem::temp_directory_path() /
+                      ("explain-" + std::to_string(::getpid()));
+  std::filesystem::create_directory(folder);
+  const std::string words = "explain " + folder.string();
+  const auto expect = [&](const std::string& arguments, int code,
+                          const char* text) {
+    const ProgramResult result = RunHawthornctl(words + arguments);
+    LONGS_EQUAL(code, result.exit_code);
+    STRCMP_CONTAINS(text, result.output.c_str());
+  };
+  const std::string flow = " --flow '10.0.0.1:5>10.0.0.2:6'";
+  expect(flow, 2, "the folder has no files");
+  std::ofstream(folder / "edge.log")
+      << "t=1790036980058 node=edge-1 kind=refusal event=flow_reset "
+         "flow=10.0.0.1:5>10.0.0.2:6 reason=no_route opening=7 copy=0 route=- "
+         "version=4\nt=17900";
+  std::ofstream(folder / "caller.log")
+      << "request=12 flow=10.0.0.1:5>10.0.0.2:6\n";
+  expect(flow, 0, "edge-1 resets the caller: no_route (the address has no");
+  expect(" --request 12", 0, "2 files, 3 lines; skipped 2: 1 cut, 1 without a");
+  expect(flow + " --json", 0, "\"about_flow\": true");
+  expect(" --request 1", 3, "balancers and agents don't read request ids");
+  expect(flow + " --from 1790036980059", 3, "no line about the flow");
+  expect(" --flow 10.0.0.1:5", 2, "is not a flow: give CALLER>ADDRESS");
+  expect("", 2, "give either --flow or --request");
+  expect(flow + " --window 86401", 2, "--window: at most 86400");
+  std::filesystem::remove_all(folder);
+  expect(flow, 2, "No such file or directory");
+}
+
 TEST(Hawthornctl, WrongCommandLinesAreRefusedWithAHint) {
   RunAndExpectNoChange("sheet imprt x", 2, "did you mean 'sheet import'?");
   RunAndExpectNoChange("sheet import --dry-rnu x", 2,
