Print a timeline for each violation of the soak

A violation named a port and a sequence number; what led to it had to be pieced together from the logs of dozens of processes.

For each flow with a violation, ten at most, the soak prints the timeline that hawthornctl explain shows, with the packets of its caller and the faults that were played. The soak writes these as a log file of its own beside the kept ones, so that the command shows the same later.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -157,8 +157,10 @@
   const std::size_t balancer = ChooseBalancer(flow.port);
   flow.balancer_last_used[balancer] = now;
   if (DrawRandomFraction(random_) < loss_share_) {
+    RecordSentPacket(flow, head, balancer, true);
     return;
   }
+  RecordSentPacket(flow, head, balancer, false);
   const std::uint64_t request = head.is_opening ? 0 : flow.pending_request;
   socket_.SendDatagram(
       balancers_[balancer],
@@ -188,6 +190,7 @@
     return;
   }
   CallerFlow& flow = it->second;
+  RecordReceivedPacket(flow, *packet, bytes);
   const TimePoint now = transport::GetMonotonicTime();
   if (packet->is_reset) {
     if (flow.is_open && flow.is_port_reused &&
@@ -244,6 +247,48 @@
   }
 }
 
+auto Callers::RecordSentPacket(const CallerFlow& flow,
+                               const FlowPacket& packet,
+                               std::size_t balancer,
+                               bool is_lost) -> void {
+  const char* what = "request";
+  if (packet.is_opening || packet.is_finish) {
+    what = packet.is_opening ? "opening" : "end";
+  }
+  RecordPacket(flow, {.what = what,
+                      .request = packet.is_opening ? 0 : flow.pending_request,
+                      .copy = flow.retransmissions,
+                      .balancer = balancer,
+                      .is_sent = true,
+                      .is_lost = is_lost});
+}
+
+auto Callers::RecordReceivedPacket(const CallerFlow& flow,
+                                   const FlowPacket& packet,
+                                   ByteView bytes) -> void {
+  const char* what = "answer";
+  if (packet.is_reset) {
+    what = IsResetByLoadBalancer(bytes) ? "reset of the load balancer"
+                                        : "reset of a target";
+  } else if (packet.is_opening) {
+    what = packet.acknowledgement == flow.opening_sequence + 1
+               ? "acceptance"
+               : "acceptance of another opening";
+  }
+  const bool has_request = !packet.is_reset && !packet.is_opening;
+  RecordPacket(flow, {.what = what,
+                      .request = has_request ? ReadRequestNumber(bytes) : 0});
+}
+
+auto Callers::RecordPacket(const CallerFlow& flow, CallerPacket packet)
+    -> void {
+  packet.time_ms = transport::GetWallTime().time_since_epoch().count();
+  packet.caller = {.address = local_.address, .port = flow.port};
+  packet.route = flow.route.address;
+  packet.opening_sequence = flow.opening_sequence;
+  RecordCallerPacket(packets_, packet);
+}
+
 auto Callers::FinishFlow(std::uint16_t port, bool served) -> void {
   const auto it = flows_.find(port);
   events_.on_request_finished(it->second, served);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -10,6 +10,7 @@
 
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/random.h"
+#include "soak/caller_packets.h"
 #include "soak/caller_ports.h"
 #include "transport/udp_socket.h"
 
@@ -95,6 +96,11 @@
   /// @param share Share of packets from callers to balancers to drop, 0 to 1.
   auto SetPacketLossShare(double share) -> void { loss_share_ = share; }
 
+  /// @return The latest packets of all callers.
+  [[nodiscard]] auto packets() const -> const CallerPackets& {
+    return packets_;
+  }
+
  private:
   auto OpenFlow(TimePoint now, bool in_final_phase) -> void;
   auto SendDuePacket(CallerFlow& flow, TimePoint now) -> bool;
@@ -106,6 +112,14 @@
   auto OnPacketReceived(ByteView bytes) -> void;
   auto SendLateCopies(TimePoint now) -> void;
   auto FinishFlow(std::uint16_t port, bool served) -> void;
+  auto RecordSentPacket(const CallerFlow& flow,
+                        const FlowPacket& packet,
+                        std::size_t balancer,
+                        bool is_lost) -> void;
+  auto RecordReceivedPacket(const CallerFlow& flow,
+                            const FlowPacket& packet,
+                            ByteView bytes) -> void;
+  auto RecordPacket(const CallerFlow& flow, CallerPacket packet) -> void;
 
   transport::UdpSocket socket_;
   Endpoint local_;
@@ -117,6 +131,7 @@
   Random sequence_random_;
   std::map<std::uint16_t, CallerFlow> flows_;
   CallerPorts ports_;
+  CallerPackets packets_;
   /// Copies of opening packets of ended flows, by the time at which they
   /// arrive at a balancer.
   std::multimap<TimePoint, CallerFlow> late_copies_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -2,10 +2,14 @@
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <exception>
+#include <filesystem>
 #include <iostream>
 
+#include "soak/timeline.h"
 #include "soak/world.h"
+#include "transport/clock.h"
 
 /// @file
 /// Runs hawthornnode processes under a series of faults that a seed determines,
@@ -28,6 +32,14 @@
          (1 + static_cast<std::uint32_t>(process_id) % kNetworks) * kAddresses;
 }
 
+// Returns the Unix time at the zero of the monotonic clock.
+auto ComputeClockOffset() -> std::chrono::milliseconds {
+  namespace transport = hawthornbank::transport;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      transport::GetWallTime().time_since_epoch() -
+      transport::GetMonotonicTime().time_since_epoch());
+}
+
 auto PrintReportAndKeepLogs(SoakEnvironment& environment,
                             const SoakOptions& options,
                             const InvariantChecker& checker) -> int {
@@ -51,9 +63,21 @@
         "  violation: {}: {} at {:.2f}\n", it.invariant, it.detail,
         std::chrono::duration<double>(it.at - checker.started).count());
   }
+  std::vector<std::filesystem::path> files;
   for (const auto& it : environment.KeepLogFiles()) {
-    std::cout << "  log kept: " << it << '\n';
+    files.emplace_back(it);
+  }
+  files.push_back(
+      std::filesystem::temp_directory_path() /
+      fmt::format("soak-{}-callers-{}.log", options.seed, ::getpid()));
+  WriteSoakLog(files.back(), {.checker = checker,
+                              .packets = environment.caller_packets(),
+                              .events = environment.GetEventHistory(),
+                              .clock_offset = ComputeClockOffset()});
+  for (const auto& it : files) {
+    std::cout << "  log kept: " << it.string() << '\n';
   }
+  PrintTimelines(std::cout, checker, files);
   return checker.violations.empty() ? 0 : kViolationsFound;
 }
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -59,6 +59,11 @@
     return event_history_;
   }
 
+  /// @return The latest packets of all callers.
+  [[nodiscard]] auto caller_packets() const -> const CallerPackets& {
+    return callers_->packets();
+  }
+
   /// @return Number of addresses given to a target of another service by an
   /// event of the option `reuse`.
   [[nodiscard]] auto hand_over_count() const -> int { return hand_overs_; }
