Name the opening in a balancer's line of its confirmation

flow_confirmed named flow and agent only. Of a port that was used again, the line could belong to either flow, and the clocks of balancer and agent could be compared in one direction only.

The line has `opening` with the sequence number of the opening that waited for the reply, where openings have it too. It is written by node_steering_log.

--- a/src/transport/balancer_node.cc
+++ b/src/transport/balancer_node.cc
@@ -208,14 +208,12 @@
 
   auto OnFlowReplyReceived(const FlowReply& reply, TimePoint now) -> void {
     actions_.clear();
+    const auto opening = FindPendingOpening(steering_, reply.flow);
     const Duration took = OnFlowReply(steering_, reply, now, actions_);
     PerformSteeringActions({}, {}, now);
     if (took > Duration::zero()) {
       placement_latency_.AddSample(took);
-      host_.event_log().WriteFlowEvent(
-          EventKind::kFlow, now, {.name = "flow_confirmed", .flow = reply.flow},
-          "agent={} took_us={}", ToString(reply.agent),
-          std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+      LogConfirmation(host_.event_log(), reply, opening, took, now);
     }
   }
 
--- a/src/transport/node_steering_log.cc
+++ b/src/transport/node_steering_log.cc
@@ -226,6 +226,33 @@
   }
 }
 
+auto FindPendingOpening(const Steering& steering, const FlowKey& flow)
+    -> std::optional<std::uint32_t> {
+  const auto it = steering.openings.find(flow);
+  return it == steering.openings.end() ? std::nullopt
+                                       : std::optional(it->second.sequence);
+}
+
+auto LogConfirmation(EventLog& log,
+                     const FlowReply& reply,
+                     std::optional<std::uint32_t> opening,
+                     Duration took,
+                     TimePoint now) -> void {
+  log.AppendFlowEvent(
+      EventKind::kFlow, now, {.name = "flow_confirmed", .flow = reply.flow},
+      [&](Line& line) {
+        if (opening.has_value()) {
+          fmt::format_to(std::back_inserter(line), "opening={} ", *opening);
+        }
+        line.append(std::string_view("agent="));
+        AppendEndpoint(reply.agent, line);
+        fmt::format_to(
+            std::back_inserter(line), " took_us={}",
+            std::chrono::duration_cast<std::chrono::microseconds>(took)
+                .count());
+      });
+}
+
 auto LogIgnoredReturn(EventLog& log,
                       const SteeringLogContext& context,
                       Endpoint agent,
--- a/src/transport/node_steering_log.h
+++ b/src/transport/node_steering_log.h
@@ -58,6 +58,25 @@
                        const std::optional<SteeredOpening>& opening,
                        TimePoint now) -> void;
 
+/// @param steering The balancer's state.
+/// @param flow A flow.
+/// @return Sequence number of the flow's opening that no agent has confirmed,
+/// or nothing.
+auto FindPendingOpening(const Steering& steering, const FlowKey& flow)
+    -> std::optional<std::uint32_t>;
+
+/// Logs that an agent's reply has confirmed an opening.
+/// @param log The log.
+/// @param reply The reply.
+/// @param opening FindPendingOpening() before the reply.
+/// @param took Time from the opening's arrival to the reply.
+/// @param now Current time.
+auto LogConfirmation(EventLog& log,
+                     const FlowReply& reply,
+                     std::optional<std::uint32_t> opening,
+                     Duration took,
+                     TimePoint now) -> void;
+
 /// Logs an opening that an agent returned after it was confirmed or refused.
 /// @param log The log.
 /// @param context State of the balancer.
--- a/test/opening_log_test.cc
+++ b/test/opening_log_test.cc
@@ -147,6 +147,23 @@
       line.c_str());
 }
 
+TEST(OpeningLog, ConfirmationNamesItsOpening) {
+  OnCallerPacket(steering, kOpening, {}, kNow, steering_actions);
+  const FlowReply reply{.flow = ExtractCallerFlowKey(kOpening),
+                        .agent = MakeAgentEndpoint(1)};
+  const auto opening = FindPendingOpening(steering, reply.flow);
+  const Duration took =
+      OnFlowReply(steering, reply, kNow + 3ms, steering_actions);
+  CHECK(!FindPendingOpening(steering, reply.flow).has_value());
+  const std::string line = ReadLine([&](EventLog& log) {
+    LogConfirmation(log, reply, opening, took, kNow + 3ms);
+  });
+  STRCMP_CONTAINS(
+      "event=flow_confirmed flow=100.66.0.18:1148>198.18.0.1:443 opening=4711 "
+      "agent=10.1.0.1:7000 took_us=3000\n",
+      line.c_str());
+}
+
 TEST(OpeningLog, ReturnAfterTheConfirmationHasALine) {
   const std::string line = ReadLine([&](EventLog& log) {
     LogIgnoredReturn(log, {.steering = steering, .services = names},
