Ask peers for the names of services that logs lack

Lines of balancers whose routes came from a peer named services by hash, as routes between processes contain hashes only; only the readers of the store knew the names.

A process that lacks names of its routes' services asks the peer that sent the routes, 2 s after them, so that neither a start nor routes on a slow link wait for names; three calls at most for a version. Peers of an older build answer 404. Names are made printable and bounded in number and length, as before; they have no line of their own, as the readers of the store have logged them.

--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "hawthornbank/fleet.h"
@@ -135,6 +136,14 @@
   /// @param now Current time.
   auto LearnServiceName(std::string_view name, TimePoint now) -> void;
 
+  /// Records names of services that a peer sent with its routes, without a
+  /// line for each: the nodes that read the store have logged them.
+  /// @param names The names by hash.
+  auto LearnPeerServiceNames(
+      const std::unordered_map<std::uint32_t, std::string>& names) -> void {
+    RecordPeerServiceNames(service_names_, names);
+  }
+
   /// @return What this node sends to and hears from other processes.
   auto gossip() -> NodeGossip& { return gossip_; }
   auto io_context() -> asio::io_context& { return io_; }
--- a/src/transport/node_service_names.cc
+++ b/src/transport/node_service_names.cc
@@ -8,6 +8,15 @@
 #include "protocol/log_text.h"
 
 namespace hawthornbank::transport {
+namespace {
+
+auto MakePrintable(std::string_view name) -> std::string {
+  std::string printable = FormatForLog(name, kMaxLoggedName);
+  std::replace(printable.begin(), printable.end(), ' ', '?');
+  return printable;
+}
+
+}  // namespace
 
 auto RecordServiceName(ServiceNames& services, std::string_view name)
     -> std::uint32_t {
@@ -16,12 +25,21 @@
       services.names.contains(service)) {
     return 0;
   }
-  std::string printable = FormatForLog(name, kMaxLoggedName);
-  std::replace(printable.begin(), printable.end(), ' ', '?');
-  services.names.emplace(service, std::move(printable));
+  services.names.emplace(service, MakePrintable(name));
   return service;
 }
 
+auto RecordPeerServiceNames(
+    ServiceNames& services,
+    const std::unordered_map<std::uint32_t, std::string>& names) -> void {
+  for (const auto& [service, name] : names) {
+    if (service != 0 && !name.empty() &&
+        services.names.size() < kMaxServiceNames) {
+      services.names.emplace(service, MakePrintable(name));
+    }
+  }
+}
+
 auto AppendService(const ServiceNames& services,
                    std::uint32_t service,
                    fmt::memory_buffer& line) -> void {
--- a/src/transport/node_service_names.h
+++ b/src/transport/node_service_names.h
@@ -10,8 +10,8 @@
 #include <unordered_map>
 
 /// @file
-/// Names of services in log lines. Records, relay headers and routes that a
-/// peer sent contain hashes of names only.
+/// Names of services in log lines. Records and relay headers contain hashes of
+/// names only.
 namespace hawthornbank::transport {
 
 /// Maximum number of names that a node keeps.
@@ -29,6 +29,13 @@
 auto RecordServiceName(ServiceNames& services, std::string_view name)
     -> std::uint32_t;
 
+/// Records names that a peer sent, made printable and short.
+/// @param services The names that are known; they stay as they are.
+/// @param names The peer's names by hash.
+auto RecordPeerServiceNames(
+    ServiceNames& services,
+    const std::unordered_map<std::uint32_t, std::string>& names) -> void;
+
 /// Appends a service's name, "#" and its hash as eight hexadecimal digits if
 /// the name isn't known, or "-" for no service.
 /// @param services The names that are known.
--- a/src/transport/route_peers.cc
+++ b/src/transport/route_peers.cc
@@ -44,6 +44,7 @@
       follower_(follower),
       on_routes_(std::move(on_routes)),
       fetches_(host.io_context(), follower.peer_fetches),
+      names_(host),
       server_(host.io_context(),
               host.settings().control,
               [this](const HttpServerRequest& call) {
@@ -64,6 +65,7 @@
 auto RoutePeers::FetchRoutesFromPeer(std::uint64_t in_force, TimePoint now)
     -> void {
   MarkLateFetches(now);
+  names_.AskIfDue(now);
   const auto id = BeginPeerFetchIfDue(follower_, in_force, now);
   if (!id.has_value()) {
     return;
@@ -109,6 +111,7 @@
       reply.received_bytes,
       CountMilliseconds(call.has_value() ? now - call->started : Duration{}));
   if (routes.has_value()) {
+    names_.OnPeerRoutes(peer, routes->routes, now);
     on_routes_(routes->routes, std::move(routes->document));
   }
 }
@@ -153,6 +156,9 @@
 
 auto RoutePeers::AnswerRoutesRequest(const HttpServerRequest& call) const
     -> HttpServerResponse {
+  if (call.target == kServiceNamesPath) {
+    return names_.AnswerNamesRequest();
+  }
   if (call.target != kRoutesPath || document_.encoded.empty()) {
     return HttpServerResponse{.status = kNotFound};
   }
--- a/src/transport/route_peers.h
+++ b/src/transport/route_peers.h
@@ -12,6 +12,7 @@
 #include "transport/call_pool.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "transport/node_name_peers.h"
 
 /// @file
 /// Exchange of routes between balancers and agents: a process fetches the
@@ -113,6 +114,7 @@
   CallPool fetches_;
   RouteFetchCounts fetch_counts_;
   RoutesDocument document_;
+  NamePeers names_;
   HttpServer server_;
 };
 
--- a/test/node_path_test.cc
+++ b/test/node_path_test.cc
@@ -339,6 +339,22 @@
                std::string::npos;
       },
       [&] { target.SendHeartbeat(); }));
+  // Routes of a peer have no names of services; the agent sends them later.
+  std::uint16_t port = 2000;
+  CHECK(RunUntil(
+      [&] {
+        return balancer->ReadLogFile().find(" service=s record=s ") !=
+               std::string::npos;
+      },
+      [&] {
+        target.SendHeartbeat();
+        caller.SendDatagram(
+            balancer_endpoint,
+            EncodeFlowPacketWithFlags(
+                FlowPacket{.source = {.address = kCallerHost, .port = ++port},
+                           .destination = kRoute},
+                kSynFlag));
+      }));
 }
 
 // Load pattern: a drill in which the store returns from a copy, and the
