Name a rule as broken only on evidence of its own

Of 150 flows of a soak without violations, hawthornctl explain called 24 MIXED, as their openings had been sent to more than one target, and 31 ROUTE, as another service's target got the agent's address some time after the opening; one reset was taken for the flow that another agent had opened.

An opening that is offered on is a fact, not a fault. A target of another service counts only if it had started when the agent sent the opening, both by the clock of their host, and any copy can show it. A reset by an agent that hasn't opened the flow belongs to another flow of the port. Copies of a file in the folder add nothing, and events without a line of their own are summed up.

--- a/src/transport/node_log_findings.cc
+++ b/src/transport/node_log_findings.cc
@@ -17,7 +17,6 @@
 constexpr const char* kDrainRule = "DRAIN";
 constexpr const char* kFlowRule = "FLOW";
 constexpr const char* kZoneRule = "EVAC";
-constexpr const char* kTwiceRule = "MIXED";
 
 // Lines about one opening, and those without a number after it.
 struct OpeningStory {
@@ -179,18 +178,28 @@
   }
 }
 
-// Returns what other heartbeats an agent got, or an empty text.
-auto DescribeForeignHeartbeat(const Timeline& timeline, std::string_view agent)
+// Returns which target of another service had started at the agent's address
+// before a delivery, by its heartbeats to the agent, or an empty text.
+// Heartbeats of an earlier target may be late.
+auto DescribeOtherTarget(const Timeline& timeline, const LogLine& delivery)
     -> std::string {
   for (const auto& it : timeline.lines) {
     const auto parsed = ParseLogLine(it.text);
     const auto* const line = std::get_if<LogLine>(&parsed);
-    if (line != nullptr && line->node == agent &&
-        line->event == "heartbeat_ignored" &&
-        FindField(*line, "service") != FindField(*line, "own")) {
+    if (line == nullptr || line->node != delivery.node ||
+        line->event != "heartbeat_ignored" ||
+        FindField(*line, "service") == FindField(*line, "own")) {
+      continue;
+    }
+    const auto born = FindNumber(*line, "born").value_or(0);
+    if (born > FindNumber(delivery, "born").value_or(0) &&
+        born <= delivery.time_ms) {
       return fmt::format(
-          "; {} of service {} sent heartbeats to it", FindField(*line, "id"),
-          ResolveService(timeline.directory, FindField(*line, "service")));
+          "target {} of service {}, which sent heartbeats to "
+          "this agent, had started {} ms before",
+          FindField(*line, "id"),
+          ResolveService(timeline.directory, FindField(*line, "service")),
+          delivery.time_ms - born);
     }
   }
   return "";
@@ -200,10 +209,9 @@
                      const OpeningStory& story,
                      Findings& out) -> void {
   std::set<std::string_view> targets;
+  std::set<std::string_view> doubtful;  // Agents.
   for (const auto& it : story.deliveries) {
-    if (!targets.insert(FindField(it, "born")).second) {
-      continue;  // A further copy.
-    }
+    targets.insert(FindField(it, "born"));
     const std::string_view service = FindField(it, "service");
     const std::string_view own = FindField(it, "own");
     if (service != own && ResolveService(timeline.directory, service) !=
@@ -223,20 +231,22 @@
                                          it.node, state)});
     }
     const auto age = FindNumber(it, "heartbeat_ms");
-    const std::string foreign = DescribeForeignHeartbeat(timeline, it.node);
-    if (age.value_or(0) >= kDoubtfulHeartbeatAge.count() || !foreign.empty()) {
+    const std::string other = DescribeOtherTarget(timeline, it);
+    const bool is_doubtful =
+        age.value_or(0) >= kDoubtfulHeartbeatAge.count() || !other.empty();
+    if (is_doubtful && doubtful.insert(it.node).second) {
       out.push_back(
           {.rule = kRouteRule,
            .text = fmt::format("agent {} sent it to an address that may "
                                "belong to another target: the last heartbeat "
-                               "was {} ms old{}",
-                               it.node, age.value_or(0), foreign)});
+                               "was {} ms old{}{}",
+                               it.node, age.value_or(0),
+                               other.empty() ? "" : "; ", other)});
     }
   }
   if (targets.size() > 1) {
-    out.push_back({.rule = kTwiceRule,
-                   .text = fmt::format("the opening was sent to {} targets; "
-                                       "the caller must keep only one",
+    out.push_back({.text = fmt::format("the opening was sent to {} targets, as "
+                                       "some didn't answer or returned it",
                                        targets.size())});
   }
 }
@@ -264,6 +274,16 @@
         causes.push_back(fmt::format("{} at {}", line->event, line->node));
       }
     }
+    const bool is_of_other_agent =
+        timeline.directory.nodes.contains(it.node) &&
+        timeline.directory.nodes.find(it.node)->second.role == "agent" &&
+        !story.deliveries.empty() && story.deliveries.back().node != it.node;
+    if (is_of_other_agent) {
+      out.push_back({.text = fmt::format("{}, which hasn't opened it, reset a "
+                                         "flow of the port: {}",
+                                         it.node, FindField(it, "reason"))});
+      continue;
+    }
     const bool is_explained = !causes.empty();
     out.push_back(
         {.rule = is_explained ? "" : kFlowRule,
--- a/src/transport/node_log_report.cc
+++ b/src/transport/node_log_report.cc
@@ -144,6 +144,12 @@
         "  {} further lines are left out; limit the time or the opening\n",
         timeline.left_out);
   }
+  if (timeline.unlogged != 0) {
+    text += fmt::format(
+        "  these nodes wrote no line for {} events around that time, as their "
+        "lines are limited: lines about the flow may be missing\n",
+        timeline.unlogged);
+  }
   text += "conclusion\n";
   for (const auto& it : FindConclusions(timeline)) {
     if (it.rule.empty()) {
@@ -192,6 +198,7 @@
               {"nodes", nodes},
               {"lines", lines},
               {"left_out", timeline.left_out},
+              {"unlogged", timeline.unlogged},
               {"conclusion", findings}}
              .dump(2, ' ', false, json::error_handler_t::replace) +
          "\n";
--- a/src/transport/node_log_timeline.cc
+++ b/src/transport/node_log_timeline.cc
@@ -244,7 +244,12 @@
   if (!IsContext(*line) || IsAboutFlow(*line)) {
     return;
   }
-  if (!is_near) {
+  if (line->event == "events_counted") {
+    const auto count = FindNumber(*line, "count").value_or(0);
+    timeline_.unlogged +=
+        is_near ? static_cast<std::uint64_t>(std::max<std::int64_t>(count, 0))
+                : 0;
+  } else if (!is_near) {
     KeepEarlierLine(*line, text);
   } else if (context_lines_ < kMaxContextLines) {
     ++context_lines_;
@@ -303,8 +308,11 @@
                             std::pair(b.second.corrected_ms, b.first);
                    });
   timeline_.lines.clear();
-  for (auto& it : ranked) {
-    timeline_.lines.push_back(std::move(it.second));
+  std::set<std::string> known;  // Folders may hold copies of a file.
+  for (auto& [rank, line] : ranked) {
+    if (known.insert(line.text).second) {
+      timeline_.lines.push_back(std::move(line));
+    }
   }
   return std::move(timeline_);
 }
--- a/src/transport/node_log_timeline.h
+++ b/src/transport/node_log_timeline.h
@@ -84,6 +84,8 @@
   std::string reference;
   ClockOffsets clocks;
   std::uint64_t left_out = 0;  ///< Lines beyond the limits.
+  /// Events close to the flow that involved nodes have only counted.
+  std::uint64_t unlogged = 0;
 };
 
 /// Collects the timeline of a flow from lines that are read twice.
--- a/test/log_timeline_test.cc
+++ b/test/log_timeline_test.cc
@@ -171,6 +171,29 @@
       ReadText().c_str());
 }
 
+// A target of another service starts at 1100 at the address of an agent that
+// still knows its former target.
+TEST(LogTimeline, DeliveryAfterAnotherTargetsStartIsDoubtful) {
+  WriteFile("side-1",
+            MakeDecision(1101, "side-1", "flow_opened", 7, 0) +
+                "t=1150 node=side-1 kind=input event=heartbeat_ignored id=i-2 "
+                "outcome=foreign service=claim own=quote born=1100 seq=1 "
+                "present_id=i-1 present_born=5 present_seq=9\n"
+                "t=1160 node=side-1 kind=flow event=events_counted "
+                "name=flow_confirmed reason=- count=3 first=- last=- "
+                "span_ms=9\n");
+  const std::string text = ReadText();
+  STRCMP_CONTAINS(
+      "ROUTE looks broken: agent side-1 sent it to an address that may belong "
+      "to another target: the last heartbeat was 250 ms old; target i-2 of "
+      "service claim, which sent heartbeats to this agent, had started 1 ms "
+      "before\n",
+      text.c_str());
+  STRCMP_CONTAINS("wrote no line for 3 events around", text.c_str());
+  WriteFile("side-1", MakeDecision(1099, "side-1", "flow_opened", 7, 0));
+  CHECK(ReadText().find("looks broken") == std::string::npos);
+}
+
 TEST(LogTimeline, FlowsOfOnePortAreToldApartByTheirOpenings) {
   WriteFile("edge-1",
             MakeOffer(1000, 7, 0, kAsRouted) +
@@ -253,6 +276,13 @@
   CHECK(text.find("ENDS") == std::string::npos);
 }
 
+TEST(LogTimeline, CopiesOfAFileAddNothing) {
+  for (const auto* name : {"edge-1", "edge-1.copy"}) {
+    WriteFile(name, MakeOffer(1000, 7, 0, kAsRouted));
+  }
+  LONGS_EQUAL(3, Read().lines.size());  // Two starts and the offer.
+}
+
 TEST(LogTimeline, NumberOfLinesIsBounded) {
   std::string lines;
   for (int n = 0; n < static_cast<int>(kMaxFlowLines) + 5; ++n) {
@@ -261,6 +291,7 @@
   WriteFile("edge-1", lines);
   const Timeline timeline = Read();
   LONGS_EQUAL(5, timeline.left_out);
+  LONGS_EQUAL(kMaxFlowLines + 2, timeline.lines.size());  // And two starts.
   STRCMP_CONTAINS("5 further lines are left out",
                   FormatTimeline(timeline).c_str());
 }
