Don't count agents that a search asks first as involved

Each search names the first of the agents that it asks, mostly one that has nothing to do with the flow, whose lines filled the timeline. Only agents that were offered the flow, that a balancer remembers or that gave no answer are involved. A wrong service of an opening's first offer is put down to an earlier flow of the port, as nothing of the opening itself can be remembered yet.

--- a/src/transport/node_log_findings.cc
+++ b/src/transport/node_log_findings.cc
@@ -165,8 +165,10 @@
              FindField(it, "remembered") == "no" ||
                      FindField(it, "remembered").empty()
                  ? ""
-                 : fmt::format(", as it remembered the flow ({}, used {} ms "
-                               "before)",
+                 : fmt::format(", as it remembered {} ({}, used {} ms before)",
+                               &it == &story.offers.front()
+                                   ? "an earlier flow of the port"
+                                   : "the flow",
                                FindField(it, "remembered"),
                                FindField(it, "remembered_ms")),
              FindField(it, "remembered_born").empty()
--- a/src/transport/node_log_timeline.cc
+++ b/src/transport/node_log_timeline.cc
@@ -13,7 +13,7 @@
 
 // Fields with the control endpoint of an agent that had to do with the flow.
 constexpr auto kAgentKeys =
-    std::to_array<std::string_view>({"agent", "remembered_agent", "first"});
+    std::to_array<std::string_view>({"agent", "remembered_agent"});
 
 // Events of involved nodes that tell nothing about a flow.
 constexpr auto kOtherEvents = std::to_array<std::string_view>(
@@ -189,10 +189,13 @@
     }
     for (const auto key : kAgentKeys) {
       const std::string_view agent = FindField(line, key);
-      if (agent.find(':') != std::string_view::npos) {
+      if (!agent.empty()) {
         agents_.emplace(agent);
       }
     }
+    if (line.event == "packet_dropped" && !FindField(line, "first").empty()) {
+      agents_.emplace(FindField(line, "first"));  // It gave no answer.
+    }
   }
   for (const auto& it : agents_) {
     const auto names = timeline_.directory.names_by_control.find(it);
