--- a/bench/opening_log_cost.cc
+++ b/bench/opening_log_cost.cc
@@ -14,9 +14,9 @@
 #include "transport/node_target_log.h"
 
 /// @file
-/// Cost of the log line of an opening at a balancer and at an agent: processor
-/// time with the write to a pipe, bytes, and what an opening beyond the limit
-/// on lines costs.
+/// Cost of the log lines of an opening at a balancer and at an agent, and of
+/// its confirmation: processor time with the write to a pipe, bytes, and what
+/// an event beyond the limit on lines costs.
 
 namespace {
 
@@ -50,7 +50,6 @@
 using transport::EventLog;
 using transport::ServiceNames;
 
-constexpr std::uint32_t kLines = transport::kMaxOpeningLinesPerSecond;
 constexpr int kRounds = 200;
 constexpr std::uint32_t kService = 77;
 constexpr std::uint32_t kAgents = 40;
@@ -98,9 +97,11 @@
 }
 
 // Measures `write(log, n, now)`, which logs the n-th opening, within the limit
-// on lines and beyond it.
+// of `lines` a second and beyond it.
 template <class Write>
-auto MeasureLine(const std::string& name, const Write& write) -> void {
+auto MeasureLine(const std::string& name,
+                 std::uint32_t lines,
+                 const Write& write) -> void {
   std::array<int, 2> ends{};
   if (::pipe2(ends.data(), O_NONBLOCK) != 0 ||
       ::fcntl(ends[0], F_SETPIPE_SZ, 1 << 20) < 0) {
@@ -117,30 +118,30 @@
       log.WriteCountsIfDue(now);
       DrainPipe(ends[0]);
       const auto start = GetProcessorTime();
-      for (std::uint32_t n = 0; n < kLines; ++n) {
+      for (std::uint32_t n = 0; n < lines; ++n) {
         write(log, n, now);
       }
       const auto middle = GetProcessorTime();
       write(log, 0, now);  // Begins the count.
       const std::size_t allocations_before = allocation_count;
       const auto counted_start = GetProcessorTime();
-      for (std::uint32_t n = 0; n < kLines; ++n) {
+      for (std::uint32_t n = 0; n < lines; ++n) {
         write(log, n, now);
       }
       const auto end = GetProcessorTime();
       allocations = allocation_count - allocations_before;
       bytes = DrainPipe(ends[0]);
-      line_ns = std::min(
-          line_ns, static_cast<double>((middle - start).count()) / kLines);
+      line_ns = std::min(line_ns,
+                         static_cast<double>((middle - start).count()) / lines);
       counted_ns =
           std::min(counted_ns,
-                   static_cast<double>((end - counted_start).count()) / kLines);
+                   static_cast<double>((end - counted_start).count()) / lines);
     }
   }
   ::close(ends[0]);
   ::close(ends[1]);
   PrintFigure(name, "ns_per_line", line_ns, "ns");
-  PrintFigure(name, "bytes_per_line", static_cast<double>(bytes) / kLines,
+  PrintFigure(name, "bytes_per_line", static_cast<double>(bytes) / lines,
               "bytes");
   PrintFigure(name, "ns_beyond_limit", counted_ns, "ns");
   PrintFigure(name, "allocations_beyond_limit",
@@ -160,18 +161,21 @@
                    .incarnation = 1790036980058,
                    .target = {.started_at_ms = 1790036980062}};
   }
-  MeasureLine("balancer", [&](EventLog& log, std::uint32_t n, TimePoint now) {
-    const FlowPacket packet = MakeOpening(n);
-    const auto opening = transport::DescribeCallerOpening(steering, packet);
-    const SteeringAction action{
-        .kind = SteeringAction::Kind::kRelay,
-        .reason = SteeringReason::kPlaced,
-        .flow = opening->flow,
-        .to = {.address = 0x0A010000 + n % kAgents, .port = 7280},
-        .header = {.service = kService}};
-    transport::LogSteeringAction(log, {.steering = steering, .services = names},
-                                 action, opening, now);
-  });
+  MeasureLine("balancer", transport::kMaxOpeningLinesPerSecond,
+              [&](EventLog& log, std::uint32_t n, TimePoint now) {
+                const FlowPacket packet = MakeOpening(n);
+                const auto opening =
+                    transport::DescribeCallerOpening(steering, packet);
+                const SteeringAction action{
+                    .kind = SteeringAction::Kind::kRelay,
+                    .reason = SteeringReason::kPlaced,
+                    .flow = opening->flow,
+                    .to = {.address = 0x0A010000 + n % kAgents, .port = 7280},
+                    .header = {.service = kService}};
+                transport::LogSteeringAction(
+                    log, {.steering = steering, .services = names}, action,
+                    opening, now);
+              });
 }
 
 auto MeasureAgentLine(const ServiceNames& names) -> void {
@@ -182,19 +186,35 @@
   TargetPresence presence;
   presence.id = "quote-10-2-0-5-1";
   presence.last_heartbeat_at = kNow - std::chrono::seconds{1};
-  MeasureLine("agent", [&](EventLog& log, std::uint32_t n, TimePoint now) {
-    const FlowPacket packet = MakeOpening(n);
-    const auto opening = transport::DescribeRelayedOpening(
-        target,
-        {.origin = {.address = 0x0A000003, .port = 7260}, .service = kService},
-        packet);
-    const TargetAction action{.kind = TargetAction::Kind::kDeliver,
-                              .reason = TargetReason::kOpened,
-                              .flow = opening->flow};
-    transport::LogTargetAction(
-        log, {.target = target, .presence = presence, .services = names},
-        action, opening, now);
-  });
+  MeasureLine("agent", transport::kMaxOpeningLinesPerSecond,
+              [&](EventLog& log, std::uint32_t n, TimePoint now) {
+                const FlowPacket packet = MakeOpening(n);
+                const auto opening = transport::DescribeRelayedOpening(
+                    target,
+                    {.origin = {.address = 0x0A000003, .port = 7260},
+                     .service = kService},
+                    packet);
+                const TargetAction action{.kind = TargetAction::Kind::kDeliver,
+                                          .reason = TargetReason::kOpened,
+                                          .flow = opening->flow};
+                transport::LogTargetAction(
+                    log,
+                    {.target = target, .presence = presence, .services = names},
+                    action, opening, now);
+              });
+}
+
+auto MeasureConfirmationLine() -> void {
+  MeasureLine(
+      "confirmation", transport::kMaxLinesPerSecond,
+      [](EventLog& log, std::uint32_t n, TimePoint now) {
+        const FlowPacket packet = MakeOpening(n);
+        const FlowReply reply{
+            .flow = ExtractCallerFlowKey(packet),
+            .agent = {.address = 0x0A010000 + n % kAgents, .port = 7280}};
+        transport::LogConfirmation(log, reply, packet.sequence,
+                                   std::chrono::microseconds{830}, now);
+      });
 }
 
 }  // namespace
@@ -205,5 +225,6 @@
       .names = {{hawthornbank::bench::kService, "quote"}}};
   hawthornbank::bench::MeasureBalancerLine(names);
   hawthornbank::bench::MeasureAgentLine(names);
+  hawthornbank::bench::MeasureConfirmationLine();
   return hawthornbank::bench::GetExitCode();
 }
--- a/support/check.sh
+++ b/support/check.sh
@@ -53,7 +53,8 @@
 
 run_benches() {
   local pids=() name failed=0
-  for name in routing requests membership configuration plan recovery; do
+  for name in routing requests membership configuration plan recovery \
+    opening_log_cost; do
     "build/release/bench/bench_$name" >"$LOGS/bench_$name.jsonl" \
       2>"$LOGS/bench_$name.err" &
     pids+=("$!:$name")
