--- a/soak/timeline.cc
+++ b/soak/timeline.cc
@@ -7,8 +7,6 @@
 #include <fstream>
 #include <set>
 #include <string_view>
-#include <tuple>
-#include <utility>
 
 #include "hawthornbank/error.h"
 #include "transport/event_log.h"
@@ -20,9 +18,6 @@
 
 using std::chrono::milliseconds;
 
-// A caller's port and the route that it called.
-using CallerPort = std::pair<std::uint16_t, Endpoint>;
-
 // Time around a flow's lines from which other lines are printed.
 constexpr milliseconds kWindow{1500};
 
@@ -45,6 +40,11 @@
   return text;
 }
 
+auto FormatFlowOf(const CallerPacket& packet) -> std::string {
+  return transport::FormatFlow(
+      {.caller = packet.caller, .address = packet.route});
+}
+
 auto FormatPacketLine(const CallerPacket& packet) -> std::string {
   std::string detail(packet.what);
   if (packet.request != 0) {
@@ -61,8 +61,7 @@
       "t={} node=callers kind=caller event={} flow={} opening={} request={} "
       "detail=\"{}\"\n",
       packet.time_ms, packet.is_sent ? "sent" : "received",
-      transport::FormatFlow({.caller = packet.caller, .address = packet.route}),
-      packet.opening_sequence, packet.request, detail);
+      FormatFlowOf(packet), packet.opening_sequence, packet.request, detail);
 }
 
 auto FormatEventLine(const SoakRecord& record, const std::string& event)
@@ -97,15 +96,15 @@
 
 auto WriteSoakLog(const std::filesystem::path& path, const SoakRecord& record)
     -> void {
-  std::set<CallerPort> ports;
+  std::set<std::string> flows;
   for (const auto& it : record.checker.violations) {
     if (it.flow.has_value()) {
-      ports.emplace(it.flow->caller.port, it.flow->address);
+      flows.insert(transport::FormatFlow(*it.flow));
     }
   }
   std::ofstream file(path);
   for (const auto& it : record.packets.packets) {
-    if (ports.contains(CallerPort(it.caller.port, it.route))) {
+    if (flows.contains(FormatFlowOf(it))) {
       file << FormatPacketLine(it);
     }
   }
@@ -124,10 +123,14 @@
 auto PrintTimelines(std::ostream& out,
                     const InvariantChecker& checker,
                     const std::vector<std::filesystem::path>& files) -> void {
-  std::set<std::tuple<std::string, FlowKey, std::uint32_t>> printed;
+  std::set<std::string> printed;
   for (const auto& it : checker.violations) {
     if (!it.flow.has_value() ||
-        !printed.emplace(it.invariant, *it.flow, it.opening_sequence).second) {
+        !printed
+             .insert(fmt::format("{} {} {}", it.invariant,
+                                 transport::FormatFlow(*it.flow),
+                                 it.opening_sequence))
+             .second) {
       continue;
     }
     if (printed.size() > kMaxPrintedTimelines) {
