--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -47,7 +47,8 @@
   /// and stops sending packets and heartbeats.
   auto CrashTarget() -> void;
 
-  /// Starts the target again after a crash or shutdown.
+  /// Starts the target again after a crash or shutdown, or instead of the
+  /// running start. The next start has no flows.
   /// @param service Service of the target from now on.
   auto RestartTarget(const std::string& service) -> void;
 
@@ -62,6 +63,28 @@
   /// address, also after the target has ended.
   [[nodiscard]] auto PrepareLateHeartbeat() const -> std::function<void()>;
 
+  /// @param ahead Number of heartbeats from the last one sent.
+  /// @return A further heartbeat of the present target, to be sent to
+  /// `control()` when the target has ended.
+  [[nodiscard]] auto MakeLateHeartbeat(std::uint64_t ahead) const
+      -> transport::HttpRequest {
+    return MakeHeartbeat(heartbeat_sequence_ + ahead);
+  }
+
+  /// @return The first heartbeat of the present target, as for
+  /// MakeLateHeartbeat.
+  [[nodiscard]] auto MakeFirstHeartbeat() const -> transport::HttpRequest {
+    return MakeHeartbeat(1);
+  }
+
+  /// @return Announcement of the present target's shutdown, to be sent to
+  /// `control()`.
+  [[nodiscard]] auto MakeDeregistration() const -> transport::HttpRequest;
+
+  /// Steps the target's time of day, from which its next start time is taken.
+  /// @param step Negative for a step back.
+  auto StepClock(Duration step) -> void { clock_offset_ += step; }
+
   /// Starts a drain: heartbeats report that the target drains, and each answer
   /// ends the flow on which the answer is sent.
   auto StartDraining() -> void;
@@ -85,6 +108,8 @@
   [[nodiscard]] auto service_name() const -> const std::string& {
     return service_;
   }
+  /// @return Address of the agent on the target's host.
+  [[nodiscard]] auto control() const -> Endpoint { return control_; }
   [[nodiscard]] auto is_alive() const -> bool { return is_alive_; }
   [[nodiscard]] auto is_unresponsive() const -> bool {
     return is_unresponsive_;
@@ -133,6 +158,7 @@
   Random random_;
   std::unordered_map<FlowKey, FlowsOfPort> flows_;
   std::uint64_t start_time_ms_ = 0;
+  Duration clock_offset_{};
   std::uint64_t heartbeat_sequence_ = 0;
   TimePoint drain_acknowledged_at_{};
   bool is_alive_ = true;
