Compare clocks by a flow's own lines if others contradict each other

If all openings close to the flow contradict each other, only its own ones are compared, and the answer says so.

--- a/src/transport/node_log_clocks.h
+++ b/src/transport/node_log_clocks.h
@@ -56,6 +56,8 @@
   /// Whether constant offsets explain all pairs; otherwise a clock was set or
   /// a node was suspended between packet and line, and `offsets` is empty.
   bool is_consistent = true;
+  /// Only the flow's own lines were compared, as others contradict each other.
+  bool is_of_flow_only = false;
 };
 
 /// Computes the possible offsets, also of nodes that share lines with the
--- a/src/transport/node_log_report.cc
+++ b/src/transport/node_log_report.cc
@@ -69,6 +69,12 @@
     text +=
         "  the times of these nodes contradict each other: a clock was set or "
         "a node was suspended; nothing is corrected\n";
+  } else if (timeline.clocks.is_of_flow_only) {
+    text +=
+        "  a clock was set or a node was suspended around that time: clocks "
+        "are "
+        "compared by the flow's own lines only, and other lines may be out of "
+        "place\n";
   }
 }
 
--- a/src/transport/node_log_timeline.cc
+++ b/src/transport/node_log_timeline.cc
@@ -179,6 +179,7 @@
     if (line.event == "events_counted") {
       continue;
     }
+    flow_pairs_.AddLine(line);
     const bool is_offer = line.event == "flow_relayed";
     if (timeline_.reference.empty() || (is_offer && !has_offer)) {
       timeline_.reference = line.node;
@@ -289,12 +290,26 @@
   }
 }
 
+// A clock that was set close to the flow makes the lines of other flows
+// contradict each other, but mostly not those of the flow.
+auto TimelineCollector::CompareClocks() const -> ClockOffsets {
+  const LogDirectory& directory = timeline_.directory;
+  ClockOffsets offsets =
+      ComputeClockOffsets(pairs_.CompareClocks(directory), timeline_.reference);
+  if (offsets.is_consistent) {
+    return offsets;
+  }
+  offsets = ComputeClockOffsets(flow_pairs_.CompareClocks(directory),
+                                timeline_.reference);
+  offsets.is_of_flow_only = true;
+  return offsets;
+}
+
 auto TimelineCollector::FinishTimeline() -> Timeline {
   for (auto& [key, line] : earlier_) {
     timeline_.lines.push_back(std::move(line));
   }
-  timeline_.clocks = ComputeClockOffsets(
-      pairs_.CompareClocks(timeline_.directory), timeline_.reference);
+  timeline_.clocks = CompareClocks();
   std::vector<std::pair<std::int64_t, TimelineLine>> ranked;
   ranked.reserve(timeline_.lines.size());
   for (auto& it : timeline_.lines) {
--- a/src/transport/node_log_timeline.h
+++ b/src/transport/node_log_timeline.h
@@ -120,6 +120,7 @@
   [[nodiscard]] auto IsContext(const LogLine& line) const -> bool;
   [[nodiscard]] auto IsNearFlow(std::int64_t time_ms) const -> bool;
   auto KeepEarlierLine(const LogLine& line, std::string_view text) -> void;
+  [[nodiscard]] auto CompareClocks() const -> ClockOffsets;
 
   Timeline timeline_;
   std::string flow_text_;
@@ -128,7 +129,8 @@
   std::vector<std::int64_t> times_;  ///< Of the flow's lines, in order.
   /// Latest line before the flow by node, event and host.
   std::map<std::string, TimelineLine> earlier_;
-  OpeningPairs pairs_;
+  OpeningPairs pairs_;       ///< Of all flows close to the flow's lines.
+  OpeningPairs flow_pairs_;  ///< Of the flow's own lines.
   std::size_t context_lines_ = 0;
 };
 
--- a/test/log_timeline_test.cc
+++ b/test/log_timeline_test.cc
@@ -240,6 +240,27 @@
   STRCMP_CONTAINS("zone a; clock ? to +19 ms, not corrected\n", text.c_str());
 }
 
+// side-1's clock is set from 400 ms behind to 400 ms ahead between two flows.
+TEST(LogTimeline, ClockThatIsSetIsComparedByTheFlowsOwnLines) {
+  const auto of_other_flow = [](std::string line) {
+    return line.replace(line.find(":1035>"), 6, ":1036>");
+  };
+  const std::string decision =
+      MakeDecision(600, "side-1", "flow_sent_back", 7, 0);
+  const std::string later =
+      of_other_flow(MakeDecision(2405, "side-1", "flow_sent_back", 7, 0));
+  WriteFile("edge-1", MakeOffer(1000, 7, 0, kAsRouted) +
+                          MakeOffer(1012, 7, 1, kAsRouted) +
+                          of_other_flow(MakeOffer(2000, 7, 0, kAsRouted)) +
+                          of_other_flow(MakeOffer(2010, 7, 1, kAsRouted)));
+  WriteFile("side-1", decision + later);
+  const Timeline timeline = Read();
+  CHECK(timeline.clocks.is_of_flow_only);
+  LONGS_EQUAL(-380, timeline.clocks.offsets.at("side-1").max->count());
+  STRCMP_CONTAINS("compared by the flow's own lines only",
+                  FormatTimeline(timeline).c_str());
+}
+
 TEST(LogTimeline, ContradictingTimesCorrectNothing) {
   ClockComparison clocks;
   AddOrderedLines(clocks, "a", 1000, "b", 500);
