--- a/soak/callers.h
+++ b/soak/callers.h
@@ -11,6 +11,7 @@
 
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/random.h"
+#include "soak/caller_packets.h"
 #include "soak/caller_ports.h"
 #include "transport/udp_socket.h"
 
@@ -137,6 +138,11 @@
     return flows_;
   }
 
+  /// @return The latest packets of all callers.
+  [[nodiscard]] auto packets() const -> const CallerPackets& {
+    return packets_;
+  }
+
  private:
   // Stream of the random numbers of long pauses.
   static constexpr std::uint64_t kPauseStream = 15;
@@ -157,6 +163,14 @@
                        bool is_by_load_balancer) -> void;
   auto SendLateCopies(TimePoint now) -> void;
   auto FinishFlow(std::uint16_t port, bool served) -> void;
+  auto RecordSentPacket(const CallerFlow& flow,
+                        const FlowPacket& packet,
+                        std::size_t balancer,
+                        bool is_lost) -> void;
+  auto RecordReceivedPacket(const CallerFlow& flow,
+                            const FlowPacket& packet,
+                            ByteView bytes) -> void;
+  auto RecordPacket(const CallerFlow& flow, CallerPacket packet) -> void;
 
   transport::UdpSocket socket_;
   Endpoint local_;
@@ -170,6 +184,7 @@
   std::optional<Random> pause_random_;  ///< If some flows have long pauses.
   std::map<std::uint16_t, CallerFlow> flows_;
   CallerPorts ports_;
+  CallerPackets packets_;
   /// Copies of opening packets of ended flows, by the time at which they
   /// arrive at a balancer.
   std::multimap<TimePoint, CallerFlow> late_copies_;
