Don't end a running start on a late heartbeat of an unknown one

An agent whose process had restarted beside a running target, and that heard a late heartbeat of a crashed start with a later start time (the clock had gone back before the running one), took it for a restart. Once the running start had been heard for two intervals, its open flows were reset.

If balancers have told the agent that the present start ran before the agent did, an unknown start with a later start time replaces it at once only with a first heartbeat. Any other is a rival: it must go on for two intervals and 300 ms in which the present start is silent. Agents that have heard their target's beginning, and agents that no balancer has told, act as before.

LateHeartbeatDoesntEndTheStartOfAnEarlierProcess fails without the change.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -200,9 +200,9 @@
 /// Records the start that an earlier process of this agent had. If it is the
 /// present one, the agent doesn't know all flows, whatever the number of the
 /// first heartbeat that it has received: targets may count from any number.
-/// If the present start is another one, its first heartbeat may be a late
-/// message: the agent knows all flows when it has heard it for
-/// ComputeHeartbeatTimeout().
+/// Another start then replaces it at once only with a first heartbeat. If the
+/// present start is another one, its first heartbeat may be a late message: the
+/// agent knows all flows when it has heard it for ComputeHeartbeatTimeout().
 /// @param presence State of the target.
 /// @param started_at_ms Start time in Unix milliseconds.
 /// @return Whether the start wasn't recorded before.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -265,6 +265,15 @@
          (presence.knows_all_flows || WasHeardForTwoIntervals(presence));
 }
 
+// Whether a start that is unknown to an agent whose process has restarted
+// beside the present start may be an earlier one, as it sends no first
+// heartbeat.
+auto MayHaveEndedBefore(const TargetPresence& presence,
+                        const TargetHeartbeat& beat) -> bool {
+  return HasOwnTarget(presence) && beat.sequence > kFirstHeartbeatSequence &&
+         IsFormerStart(presence, presence.status.started_at_ms);
+}
+
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
                              const TargetHeartbeat& beat,
                              TimePoint now) -> PresenceOutcome {
@@ -273,7 +282,8 @@
   if (is_known && beat.sequence <= known->sequence) {
     return PresenceOutcome::kOtherStart;
   }
-  if (!is_known && beat.started_at_ms > presence.status.started_at_ms) {
+  if (!is_known && beat.started_at_ms > presence.status.started_at_ms &&
+      !MayHaveEndedBefore(presence, beat)) {
     const bool had_target = HasTarget(presence);
     const bool was_running = WasPresentStartRunning(presence);
     ReplacePresentStart(presence, beat, now);
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -426,3 +426,33 @@
                     kNow + 2300ms);
   CHECK(told.knows_all_flows);
 }
+
+// Guards against the reset of a running start's flows by a late heartbeat of a
+// crashed start with a later start time, which the agent's earlier process
+// knew.
+TEST(TargetPresence, LateHeartbeatDoesntEndTheStartOfAnEarlierProcess) {
+  RecordFormerStart(presence, 200);
+  for (std::uint64_t n = 1; n < 10; ++n) {
+    ReceiveHeartbeat(200, 50 + n, TargetState::kReady, n * 1s);
+    CHECK(ReceiveHeartbeat(300, 70 + n, TargetState::kDraining,
+                           n * 1s + 500ms) == PresenceOutcome::kOtherStart);
+  }
+  LONGS_EQUAL(200, presence.status.started_at_ms);
+  CHECK(presence.status.state == TargetState::kReady);
+  // It runs: its heartbeats go on without the present start's.
+  CHECK(ReceiveHeartbeat(300, 90, TargetState::kReady, 10s) ==
+        PresenceOutcome::kOtherStart);
+  CHECK(ReceiveHeartbeat(300, 91, TargetState::kReady, 12300ms) ==
+        PresenceOutcome::kReplaced);
+  // A restart is known at once by its first heartbeat.
+  TargetPresence heard{.service = "s"};
+  RecordFormerStart(heard, 200);
+  OnTargetHeartbeat(heard, MakeHeartbeat(200, 50, TargetState::kReady), kNow);
+  OnTargetHeartbeat(heard, MakeHeartbeat(200, 53, TargetState::kReady),
+                    kNow + 3s);
+  CHECK(OnTargetHeartbeat(heard, MakeHeartbeat(300, 1, TargetState::kReady),
+                          kNow + 4s) == PresenceOutcome::kRestarted);
+  CHECK(heard.knows_all_flows);
+  CHECK(OnTargetHeartbeat(heard, MakeHeartbeat(400, 7, TargetState::kReady),
+                          kNow + 5s) == PresenceOutcome::kRestarted);
+}
