Begin an agent's return ids at a random number

Each process of an agent numbered the packets that its target may return from 1 on. A packet that was delivered before the agent restarted and returned after that could have the id of a packet of another flow: it went to that flow's balancer with that flow's relay header.

The first id is drawn now. return_id_test delivers 256 packets by one process and returns them to another one that has delivered as many: all were matched to flows of the second before the change, none is now.

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -230,7 +230,9 @@
   std::unordered_map<FlowKey, UnansweredOpening> openings;
   std::unordered_map<FlowKey, ReopenedFlow> reopened;
   std::array<ReturnablePacket, kReturnablePackets> returnable_packets;
-  std::uint32_t next_return_id = 1;
+  /// Return id of the next packet; 0 until the first one draws it. The ids of
+  /// two processes of an agent would be the same if all began with one number.
+  std::uint32_t next_return_id = 0;
   std::uint16_t running = 0;  ///< Number of flows with `occupies_slot`.
   /// Number of flows with `is_request_expected`.
   std::size_t expected_requests = 0;
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -63,8 +63,10 @@
 // Returns the id that the target copies into the returned packet.
 auto StoreReturnableHeader(TargetFlows& target, const RelayHeader& header)
     -> std::uint32_t {
-  const std::uint32_t return_id = target.next_return_id;
-  target.next_return_id = return_id + 1 == 0 ? 1 : return_id + 1;
+  while (target.next_return_id == 0) {
+    target.next_return_id = target.random();
+  }
+  const std::uint32_t return_id = target.next_return_id++;
   target.returnable_packets.at(return_id % kReturnablePackets) =
       ReturnablePacket{.return_id = return_id, .header = header};
   return return_id;
