Log the time that decides that a target isn't heard

The line of an opening that goes back as not_heard showed the time since the receipt of the last heartbeat, `heartbeat_ms`. The decision takes the time at which the target certainly ran, which is earlier if the heartbeat may have lain unread while the agent was held up, so the line could show a fresh heartbeat beside `not_heard`.

The line has `heard_ms` in addition. opening_log_test covers it.

--- a/src/transport/node_target_log.cc
+++ b/src/transport/node_target_log.cc
@@ -36,6 +36,16 @@
   }
 }
 
+// Appends the time for which the target hasn't certainly run, which decides
+// that it gets no openings: its last heartbeat may have lain unread.
+auto AppendSilence(const TargetLogContext& context, TimePoint now, Line& line)
+    -> void {
+  if (context.presence.heard_at != TimePoint{}) {
+    fmt::format_to(std::back_inserter(line), " heard_ms={}",
+                   CountMilliseconds(now - context.presence.heard_at));
+  }
+}
+
 // Appends what the agent knew of the flow, and the start of the target that had
 // it where that isn't the present one.
 auto AppendKnownFlow(const TargetLogContext& context,
@@ -61,6 +71,7 @@
 
 auto AppendOpening(const TargetLogContext& context,
                    const TargetOpening& opening,
+                   TargetReason reason,
                    TimePoint now,
                    Line& line) -> void {
   const TargetFlows& target = context.target;
@@ -72,6 +83,9 @@
   line.append(std::string_view(" from="));
   AppendEndpoint(opening.origin, line);
   AppendTarget(context, now, line);
+  if (reason == TargetReason::kNotHeard) {
+    AppendSilence(context, now, line);
+  }
   AppendKnownFlow(context, opening, now, line);
   fmt::format_to(std::back_inserter(line),
                  " asked={} running={} slots={} flows={} knows_all={}",
@@ -86,8 +100,9 @@
                 TimePoint now) -> void {
   const auto write = [&](EventKind kind, std::string_view name) {
     log.AppendFlowEvent(
-        kind, now, DescribeEvent(name, action),
-        [&](Line& line) { AppendOpening(context, opening, now, line); });
+        kind, now, DescribeEvent(name, action), [&](Line& line) {
+          AppendOpening(context, opening, action.reason, now, line);
+        });
   };
   switch (action.kind) {
     case Kind::kDeliver:
--- a/test/opening_log_test.cc
+++ b/test/opening_log_test.cc
@@ -230,3 +230,17 @@
   STRCMP_EQUAL("#000000ab", FormatService(names, kOtherService).c_str());
   STRCMP_EQUAL("-", FormatService(names, 0).c_str());
 }
+
+// Guards against a line that shows another time than the one that decided: the
+// agent was held up, so the last heartbeat may be older than its receipt.
+TEST(OpeningLog, NotHeardOpeningNamesTheTimeThatDecided) {
+  presence.heard_at = kNow - 1800ms;
+  target.silent_from = kNow - 100ms;
+  const std::string line = RelayToTarget({.service = kService});
+  STRCMP_CONTAINS(" reason=not_heard ", line.c_str());
+  STRCMP_CONTAINS(" state=ready heartbeat_ms=250 heard_ms=1800 known=no",
+                  line.c_str());
+  target.silent_from = TimePoint::max();
+  const std::string opened = RelayToTarget({.service = kService});
+  CHECK(opened.find("heard_ms=") == std::string::npos);
+}
