Read a settings file again that couldn't be used or changed at start

A node that read a half-written settings file logged reload_failed and never read the file again if the rest was written within the resolution of the modification time, a few milliseconds. A change between the reading of the settings and the start of the event loop was missed as well: a waiting process could run for seconds with settings that had been replaced.

In both cases the node remembered a modification time that didn't belong to the settings in force: it was stored before the file was read and when the event loop began. Settings now carry the modification time that their file had before they were read, so any other time, also after a failure, has the file read again at the next check. A file that stays wrong is logged once; each SIGHUP is logged.

--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -62,6 +62,9 @@
   /// Time after which a flow may be discarded, however active it is.
   Duration flow_lifetime = kFlowLifetime;
   WarmupAllowance warmup;  ///< What cold targets may get beyond their rate.
+  /// What NodeCodec::get_settings_modification_time returned before these
+  /// settings were read.
+  std::int64_t modification_time = 0;
 };
 
 /// Request with which the platform's routers check whether this node accepts
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -12,6 +12,9 @@
 namespace hawthornbank::transport {
 namespace {
 
+// Cause of a reload: the file has another modification time.
+constexpr std::string_view kFileChanged = "file";
+
 auto ToSteadyDuration(Duration duration)
     -> std::chrono::steady_clock::duration {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
@@ -82,9 +85,6 @@
                   GetRoleName(settings_.role), settings_.zone,
                   ToString(settings_.control), settings_.seeds.size());
   LearnServiceName(settings_.service, now);
-  if (codec_.get_settings_modification_time) {
-    settings_modification_time_ = codec_.get_settings_modification_time();
-  }
   WaitForSignal();
   gossip_.StartGossip(
       GossipCallbacks{.describe_self = role_.describe_self,
@@ -160,8 +160,8 @@
 
 auto NodeHost::CheckSettingsFile() -> void {
   if (codec_.get_settings_modification_time &&
-      codec_.get_settings_modification_time() != settings_modification_time_) {
-    ReloadSettings(GetMonotonicTime(), "file");
+      codec_.get_settings_modification_time() != settings_.modification_time) {
+    ReloadSettings(GetMonotonicTime(), kFileChanged);
   }
   ScheduleHandler(settings_timer_, kSettingsCheckInterval,
                   [this](TimePoint) { CheckSettingsFile(); });
@@ -185,10 +185,7 @@
   });
 }
 
-auto NodeHost::ReloadSettings(TimePoint now, const char* cause) -> void {
-  settings_modification_time_ = codec_.get_settings_modification_time
-                                    ? codec_.get_settings_modification_time()
-                                    : 0;
+auto NodeHost::ReloadSettings(TimePoint now, std::string_view cause) -> void {
   try {
     NodeSettings changed = codec_.load_settings();
     if (!HasSameIdentity(settings_, changed)) {
@@ -198,6 +195,8 @@
       });
       return;
     }
+    settings_.modification_time = changed.modification_time;
+    logged_failure_.clear();
     // Only these settings change at runtime. The others change at the next
     // start.
     settings_.seeds = changed.seeds;
@@ -214,14 +213,21 @@
                     settings_.seeds.size(), ToString(settings_.store));
     role_.on_settings_reload(settings_);
   } catch (const Error& error) {
-    log_.WriteEvent(EventKind::kMalformedInput, now,
-                    "reload_failed cause={} error=\"{}\"", cause, error.what());
+    // A file that can't be used is read again at each check, as it may be
+    // half-written, and logged once.
+    const bool is_logged =
+        std::exchange(logged_failure_, error.what()) == error.what();
+    if (!is_logged || cause != kFileChanged) {
+      log_.WriteEvent(EventKind::kMalformedInput, now,
+                      "reload_failed cause={} error=\"{}\"", cause,
+                      error.what());
+    }
   }
 }
 
 auto NodeHost::EndWithChangedIdentity(NodeSettings changed,
                                       TimePoint now,
-                                      const char* cause) -> void {
+                                      std::string_view cause) -> void {
   if (is_stopping_ || changed_.has_value()) {
     return;
   }
--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -169,10 +169,10 @@
   auto RunHousekeepingTick() -> void;
   auto CheckSettingsFile() -> void;
   auto WaitForSignal() -> void;
-  auto ReloadSettings(TimePoint now, const char* cause) -> void;
+  auto ReloadSettings(TimePoint now, std::string_view cause) -> void;
   auto EndWithChangedIdentity(NodeSettings changed,
                               TimePoint now,
-                              const char* cause) -> void;
+                              std::string_view cause) -> void;
 
   NodeSettings settings_;
   NodeCodec codec_;
@@ -191,7 +191,8 @@
   NodeTraffic traffic_;
   TimePoint start_time_;
   TimePoint next_traffic_report_{};
-  std::int64_t settings_modification_time_ = 0;
+  /// The latest failure to read the settings again, if no success followed.
+  std::string logged_failure_;
   NodeGossip gossip_;
   std::optional<NodeSettings> changed_;
   bool is_stopping_ = false;
--- /dev/null
+++ b/test/settings_file_test.cc
@@ -0,0 +1,79 @@
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include "soak/node_settings.h"
+#include "starting_process.h"
+
+// Changes the settings file of the program `hawthornnode` without a signal.
+
+using namespace hawthornbank;
+using namespace hawthornbank::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kHost = 0x7F000161;
+
+}  // namespace
+
+TEST_GROUP(SettingsFile) {
+  soak::HostPorts ports = soak::FindFreePorts(kHost);
+
+  auto BuildSettings(const std::string& service)->std::string {
+    return soak::FormatNodeSettings(
+        ports,
+        soak::NodeParameters{.name = "n",
+                             .host = kHost,
+                             .seed_hosts = {kHost},
+                             .store = {.address = kHost, .port = ports.store},
+                             .service = service});
+  }
+
+  void setup() override {
+    ::signal(SIGPIPE, SIG_IGN);
+  }
+};
+
+// Guards against a half-written file that is never read again: the rest was
+// written within the resolution of the file's modification time.
+TEST(SettingsFile, FileThatCouldntBeReadIsReadAgain) {
+  StartingProcess process;
+  CHECK(process.WaitForReader());
+  const std::string whole = BuildSettings("t");
+  process.WriteLastSettings(BuildSettings("s"));
+  CHECK(process.WaitForLogLine("event=start "));
+  const auto time =
+      process.ReplaceFile(whole.substr(0, whole.find("data_addr") + 12));
+  CHECK(process.WaitForLogLine("event=reload_failed cause=file"));
+  process.ReplaceFile(whole, time);
+  CHECK(process.WaitForLogLine("event=identity_changed cause=file"));
+  LONGS_EQUAL(1, process.CountLogLines("event=reload_failed"));
+}
+
+// Guards against a change that is never read, as it came while a process was
+// starting with the settings before.
+TEST(SettingsFile, ChangeWhileTheProcessStartsIsRead) {
+  StartingProcess process;
+  CHECK(process.WaitForReader());
+  process.WriteSettings(BuildSettings("s"), BuildSettings("t"));
+  CHECK(process.WaitForLogLine("event=identity_changed cause=file"));
+}
+
+TEST(SettingsFile, FileThatStaysWrongIsLoggedOnce) {
+  StartingProcess process;
+  CHECK(process.WaitForReader());
+  process.WriteLastSettings(BuildSettings("s"));
+  CHECK(process.WaitForLogLine("event=start "));
+  process.ReplaceFile("node = ");
+  CHECK(process.WaitForLogLine("event=reload_failed"));
+  std::this_thread::sleep_for(1200ms);
+  LONGS_EQUAL(1, process.CountLogLines("event=reload_failed"));
+  process.SendSignal(SIGHUP);
+  CHECK(process.WaitForLogLine("event=reload_failed cause=signal"));
+  std::this_thread::sleep_for(600ms);
+  LONGS_EQUAL(2, process.CountLogLines("event=reload_failed"));
+  CHECK_FALSE(process.PollExitCode().has_value());
+}
