--- a/test/restart_targets.h
+++ b/test/restart_targets.h
@@ -256,7 +256,8 @@
         beat != nullptr
             ? OnTargetHeartbeat(agent.presence, *beat, now)
             : OnTargetShutdownAnnounced(
-                  agent.presence, std::get<Deregistration>(message.content).id);
+                  agent.presence, std::get<Deregistration>(message.content).id,
+                  now);
     Target& target = targets[message.target];
     const bool is_late = message.start != target.start ||
                          (beat != nullptr && beat->sequence != target.sequence);
@@ -312,6 +313,12 @@
       RecordProcess(control, "takes its silent target for gone");
     }
     ApplyOutcome(control, agent, outcome);
+    const auto end =
+        ConfirmDeregistration(agent.presence, now - agent.started, now);
+    if (end == PresenceOutcome::kChanged) {
+      RecordProcess(control, "takes its deregistered target for gone");
+      ApplyOutcome(control, agent, end);
+    }
   }
 
   // An agent that is shut down after its target resets the target's flows.
