Test the log line of an opening that is dropped because it may be open

opening_log_test took an opening that an agent which is up leaves unconfirmed as its example of a reset; since such an opening is dropped (the flow may be open), the test failed. Its example of a reset is now an agent that has been silent for the time after which hosts are suspected, with the same line as before, and a second test requires the line of the drop.

--- a/test/opening_log_test.cc
+++ b/test/opening_log_test.cc
@@ -137,7 +137,7 @@
   OnCallerPacket(steering, kOpening, std::vector<std::uint8_t>{1}, kNow,
                  steering_actions);
   steering_actions.clear();
-  OnSteeringTick(steering, kNow + 1s, steering_actions);
+  OnSteeringTick(steering, kNow + kUnresponsiveAfter, steering_actions);
   const SteeringAction& action = steering_actions.back();
   LONGS_EQUAL(1, action.kept.size());  // The opening is decoded for the line.
   const std::string line = LogSteering(action, DescribeStoredOpening(kOpening));
@@ -147,6 +147,20 @@
       line.c_str());
 }
 
+TEST(OpeningLog, DroppedOpeningNamesItsRoute) {
+  OnCallerPacket(steering, kOpening, std::vector<std::uint8_t>{1}, kNow,
+                 steering_actions);
+  steering_actions.clear();
+  OnSteeringTick(steering, kNow + 1s, steering_actions);
+  const SteeringAction& action = steering_actions.back();
+  LONGS_EQUAL(1, action.kept.size());
+  const std::string line = LogSteering(action, DescribeStoredOpening(kOpening));
+  STRCMP_CONTAINS("kind=refusal event=packet_dropped flow=", line.c_str());
+  STRCMP_CONTAINS(
+      " reason=nobody_took opening=4711 copy=1 route=quote version=3 ",
+      line.c_str());
+}
+
 TEST(OpeningLog, ReturnAfterTheConfirmationHasALine) {
   const std::string line = ReadLine([&](EventLog& log) {
     LogIgnoredReturn(log, {.steering = steering, .services = names},
