--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -277,6 +277,13 @@
   SendRecords(host.record.control, {ForwardHostRecord(host, now)});
 }
 
+// Tells an agent that has restarted which start of its target it had before.
+auto NodeGossip::SendFormerRecord(KnownHost& host, TimePoint now) -> void {
+  if (IsBalancer() && MustSendFormerRecord(host, now)) {
+    SendRecords(host.record.control, {{.record = MakeFormerRecord(host)}});
+  }
+}
+
 auto NodeGossip::OnAnnouncement(const HostAnnouncement& announcement,
                                 TimePoint now) -> void {
   const HostRecord& record = announcement.record;
@@ -294,6 +301,7 @@
   }
   if (outcome != MergeOutcome::kOlderRecord) {
     RecordContact(host->second, announcement.load, announcement.routes, now);
+    SendFormerRecord(host->second, now);
   } else {
     ReturnRecord(host->second, record.incarnation, now);
   }
--- a/src/transport/node_gossip_records.cc
+++ b/src/transport/node_gossip_records.cc
@@ -13,6 +13,10 @@
     if (!IsUsable(it.record, now) || !ShouldMergeRecord(fleet_, it.record)) {
       continue;
     }
+    const auto former_start = FindFormerTargetStart(fleet_, it.record);
+    if (former_start != 0 && callbacks_.on_former_target) {
+      callbacks_.on_former_target(former_start, now);
+    }
     const bool is_unknown = !fleet_.hosts.contains(it.record.control);
     const auto outcome =
         MergeRecord(it.record, std::chrono::milliseconds{it.age_ms}, now);
