Tell agents of their former targets in the model of restarts

The model didn't compile with the changed handling of deregistrations, and knew nothing of former targets. Its balancers now tell a restarted agent of its former target's start, and agents confirm deregistrations, as the processes do. Late heartbeats of unknown starts are on (kDelaysHeartbeatsOfUnknownStarts).

--- a/test/restart_fleet.h
+++ b/test/restart_fleet.h
@@ -255,6 +255,22 @@
     }
   }
 
+  auto SendFormerRecord(Process& from, KnownHost& host) -> void {
+    if (from.steering && MustSendFormerRecord(host, now)) {
+      SendMessage(from.fleet().self.control, host.record.control,
+                  RosterPart{.records = {{.record = MakeFormerRecord(host)}}});
+    }
+  }
+
+  auto OnFormerTarget(Process& agent, std::uint64_t started_at_ms) -> void {
+    if (RecordFormerStart(agent.presence, started_at_ms)) {
+      agent.flows->knows_all_flows = agent.presence.knows_all_flows;
+      RecordProcess(agent.fleet().self.control,
+                    fmt::format("is told of its former target's start, born={}",
+                                started_at_ms));
+    }
+  }
+
   auto OnAnnouncement(Process& to, const HostAnnouncement& message) -> void {
     const Endpoint from = message.record.control;
     RecordUptime(to.fleet(), 1ms * message.uptime_ms.value_or(0), now);
@@ -264,6 +280,7 @@
       ReturnRecord(to, host, message.record.incarnation);
     } else {
       RecordHostContact(host, now);
+      SendFormerRecord(to, host);
     }
     if (!to.steering || message.wants_roster) {
       SendMessage(to.fleet().self.control, from, MakeAnnouncement(to, false));
@@ -306,6 +323,11 @@
       SendMessage(self, from, MakeAnnouncement(to, false));
     } else if (const auto* part = std::get_if<RosterPart>(&message)) {
       for (const auto& record : part->records) {
+        const auto former_start =
+            FindFormerTargetStart(to.fleet(), record.record);
+        if (former_start != 0 && to.flows) {
+          OnFormerTarget(to, former_start);
+        }
         if (ShouldMergeRecord(to.fleet(), record.record)) {
           Merge(to, record.record, 1ms * record.age_ms);
         }
--- a/test/restart_order_test.cc
+++ b/test/restart_order_test.cc
@@ -158,6 +158,7 @@
       if (is_housekeeping_due) {
         RunAgentHousekeeping(control, it);
       }
+      CheckDeregistration(control, it);
       std::vector<TargetAction> out;
       OnTargetTick(*it.flows, now, out);
       Perform(control, out, {});
--- a/test/restart_targets.h
+++ b/test/restart_targets.h
@@ -34,7 +34,7 @@
 // Whether heartbeats of ended starts arrive at agents that don't know the start
 // and take it for the present one: its start time is the later one, or another
 // service has the address.
-inline constexpr bool kDelaysHeartbeatsOfUnknownStarts = false;
+inline constexpr bool kDelaysHeartbeatsOfUnknownStarts = true;
 // Whether deregistrations arrive after later messages.
 inline constexpr bool kDelaysDeregistrations = false;
 
@@ -256,7 +256,8 @@
         beat != nullptr
             ? OnTargetHeartbeat(agent.presence, *beat, now)
             : OnTargetShutdownAnnounced(
-                  agent.presence, std::get<Deregistration>(message.content).id);
+                  agent.presence, std::get<Deregistration>(message.content).id,
+                  now);
     Target& target = targets[message.target];
     const bool is_late = message.start != target.start ||
                          (beat != nullptr && beat->sequence != target.sequence);
@@ -314,11 +315,21 @@
     ApplyOutcome(control, agent, outcome);
   }
 
+  auto CheckDeregistration(Endpoint control, Process& agent) -> void {
+    const auto outcome =
+        ConfirmDeregistration(agent.presence, now - agent.started, now);
+    if (outcome == PresenceOutcome::kChanged) {
+      RecordProcess(control, "takes its deregistered target for gone");
+      ApplyOutcome(control, agent, outcome);
+    }
+  }
+
   // An agent that is shut down after its target resets the target's flows.
   auto StopProcess(Endpoint control, bool is_crash) -> void {
     Process& it = processes[control];
     if (it.up && !is_crash && !it.steering &&
         it.presence.status.state == TargetState::kGone) {
+      RecordProcess(control, "has to stop, and its target is gone");
       std::vector<TargetAction> out;
       ResetAllTargetFlows(*it.flows, out);
       Perform(control, out, {});
