Name FLOW if heartbeats of a reset flow's target went on

An agent that takes its target for another start resets its flows and logs that the target has restarted, which explained the reset. Heartbeats of the start that had the flow (other_start) show that the target lives; one of them may be late.

--- a/src/transport/node_log_findings.cc
+++ b/src/transport/node_log_findings.cc
@@ -253,6 +253,26 @@
   }
 }
 
+// Returns whether heartbeats of the target that had the flow go on after its
+// agent has reset it. One may be late.
+auto HasLiveTarget(const Timeline& timeline,
+                   const LogLine& delivery,
+                   const LogLine& reset) -> bool {
+  int heartbeats = 0;
+  for (const auto& it : timeline.lines) {
+    const auto parsed = ParseLogLine(it.text);
+    const auto* const line = std::get_if<LogLine>(&parsed);
+    heartbeats +=
+        line != nullptr && line->node == delivery.node &&
+                line->event == "heartbeat_ignored" &&
+                line->time_ms >= reset.time_ms &&
+                FindField(*line, "born") == FindField(delivery, "born")
+            ? 1
+            : 0;
+  }
+  return heartbeats > 1;
+}
+
 // An open flow may end with its target or agent; their lines say so.
 auto CheckResets(const Timeline& timeline,
                  const OpeningStory& story,
@@ -286,6 +306,16 @@
                                          it.node, FindField(it, "reason"))});
       continue;
     }
+    if (!story.deliveries.empty() && it.node == story.deliveries.back().node &&
+        HasLiveTarget(timeline, story.deliveries.back(), it)) {
+      out.push_back(
+          {.rule = kFlowRule,
+           .text = fmt::format("{} reset the open flow: {}; but heartbeats of "
+                               "the target that had it, started at {}, went on",
+                               it.node, FindField(it, "reason"),
+                               FindField(story.deliveries.back(), "born"))});
+      continue;
+    }
     const bool is_explained = !causes.empty();
     out.push_back(
         {.rule = is_explained ? "" : kFlowRule,
--- a/test/log_timeline_test.cc
+++ b/test/log_timeline_test.cc
@@ -195,6 +195,31 @@
   CHECK(ReadText().find("looks broken") == std::string::npos);
 }
 
+TEST(LogTimeline, ResetWhileTheTargetsHeartbeatsGoOnBreaksTheFlowRule) {
+  const std::string reset = fmt::format(
+      "t=1900 node=side-1 kind=refusal event=flow_reset flow={} "
+      "reason=target_restarted born=9\n"
+      "t=1900 node=side-1 kind=belief event=target_restarted id=i-1 born=9\n",
+      kFlow);
+  const std::string heartbeat =
+      "node=side-1 kind=input event=heartbeat_ignored id=i-1 "
+      "outcome=other_start service=quote own=quote born=5 present_born=9\n";
+  const std::string delivery =
+      MakeDecision(1001, "side-1", "flow_opened", 7, 0);
+  WriteFile("side-1", delivery + reset + "t=1950 " + heartbeat);
+  STRCMP_CONTAINS(
+      "side-1 reset the open flow: target_restarted, after "
+      "target_restarted at side-1\n",
+      ReadText().c_str());
+  WriteFile("side-1",
+            delivery + reset + "t=1950 " + heartbeat + "t=2150 " + heartbeat);
+  STRCMP_CONTAINS(
+      "FLOW looks broken: side-1 reset the open flow: "
+      "target_restarted; but heartbeats of the target that had it, "
+      "started at 5, went on\n",
+      ReadText().c_str());
+}
+
 TEST(LogTimeline, FlowsOfOnePortAreToldApartByTheirOpenings) {
   WriteFile("edge-1",
             MakeOffer(1000, 7, 0, kAsRouted) +
