--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -1,6 +1,5 @@
 #include <fmt/format.h>
 
-
 #include "soak/world.h"
 #include "transport/clock.h"
 
@@ -30,12 +29,12 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+}  // namespace
+
 auto GetTargetSubject(std::size_t target) -> std::string {
   return fmt::format("target-{}", target);
 }
 
-}  // namespace
-
 auto SoakEnvironment::HasRestartKind(RestartKind kind) const -> bool {
   return options_.restarts.contains(kind);
 }
@@ -52,6 +51,7 @@
 
 auto SoakEnvironment::GetCalledRoutes() const -> std::vector<CalledRoute> {
   std::vector<CalledRoute> called = routes_;
+  called.insert(called.end(), changing_routes_.begin(), changing_routes_.end());
   if (moved_route_.has_value()) {
     called.push_back(moved_route_->route);
   }
