--- a/soak/callers.h
+++ b/soak/callers.h
@@ -120,6 +120,11 @@
   /// @param share Share of packets from callers to balancers to drop, 0 to 1.
   auto SetPacketLossShare(double share) -> void { loss_share_ = share; }
 
+  /// @return The latest packets of all callers.
+  [[nodiscard]] auto packets() const -> const CallerPackets& {
+    return packets_;
+  }
+
   /// Called with each packet that a caller sends; returns whether the packet
   /// still goes to its balancer.
   using PacketTap = std::function<bool(const FlowPacket& packet, ByteView)>;
@@ -138,11 +143,6 @@
     return flows_;
   }
 
-  /// @return The latest packets of all callers.
-  [[nodiscard]] auto packets() const -> const CallerPackets& {
-    return packets_;
-  }
-
  private:
   // Stream of the random numbers of long pauses.
   static constexpr std::uint64_t kPauseStream = 15;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -44,6 +44,26 @@
       transport::GetMonotonicTime().time_since_epoch());
 }
 
+auto KeepLogsAndPrintTimelines(SoakEnvironment& environment,
+                               const SoakOptions& options,
+                               const InvariantChecker& checker) -> void {
+  std::vector<std::filesystem::path> files;
+  for (const auto& it : environment.KeepLogFiles()) {
+    files.emplace_back(it);
+  }
+  files.push_back(
+      std::filesystem::temp_directory_path() /
+      fmt::format("soak-{}-callers-{}.log", options.seed, ::getpid()));
+  WriteSoakLog(files.back(), {.checker = checker,
+                              .packets = environment.caller_packets(),
+                              .events = environment.GetEventHistory(),
+                              .clock_offset = ComputeClockOffset()});
+  for (const auto& it : files) {
+    std::cout << "  log kept: " << it.string() << '\n';
+  }
+  PrintTimelines(std::cout, checker, files);
+}
+
 auto PrintReportAndKeepLogs(SoakEnvironment& environment,
                             const SoakOptions& options,
                             const InvariantChecker& checker) -> int {
@@ -69,24 +89,9 @@
         "  violation: {}: {} at {:.2f}\n", it.invariant, it.detail,
         std::chrono::duration<double>(it.at - checker.started).count());
   }
-  if (!options.plants.empty() && !options.verbose) {
-    return checker.violations.empty() ? 0 : kViolationsFound;
-  }
-  std::vector<std::filesystem::path> files;
-  for (const auto& it : environment.KeepLogFiles()) {
-    files.emplace_back(it);
-  }
-  files.push_back(
-      std::filesystem::temp_directory_path() /
-      fmt::format("soak-{}-callers-{}.log", options.seed, ::getpid()));
-  WriteSoakLog(files.back(), {.checker = checker,
-                              .packets = environment.caller_packets(),
-                              .events = environment.GetEventHistory(),
-                              .clock_offset = ComputeClockOffset()});
-  for (const auto& it : files) {
-    std::cout << "  log kept: " << it.string() << '\n';
+  if (options.plants.empty() || options.verbose) {
+    KeepLogsAndPrintTimelines(environment, options, checker);
   }
-  PrintTimelines(std::cout, checker, files);
   return checker.violations.empty() ? 0 : kViolationsFound;
 }
 
