--- a/soak/main.cc
+++ b/soak/main.cc
@@ -158,6 +158,8 @@
       false, 1, "N", command);
   TCLAP::SwitchArg route_changes(
       "", "route-changes", "Add routes that change their service", command);
+  TCLAP::SwitchArg scale_in(
+      "", "scale-in", "Let targets drain, leave and come back later", command);
   TCLAP::MultiArg<std::string> plants(
       "", "plant",
       "Plant a fault that breaks this rule, without other faults: MIXED, "
@@ -182,6 +184,7 @@
       .verbose = verbose.getValue(),
       .has_faults = only.getValue().empty() && plants.getValue().empty(),
       .has_route_changes = route_changes.getValue(),
+      .has_scale_ins = scale_in.getValue(),
       .heartbeat_interval = std::chrono::milliseconds{heartbeat_ms.getValue()},
       .reuse =
           ChooseReuse(reuse.getValue(), only.getValue(), late_ms.getValue()),
--- a/soak/operator.cc
+++ b/soak/operator.cc
@@ -1,5 +1,7 @@
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "soak/operator_events.h"
 #include "soak/world.h"
 #include "transport/clock.h"
@@ -12,6 +14,8 @@
 
 using transport::GetMonotonicTime;
 
+// Serving targets of a service with which none is taken away.
+constexpr int kTargetsKept = 2;
 constexpr const char* kFirstChangingRoute = "198.18.0.3:443";
 constexpr const char* kSecondChangingRoute = "198.18.0.4:443";
 
@@ -41,6 +45,43 @@
   }
 }
 
+auto SoakEnvironment::ScheduleScaleIns(Duration start) -> void {
+  if (options_.has_scale_ins) {
+    for (const auto& it : GenerateScaleIns(options_.seed, options_.length)) {
+      RunAfterDelay(start + it.start_offset, [this, it] {
+        TakeTargetAway(it.target % targets_.size(), it.away);
+      });
+    }
+  }
+}
+
+// Drains a target, unless its service has few or it is being replaced, ends it
+// and starts it again later. Its agent runs on.
+auto SoakEnvironment::TakeTargetAway(std::size_t target, Duration away)
+    -> void {
+  TargetStandin& leaving = *targets_[target];
+  const auto serving =
+      std::count_if(targets_.begin(), targets_.end(), [&](const auto& it) {
+        return it->service_name() == leaving.service_name() && it->is_alive() &&
+               !it->is_draining();
+      });
+  if (!leaving.is_alive() || leaving.is_draining() ||
+      handing_over_.contains(target) || serving <= kTargetsKept) {
+    return;
+  }
+  OnFaultStarted(checker_);
+  handing_over_.insert(target);
+  RecordEvent(fmt::format(
+      "target {} leaves for {} ms", target,
+      std::chrono::duration_cast<std::chrono::milliseconds>(away).count()));
+  leaving.StartDraining();
+  RunAfterDelay(kScaleInDrain, [&leaving] { leaving.ShutDownTarget(); });
+  RunAfterDelay(kScaleInDrain + away, [this, target, &leaving] {
+    leaving.RestartTarget(GetAgent(target).parameters.service);
+    handing_over_.erase(target);
+  });
+}
+
 auto SoakEnvironment::TakeZoneOut(const std::string& zone) -> void {
   const TimePoint now = GetMonotonicTime();
   OnFaultStarted(checker_);
--- a/soak/operator_events.cc
+++ b/soak/operator_events.cc
@@ -19,6 +19,12 @@
 // Distinguish the streams of a seed.
 constexpr std::uint64_t kZoneStream = 0x5A4F4E45;
 constexpr std::uint64_t kRouteStream = 0x524F5554;
+constexpr std::uint64_t kScaleStream = 0x5343414C;
+constexpr milliseconds kMinScalePause{500};
+constexpr milliseconds kMaxScalePause{6000};
+constexpr milliseconds kMinAway{1000};
+constexpr milliseconds kMaxAway{8000};
+constexpr std::size_t kTargets = 64;
 
 auto DrawDuration(Random& random, Duration min, Duration max) -> Duration {
   return min + Duration{static_cast<Duration::rep>(
@@ -70,4 +76,21 @@
   }
 }
 
+auto GenerateScaleIns(std::uint64_t seed, Duration length)
+    -> std::vector<ScaleIn> {
+  Random random{seed ^ kScaleStream};
+  std::vector<ScaleIn> events;
+  Duration start = DrawDuration(random, kMinScalePause, kMaxScalePause);
+  while (start < length) {
+    const ScaleIn event{.start_offset = start,
+                        .away = DrawDuration(random, kMinAway, kMaxAway),
+                        .target = random() % kTargets};
+    if (start + kScaleInDrain + event.away < length) {
+      events.push_back(event);
+    }
+    start += DrawDuration(random, kMinScalePause, kMaxScalePause);
+  }
+  return events;
+}
+
 }  // namespace hawthornbank::soak
--- a/soak/operator_events.h
+++ b/soak/operator_events.h
@@ -26,6 +26,17 @@
   std::size_t route = 0;    ///< Index of the route.
 };
 
+/// A target that drains, leaves for some time and comes back.
+struct ScaleIn {
+  Duration start_offset{};  ///< Offset from the start of the series.
+  Duration away{};          ///< Time from the target's end to its next start.
+  /// Index of the target, taken modulo the number of targets.
+  std::size_t target = 0;
+};
+
+/// Time for which a target that is taken away drains.
+inline constexpr Duration kScaleInDrain = std::chrono::seconds{4};
+
 /// Draws orders, one at a time. Some end before the bound of EVAC.
 /// @param length Length of the series; all orders end before.
 /// @param zones Number of zones; with one, the series is empty.
@@ -41,6 +52,13 @@
                           Duration length,
                           std::size_t routes) -> std::vector<RouteChange>;
 
+/// Draws targets that are taken away, of which some are away for longer than
+/// the bound of DRAIN.
+/// @param length Length of the series; all targets are back before its end.
+/// @return The events, ordered by start.
+auto GenerateScaleIns(std::uint64_t seed, Duration length)
+    -> std::vector<ScaleIn>;
+
 }  // namespace hawthornbank::soak
 
 #endif  // HAWTHORNBANK_SOAK_OPERATOR_EVENTS_H_
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -184,6 +184,7 @@
                   [this, it] { ApplyReuse(it, GetMonotonicTime()); });
   }
   ScheduleOperatorEvents(kStartupTime);
+  ScheduleScaleIns(kStartupTime);
   SchedulePlants(kStartupTime, end);
   // On SIGTERM or SIGINT, the soak ends its child processes before it exits.
   asio::signal_set signals(io_, SIGTERM, SIGINT);
--- a/soak/world.h
+++ b/soak/world.h
@@ -46,6 +46,8 @@
   bool has_faults = true;  ///< Whether the series of faults is injected.
   /// Whether two further routes change their service.
   bool has_route_changes = false;
+  /// Whether targets drain, leave for some time and come back.
+  bool has_scale_ins = false;
   /// Whether the operator's series of events is played: zones out of service if
   /// there are several, and changes of routes.
   bool has_operator_events = true;
@@ -133,6 +135,8 @@
   auto StoreNewRoutes(TimePoint now) -> void;
   auto AddChangingRoutes() -> void;
   auto ScheduleOperatorEvents(Duration start) -> void;
+  auto ScheduleScaleIns(Duration start) -> void;
+  auto TakeTargetAway(std::size_t target, Duration away) -> void;
   auto TakeZoneOut(const std::string& zone) -> void;
   auto ReturnZone(const std::string& zone) -> void;
   auto ChangeRoute(std::size_t route) -> void;
--- a/test/soak_plants_test.cc
+++ b/test/soak_plants_test.cc
@@ -52,6 +52,18 @@
   }
 }
 
+TEST(OperatorEvents, TargetsLeaveAndAreBackBeforeTheEnd) {
+  const auto events = GenerateScaleIns(5, 300s);
+  CHECK(events.size() > 20);
+  CHECK(GenerateScaleIns(5, 3s).empty());
+  bool is_some_above_bound = false;
+  for (const auto& it : events) {
+    CHECK(it.start_offset + kScaleInDrain + it.away < 300s);
+    is_some_above_bound = is_some_above_bound || it.away > kDrainOpeningTime;
+  }
+  CHECK(is_some_above_bound);
+}
+
 TEST_GROUP(Plants){};
 
 TEST(Plants, EachIsFoundByItsNameAndByItsRule) {
