--- a/soak/operator.cc
+++ b/soak/operator.cc
@@ -16,8 +16,8 @@
 
 // Serving targets of a service with which none is taken away.
 constexpr int kTargetsKept = 2;
-constexpr const char* kFirstChangingRoute = "198.18.0.3:443";
-constexpr const char* kSecondChangingRoute = "198.18.0.4:443";
+constexpr const char* kFirstChangingRoute = "198.18.0.5:443";
+constexpr const char* kSecondChangingRoute = "198.18.0.6:443";
 
 }  // namespace
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -3,6 +3,7 @@
 
 #include <asio.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,10 +12,13 @@
 
 #include "soak/callers.h"
 #include "soak/faults.h"
+#include "soak/flow_exemptions.h"
 #include "soak/judge.h"
 #include "soak/node_process.h"
 #include "soak/node_settings.h"
 #include "soak/plants.h"
+#include "soak/process_clock.h"
+#include "soak/restarts.h"
 #include "soak/reuse.h"
 #include "soak/store_standin.h"
 #include "soak/target_standin.h"
@@ -53,11 +57,19 @@
   bool has_operator_events = true;
   /// Mean time between two heartbeats of a target.
   std::chrono::milliseconds heartbeat_interval{200};
-  ReuseOptions reuse;  ///< Uses of ports and addresses again.
+  ReuseOptions reuse;              ///< Uses of ports and addresses again.
+  std::set<RestartKind> restarts;  ///< Kinds of events around restarts.
+  std::string clock_library;       ///< Path of the built clock_standin.cc.
   /// Faults that break a rule. The soak ends soon after the first violation.
   std::set<Plant> plants;
 };
 
+/// Time between the start of the processes and of the series of faults.
+inline constexpr Duration kStartupTime = std::chrono::seconds{2};
+
+/// @return Subject name of a target in the checks.
+auto GetTargetSubject(std::size_t target) -> std::string;
+
 /// Processes, stand-ins and checks of one soak, on addresses of 127.0.0.0/8.
 class SoakEnvironment {
  public:
@@ -89,8 +101,11 @@
     NodeParameters parameters;
     std::unique_ptr<TcpProxy> store_proxy;
     std::unique_ptr<transport::HttpClient> readiness_client;
+    std::unique_ptr<ProcessClock> clock;  ///< Null if clocks don't step.
     std::unique_ptr<NodeProcess> process;
-    TimePoint started_at{};  ///< Time of the last start.
+    TimePoint started_at{};           ///< Time of the last start.
+    WallTime started_at_wall_time{};  ///< Machine's time at the last start.
+    bool is_clock_checked = false;
     TimePoint restart_at{};  ///< Earliest time of the next start.
     TimePoint held_until{};  ///< Ended processes start at this time or later.
     TimePoint stop_deadline{};  ///< Latest time of exit after SIGTERM.
@@ -102,6 +117,12 @@
     bool is_exit_expected = false;
   };
 
+  // A called route that events drop, return and give to the other service.
+  struct MovedRoute {
+    CalledRoute route;
+    bool is_stored = true;
+  };
+
   auto AddAndStartNode(const std::string& subject, NodeParameters parameters)
       -> void;
   auto StartNodeProcess(Node& node) -> void;
@@ -132,6 +153,37 @@
   auto EndFormerTarget(std::size_t target, const ReuseEvent& event) -> void;
   auto StopFormerAgent(std::size_t target, TimePoint held_until) -> void;
   auto StartNextTarget(std::size_t target, const ReuseEvent& event) -> void;
+  [[nodiscard]] auto HasRestartKind(RestartKind kind) const -> bool;
+  auto AddMovedRoute() -> void;
+  [[nodiscard]] auto GetCalledRoutes() const -> std::vector<CalledRoute>;
+  auto AddClock(Node& node) -> void;
+  auto StartRestartSeries() -> void;
+  auto CheckClocks() -> void;
+  auto ApplyRestartEvent(const RestartEvent& event, TimePoint now) -> void;
+  auto StepClockOfProcess(const RestartEvent& event, TimePoint now) -> void;
+  [[nodiscard]] auto CanTargetRestart(std::size_t target) const -> bool;
+  [[nodiscard]] auto FindTargetToRestart(std::size_t first) const
+      -> std::optional<std::size_t>;
+  auto PrepareLateMessages(std::size_t target, const RestartEvent& event)
+      -> std::vector<transport::HttpRequest>;
+  auto EndTargetWithLateMessages(const RestartEvent& event, TimePoint now)
+      -> void;
+  auto SendLateMessage(std::size_t target,
+                       const transport::HttpRequest& message,
+                       std::function<void(bool is_answered)> on_end) -> void;
+  auto SendToNextStart(std::size_t target,
+                       const transport::HttpRequest& message,
+                       int start_count,
+                       TimePoint until) -> void;
+  auto StartTargetAgain(std::size_t target, const RestartEvent& event) -> void;
+  auto StopInTurn(std::size_t first,
+                  std::size_t count,
+                  Duration begin,
+                  Duration gap) -> void;
+  auto StopWithinSeries(Node& node) -> void;
+  auto ReplaceMostTargets(const RestartEvent& event) -> void;
+  auto EndTarget(std::size_t target, const RestartEvent& event) -> void;
+  auto MoveRoute(const RestartEvent& event, TimePoint now) -> void;
   [[nodiscard]] auto FindOtherService(const std::string& service) const
       -> std::string;
   auto StoreNewRoutes(TimePoint now) -> void;
@@ -169,6 +221,8 @@
   [[nodiscard]] auto MakeFlowId(const CallerFlow& flow) const -> FlowId;
   [[nodiscard]] auto FindHolder(const FlowId& flow) const
       -> std::optional<std::size_t>;
+  [[nodiscard]] auto IsFlowExempt(const CallerFlow& flow, TimePoint now) const
+      -> bool;
   auto FindRecentBalancers(const CallerFlow& flow, TimePoint now)
       -> std::vector<std::string>;
   // Returns the zone of the n-th balancer or target.
@@ -198,11 +252,15 @@
   std::vector<CalledRoute> routes_;  ///< Of the first and second service.
   /// Routes that callers use too; one without a service isn't stored.
   std::vector<CalledRoute> changing_routes_;
+  std::optional<MovedRoute> moved_route_;
   std::unique_ptr<Callers> callers_;
   InvariantChecker checker_;
+  FlowExemptions exemptions_;
   std::vector<std::string> event_history_;
-  /// Indices of targets that are being replaced by a ReuseEvent.
+  /// Indices of targets that an event is replacing.
   std::set<std::size_t> handing_over_;
+  /// A heartbeat of the last start of each target that an event has ended.
+  std::map<std::size_t, transport::HttpRequest> earlier_heartbeats_;
   int hand_overs_ = 0;
   // State of planted faults.
   std::unique_ptr<transport::UdpSocket> plant_socket_;
