--- a/soak/main.cc
+++ b/soak/main.cc
@@ -135,29 +135,31 @@
   return kinds;
 }
 
-auto RunSoak(int argc, char** argv) -> int {
-  TCLAP::CmdLine command(
+// Arguments of the command line.
+struct Arguments {
+  TCLAP::CmdLine command{
       "Runs hawthornnode processes on loopback between stand-ins under a "
       "seeded series of faults. Exit codes: 0 no violations, 1 violations, 2 "
       "wrong use.",
-      ' ', "0.1.0");
-  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Chooses the faults", false,
-                                      1, "N", command);
-  TCLAP::ValueArg<double> seconds("", "seconds", "Length of the series", false,
-                                  20, "S", command);
-  TCLAP::ValueArg<std::size_t> balancers("", "balancers", "Balancers", false, 3,
-                                         "N", command);
-  TCLAP::ValueArg<std::size_t> targets("", "targets", "Targets", false, 5, "N",
-                                       command);
-  TCLAP::SwitchArg verbose("", "verbose", "List faults, keep logs", command);
-  TCLAP::SwitchArg reuse("", "reuse", "Use ports and addresses again too",
-                         command);
-  TCLAP::SwitchArg restarts("", "restarts",
+      ' ', "0.1.0"};
+  TCLAP::ValueArg<std::uint64_t> seed{
+      "", "seed", "Chooses the faults", false, 1, "N", command};
+  TCLAP::ValueArg<double> seconds{
+      "", "seconds", "Length of the series", false, 20, "S", command};
+  TCLAP::ValueArg<std::size_t> balancers{"", "balancers", "Balancers", false,
+                                         3,  "N",         command};
+  TCLAP::ValueArg<std::size_t> targets{"", "targets", "Targets", false,
+                                       5,  "N",       command};
+  TCLAP::SwitchArg verbose{"", "verbose", "List faults, keep logs", command};
+  TCLAP::SwitchArg reuse{"", "reuse", "Use ports and addresses again too",
+                         command};
+  TCLAP::SwitchArg restarts{"", "restarts",
                             "Restart with stepped clocks, late messages, "
                             "other idle timeouts and routes too",
-                            command);
-  TCLAP::MultiArg<std::string> only(
-      "", "only",
+                            command};
+  TCLAP::MultiArg<std::string> only{
+      "",
+      "only",
       "Only events of this kind, without the series of faults: reuse_ports, "
       "late_copies (with reuse_ports), "
       "hand_over (any way), together, early_agent, late_agent, kept_agent, "
@@ -165,60 +167,98 @@
       "killed_agent, step_clock, earlier_heartbeat, heartbeat_at_restart, "
       "late_deregistration, idle_timeout, replace_most, drop_route, "
       "move_route",
-      false, "KIND", command);
-  TCLAP::ValueArg<int> late_ms(
-      "", "late-ms",
+      false,
+      "KIND",
+      command};
+  TCLAP::ValueArg<int> late_ms{
+      "",
+      "late-ms",
       "Time for which former agents outlive their target's "
       "successor, with late_agent and drained",
-      false, -1, "MS", command);
-  TCLAP::ValueArg<int> heartbeat_ms("", "heartbeat-ms",
+      false,
+      -1,
+      "MS",
+      command};
+  TCLAP::ValueArg<int> heartbeat_ms{"",
+                                    "heartbeat-ms",
                                     "Time between two heartbeats of a target",
-                                    false, 200, "MS", command);
-  TCLAP::ValueArg<std::size_t> zones(
-      "", "zones",
+                                    false,
+                                    200,
+                                    "MS",
+                                    command};
+  TCLAP::ValueArg<std::size_t> zones{
+      "",
+      "zones",
       "Zones of balancers and targets; several are taken out of service in "
       "turn",
-      false, 1, "N", command);
-  TCLAP::SwitchArg route_changes(
-      "", "route-changes", "Add routes that change their service", command);
-  TCLAP::SwitchArg scale_in(
-      "", "scale-in", "Let targets drain, leave and come back later", command);
-  TCLAP::MultiArg<std::string> plants(
-      "", "plant",
+      false,
+      1,
+      "N",
+      command};
+  TCLAP::SwitchArg route_changes{
+      "", "route-changes", "Add routes that change their service", command};
+  TCLAP::SwitchArg scale_in{
+      "", "scale-in", "Let targets drain, leave and come back later", command};
+  TCLAP::MultiArg<std::string> plants{
+      "",
+      "plant",
       "Plant a fault that breaks this rule, without other faults: MIXED, "
       "UNASKED, ROUTE, DRAIN, CONFIG, EVAC, RECOVER, FLOW, EXIT or one of "
       "their faults, such as DRAIN-gone; none: no faults at all",
-      false, "RULE", command);
-  TCLAP::ValueArg<std::string> program("", "program", "Path of hawthornnode",
-                                       false, HAWTHORNNODE, "PATH", command);
-  TCLAP::ValueArg<std::string> clock_library(
-      "", "clock-library",
+      false,
+      "RULE",
+      command};
+  TCLAP::ValueArg<std::string> program{
+      "",     "program", "Path of hawthornnode", false, HAWTHORNNODE,
+      "PATH", command};
+  TCLAP::ValueArg<std::string> clock_library{
+      "",
+      "clock-library",
       "Path of the library that is preloaded into processes whose clocks step",
-      false, SOAK_CLOCK, "PATH", command);
-  command.parse(argc, argv);
-  if (zones.getValue() < 1 || zones.getValue() > kMaxZones) {
+      false,
+      SOAK_CLOCK,
+      "PATH",
+      command};
+};
+
+// Returns the options that the command line chooses.
+// Throws CmdLineParseException for values that can't be used.
+auto ParseOptions(int argc, char** argv) -> SoakOptions {
+  Arguments arguments;
+  arguments.command.parse(argc, argv);
+  const std::size_t zones = arguments.zones.getValue();
+  if (zones < 1 || zones > kMaxZones) {
     throw TCLAP::CmdLineParseException("zones must be 1 to 26", "zones");
   }
   SoakOptions options{
-      .program = program.getValue(),
-      .seed = seed.getValue(),
+      .program = arguments.program.getValue(),
+      .seed = arguments.seed.getValue(),
       .length = std::chrono::milliseconds{static_cast<std::int64_t>(
-          seconds.getValue() * 1000)},
-      .balancers = balancers.getValue(),
-      .zones = zones.getValue(),
-      .targets = targets.getValue(),
+          arguments.seconds.getValue() * 1000)},
+      .balancers = arguments.balancers.getValue(),
+      .zones = zones,
+      .targets = arguments.targets.getValue(),
       .network = ChooseLoopbackNetwork(::getpid()),
-      .verbose = verbose.getValue(),
-      .has_faults = only.getValue().empty() && plants.getValue().empty(),
-      .has_route_changes = route_changes.getValue(),
-      .has_scale_ins = scale_in.getValue(),
-      .heartbeat_interval = std::chrono::milliseconds{heartbeat_ms.getValue()},
+      .verbose = arguments.verbose.getValue(),
+      .has_faults = arguments.only.getValue().empty() &&
+                    arguments.plants.getValue().empty(),
+      .has_route_changes = arguments.route_changes.getValue(),
+      .has_scale_ins = arguments.scale_in.getValue(),
+      .heartbeat_interval =
+          std::chrono::milliseconds{arguments.heartbeat_ms.getValue()},
       .reuse =
-          ChooseReuse(reuse.getValue(), only.getValue(), late_ms.getValue()),
-      .restarts = ChooseRestarts(restarts.getValue(), only.getValue()),
-      .clock_library = clock_library.getValue(),
-      .plants = ChoosePlants(plants.getValue())};
+          ChooseReuse(arguments.reuse.getValue(), arguments.only.getValue(),
+                      arguments.late_ms.getValue()),
+      .restarts = ChooseRestarts(arguments.restarts.getValue(),
+                                 arguments.only.getValue()),
+      .clock_library = arguments.clock_library.getValue(),
+      .plants = ChoosePlants(arguments.plants.getValue())};
   PreparePlants(options);
+  return options;
+}
+
+auto RunSoak(int argc, char** argv) -> int {
+  const SoakOptions options = ParseOptions(argc, argv);
   SoakEnvironment environment(options);
   return PrintReportAndKeepLogs(environment, options,
                                 environment.RunAllPhases());
