--- a/soak/hand_over.cc
+++ b/soak/hand_over.cc
@@ -74,6 +74,16 @@
   }
 }
 
+// Returns the number of targets of a service. The last target of a service
+// isn't moved to the other service, since callers couldn't be served without a
+// target.
+auto SoakEnvironment::CountTargetsOfService(const std::string& service) const
+    -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      targets_.begin(), targets_.end(),
+      [&](const auto& it) { return it->service_name() == service; }));
+}
+
 // Returns the first target, from `first` on, that can be replaced; nothing when
 // the service would be left with too few targets.
 auto SoakEnvironment::FindTargetToHandOver(const std::string& service,
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -224,4 +224,11 @@
   }
 }
 
+auto SoakEnvironment::RecordEvent(const std::string& event) -> void {
+  event_history_.push_back(fmt::format(
+      "{:.2f} {}",
+      std::chrono::duration<double>(GetMonotonicTime() - started_).count(),
+      event));
+}
+
 }  // namespace hawthornbank::soak
--- a/soak/operator.cc
+++ b/soak/operator.cc
@@ -22,6 +22,9 @@
 }  // namespace
 
 auto SoakEnvironment::AddChangingRoutes() -> void {
+  if (!options_.has_route_changes) {
+    return;
+  }
   changing_routes_ = {{.address = ParseEndpoint(kFirstChangingRoute),
                        .service = routes_.front().service},
                       {.address = ParseEndpoint(kSecondChangingRoute),
@@ -29,6 +32,7 @@
 }
 
 auto SoakEnvironment::ScheduleOperatorEvents(Duration start) -> void {
+  ScheduleScaleIns(start);
   if (options_.has_operator_events) {
     for (const auto& it :
          GenerateZoneOrders(options_.seed, options_.length, options_.zones)) {
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -53,9 +53,7 @@
   routes_ = {
       {.address = ParseEndpoint("198.18.0.1:443"), .service = kFirstService},
       {.address = ParseEndpoint("198.18.0.2:443"), .service = kSecondService}};
-  if (options_.has_route_changes) {
-    AddChangingRoutes();
-  }
+  AddChangingRoutes();
   AddMovedRoute();
   StoreNewRoutes(GetMonotonicTime());
   std::vector<Endpoint> data_endpoints;
@@ -170,7 +168,6 @@
   }
   StartRestartSeries();
   ScheduleOperatorEvents(kStartupTime);
-  ScheduleScaleIns(kStartupTime);
   SchedulePlants(kStartupTime, end);
   // On SIGTERM or SIGINT, the soak ends its child processes before it exits.
   asio::signal_set signals(io_, SIGTERM, SIGINT);
@@ -249,13 +246,6 @@
   }
 }
 
-auto SoakEnvironment::RecordEvent(const std::string& event) -> void {
-  event_history_.push_back(fmt::format(
-      "{:.2f} {}",
-      std::chrono::duration<double>(GetMonotonicTime() - started_).count(),
-      event));
-}
-
 auto SoakEnvironment::ApplyFault(const Fault& fault, TimePoint now) -> void {
   OnFaultStarted(checker_);
   RecordEvent(fmt::format(
@@ -309,16 +299,6 @@
   }
 }
 
-// Returns the number of targets of a service. The last target of a service
-// isn't moved to the other service, since callers couldn't be served without a
-// target.
-auto SoakEnvironment::CountTargetsOfService(const std::string& service) const
-    -> std::size_t {
-  return static_cast<std::size_t>(std::count_if(
-      targets_.begin(), targets_.end(),
-      [&](const auto& it) { return it->service_name() == service; }));
-}
-
 auto SoakEnvironment::ApplyTargetOrPacketLossFault(const Fault& fault,
                                                    TimePoint now) -> void {
   const std::size_t n = fault.subject_index % targets_.size();
--- a/support/check.sh
+++ b/support/check.sh
@@ -115,6 +115,9 @@
 run_step soak-reuse build/release/soak/soak --seed 1 --seconds 20 --targets 10 \
   --reuse
 tail -n 1 "$LOGS/soak-reuse.log"
+run_step soak-operator build/release/soak/soak --seed 1 --seconds 12 \
+  --targets 10 --zones 3 --route-changes --scale-in
+tail -n 1 "$LOGS/soak-operator.log"
 sed -n '/what callers saw/,$p' "$LOGS/demo.log"
 if [ -s KNOWN-RED.txt ]; then
   echo "known failures, passed over:"
