--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -183,10 +183,7 @@
     head.acknowledgement = flow.target_sequence + 1;
   }
   const std::size_t balancer = ChooseBalancer(flow.port);
-  if (flow.last_sent != TimePoint{}) {
-    flow.longest_pause = std::max(flow.longest_pause, now - flow.last_sent);
-  }
-  flow.balancer_last_used[balancer] = flow.last_sent = now;
+  flow.balancer_last_used[balancer] = now;
   if (DrawRandomFraction(random_) < loss_share_) {
     RecordSentPacket(flow, head, balancer, true);
     return;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -54,9 +54,7 @@
   TimePoint resumed_at{};        ///< Time of the request after `idle_since`.
   TimePoint first_sent{};
   TimePoint next_send{};
-  TimePoint ended_at{};      ///< Zero while the flow goes on.
-  TimePoint last_sent{};     ///< Time of the last packet to a balancer.
-  Duration longest_pause{};  ///< Between two packets to balancers.
+  TimePoint ended_at{};  ///< Zero while the flow goes on.
   /// Time of the flow's last packet to each balancer, by balancer index.
   std::map<std::size_t, TimePoint> balancer_last_used;
 };
--- a/soak/judge_flows.cc
+++ b/soak/judge_flows.cc
@@ -10,40 +10,30 @@
 namespace hawthornbank::soak {
 namespace {
 
-// Returns whether neither the agent nor a balancer had an unplanned disturbance
-// in the last kRecoveryTime. Planned work excuses nothing.
+// Returns whether neither the agent nor the target nor a balancer had an
+// unplanned disturbance in the last kRecoveryTime. Planned work excuses
+// nothing.
 auto AreUndisturbed(const InvariantChecker& checker,
                     const std::string& agent,
+                    const std::string& target,
                     const std::vector<std::string>& balancers,
                     TimePoint now) -> bool {
   return HasSubjectRecovered(checker, agent, false, now) &&
+         HasSubjectRecovered(checker, target, false, now) &&
          std::all_of(balancers.begin(), balancers.end(),
                      [&](const std::string& it) {
                        return HasSubjectRecovered(checker, it, false, now);
                      });
 }
 
-// Returns whether a flow may no longer be kept: it is older than kFlowLifetime,
-// or a configuration since its opening has no route for it.
-auto MayEnd(const InvariantChecker& checker,
-            const FlowId& flow,
-            Duration age,
-            TimePoint now) -> bool {
-  return age > kFlowLifetime ||
-         !detail::WasRouteStored(checker, flow.key.address,
-                                 now - std::max(age, kRecoveryTime));
-}
-
 }  // namespace
 
 auto OnFlowReset(InvariantChecker& checker,
                  const ResetRecord& reset,
                  TimePoint now) -> void {
   if (!reset.target_holds_flow || reset.is_exempt ||
-      !HasSubjectRecovered(checker, reset.target, false, now) ||
-      !AreUndisturbed(checker, reset.agent, reset.recent_balancers, now) ||
-      MayEnd(checker, reset.flow, reset.age, now) ||
-      reset.idle_time > checker.idle_timeout) {
+      !AreUndisturbed(checker, reset.agent, reset.target,
+                      reset.recent_balancers, now)) {
     ++checker.excused_resets;
     return;
   }
@@ -57,10 +47,9 @@
 auto OnFlowPacketAtTarget(InvariantChecker& checker,
                           const FlowPacketRecord& packet,
                           TimePoint now) -> void {
-  if (packet.is_at_holder || packet.holder_agent.empty() ||
-      !AreUndisturbed(checker, packet.holder_agent, packet.recent_balancers,
-                      now) ||
-      MayEnd(checker, packet.flow, packet.age, now)) {
+  if (packet.is_at_holder || packet.holder_agent.empty() || packet.is_exempt ||
+      !AreUndisturbed(checker, packet.holder_agent, packet.holder_target,
+                      packet.recent_balancers, now)) {
     checker.stray_packets.erase(packet.flow);
     return;
   }
--- a/soak/planting.cc
+++ b/soak/planting.cc
@@ -94,6 +94,8 @@
   former_service_ = changing_routes_.front().service;
   route_changed_at_ = GetMonotonicTime();
   changing_routes_.front().service.clear();
+  OnRouteDropped(exemptions_, changing_routes_.front().address,
+                 route_changed_at_);
   StoreNewRoutes(route_changed_at_);
 }
 
--- a/soak/store_standin.h
+++ b/soak/store_standin.h
@@ -29,10 +29,10 @@
   /// store has no routes.
   std::uint64_t routes_version = 0;
   std::vector<StoredRoute> routes;
-  /// Idle timeout of flows in the configuration; 0: the configuration has none.
-  std::chrono::milliseconds idle_timeout{};
   /// Names of the objects `evacuations/ZONE`.
   std::set<std::string> zones_out;
+  /// Idle timeout of flows in the configuration; 0: the configuration has none.
+  std::chrono::milliseconds idle_timeout{};
   /// Objects of the load balancer's own kinds: JSON text by kind and name.
   std::map<std::string, std::map<std::string, std::string>>
       load_balancer_objects;
