--- a/soak/judge.h
+++ b/soak/judge.h
@@ -116,8 +116,6 @@
   bool is_exempt = false;
   /// Balancers that the caller used for the flow in the 2 s before the reset.
   std::vector<std::string> recent_balancers;
-  Duration age{};        ///< Time since the first opening packet.
-  Duration idle_time{};  ///< Longest time between two packets of the caller.
 };
 
 /// A packet of an open flow, not an opening, at a target.
@@ -127,8 +125,9 @@
   /// Agent of the live target that holds the flow; empty if there is none or
   /// if it was unresponsive in the last kRecoveryTime.
   std::string holder_agent;
+  std::string holder_target;                  ///< Subject name of the target.
+  bool is_exempt = false;                     ///< As in ResetRecord.
   std::vector<std::string> recent_balancers;  ///< As in ResetRecord.
-  Duration age{};                             ///< Since the opening packet.
 };
 
 /// Packets of a flow at other targets since the last one at its own.
@@ -166,8 +165,6 @@
   std::unordered_map<FlowId, StrayPackets, FlowIdHash> stray_packets;
   /// Flows for which ROUTE is already reported.
   std::unordered_set<FlowId, FlowIdHash> misrouted;
-  /// Time without packets after which a flow may be discarded.
-  Duration idle_timeout = Duration::max();
   /// Configuration version last reported by each process, by process name.
   std::map<std::string, std::uint64_t> last_versions;
   /// Time at which the store accepted each configuration version.
@@ -240,8 +237,7 @@
 /// balancer that took the packet weren't disturbed in the last kRecoveryTime;
 /// CONFIG and EVAC also require that the store wasn't. A target that has ended
 /// is only checked for DRAIN. A copy of an opening that the target has taken
-/// before starts no flow and is only checked for UNASKED and our own check of
-/// late openings.
+/// before starts no flow and is only checked for UNASKED.
 auto OnOpeningTaken(InvariantChecker& checker,
                     const TakenOpening& opening,
                     TimePoint now) -> void;
@@ -298,10 +294,8 @@
 
 /// Checks a reset that the load balancer, not a target, sent to a caller
 /// (FLOW). The reset is excused when no target holds the flow, when the flow is
-/// exempt, older than kFlowLifetime or idle for the idle timeout, when a
-/// configuration since the flow's opening has no route for it, or within
-/// kRecoveryTime after an unplanned disturbance of the agent, of the target or
-/// of a balancer in the record. Planned stops don't excuse it.
+/// exempt, or within kRecoveryTime after an unplanned disturbance of the agent,
+/// of the target or of a balancer in the record. Planned stops don't excuse it.
 auto OnFlowReset(InvariantChecker& checker,
                  const ResetRecord& reset,
                  TimePoint now) -> void;
@@ -323,8 +317,7 @@
                     TimePoint now) -> void;
 
 /// Checks that packets of an open flow don't reach other targets only (FLOW):
-/// kMinStrayPackets or more in kReorderTime. Excused as in OnFlowReset(),
-/// except for the idle time.
+/// kMinStrayPackets or more in kReorderTime. Excused as in OnFlowReset().
 auto OnFlowPacketAtTarget(InvariantChecker& checker,
                           const FlowPacketRecord& packet,
                           TimePoint now) -> void;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -4,10 +4,14 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 #include <exception>
+#include <filesystem>
 #include <iostream>
 
+#include "soak/timeline.h"
 #include "soak/world.h"
+#include "transport/clock.h"
 
 /// @file
 /// Runs hawthornnode processes under a series of faults that a seed determines,
@@ -32,6 +36,34 @@
          (1 + static_cast<std::uint32_t>(process_id) % kNetworks) * kAddresses;
 }
 
+// Returns the Unix time at the zero of the monotonic clock.
+auto ComputeClockOffset() -> std::chrono::milliseconds {
+  namespace transport = hawthornbank::transport;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      transport::GetWallTime().time_since_epoch() -
+      transport::GetMonotonicTime().time_since_epoch());
+}
+
+auto KeepLogsAndPrintTimelines(SoakEnvironment& environment,
+                               const SoakOptions& options,
+                               const InvariantChecker& checker) -> void {
+  std::vector<std::filesystem::path> files;
+  for (const auto& it : environment.KeepLogFiles()) {
+    files.emplace_back(it);
+  }
+  files.push_back(
+      std::filesystem::temp_directory_path() /
+      fmt::format("soak-{}-callers-{}.log", options.seed, ::getpid()));
+  WriteSoakLog(files.back(), {.checker = checker,
+                              .packets = environment.caller_packets(),
+                              .events = environment.GetEventHistory(),
+                              .clock_offset = ComputeClockOffset()});
+  for (const auto& it : files) {
+    std::cout << "  log kept: " << it.string() << '\n';
+  }
+  PrintTimelines(std::cout, checker, files);
+}
+
 auto PrintReportAndKeepLogs(SoakEnvironment& environment,
                             const SoakOptions& options,
                             const InvariantChecker& checker) -> int {
@@ -58,9 +90,7 @@
         std::chrono::duration<double>(it.at - checker.started).count());
   }
   if (options.plants.empty() || options.verbose) {
-    for (const auto& it : environment.KeepLogFiles()) {
-      std::cout << "  log kept: " << it << '\n';
-    }
+    KeepLogsAndPrintTimelines(environment, options, checker);
   }
   return checker.violations.empty() ? 0 : kViolationsFound;
 }
@@ -90,23 +120,6 @@
   return options;
 }
 
-// Returns the kinds of events around restarts that the options choose: all
-// with `restarts`, and those named by `only`.
-auto ChooseRestarts(bool all, const std::vector<std::string>& only)
-    -> std::set<RestartKind> {
-  std::set<RestartKind> kinds;
-  if (all) {
-    kinds = GetAllRestartKinds();
-  }
-  for (const auto& it : only) {
-    const auto kind = ParseRestartKind(it);
-    if (kind.has_value()) {
-      kinds.insert(*kind);
-    }
-  }
-  return kinds;
-}
-
 // Returns the planted faults of the given names.
 // Throws CmdLineParseException for an unknown name.
 auto ChoosePlants(const std::vector<std::string>& names) -> std::set<Plant> {
@@ -135,29 +148,48 @@
   }
 }
 
-auto RunSoak(int argc, char** argv) -> int {
-  TCLAP::CmdLine command(
+// Returns the kinds of events around restarts that the options choose: all
+// with `restarts`, and those named by `only`.
+auto ChooseRestarts(bool all, const std::vector<std::string>& only)
+    -> std::set<RestartKind> {
+  std::set<RestartKind> kinds;
+  if (all) {
+    kinds = GetAllRestartKinds();
+  }
+  for (const auto& it : only) {
+    const auto kind = ParseRestartKind(it);
+    if (kind.has_value()) {
+      kinds.insert(*kind);
+    }
+  }
+  return kinds;
+}
+
+// Arguments of the command line.
+struct Arguments {
+  TCLAP::CmdLine command{
       "Runs hawthornnode processes on loopback between stand-ins under a "
       "seeded series of faults. Exit codes: 0 no violations, 1 violations, 2 "
       "wrong use.",
-      ' ', "0.1.0");
-  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Chooses the faults", false,
-                                      1, "N", command);
-  TCLAP::ValueArg<double> seconds("", "seconds", "Length of the series", false,
-                                  20, "S", command);
-  TCLAP::ValueArg<std::size_t> balancers("", "balancers", "Balancers", false, 3,
-                                         "N", command);
-  TCLAP::ValueArg<std::size_t> targets("", "targets", "Targets", false, 5, "N",
-                                       command);
-  TCLAP::SwitchArg verbose("", "verbose", "List faults, keep logs", command);
-  TCLAP::SwitchArg reuse("", "reuse", "Use ports and addresses again too",
-                         command);
-  TCLAP::SwitchArg restarts("", "restarts",
+      ' ', "0.1.0"};
+  TCLAP::ValueArg<std::uint64_t> seed{
+      "", "seed", "Chooses the faults", false, 1, "N", command};
+  TCLAP::ValueArg<double> seconds{
+      "", "seconds", "Length of the series", false, 20, "S", command};
+  TCLAP::ValueArg<std::size_t> balancers{"", "balancers", "Balancers", false,
+                                         3,  "N",         command};
+  TCLAP::ValueArg<std::size_t> targets{"", "targets", "Targets", false,
+                                       5,  "N",       command};
+  TCLAP::SwitchArg verbose{"", "verbose", "List faults, keep logs", command};
+  TCLAP::SwitchArg reuse{"", "reuse", "Use ports and addresses again too",
+                         command};
+  TCLAP::SwitchArg restarts{"", "restarts",
                             "Restart with stepped clocks, late messages, "
                             "other idle timeouts and routes too",
-                            command);
-  TCLAP::MultiArg<std::string> only(
-      "", "only",
+                            command};
+  TCLAP::MultiArg<std::string> only{
+      "",
+      "only",
       "Only events of this kind, without the series of faults: reuse_ports, "
       "late_copies (with reuse_ports), "
       "hand_over (any way), together, early_agent, late_agent, kept_agent, "
@@ -165,57 +197,98 @@
       "killed_agent, step_clock, earlier_heartbeat, heartbeat_at_restart, "
       "late_deregistration, idle_timeout, replace_most, drop_route, "
       "move_route",
-      false, "KIND", command);
-  TCLAP::ValueArg<int> late_ms(
-      "", "late-ms",
+      false,
+      "KIND",
+      command};
+  TCLAP::ValueArg<int> late_ms{
+      "",
+      "late-ms",
       "Time for which former agents outlive their target's "
       "successor, with late_agent and drained",
-      false, -1, "MS", command);
-  TCLAP::ValueArg<int> heartbeat_ms("", "heartbeat-ms",
+      false,
+      -1,
+      "MS",
+      command};
+  TCLAP::ValueArg<int> heartbeat_ms{"",
+                                    "heartbeat-ms",
                                     "Time between two heartbeats of a target",
-                                    false, 200, "MS", command);
-  TCLAP::ValueArg<std::size_t> zones(
-      "", "zones",
+                                    false,
+                                    200,
+                                    "MS",
+                                    command};
+  TCLAP::ValueArg<std::size_t> zones{
+      "",
+      "zones",
       "Zones of balancers and targets; several are taken out of service in "
       "turn",
-      false, 1, "N", command);
-  TCLAP::SwitchArg route_changes(
-      "", "route-changes", "Add routes that change their service", command);
-  TCLAP::MultiArg<std::string> plants(
-      "", "plant",
+      false,
+      1,
+      "N",
+      command};
+  TCLAP::SwitchArg route_changes{
+      "", "route-changes", "Add routes that change their service", command};
+  TCLAP::SwitchArg scale_in{
+      "", "scale-in", "Let targets drain, leave and come back later", command};
+  TCLAP::MultiArg<std::string> plants{
+      "",
+      "plant",
       "Plant a fault that breaks this rule, without other faults: MIXED, "
       "UNASKED, ROUTE, DRAIN, CONFIG, EVAC, RECOVER, FLOW, EXIT or one of "
       "their faults, such as DRAIN-gone; none: no faults at all",
-      false, "RULE", command);
-  TCLAP::ValueArg<std::string> program("", "program", "Path of hawthornnode",
-                                       false, HAWTHORNNODE, "PATH", command);
-  TCLAP::ValueArg<std::string> clock_library(
-      "", "clock-library",
+      false,
+      "RULE",
+      command};
+  TCLAP::ValueArg<std::string> program{
+      "",     "program", "Path of hawthornnode", false, HAWTHORNNODE,
+      "PATH", command};
+  TCLAP::ValueArg<std::string> clock_library{
+      "",
+      "clock-library",
       "Path of the library that is preloaded into processes whose clocks step",
-      false, SOAK_CLOCK, "PATH", command);
-  command.parse(argc, argv);
-  if (zones.getValue() < 1 || zones.getValue() > kMaxZones) {
+      false,
+      SOAK_CLOCK,
+      "PATH",
+      command};
+};
+
+// Returns the options that the command line chooses.
+// Throws CmdLineParseException for values that can't be used.
+auto ParseOptions(int argc, char** argv) -> SoakOptions {
+  Arguments arguments;
+  arguments.command.parse(argc, argv);
+  const std::size_t zones = arguments.zones.getValue();
+  if (zones < 1 || zones > kMaxZones) {
     throw TCLAP::CmdLineParseException("zones must be 1 to 26", "zones");
   }
   SoakOptions options{
-      .program = program.getValue(),
-      .seed = seed.getValue(),
+      .program = arguments.program.getValue(),
+      .seed = arguments.seed.getValue(),
       .length = std::chrono::milliseconds{static_cast<std::int64_t>(
-          seconds.getValue() * 1000)},
-      .balancers = balancers.getValue(),
-      .zones = zones.getValue(),
-      .targets = targets.getValue(),
+          arguments.seconds.getValue() * 1000)},
+      .balancers = arguments.balancers.getValue(),
+      .zones = zones,
+      .targets = arguments.targets.getValue(),
       .network = ChooseLoopbackNetwork(::getpid()),
-      .verbose = verbose.getValue(),
-      .has_faults = only.getValue().empty() && plants.getValue().empty(),
-      .has_route_changes = route_changes.getValue(),
-      .heartbeat_interval = std::chrono::milliseconds{heartbeat_ms.getValue()},
+      .verbose = arguments.verbose.getValue(),
+      .has_faults = arguments.only.getValue().empty() &&
+                    arguments.plants.getValue().empty(),
+      .has_route_changes = arguments.route_changes.getValue(),
+      .has_scale_ins = arguments.scale_in.getValue(),
+      .heartbeat_interval =
+          std::chrono::milliseconds{arguments.heartbeat_ms.getValue()},
       .reuse =
-          ChooseReuse(reuse.getValue(), only.getValue(), late_ms.getValue()),
-      .restarts = ChooseRestarts(restarts.getValue(), only.getValue()),
-      .clock_library = clock_library.getValue(),
-      .plants = ChoosePlants(plants.getValue())};
+          ChooseReuse(arguments.reuse.getValue(), arguments.only.getValue(),
+                      arguments.late_ms.getValue()),
+      .restarts = ChooseRestarts(arguments.restarts.getValue(),
+                                 arguments.only.getValue()),
+      .clock_library = arguments.clock_library.getValue(),
+      .plants = ChoosePlants(arguments.plants.getValue())};
   PreparePlants(options);
+  return options;
+}
+
+auto RunSoak(int argc, char** argv) -> int {
+  const SoakOptions options = ParseOptions(argc, argv);
   SoakEnvironment environment(options);
   return PrintReportAndKeepLogs(environment, options,
                                 environment.RunAllPhases());
--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -54,10 +54,10 @@
 
 auto SoakEnvironment::GetCalledRoutes() const -> std::vector<CalledRoute> {
   std::vector<CalledRoute> called = routes_;
-  called.insert(called.end(), changing_routes_.begin(), changing_routes_.end());
   if (moved_route_.has_value()) {
     called.push_back(moved_route_->route);
   }
+  called.insert(called.end(), changing_routes_.begin(), changing_routes_.end());
   return called;
 }
 
@@ -77,6 +77,7 @@
 
 auto SoakEnvironment::ApplyRestartEvent(const RestartEvent& event,
                                         TimePoint now) -> void {
+  OnFaultStarted(checker_);
   switch (event.kind) {
     case RestartKind::kStepClock:
       StepClockOfProcess(event, now);
