Don't end a running start on a late heartbeat of the start known before

Callers saw: a second after a late heartbeat of a crashed target, all open flows of the next start at its address were reset.

Cause: the clock had gone back between the two starts, so the next one was a rival; its agent restarted before the rival was in force. Balancers told the new process of the crashed start, which the rule for former starts didn't compare with the heartbeat's: the late heartbeat has a later start time, was taken for a restart, and the running start's flows ended.

Change: a heartbeat, not the first one, of a start that balancers have told the agent of is a rival once the present start has been heard for two intervals. LateHeartbeatOfTheFormerStartDoesntEndARunningOne fails without the change.

--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -265,13 +265,15 @@
          (presence.knows_all_flows || WasHeardForTwoIntervals(presence));
 }
 
-// Whether a start that is unknown to an agent whose process has restarted
-// beside the present start may be an earlier one, as it sends no first
-// heartbeat.
+// Whether a start that is unknown to an agent whose process has restarted may
+// be an earlier one, as it sends no first heartbeat: the present start runs on
+// from before, or has gone on since, while balancers knew the other one.
 auto MayHaveEndedBefore(const TargetPresence& presence,
                         const TargetHeartbeat& beat) -> bool {
   return HasOwnTarget(presence) && beat.sequence > kFirstHeartbeatSequence &&
-         IsFormerStart(presence, presence.status.started_at_ms);
+         (IsFormerStart(presence, presence.status.started_at_ms) ||
+          (IsFormerStart(presence, beat.started_at_ms) &&
+           WasPresentStartRunning(presence)));
 }
 
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -456,3 +456,23 @@
   CHECK(OnTargetHeartbeat(heard, MakeHeartbeat(400, 7, TargetState::kReady),
                           kNow + 5s) == PresenceOutcome::kRestarted);
 }
+
+// Guards against the reset of a running start's flows by a late heartbeat of a
+// crashed start with a later start time, which balancers still took for the
+// present one when the agent's process restarted.
+TEST(TargetPresence, LateHeartbeatOfTheFormerStartDoesntEndARunningOne) {
+  RecordFormerStart(presence, 300);
+  for (std::uint64_t n = 1; n < 5; ++n) {
+    ReceiveHeartbeat(200, 3 + n, TargetState::kReady, n * 1s);
+  }
+  CHECK(ReceiveHeartbeat(300, 8, TargetState::kReady, 4500ms) ==
+        PresenceOutcome::kOtherStart);
+  LONGS_EQUAL(200, presence.status.started_at_ms);
+  CHECK(ReceiveHeartbeat(200, 8, TargetState::kReady, 5s) !=
+        PresenceOutcome::kOtherStart);
+  // It runs: its heartbeats go on without the present start's.
+  CHECK(ReceiveHeartbeat(300, 9, TargetState::kReady, 6s) ==
+        PresenceOutcome::kOtherStart);
+  CHECK(ReceiveHeartbeat(300, 12, TargetState::kReady, 8300ms) ==
+        PresenceOutcome::kReplaced);
+}
