--- a/soak/hand_over.cc
+++ b/soak/hand_over.cc
@@ -176,7 +176,7 @@
     agent.process->WriteSettingsFile(
         FormatNodeSettings(ports_, agent.parameters));
     if (event.kind == ReuseKind::kKeptAgentSighup) {
-      SendReloadSignal(agent);
+      SendSignalWhenLoaded(agent, SIGHUP);
     }
   }
 }
--- a/soak/probes.cc
+++ b/soak/probes.cc
@@ -18,8 +18,8 @@
 
 constexpr std::chrono::milliseconds kProbeTimeout{450};
 constexpr int kMaxFailedProbes = 2;
-// Time after its start in which a process may still be loaded, so that no
-// program could survive SIGHUP.
+// Time after its start in which a process may still be loaded, so that any
+// program ends by SIGHUP, and by SIGTERM instead of with an exit code.
 constexpr std::chrono::milliseconds kLoadTime{50};
 
 auto ParseRoutesVersion(const std::string& metrics)
@@ -81,15 +81,15 @@
   }
 }
 
-// Sends SIGHUP, to a process that may still be loaded after kLoadTime.
-auto SoakEnvironment::SendReloadSignal(Node& node) -> void {
+// Sends a signal, to a process that may still be loaded after kLoadTime.
+auto SoakEnvironment::SendSignalWhenLoaded(Node& node, int signal) -> void {
   if (GetMonotonicTime() - node.started_at >= kLoadTime) {
-    node.process->SendSignal(SIGHUP);
+    node.process->SendSignal(signal);
     return;
   }
-  RunAfterDelay(kLoadTime, [&node, start_count = node.start_count] {
+  RunAfterDelay(kLoadTime, [&node, signal, start_count = node.start_count] {
     if (node.process != nullptr && node.start_count == start_count) {
-      node.process->SendSignal(SIGHUP);
+      node.process->SendSignal(signal);
     }
   });
 }
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -289,7 +289,7 @@
           nodes_[n]->process->WriteSettingsFile(
               FormatNodeSettings(ports_, nodes_[n]->parameters));
           if (n % 2 == 0) {
-            SendReloadSignal(*nodes_[n]);
+            SendSignalWhenLoaded(*nodes_[n], SIGHUP);
           }
         }
       }
@@ -356,7 +356,7 @@
   RecordDisturbance(checker_, node.subject, true, now);
   node.is_exit_expected = true;
   node.stop_deadline = now + kGracePeriod;
-  node.process->SendSignal(SIGTERM);
+  SendSignalWhenLoaded(node, SIGTERM);
 }
 
 auto SoakEnvironment::FreezeProcess(Node& node,
--- a/soak/world.h
+++ b/soak/world.h
@@ -141,7 +141,7 @@
   [[nodiscard]] auto CountTargetsOfService(const std::string& service) const
       -> std::size_t;
   auto ApplyTargetOrPacketLossFault(const Fault& fault, TimePoint now) -> void;
-  auto SendReloadSignal(Node& node) -> void;
+  auto SendSignalWhenLoaded(Node& node, int signal) -> void;
   auto KillProcess(Node& node, TimePoint now) -> void;
   auto StopProcess(Node& node, TimePoint now) -> void;
   auto FreezeProcess(Node& node, Duration duration, TimePoint now) -> void;
