Don't tell an agent of a former target of another service

An agent whose address has got a target of another service was told of the former service's target. It then took itself for a process that had restarted beside a running target: it was unsure of its flows for 2.3 s, and a cold target got no openings in the first second. Balancers now forget the former target when the service in the agent's record changes. fleet_test covers it and failed before.

--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -103,7 +103,8 @@
     known.warmup_limited_at = {};
     known.suspected_until = {};
     known.has_restarted = true;
-    if (known.record.target.state == TargetState::kGone) {
+    if (known.record.target.state == TargetState::kGone ||
+        known.record.service != record.service) {
       known.former_target_started_at_ms = 0;
     } else if (known.record.target.started_at_ms != 0) {
       known.former_target_started_at_ms = known.record.target.started_at_ms;
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -289,4 +289,12 @@
   MergeHostRecord(balancer, record, 0s, kNow);
   MergeHostRecord(balancer, MakeAgentRecord(4, 0), 0s, kNow);
   CHECK_FALSE(MustSendFormerRecord(host, kNow + 9s));
+  // Nor has a target any that was of another service.
+  record = MakeAgentRecord(4, 1);
+  record.target.started_at_ms = 400;
+  MergeHostRecord(balancer, record, 0s, kNow);
+  record = MakeAgentRecord(5, 0);
+  record.service = 7;
+  MergeHostRecord(balancer, record, 0s, kNow);
+  CHECK_FALSE(MustSendFormerRecord(host, kNow + 9s));
 }
