--- a/src/transport/node_host.h
+++ b/src/transport/node_host.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "hawthornbank/fleet.h"
@@ -139,6 +140,14 @@
   /// @param now Current time.
   auto LearnServiceName(std::string_view name, TimePoint now) -> void;
 
+  /// Records names of services that a peer sent with its routes, without a
+  /// line for each: the nodes that read the store have logged them.
+  /// @param names The names by hash.
+  auto LearnPeerServiceNames(
+      const std::unordered_map<std::uint32_t, std::string>& names) -> void {
+    RecordPeerServiceNames(service_names_, names);
+  }
+
   /// @return What this node sends to and hears from other processes.
   auto gossip() -> NodeGossip& { return gossip_; }
   auto io_context() -> asio::io_context& { return io_; }
@@ -169,10 +178,10 @@
   auto RunHousekeepingTick() -> void;
   auto CheckSettingsFile() -> void;
   auto WaitForSignal() -> void;
-  auto ReloadSettings(TimePoint now, const char* cause) -> void;
+  auto ReloadSettings(TimePoint now, std::string_view cause) -> void;
   auto EndWithChangedIdentity(NodeSettings changed,
                               TimePoint now,
-                              const char* cause) -> void;
+                              std::string_view cause) -> void;
 
   NodeSettings settings_;
   NodeCodec codec_;
@@ -191,7 +200,8 @@
   NodeTraffic traffic_;
   TimePoint start_time_;
   TimePoint next_traffic_report_{};
-  std::int64_t settings_modification_time_ = 0;
+  /// The latest failure to read the settings again, if no success followed.
+  std::string logged_failure_;
   NodeGossip gossip_;
   std::optional<NodeSettings> changed_;
   bool is_stopping_ = false;
--- a/test/opening_log_test.cc
+++ b/test/opening_log_test.cc
@@ -147,6 +147,23 @@
       line.c_str());
 }
 
+TEST(OpeningLog, ConfirmationNamesItsOpening) {
+  OnCallerPacket(steering, kOpening, {}, kNow, steering_actions);
+  const FlowReply reply{.flow = ExtractCallerFlowKey(kOpening),
+                        .agent = MakeAgentEndpoint(1)};
+  const auto opening = FindPendingOpening(steering, reply.flow);
+  const Duration took =
+      OnFlowReply(steering, reply, kNow + 3ms, steering_actions);
+  CHECK(!FindPendingOpening(steering, reply.flow).has_value());
+  const std::string line = ReadLine([&](EventLog& log) {
+    LogConfirmation(log, reply, opening, took, kNow + 3ms);
+  });
+  STRCMP_CONTAINS(
+      "event=flow_confirmed flow=100.66.0.18:1148>198.18.0.1:443 opening=4711 "
+      "agent=10.1.0.1:7000 took_us=3000\n",
+      line.c_str());
+}
+
 TEST(OpeningLog, ReturnAfterTheConfirmationHasALine) {
   const std::string line = ReadLine([&](EventLog& log) {
     LogIgnoredReturn(log, {.steering = steering, .services = names},
@@ -230,3 +247,17 @@
   STRCMP_EQUAL("#000000ab", FormatService(names, kOtherService).c_str());
   STRCMP_EQUAL("-", FormatService(names, 0).c_str());
 }
+
+// Guards against a line that shows another time than the one that decided: the
+// agent was held up, so the last heartbeat may be older than its receipt.
+TEST(OpeningLog, NotHeardOpeningNamesTheTimeThatDecided) {
+  presence.heard_at = kNow - 1800ms;
+  target.silent_from = kNow - 100ms;
+  const std::string line = RelayToTarget({.service = kService});
+  STRCMP_CONTAINS(" reason=not_heard ", line.c_str());
+  STRCMP_CONTAINS(" state=ready heartbeat_ms=250 heard_ms=1800 known=no",
+                  line.c_str());
+  target.silent_from = TimePoint::max();
+  const std::string opened = RelayToTarget({.service = kService});
+  CHECK(opened.find("heard_ms=") == std::string::npos);
+}
