Sum up violations of one opening in a timeline's conclusion

A flow that opened at another service sends up to 31 requests, each a violation with a line of its own in the conclusion. The first of a rule is shown with the number of the others. The lines by opening move to node_log_stories.

--- a/src/transport/node_log_findings.cc
+++ b/src/transport/node_log_findings.cc
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "transport/node_log_stories.h"
+
 namespace hawthornbank::transport {
 namespace {
 
@@ -18,71 +20,6 @@
 constexpr const char* kFlowRule = "FLOW";
 constexpr const char* kZoneRule = "EVAC";
 
-// Lines about one opening, and those without a number after it.
-struct OpeningStory {
-  std::string_view number;
-  std::vector<LogLine> offers;
-  std::vector<LogLine> deliveries;  ///< To a target, first and repeated.
-  std::vector<LogLine> returns;
-  std::vector<LogLine> confirmations;
-  std::vector<LogLine> resets;  ///< Of the opening or of the open flow.
-  std::vector<LogLine> violations;
-};
-
-auto AddToStory(OpeningStory& story, const LogLine& line) -> void {
-  if (line.kind == kViolationKind) {
-    story.violations.push_back(line);
-  } else if (line.event == "flow_relayed" &&
-             !FindField(line, "opening").empty()) {
-    story.offers.push_back(line);
-  } else if (line.event == "flow_opened" || line.event == "opening_delivered") {
-    story.deliveries.push_back(line);
-  } else if (line.event == "flow_sent_back" &&
-             !FindField(line, "opening").empty()) {
-    story.returns.push_back(line);
-  } else if (line.event == "flow_confirmed") {
-    story.confirmations.push_back(line);
-  } else if (line.event == "flow_reset" && line.kind != kCallerKind) {
-    story.resets.push_back(line);
-  }
-}
-
-// Returns the lines of the flow by opening, in the order of the first lines.
-auto CollectStories(const Timeline& timeline) -> std::vector<OpeningStory> {
-  std::vector<OpeningStory> stories;
-  for (const auto& it : timeline.lines) {
-    const auto parsed = ParseLogLine(it.text);
-    const auto* const line = std::get_if<LogLine>(&parsed);
-    if (it.role != LineRole::kFlow || line == nullptr) {
-      continue;
-    }
-    const std::string_view number = FindField(*line, "opening");
-    auto story = stories.rbegin();
-    if (!number.empty()) {
-      story = std::find_if(
-          stories.rbegin(), stories.rend(),
-          [&](const OpeningStory& other) { return other.number == number; });
-    }
-    if (story == stories.rend()) {
-      stories.push_back({.number = number});
-      story = stories.rbegin();
-    }
-    AddToStory(*story, *line);
-  }
-  return stories;
-}
-
-// Returns the offer that a delivery follows, or null.
-auto FindOffer(const OpeningStory& story, const LogLine& delivery)
-    -> const LogLine* {
-  const auto it = std::find_if(
-      story.offers.begin(), story.offers.end(), [&](const LogLine& offer) {
-        return FindField(offer, "copy") == FindField(delivery, "copy") &&
-               FindField(offer, "asked") == FindField(delivery, "asked");
-      });
-  return it == story.offers.end() ? nullptr : &*it;
-}
-
 auto CountMoreOf(const std::vector<LogLine>& lines) -> std::string {
   return lines.size() > 1 ? fmt::format(" and {} more", lines.size() - 1) : "";
 }
@@ -361,6 +298,21 @@
   }
 }
 
+// Adds the first violation of each rule with the number of further ones.
+auto AddViolations(const OpeningStory& story, Findings& out) -> void {
+  std::map<std::string_view, std::vector<LogLine>> by_rule;
+  for (const auto& it : story.violations) {
+    by_rule[it.event].push_back(it);
+  }
+  for (const auto& [rule, violations] : by_rule) {
+    out.push_back(
+        {.rule = std::string(rule),
+         .text = fmt::format("{}{}", FindField(violations.front(), "detail"),
+                             CountMoreOf(violations)),
+         .is_seen = true});
+  }
+}
+
 auto EraseRepeated(Findings& findings) -> void {
   std::set<std::pair<std::string, std::string>> known;
   std::erase_if(findings, [&](const TimelineFinding& it) {
@@ -374,11 +326,7 @@
   Findings findings;
   for (const auto& it : CollectStories(timeline)) {
     AddOutcome(timeline, it, findings);
-    for (const auto& violation : it.violations) {
-      findings.push_back({.rule = std::string(violation.event),
-                          .text = std::string(FindField(violation, "detail")),
-                          .is_seen = true});
-    }
+    AddViolations(it, findings);
     CheckOffers(timeline, it, findings);
     CheckDeliveries(timeline, it, findings);
     CheckZones(timeline, it, findings);
