--- a/soak/flow_exemptions.cc
+++ b/soak/flow_exemptions.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "soak/rules.h"
+#include "soak/judge.h"
 
 namespace hawthornbank::soak {
 namespace {
--- a/soak/flow_exemptions.h
+++ b/soak/flow_exemptions.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "hawthornbank/types.h"
+#include "soak/rules.h"
 
 /// @file
 /// Open flows that the load balancer may reset although their targets hold
--- a/soak/observations.cc
+++ b/soak/observations.cc
@@ -1,7 +1,5 @@
 #include <fmt/format.h>
 
-#include <algorithm>
-
 #include "soak/world.h"
 #include "transport/clock.h"
 
@@ -128,14 +126,16 @@
   if (sender == nullptr || sender->opening_sequence != flow.opening_sequence) {
     return;  // Late packet of a flow that has ended.
   }
-  FlowPacketRecord record{.flow = flow,
-                          .is_at_holder = holds_flow,
-                          .recent_balancers = FindRecentBalancers(*sender, now),
-                          .age = now - sender->opened_at};
+  FlowPacketRecord record{
+      .flow = flow,
+      .is_at_holder = holds_flow,
+      .is_exempt = IsFlowExempt(*sender, now),
+      .recent_balancers = FindRecentBalancers(*sender, now)};
   const auto holder = FindHolder(flow);
   if (holder.has_value() && *holder != target &&
       now - targets_[*holder]->responsive_since() >= kRecoveryTime) {
     record.holder_agent = GetAgent(*holder).subject;
+    record.holder_target = GetTargetSubject(*holder);
   }
   OnFlowPacketAtTarget(checker_, record, now);
 }
@@ -164,29 +164,30 @@
   return balancers;
 }
 
+auto SoakEnvironment::IsFlowExempt(const CallerFlow& flow, TimePoint now) const
+    -> bool {
+  return IsExemptFlow(exemptions_,
+                      FlowTimes{.route = flow.route.address,
+                                .opened_at = flow.opened_at,
+                                .idle_since = flow.idle_since,
+                                .resumed_at = flow.resumed_at},
+                      now);
+}
+
 auto SoakEnvironment::OnCallerFlowReset(const CallerFlow& flow) -> void {
   const TimePoint now = GetMonotonicTime();
-  const FlowId id = MakeFlowId(flow);
-  const auto holder = FindHolder(id);
-  ResetRecord reset{
-      .flow = id,
-      .target_holds_flow = holder.has_value(),
-      .is_exempt = IsExemptFlow(exemptions_,
-                                FlowTimes{.route = flow.route.address,
-                                          .opened_at = flow.opened_at,
-                                          .idle_since = flow.idle_since,
-                                          .resumed_at = flow.resumed_at},
-                                now),
-      .recent_balancers = FindRecentBalancers(flow, now),
-      .age = now - flow.opened_at,
-      .idle_time = std::max(flow.longest_pause, now - flow.last_sent)};
+  ResetRecord reset{.flow = MakeFlowId(flow),
+                    .is_exempt = IsFlowExempt(flow, now),
+                    .recent_balancers = FindRecentBalancers(flow, now)};
+  const auto holder = FindHolder(reset.flow);
   if (holder.has_value()) {
+    reset.target_holds_flow = true;
     reset.agent = GetAgent(*holder).subject;
     reset.target = GetTargetSubject(*holder);
   }
   const std::uint64_t excused_before = checker_.excused_resets;
   OnFlowReset(checker_, reset, now);
-  if (holder.has_value() && checker_.excused_resets != excused_before) {
+  if (reset.target_holds_flow && checker_.excused_resets != excused_before) {
     RecordEvent(fmt::format(
         "excused reset of a held flow: caller port {}, {} of {}, {}", flow.port,
         reset.target, reset.agent,
@@ -199,14 +200,22 @@
   RefusalRecord refusal{.flow = MakeFlowId(flow),
                         .balancers = FindRecentBalancers(flow, now),
                         .sent = flow.opened_at};
-  const auto& services =
-      checker_.services_by_route[ToString(flow.route.address)];
-  for (std::size_t n = 0; n < targets_.size(); ++n) {
-    const TargetStandin& it = *targets_[n];
-    if (it.is_alive() && !it.is_draining() && !it.is_unresponsive() &&
-        services.contains(it.service_name()) &&
-        !checker_.zones_out.contains(it.zone_name())) {
-      refusal.ready_agents.push_back(GetAgent(n).subject);
+  for (const auto& service :
+       FindServicesInForce(checker_, flow.route.address, flow.opened_at)) {
+    bool has_target_in_touch = false;
+    for (std::size_t n = 0; n < targets_.size(); ++n) {
+      const TargetStandin& it = *targets_[n];
+      const std::string& agent = GetAgent(n).subject;
+      if (it.is_alive() && !it.is_draining() && !it.is_unresponsive() &&
+          it.service_name() == service &&
+          !checker_.zones_out.contains(it.zone_name())) {
+        refusal.ready_agents.push_back(agent);
+        has_target_in_touch = has_target_in_touch ||
+                              HasSubjectRecovered(checker_, agent, true, now);
+      }
+    }
+    if (!has_target_in_touch) {
+      return;  // The opening may have been reset for want of a target.
     }
   }
   OnOpeningReset(checker_, refusal, now);
@@ -223,4 +232,11 @@
   }
 }
 
+auto SoakEnvironment::RecordEvent(const std::string& event) -> void {
+  event_history_.push_back(fmt::format(
+      "{:.2f} {}",
+      std::chrono::duration<double>(GetMonotonicTime() - started_).count(),
+      event));
+}
+
 }  // namespace hawthornbank::soak
--- a/soak/world.h
+++ b/soak/world.h
@@ -50,6 +50,8 @@
   bool has_faults = true;  ///< Whether the series of faults is injected.
   /// Whether two further routes change their service.
   bool has_route_changes = false;
+  /// Whether targets drain, leave for some time and come back.
+  bool has_scale_ins = false;
   /// Whether the operator's series of events is played: zones out of service if
   /// there are several, and changes of routes.
   bool has_operator_events = true;
@@ -65,8 +67,7 @@
 /// Time between the start of the processes and of the series of faults.
 inline constexpr Duration kStartupTime = std::chrono::seconds{2};
 
-/// @param target Index of a target.
-/// @return Subject name of the target in the checks.
+/// @return Subject name of a target in the checks.
 auto GetTargetSubject(std::size_t target) -> std::string;
 
 /// Processes, stand-ins and checks of one soak, on addresses of 127.0.0.0/8.
@@ -107,6 +108,7 @@
     std::unique_ptr<transport::HttpClient> readiness_client;
     std::unique_ptr<ProcessClock> clock;  ///< Null if clocks don't step.
     std::unique_ptr<NodeProcess> process;
+    TimePoint started_at{};           ///< Time of the last start.
     WallTime started_at_wall_time{};  ///< Machine's time at the last start.
     bool is_clock_checked = false;
     TimePoint restart_at{};  ///< Earliest time of the next start.
@@ -139,6 +141,7 @@
   [[nodiscard]] auto CountTargetsOfService(const std::string& service) const
       -> std::size_t;
   auto ApplyTargetOrPacketLossFault(const Fault& fault, TimePoint now) -> void;
+  auto SendReloadSignal(Node& node) -> void;
   auto KillProcess(Node& node, TimePoint now) -> void;
   auto StopProcess(Node& node, TimePoint now) -> void;
   auto FreezeProcess(Node& node, Duration duration, TimePoint now) -> void;
@@ -183,7 +186,10 @@
                   Duration begin,
                   Duration gap) -> void;
   auto StopWithinSeries(Node& node) -> void;
-  auto ReplaceMostTargets(const RestartEvent& event) -> void;
+  auto ReplaceMostTargets(const RestartEvent& event, TimePoint now) -> void;
+  auto ReplaceTargetLater(std::size_t target,
+                          const RestartEvent& event,
+                          Duration delay) -> void;
   auto EndTarget(std::size_t target, const RestartEvent& event) -> void;
   auto MoveRoute(const RestartEvent& event, TimePoint now) -> void;
   [[nodiscard]] auto FindOtherService(const std::string& service) const
@@ -191,6 +197,8 @@
   auto StoreNewRoutes(TimePoint now) -> void;
   auto AddChangingRoutes() -> void;
   auto ScheduleOperatorEvents(Duration start) -> void;
+  auto ScheduleScaleIns(Duration start) -> void;
+  auto TakeTargetAway(std::size_t target, Duration away) -> void;
   auto TakeZoneOut(const std::string& zone) -> void;
   auto ReturnZone(const std::string& zone) -> void;
   auto ChangeRoute(std::size_t route) -> void;
@@ -221,6 +229,8 @@
   [[nodiscard]] auto MakeFlowId(const CallerFlow& flow) const -> FlowId;
   [[nodiscard]] auto FindHolder(const FlowId& flow) const
       -> std::optional<std::size_t>;
+  [[nodiscard]] auto IsFlowExempt(const CallerFlow& flow, TimePoint now) const
+      -> bool;
   auto FindRecentBalancers(const CallerFlow& flow, TimePoint now)
       -> std::vector<std::string>;
   // Returns the zone of the n-th balancer or target.
@@ -259,6 +269,7 @@
   std::set<std::size_t> handing_over_;
   /// A heartbeat of the last start of each target that an event has ended.
   std::map<std::size_t, transport::HttpRequest> earlier_heartbeats_;
+  TimePoint replacement_end_{};  ///< Of the last event kReplaceMost.
   int hand_overs_ = 0;
   // State of planted faults.
   std::unique_ptr<transport::UdpSocket> plant_socket_;
--- a/test/opening_log_test.cc
+++ b/test/opening_log_test.cc
@@ -137,7 +137,7 @@
   OnCallerPacket(steering, kOpening, std::vector<std::uint8_t>{1}, kNow,
                  steering_actions);
   steering_actions.clear();
-  OnSteeringTick(steering, kNow + 1s, steering_actions);
+  OnSteeringTick(steering, kNow + kUnresponsiveAfter, steering_actions);
   const SteeringAction& action = steering_actions.back();
   LONGS_EQUAL(1, action.kept.size());  // The opening is decoded for the line.
   const std::string line = LogSteering(action, DescribeStoredOpening(kOpening));
@@ -164,6 +164,20 @@
       line.c_str());
 }
 
+TEST(OpeningLog, DroppedOpeningNamesItsRoute) {
+  OnCallerPacket(steering, kOpening, std::vector<std::uint8_t>{1}, kNow,
+                 steering_actions);
+  steering_actions.clear();
+  OnSteeringTick(steering, kNow + 1s, steering_actions);
+  const SteeringAction& action = steering_actions.back();
+  LONGS_EQUAL(1, action.kept.size());
+  const std::string line = LogSteering(action, DescribeStoredOpening(kOpening));
+  STRCMP_CONTAINS("kind=refusal event=packet_dropped flow=", line.c_str());
+  STRCMP_CONTAINS(
+      " reason=nobody_took opening=4711 copy=1 route=quote version=3 ",
+      line.c_str());
+}
+
 TEST(OpeningLog, ReturnAfterTheConfirmationHasALine) {
   const std::string line = ReadLine([&](EventLog& log) {
     LogIgnoredReturn(log, {.steering = steering, .services = names},
@@ -247,3 +261,17 @@
   STRCMP_EQUAL("#000000ab", FormatService(names, kOtherService).c_str());
   STRCMP_EQUAL("-", FormatService(names, 0).c_str());
 }
+
+// Guards against a line that shows another time than the one that decided: the
+// agent was held up, so the last heartbeat may be older than its receipt.
+TEST(OpeningLog, NotHeardOpeningNamesTheTimeThatDecided) {
+  presence.heard_at = kNow - 1800ms;
+  target.silent_from = kNow - 100ms;
+  const std::string line = RelayToTarget({.service = kService});
+  STRCMP_CONTAINS(" reason=not_heard ", line.c_str());
+  STRCMP_CONTAINS(" state=ready heartbeat_ms=250 heard_ms=1800 known=no",
+                  line.c_str());
+  target.silent_from = TimePoint::max();
+  const std::string opened = RelayToTarget({.service = kService});
+  CHECK(opened.find("heard_ms=") == std::string::npos);
+}
