--- a/test/restart_order_test.cc
+++ b/test/restart_order_test.cc
@@ -82,6 +82,7 @@
   // Restarts all balancers and agents beside their targets.
   auto RestartAll() -> void {
     const bool is_crash = Draw(2) == 0;
+    all_restarted_at = now;
     for (const auto& [control, it] : processes) {
       RestartProcess(control, is_crash);
     }
