--- a/soak/callers.h
+++ b/soak/callers.h
@@ -11,6 +11,7 @@
 
 #include "hawthornbank/flow_packet.h"
 #include "hawthornbank/random.h"
+#include "soak/caller_packets.h"
 #include "soak/caller_ports.h"
 #include "transport/udp_socket.h"
 
@@ -53,9 +54,7 @@
   TimePoint resumed_at{};        ///< Time of the request after `idle_since`.
   TimePoint first_sent{};
   TimePoint next_send{};
-  TimePoint ended_at{};      ///< Zero while the flow goes on.
-  TimePoint last_sent{};     ///< Time of the last packet to a balancer.
-  Duration longest_pause{};  ///< Between two packets to balancers.
+  TimePoint ended_at{};  ///< Zero while the flow goes on.
   /// Time of the flow's last packet to each balancer, by balancer index.
   std::map<std::size_t, TimePoint> balancer_last_used;
 };
@@ -119,6 +118,11 @@
   /// @param share Share of packets from callers to balancers to drop, 0 to 1.
   auto SetPacketLossShare(double share) -> void { loss_share_ = share; }
 
+  /// @return The latest packets of all callers.
+  [[nodiscard]] auto packets() const -> const CallerPackets& {
+    return packets_;
+  }
+
   /// Called with each packet that a caller sends; returns whether the packet
   /// still goes to its balancer.
   using PacketTap = std::function<bool(const FlowPacket& packet, ByteView)>;
@@ -157,6 +161,14 @@
                        bool is_by_load_balancer) -> void;
   auto SendLateCopies(TimePoint now) -> void;
   auto FinishFlow(std::uint16_t port, bool served) -> void;
+  auto RecordSentPacket(const CallerFlow& flow,
+                        const FlowPacket& packet,
+                        std::size_t balancer,
+                        bool is_lost) -> void;
+  auto RecordReceivedPacket(const CallerFlow& flow,
+                            const FlowPacket& packet,
+                            ByteView bytes) -> void;
+  auto RecordPacket(const CallerFlow& flow, CallerPacket packet) -> void;
 
   transport::UdpSocket socket_;
   Endpoint local_;
@@ -170,6 +182,7 @@
   std::optional<Random> pause_random_;  ///< If some flows have long pauses.
   std::map<std::uint16_t, CallerFlow> flows_;
   CallerPorts ports_;
+  CallerPackets packets_;
   /// Copies of opening packets of ended flows, by the time at which they
   /// arrive at a balancer.
   std::multimap<TimePoint, CallerFlow> late_copies_;
--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -1,5 +1,7 @@
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "soak/world.h"
 #include "transport/clock.h"
 
@@ -21,6 +23,7 @@
 // A target's drain, longer than the platform's `drain_ms`.
 constexpr milliseconds kDrainBeforeReplacement{3200};
 constexpr milliseconds kReplacementSpread{2500};
+constexpr std::chrono::seconds kWarmupTime{2};
 constexpr milliseconds kBalancerRestartGap{1500};
 constexpr milliseconds kAgentRestartGap{300};
 constexpr milliseconds kClockCheckInterval{500};
@@ -51,10 +54,10 @@
 
 auto SoakEnvironment::GetCalledRoutes() const -> std::vector<CalledRoute> {
   std::vector<CalledRoute> called = routes_;
-  called.insert(called.end(), changing_routes_.begin(), changing_routes_.end());
   if (moved_route_.has_value()) {
     called.push_back(moved_route_->route);
   }
+  called.insert(called.end(), changing_routes_.begin(), changing_routes_.end());
   return called;
 }
 
@@ -74,6 +77,7 @@
 
 auto SoakEnvironment::ApplyRestartEvent(const RestartEvent& event,
                                         TimePoint now) -> void {
+  OnFaultStarted(checker_);
   switch (event.kind) {
     case RestartKind::kStepClock:
       StepClockOfProcess(event, now);
@@ -92,7 +96,7 @@
       StoreNewRoutes(now);
       break;
     case RestartKind::kReplaceMost:
-      ReplaceMostTargets(event);
+      ReplaceMostTargets(event, now);
       break;
     case RestartKind::kDropRoute:
     case RestartKind::kMoveRoute:
@@ -263,7 +267,10 @@
   }
 }
 
-auto SoakEnvironment::ReplaceMostTargets(const RestartEvent& event) -> void {
+// One replacement at a time, so that balancers are up for some seconds before
+// the agents restart.
+auto SoakEnvironment::ReplaceMostTargets(const RestartEvent& event,
+                                         TimePoint now) -> void {
   const CalledRoute& route =
       event.subject_index % 2 == 0 ? routes_.front() : routes_.back();
   std::vector<std::size_t> replaced;
@@ -272,12 +279,15 @@
       replaced.push_back(n);
     }
   }
-  if (replaced.size() < 2) {
+  if (replaced.size() < 2 || now < replacement_end_) {
     return;
   }
-  replaced.erase(replaced.begin() + static_cast<std::ptrdiff_t>(
-                                        event.subject_index % replaced.size()));
-  RecordEvent(fmt::format("{} {} targets of {}{}", ToString(event.kind),
+  const auto last =
+      replaced.begin() +
+      static_cast<std::ptrdiff_t>(event.subject_index % replaced.size());
+  std::rotate(last, last + 1, replaced.end());
+  RecordEvent(fmt::format("{} {} of {} targets of {}{}", ToString(event.kind),
+                          replaced.size() - (event.replaces_last ? 0 : 1),
                           replaced.size(), route.service,
                           event.drains ? ", drained" : ""));
   Duration begin{};
@@ -285,22 +295,42 @@
     StopInTurn(0, options_.balancers, begin, kBalancerRestartGap);
     begin = kBalancerRestartGap * options_.balancers;
   }
-  const Duration drain = event.drains ? kDrainBeforeReplacement : Duration{};
-  for (std::size_t k = 0; k < replaced.size(); ++k) {
-    const std::size_t n = replaced[k];
-    const Duration start = begin + kReplacementSpread * k / replaced.size();
-    handing_over_.insert(n);
-    if (event.drains) {
-      RunAfterDelay(start, [this, n] { targets_[n]->StartDraining(); });
-    }
-    RunAfterDelay(start + drain, [this, n, event] { EndTarget(n, event); });
-    RunAfterDelay(start + drain + event.pause,
-                  [this, n, event] { StartTargetAgain(n, event); });
+  const std::size_t others = replaced.size() - 1;
+  for (std::size_t k = 0; k < others; ++k) {
+    ReplaceTargetLater(replaced[k], event,
+                       begin + kReplacementSpread * k / others);
+  }
+  const Duration replacement =
+      event.pause + (event.drains ? kDrainBeforeReplacement : Duration{});
+  Duration end = begin + kReplacementSpread + replacement;
+  if (event.replaces_last) {
+    ReplaceTargetLater(replaced.back(), event, end);
+    end += replacement;
   }
-  const Duration end = begin + kReplacementSpread + drain + event.pause;
   StopInTurn(options_.balancers, options_.targets, end, kAgentRestartGap);
-  StopInTurn(0, options_.balancers, end + kAgentRestartGap * options_.targets,
-             kBalancerRestartGap);
+  if (!event.has_joint_restarts) {
+    end += kAgentRestartGap * options_.targets;
+  }
+  StopInTurn(0, options_.balancers, end, kBalancerRestartGap);
+  replacement_end_ = now + end + kBalancerRestartGap * options_.balancers;
+}
+
+// Ends a target after a delay and starts it again, slow at first.
+auto SoakEnvironment::ReplaceTargetLater(std::size_t target,
+                                         const RestartEvent& event,
+                                         Duration delay) -> void {
+  const Duration end =
+      delay + (event.drains ? kDrainBeforeReplacement : Duration{});
+  handing_over_.insert(target);
+  if (event.drains) {
+    RunAfterDelay(delay, [this, target] { targets_[target]->StartDraining(); });
+  }
+  RunAfterDelay(end, [this, target, event] { EndTarget(target, event); });
+  RunAfterDelay(end + event.pause, [this, target, event] {
+    targets_[target]->SetWarmupTime(kWarmupTime);
+    StartTargetAgain(target, event);
+    targets_[target]->SetWarmupTime({});
+  });
 }
 
 auto SoakEnvironment::EndTarget(std::size_t target, const RestartEvent& event)
--- a/support/check.sh
+++ b/support/check.sh
@@ -53,7 +53,8 @@
 
 run_benches() {
   local pids=() name failed=0
-  for name in routing requests membership configuration plan recovery; do
+  for name in routing requests membership configuration plan recovery \
+    opening_log_cost; do
     "build/release/bench/bench_$name" >"$LOGS/bench_$name.jsonl" \
       2>"$LOGS/bench_$name.err" &
     pids+=("$!:$name")
@@ -115,6 +116,9 @@
 run_step soak-reuse build/release/soak/soak --seed 1 --seconds 20 --targets 10 \
   --reuse
 tail -n 1 "$LOGS/soak-reuse.log"
+run_step soak-operator build/release/soak/soak --seed 1 --seconds 12 \
+  --targets 10 --zones 3 --route-changes --scale-in
+tail -n 1 "$LOGS/soak-operator.log"
 sed -n '/what callers saw/,$p' "$LOGS/demo.log"
 if [ -s KNOWN-RED.txt ]; then
   echo "known failures, passed over:"
--- a/test/restart_targets.h
+++ b/test/restart_targets.h
@@ -321,6 +321,12 @@
       RecordProcess(control, "takes its silent target for gone");
     }
     ApplyOutcome(control, agent, outcome);
+    const auto end =
+        ConfirmDeregistration(agent.presence, now - agent.started, now);
+    if (end == PresenceOutcome::kChanged) {
+      RecordProcess(control, "takes its deregistered target for gone");
+      ApplyOutcome(control, agent, end);
+    }
   }
 
   auto CheckDeregistration(Endpoint control, Process& agent) -> void {
