--- a/test/restart_order_test.cc
+++ b/test/restart_order_test.cc
@@ -127,7 +127,13 @@
     for (const auto& [port, it] : std::map(callers)) {
       if (now >= it.idle_until && Draw(25) == 0 && callers.contains(port)) {
         CallerFlow& caller = callers[port];
-        caller.idle_until = now + 1ms * (Draw(100) == 0 ? Draw(kMaxIdleMs) : 0);
+        if (Draw(100) == 0) {
+          const Duration pause = 1ms * Draw(kMaxIdleMs);
+          caller.idle_until = now + pause;
+          RecordFlow(
+              caller.target, port,
+              fmt::format("port {} is silent for {} ms", port, pause / 1ms));
+        }
         SendCallerPacket(port, caller);
       }
     }
