Link the soak's clocks into a program of their own instead of preloading them

The tests of the clock run a small program linked with the stand-in, clock_probe, instead of date and python3, with the same checks, and check each error.

--- a/soak/clock_events.cc
+++ b/soak/clock_events.cc
@@ -27,7 +27,6 @@
     return;
   }
   node.clock = std::make_unique<ProcessClock>(
-      options_.clock_library,
       fmt::format("soak-{}-{}", options_.seed, node.subject));
   node.clock->StepBy(DrawFirstClockOffset(options_.seed, nodes_.size()));
 }
@@ -53,10 +52,11 @@
         by_machine_ms > ToUnixMilliseconds(transport::GetWallTime())) {
       throw Error(
           ErrorKind::kInternal,
-          fmt::format("{} doesn't follow its clock, which is {} ms "
-                      "ahead: its first log line has t={}; is {} loaded?",
-                      node.subject, ToMilliseconds(node.clock->offset()),
-                      *logged_ms, options_.clock_library));
+          fmt::format(
+              "{} doesn't follow its clock, which is {} ms "
+              "ahead: its first log line has t={}; is {} built with it?",
+              node.subject, ToMilliseconds(node.clock->offset()), *logged_ms,
+              options_.clock_program));
     }
   }
 }
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -241,12 +241,13 @@
   TCLAP::ValueArg<std::string> program{
       "",     "program", "Path of hawthornnode", false, HAWTHORNNODE,
       "PATH", command};
-  TCLAP::ValueArg<std::string> clock_library{
+  TCLAP::ValueArg<std::string> clock_program{
       "",
-      "clock-library",
-      "Path of the library that is preloaded into processes whose clocks step",
+      "clock-program",
+      "Path of hawthornnode linked with clock_standin.cc, for processes whose "
+      "clocks step; needed with --program",
       false,
-      SOAK_CLOCK,
+      SOAK_CLOCKED_NODE,
       "PATH",
       command};
 };
@@ -281,8 +282,13 @@
                       arguments.late_ms.getValue()),
       .restarts = ChooseRestarts(arguments.restarts.getValue(),
                                  arguments.only.getValue()),
-      .clock_library = arguments.clock_library.getValue(),
+      .clock_program = arguments.clock_program.getValue(),
       .plants = ChoosePlants(arguments.plants.getValue())};
+  if (options.restarts.contains(RestartKind::kStepClock) &&
+      arguments.program.isSet() && !arguments.clock_program.isSet()) {
+    throw TCLAP::CmdLineParseException(
+        "needs --clock-program of the same build", "step_clock with --program");
+  }
   PreparePlants(options);
   return options;
 }
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -124,7 +124,8 @@
   node.started_service = node.parameters.service;
   node.started_at_wall_time = transport::GetWallTime();
   node.process = std::make_unique<NodeProcess>(
-      options_.program, FormatNodeSettings(ports_, node.parameters),
+      node.clock != nullptr ? options_.clock_program : options_.program,
+      FormatNodeSettings(ports_, node.parameters),
       fmt::format("soak-{}-{}-{}", options_.seed, node.subject,
                   node.start_count),
       node.clock != nullptr ? node.clock->GetEnvironment()
--- a/soak/world.h
+++ b/soak/world.h
@@ -59,7 +59,9 @@
   std::chrono::milliseconds heartbeat_interval{200};
   ReuseOptions reuse;              ///< Uses of ports and addresses again.
   std::set<RestartKind> restarts;  ///< Kinds of events around restarts.
-  std::string clock_library;       ///< Path of the built clock_standin.cc.
+  /// Path of hawthornnode with clock_standin.cc, for processes whose clocks
+  /// step.
+  std::string clock_program;
   /// Faults that break a rule. The soak ends soon after the first violation.
   std::set<Plant> plants;
 };
--- a/test/soak_restarts_test.cc
+++ b/test/soak_restarts_test.cc
@@ -35,14 +35,14 @@
           .resumed_at = kNow - 10s + pause};
 }
 
-// Runs a program under a clock and returns its standard output.
-auto RunUnderClock(const std::string& script, const ProcessClock& clock)
-    -> std::string {
+// Runs clock_probe with an environment and returns its output.
+auto RunProbe(const std::vector<std::string>& environment,
+              const std::string& arguments = {}) -> std::string {
   std::string line;
-  for (const auto& it : clock.GetEnvironment()) {
+  for (const auto& it : environment) {
     line += it + ' ';
   }
-  line += script;
+  line += CLOCK_PROBE " " + arguments + " 2>&1";
   FILE* const pipe = popen(line.c_str(), "r");
   std::string output;
   std::array<char, 256> buf = {};
@@ -140,20 +140,25 @@
   }
 }
 
-TEST(RestartSeries, SoakRejectsUnknownKindsAndAMissingLibrary) {
+TEST(RestartSeries, SoakRejectsUnknownKindsAndAnotherBuildWithoutItsClock) {
   const auto unknown = test::RunBuiltProgram("soak/soak", "--only step_clocks");
   LONGS_EQUAL(2, unknown.exit_code);
   STRCMP_CONTAINS("step_clocks", unknown.output.c_str());
-  const auto missing = test::RunBuiltProgram(
-      "soak/soak", "--restarts --clock-library /nowhere/clock.so");
+  const auto missing =
+      test::RunBuiltProgram("soak/soak", "--restarts --program " HAWTHORNNODE);
   LONGS_EQUAL(2, missing.exit_code);
-  STRCMP_CONTAINS("/nowhere/clock.so: no such library", missing.output.c_str());
+  STRCMP_CONTAINS("needs --clock-program", missing.output.c_str());
+  const auto absent = test::RunBuiltProgram(
+      "soak/soak", "--restarts --clock-program /nowhere/node");
+  LONGS_EQUAL(2, absent.exit_code);
+  STRCMP_CONTAINS("/nowhere/node: process can't be started",
+                  absent.output.c_str());
 }
 
 TEST(RestartSeries, SoakEndsWhenAProcessDoesNotFollowItsClock) {
-  // A file that exists and that the dynamic linker ignores.
   const auto ignored = test::RunBuiltProgram(
-      "soak/soak", "--only step_clock --seconds 1 --clock-library /dev/null");
+      "soak/soak",
+      "--only step_clock --seconds 1 --clock-program " HAWTHORNNODE);
   LONGS_EQUAL(2, ignored.exit_code);
   STRCMP_CONTAINS("doesn't follow its clock", ignored.output.c_str());
 }
@@ -161,9 +166,9 @@
 TEST_GROUP(ProcessClock){};
 
 TEST(ProcessClock, ProgramSeesTheOffsetAndItsSteps) {
-  ProcessClock clock(SOAK_CLOCK, "soak-clock-test");
+  ProcessClock clock("soak-clock-test");
   const auto read_offset_ms = [&] {
-    return std::stoll(RunUnderClock("date +%s%3N", clock)) - GetMachineTimeMs();
+    return std::stoll(RunProbe(clock.GetEnvironment())) - GetMachineTimeMs();
   };
   CHECK(std::abs(read_offset_ms()) < 1000);
   clock.StepBy(-100s);
@@ -174,7 +179,7 @@
 }
 
 TEST(ProcessClock, RunningProgramSeesAStep) {
-  ProcessClock clock(SOAK_CLOCK, "soak-clock-step-test");
+  ProcessClock clock("soak-clock-step-test");
   clock.StepBy(-50s);
   // Steps until the program, which may start late, has seen one.
   std::atomic<bool> has_ended = false;
@@ -184,33 +189,25 @@
       clock.StepBy(100s);
     }
   });
-  const std::string output = RunUnderClock(
-      "python3 -c 'import time; start = time.time(); "
-      "[time.sleep(0.01) for n in range(1000) if time.time() - start < 100]; "
-      "print(int(time.time() - start))'",
-      clock);
+  const std::string output = RunProbe(clock.GetEnvironment(), "100");
   has_ended = true;
   steps.join();
   CHECK(std::stoll(output) >= 100);
 }
 
 TEST(ProcessClock, ProgramWithoutAReadableOffsetIsEnded) {
-  const std::string output = [] {
-    ProcessClock clock(SOAK_CLOCK, "soak-clock-missing-test");
-    std::string line = clock.GetEnvironment().front() +
-                       " HAWTHORNBANK_SOAK_CLOCK=/nowhere/clock date 2>&1";
-    FILE* const pipe = popen(line.c_str(), "r");
-    std::array<char, 256> buf = {};
-    const auto n = fread(buf.data(), 1, buf.size(), pipe);
-    pclose(pipe);
-    return std::string(buf.data(), n);
-  }();
-  STRCMP_CONTAINS("clock_standin: the file that HAWTHORNBANK_SOAK_CLOCK names",
-                  output.c_str());
+  STRCMP_CONTAINS(
+      "clock_standin: the file that HAWTHORNBANK_SOAK_CLOCK names can't be op",
+      RunProbe({"HAWTHORNBANK_SOAK_CLOCK=/nowhere/clock"}).c_str());
+  STRCMP_CONTAINS(
+      "clock_standin: the file that HAWTHORNBANK_SOAK_CLOCK names can't be re",
+      RunProbe({"HAWTHORNBANK_SOAK_CLOCK=/dev/null"}).c_str());
+  STRCMP_CONTAINS("clock_standin: HAWTHORNBANK_SOAK_CLOCK isn't set",
+                  RunProbe({}).c_str());
 }
 
-TEST(ProcessClock, MissingLibraryIsReported) {
-  CHECK_THROWS(Error, ProcessClock("/nowhere/clock.so", "soak-clock-test"));
+TEST(ProcessClock, UnwritableOffsetIsReported) {
+  CHECK_THROWS(Error, ProcessClock("nowhere/soak-clock-test"));
 }
 
 TEST(ProcessClock, FirstLogTimeIsThatOfTheFirstCompleteLine) {
