--- a/test/node_identity_test.cc
+++ b/test/node_identity_test.cc
@@ -7,11 +7,11 @@
 #include <optional>
 #include <string>
 
+#include "agent_settings.h"
 #include "hawthornbank/relay.h"
 #include "hawthornbank/types.h"
 #include "packet_head.h"
 #include "soak/node_process.h"
-#include "soak/node_settings.h"
 #include "transport/http_client.h"
 #include "transport/udp_socket.h"
 
@@ -36,13 +36,7 @@
   int sequence = 0;
 
   auto BuildSettings(const std::string& service)->std::string {
-    return soak::FormatNodeSettings(
-        ports,
-        soak::NodeParameters{.name = "n",
-                             .host = kHost,
-                             .seed_hosts = {kHost},
-                             .store = {.address = kHost, .port = ports.store},
-                             .service = service});
+    return test::FormatAgentSettings(ports, kHost, service);
   }
 
   // Sends the agent a heartbeat of a target; returns the status of the answer,
--- a/test/node_signals_test.cc
+++ b/test/node_signals_test.cc
@@ -5,8 +5,8 @@
 #include <string>
 #include <thread>
 
+#include "agent_settings.h"
 #include "soak/node_process.h"
-#include "soak/node_settings.h"
 #include "starting_process.h"
 
 // Sends signals to the program `hawthornnode` at moments at which no role
@@ -26,13 +26,7 @@
   soak::HostPorts ports = soak::FindFreePorts(kHost);
 
   auto BuildSettings(const std::string& service)->std::string {
-    return soak::FormatNodeSettings(
-        ports,
-        soak::NodeParameters{.name = "n",
-                             .host = kHost,
-                             .seed_hosts = {kHost},
-                             .store = {.address = kHost, .port = ports.store},
-                             .service = service});
+    return test::FormatAgentSettings(ports, kHost, service);
   }
 
   static auto CountLines(const soak::NodeProcess& process,
--- a/test/settings_file_test.cc
+++ b/test/settings_file_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <thread>
 
-#include "soak/node_settings.h"
+#include "agent_settings.h"
 #include "starting_process.h"
 
 // Changes the settings file of the program `hawthornnode` without a signal.
@@ -23,13 +23,7 @@
   soak::HostPorts ports = soak::FindFreePorts(kHost);
 
   auto BuildSettings(const std::string& service)->std::string {
-    return soak::FormatNodeSettings(
-        ports,
-        soak::NodeParameters{.name = "n",
-                             .host = kHost,
-                             .seed_hosts = {kHost},
-                             .store = {.address = kHost, .port = ports.store},
-                             .service = service});
+    return test::FormatAgentSettings(ports, kHost, service);
   }
 
   void setup() override {
