--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -228,6 +228,23 @@
   CHECK(steering.openings.empty());
 }
 
+// Guards against openings that are dropped for minutes in a large fleet, whose
+// hosts send heartbeats to a balancer that far apart.
+TEST(Steering, OpeningsForALastTargetWhoseHostHasEndedAreReset) {
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    MergeAgentRecord(n, TargetState::kDraining, false, 2);
+  }
+  steering.fleet.hosts.at(MakeAgentEndpoint(5)).unresponsive_after = 160s;
+  for (std::uint16_t port = 1; port <= 4; ++port) {
+    const TimePoint at = kNow + port * 2s;
+    SendCallerPacket(MakeCallerPacket(port, true), at);
+    out.clear();
+    OnSteeringTick(steering, at + 45ms, out);
+  }
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].kind == Kind::kReset);
+}
+
 TEST(Steering, OpeningForATargetWhoseAgentIsSilentIsReset) {
   for (std::uint32_t n = 1; n <= 4; ++n) {
     MergeAgentRecord(n, TargetState::kDraining, false, 2);
