Don't let silent agents of exited targets delay the reset of a lost flow

Callers of lost flows got no reset while more than half of a service's agents that had announced the exit of their targets were silent, as their hosts had ended: their queries counted as unanswered since such agents are queried.

Silent agents of exited targets don't count, as their unsure replies don't.

--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -377,9 +377,12 @@
       continue;
     }
     for (const auto agent : search.unanswered) {
-      (IsAgentUnreachable(steering, agent, now) ? search.unreachable
-                                                : search.unresponsive)
-          .push_back(agent);
+      // An agent whose target has exited must not delay the reset of a flow.
+      if (!IsTargetKnownAsExited(steering, agent, now)) {
+        (IsAgentUnreachable(steering, agent, now) ? search.unreachable
+                                                  : search.unresponsive)
+            .push_back(agent);
+      }
     }
     OnQueriesEnded(steering.searches.window, search.unanswered.size());
     if (search.unanswered.size() * 2 > search.round_queries) {
--- a/test/flow_search_scope_test.cc
+++ b/test/flow_search_scope_test.cc
@@ -344,6 +344,30 @@
 }
 
 // Nobody would return a packet that is offered to a target that has exited.
+TEST(FlowSearchScope, SilentAgentsOfExitedTargetsDoNotDelayAReset) {
+  for (std::uint32_t n = 1; n < kAgentsPerService; ++n) {
+    HostRecord record = MakeAgentRecord(1, n);
+    record.revision = 2;
+    record.target = {.state = TargetState::kGone};
+    MergeHostRecord(balancer.steering.fleet, record, Duration::zero(), kNow);
+  }
+  MoveRoute(4, {{.service = 1}});
+  balancer.steering.routes.history.former.clear();
+  const FlowPacket packet = MakeCallerPacket(1);
+  std::vector<SteeringAction> out;
+  OnCallerPacket(balancer.steering, packet, std::vector<std::uint8_t>(1232),
+                 kNow, out);
+  out.clear();
+  OnFlowReply(balancer.steering,
+              FlowReply{.flow = ExtractCallerFlowKey(packet),
+                        .agent = MakeAgentOfService(1, 0),
+                        .ownership = FlowOwnership::kNotHeld},
+              kNow, out);
+  OnSteeringTick(balancer.steering, kNow + kHostReplyTimeout, out);
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].kind == Kind::kReset);
+}
+
 TEST(FlowSearchScope, UnsureAgentOfAnExitedTargetDoesNotDelayAReset) {
   for (std::uint32_t n = 0; n < kAgentsPerService; ++n) {
     HostRecord record = MakeAgentRecord(1, n);
