Take no former start from a record of a gone or another service's target

An agent whose clock had gone back got its earlier record returned. If its target was gone by then, or of another service, the agent took it for the start before its own and was unsure of all flows for 3 s: searches offered packets to it that it could have denied. Found by review.

Such records name no former start now, as those that balancers make for the purpose don't. fleet_test checks both; it fails without the change by reading.

--- a/include/hawthornbank/fleet.h
+++ b/include/hawthornbank/fleet.h
@@ -269,7 +269,8 @@
 /// process.
 /// @param fleet Known hosts.
 /// @param record A received record.
-/// @return The start time in Unix milliseconds; 0 for any other record.
+/// @return The start time in Unix milliseconds; 0 for any other record, and for
+/// one whose target was gone or of another service.
 auto FindFormerTargetStart(const Fleet& fleet, const HostRecord& record)
     -> std::uint64_t;
 
--- a/src/coordination/fleet.cc
+++ b/src/coordination/fleet.cc
@@ -155,10 +155,11 @@
 
 auto FindFormerTargetStart(const Fleet& fleet, const HostRecord& record)
     -> std::uint64_t {
-  return record.control == fleet.self.control &&
-                 record.incarnation != fleet.self.incarnation
-             ? record.target.started_at_ms
-             : 0;
+  const bool is_former = record.control == fleet.self.control &&
+                         record.incarnation != fleet.self.incarnation;
+  const bool may_hold_flows = record.service == fleet.self.service &&
+                              record.target.state != TargetState::kGone;
+  return is_former && may_hold_flows ? record.target.started_at_ms : 0;
 }
 
 auto RecordUptime(Fleet& fleet, Duration uptime, TimePoint now) -> void {
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -278,6 +278,12 @@
   CHECK(MergeHostRecord(agent, former, 0s, kNow) == MergeOutcome::kKnownRecord);
   LONGS_EQUAL(0, FindFormerTargetStart(agent, agent.self));
   LONGS_EQUAL(0, FindFormerTargetStart(MakeFleet(), former));
+  HostRecord useless = former;
+  useless.target.state = TargetState::kGone;
+  LONGS_EQUAL(0, FindFormerTargetStart(agent, useless));
+  useless = former;
+  ++useless.service;
+  LONGS_EQUAL(0, FindFormerTargetStart(agent, useless));
   // Once it has heard of its target, it needs no record.
   record = MakeAgentRecord(3, 1);
   record.target.started_at_ms = 300;
