Reset a target's flows when its agent stops right after a deregistration

Callers' flows hung for some 6 s, until balancers gave the agent up, when a target deregistered without having been heard draining and its agent got SIGTERM within the next 2.3 s: the deregistration wasn't confirmed yet, and the agent ended without a reset. Found by review, by reading.

A stopping agent stays up until silence confirms the end or a heartbeat cancels the deregistration, within its grace period, and resets the flows of a target that is gone. LateOneOfAnEarlierStartResetsNoFlow stopped the agent without a further heartbeat of the target, which a live one sends; it sends one now, and the agent must not have ended before. Both that and the new StoppedAgentResetsTheFlowsOfATargetThatHasEnded fail with the program before the change.

--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -25,6 +25,8 @@
 // requests.
 constexpr Duration kFinishTimeout = std::chrono::milliseconds{600};
 constexpr Duration kFinishCheckInterval = std::chrono::milliseconds{20};
+// An agent exits at the latest this long before the end of the grace period.
+constexpr Duration kShutdownMargin = std::chrono::milliseconds{700};
 // Age that an agent announces for its stored routes: one hour, because the
 // agent can't confirm that the routes are current.
 constexpr std::uint32_t kUnconfirmedRoutesAgeMs = 3'600'000;
@@ -456,27 +458,44 @@
   auto BeginShutdown(TimePoint now) -> void {
     target_.is_shutting_down = true;
     shutdown_deadline_ = now + kFinishTimeout;
-    if (presence_.status.state == TargetState::kGone) {
-      // The platform stops an agent only after the agent's target has
-      // terminated, so no flow of the target can continue.
-      actions_.clear();
-      ResetAllTargetFlows(target_, actions_);
-      PerformTargetActions({}, {}, now);
-    }
+    confirmation_deadline_ =
+        now + host_.settings().grace_period - kShutdownMargin;
+    ResetFlowsIfTargetIsGone(now);
     host_.gossip().AnnounceSelf(now);
     ScheduleShutdownCheck();
   }
 
   auto ScheduleShutdownCheck() -> void {
-    NodeHost::ScheduleHandler(
-        shutdown_timer_, kFinishCheckInterval, [this](TimePoint now) {
-          const bool gone = presence_.status.state == TargetState::kGone;
-          if (gone || target_.running == 0 || now > shutdown_deadline_) {
-            host_.StopEventLoop();
-          } else {
-            ScheduleShutdownCheck();
-          }
-        });
+    NodeHost::ScheduleHandler(shutdown_timer_, kFinishCheckInterval,
+                              [this](TimePoint now) {
+                                if (MustStayUp(now)) {
+                                  ScheduleShutdownCheck();
+                                } else {
+                                  ResetFlowsIfTargetIsGone(now);
+                                  host_.StopEventLoop();
+                                }
+                              });
+  }
+
+  // A deregistration that isn't confirmed may be a late one: the agent waits
+  // until it knows whether the target's flows are to be reset.
+  [[nodiscard]] auto MustStayUp(TimePoint now) const -> bool {
+    if (presence_.status.state == TargetState::kGone) {
+      return false;
+    }
+    return presence_.deregistered_at.has_value()
+               ? now < confirmation_deadline_
+               : target_.running > 0 && now <= shutdown_deadline_;
+  }
+
+  // The platform stops an agent only after the agent's target has terminated,
+  // so no flow of the target can continue.
+  auto ResetFlowsIfTargetIsGone(TimePoint now) -> void {
+    if (presence_.status.state == TargetState::kGone) {
+      actions_.clear();
+      ResetAllTargetFlows(target_, actions_);
+      PerformTargetActions({}, {}, now);
+    }
   }
 
   Fleet fleet_;
@@ -498,6 +517,8 @@
   std::vector<TargetAction> actions_;
   Bytes buf_;
   TimePoint shutdown_deadline_{};
+  /// Latest end of the wait for the confirmation of a deregistration.
+  TimePoint confirmation_deadline_{};
   bool is_opening_timer_armed_ = false;
 };
 
--- a/test/deregistration_test.cc
+++ b/test/deregistration_test.cc
@@ -188,10 +188,23 @@
   CHECK(IsOpeningDelivered(1003));
   // The agent stops before the next heartbeat.
   LONGS_EQUAL(200, Deregister());
-  StopAgent();
+  agent->SendSignal(SIGTERM);
+  RunFor(200ms);
+  LONGS_EQUAL(200, SendHeartbeat("ready"));
+  CHECK(RunUntil([this] { return agent->PollExitCode().has_value(); }));
+  RunFor(50ms);
   LONGS_EQUAL(0, resets);
 }
 
+// Guards against flows that hang when an agent is stopped right after the
+// deregistration of a target that wasn't heard draining.
+TEST(Deregistration, StoppedAgentResetsTheFlowsOfATargetThatHasEnded) {
+  OpenFlow(1000);
+  LONGS_EQUAL(200, Deregister());
+  StopAgent();
+  LONGS_EQUAL(1, resets);
+}
+
 TEST(Deregistration, TargetThatWasHeardDrainingIsGoneAtOnce) {
   OpenFlow(1000);
   LONGS_EQUAL(200, SendHeartbeat("draining"));
