Close the connection for service names after each call

A peer serves a limited number of connections, and one for names stayed open for 30 s beside the one that routes are read by: after a restart of many balancers, peers could close connections that ask for new routes. Found by review, by reading; not measured. service_names_test and node_path_test cover the calls.

--- a/src/transport/node_name_peers.cc
+++ b/src/transport/node_name_peers.cc
@@ -42,8 +42,11 @@
 }
 
 auto NamePeers::AskIfDue(TimePoint now) -> void {
-  if (unnamed_.empty() || calls_left_ == 0 || now < next_call_at_ ||
-      (client_ != nullptr && client_->HasCallInFlight())) {
+  if (client_ != nullptr && client_->HasCallInFlight()) {
+    return;
+  }
+  client_.reset();  // The peer has few connections, which routes need too.
+  if (unnamed_.empty() || calls_left_ == 0 || now < next_call_at_) {
     return;
   }
   --calls_left_;
