Bound the times and numbers that explain takes from log lines

A damaged line with a huge or negative time overflowed differences of times, which is undefined, and a link to a pipe in the folder was read for ever. Found by review. Times outside the years 1970 to 9999 count as cut lines, negative counts of agents are skipped, and only regular files and dangling links, which are reported, are taken. log_timeline_test checks the times.

--- a/src/transport/node_log_files.cc
+++ b/src/transport/node_log_files.cc
@@ -65,10 +65,10 @@
        !ec && it != std::filesystem::recursive_directory_iterator();
        it.increment(ec)) {
     std::error_code type_error;
-    if (it->is_regular_file(type_error) || it->is_symlink(type_error)) {
-      if (!it->is_directory(type_error)) {
-        files.push_back(it->path());
-      }
+    const bool is_dangling =
+        it->is_symlink(type_error) && !it->exists(type_error);
+    if (it->is_regular_file(type_error) || is_dangling) {
+      files.push_back(it->path());
     }
   }
   if (ec) {
--- a/src/transport/node_log_line.cc
+++ b/src/transport/node_log_line.cc
@@ -15,6 +15,8 @@
 };
 static_assert(!kFaultNames.back().empty());
 
+// The end of the year 9999, in Unix milliseconds.
+constexpr std::int64_t kMaxTimeMs = 253'402'300'799'999;
 constexpr std::string_view kTimeKey = "t=";
 constexpr std::string_view kNodeKey = "node=";
 
@@ -106,7 +108,7 @@
   std::string_view rest = text.substr(start);
   LogLine line;
   const auto time = ParseNumber(TakeValue(rest, kTimeKey));
-  if (!time.has_value()) {
+  if (!time.has_value() || *time < 0 || *time > kMaxTimeMs) {
     return start == 0 ? LogLineFault::kCut : LogLineFault::kNoHeader;
   }
   line.time_ms = *time;
--- a/src/transport/node_log_pairs.cc
+++ b/src/transport/node_log_pairs.cc
@@ -38,7 +38,7 @@
 auto OpeningPairs::AddOffer(const LogLine& line, const std::string& key)
     -> void {
   const auto asked = FindNumber(line, "asked");
-  if (!asked.has_value() || offers_.size() >= kMaxUnpairedLines) {
+  if (!asked.has_value() || *asked < 0 || offers_.size() >= kMaxUnpairedLines) {
     return;
   }
   const std::string_view copy = FindField(line, "copy");
--- a/test/log_timeline_test.cc
+++ b/test/log_timeline_test.cc
@@ -106,6 +106,10 @@
 TEST(LogTimeline, UnusableLinesHaveAReason) {
   CHECK(IsFault("t=1 node=n kind=flow eve", LogLineFault::kCut));
   CHECK(IsFault("t=12x node=n kind=flow event=e", LogLineFault::kCut));
+  CHECK(IsFault("t=-9223372036854775808 node=n kind=flow event=e",
+                LogLineFault::kCut));
+  CHECK(IsFault("t=253402300800000 node=n kind=flow event=e",
+                LogLineFault::kCut));
   CHECK(
       IsFault("t=1 node=n kind=flow event=e flow=1.2.3.4t=2 node=n kind=x "
               "event=e",
