Reset an unconfirmed opening as soon as its host is suspected, as before

Since the change for hosts that leave messages without a reply, a small fleet reset openings for a last target that is gone after 3 s of silence instead of 2 s; RefusedOpeningNamesItsRoute of opening_log_test, which needs a reset then, failed in the check.

--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -401,6 +401,7 @@
     // answer may have gone through another balancer.
     opening.may_be_open |=
         host != steering.fleet.hosts.end() &&
+        now - host->second.last_contact < host->second.unresponsive_after &&
         !IsHostUnreachable(host->second,
                            steering.options.search.unreachable_after, now);
     if (OfferOpeningToNextTarget(steering, it->first, opening,
