--- a/test/flow_search_scope_test.cc
+++ b/test/flow_search_scope_test.cc
@@ -82,6 +82,16 @@
     }
   }
 
+  // The targets of the first service have exited, but for the first `kept`.
+  auto LearnExitsOfTargets(std::uint32_t kept, TimePoint now) -> void {
+    for (std::uint32_t n = kept; n < kAgentsPerService; ++n) {
+      HostRecord record = MakeAgentRecord(1, n);
+      record.revision = 2;
+      record.target = {.state = TargetState::kGone};
+      MergeHostRecord(steering.fleet, record, Duration::zero(), now);
+    }
+  }
+
   auto PutInForce(RouteSet routes, TimePoint now) -> void {
     ReplaceRoutesIfNewer(steering.routes, std::move(routes), kFlowLifetime,
                          now);
@@ -343,14 +353,8 @@
   CHECK(balancer.SearchFlow(1, agent, kNow).is_found);
 }
 
-// Nobody would return a packet that is offered to a target that has exited.
 TEST(FlowSearchScope, SilentAgentsOfExitedTargetsDoNotDelayAReset) {
-  for (std::uint32_t n = 1; n < kAgentsPerService; ++n) {
-    HostRecord record = MakeAgentRecord(1, n);
-    record.revision = 2;
-    record.target = {.state = TargetState::kGone};
-    MergeHostRecord(balancer.steering.fleet, record, Duration::zero(), kNow);
-  }
+  balancer.LearnExitsOfTargets(1, kNow);
   MoveRoute(4, {{.service = 1}});
   balancer.steering.routes.history.former.clear();
   const FlowPacket packet = MakeCallerPacket(1);
@@ -368,13 +372,9 @@
   CHECK(out[0].kind == Kind::kReset);
 }
 
+// Nobody would return a packet that is offered to a target that has exited.
 TEST(FlowSearchScope, UnsureAgentOfAnExitedTargetDoesNotDelayAReset) {
-  for (std::uint32_t n = 0; n < kAgentsPerService; ++n) {
-    HostRecord record = MakeAgentRecord(1, n);
-    record.revision = 2;
-    record.target = {.state = TargetState::kGone};
-    MergeHostRecord(balancer.steering.fleet, record, Duration::zero(), kNow);
-  }
+  balancer.LearnExitsOfTargets(0, kNow);
   MoveRoute(4, {{.service = 1}});
   balancer.steering.routes.history.former.clear();
   const FlowPacket packet = MakeCallerPacket(1);
