review: case 6, flows are reset when the edge machines are replaced

Cause: a balancer counts as settled 3 s after its start, although agents that hold records of former balancers make themselves known only when their seeds change.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -137,11 +137,16 @@
         self.in_rotation = False
         self.last_disrupted_at = 0.0
 
-    def start(self):
+    @property
+    def settings_path(self):
+        return self.deployment.folder / f"{self.name}.toml"
+
+    def write_settings(self):
+        """Writes the settings that are in effect now."""
         it = self.deployment
-        path = it.folder / f"{self.name}.toml"
         is_agent = self.service is not None
-        path.write_text(SETTINGS.format(
+        changed = self.settings_path.with_suffix(".new")
+        changed.write_text(SETTINGS.format(
             name=self.name, role="agent" if is_agent else "balancer",
             role_class="side" if is_agent else "edge",
             serves='"side"' if is_agent else '"edge","control"', ip=self.ip,
@@ -153,12 +158,18 @@
                       if is_agent else ""),
             store_ip=it.store_ip, **{k: it.ports[k] for k in (
                 "internal", "data", "ready", "control", "store")}))
+        changed.replace(self.settings_path)
+
+    def start(self):
+        it = self.deployment
+        is_agent = self.service is not None
+        self.write_settings()
         with open(it.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
                 it.commands["side" if is_agent else "edge"], cwd=ROOT,
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                 env={"PATH": os.environ["PATH"],
-                     "HAWTHORNBANK_NODE_FILE": str(path)})
+                     "HAWTHORNBANK_NODE_FILE": str(self.settings_path)})
         self.last_disrupted_at = time.monotonic()
         it.record("process", self.name, "starts")
 
@@ -272,8 +283,10 @@
     async def start(self, servers=None):
         await self.store.start(self.store_ip, self.ports["store"])
         self.put_config(7)
-        for it in self.edges + self.sides:
+        machines = self.edges + self.sides
+        for it in random.sample(machines, len(machines)):
             it.start()
+            await asyncio.sleep(0.25 / len(machines))
         for it in self.sides[:servers]:
             await self.start_server(it)
         for ip, zone in zip(self.client_ips, ZONES):
