--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -103,29 +103,38 @@
             for it in roles.values()}
 
 
-def find_free_ports(addresses):
-    """Ports that are free on all addresses, for TCP and UDP."""
-
-    def is_free(port):
-        for address in addresses:
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                with socket.socket(socket.AF_INET, kind) as probe:
-                    try:
-                        probe.bind((address, port))
-                    except OSError:
-                        return False
-        return True
+def is_free(addresses, port):
+    """Whether a port is free on all addresses, for TCP and UDP."""
+    for address in addresses:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as probe:
+                try:
+                    probe.bind((address, port))
+                except OSError:
+                    return False
+    return True
+
 
+def find_free_ports(addresses):
+    """Ports that are free on all addresses."""
     ports = {}
     while len(ports) < len(PORT_NAMES):
         port = random.randint(11000, 30000)
-        if port not in ports.values() and is_free(port):
+        if port not in ports.values() and is_free(addresses, port):
             ports[PORT_NAMES[len(ports)]] = port
-    if not is_free(METRICS_PORT):
-        raise CannotRun("the metrics port isn't free")
     return ports
 
 
+def choose_network(machines):
+    """The first two numbers of a deployment's addresses, which nobody uses."""
+    for _ in range(100):
+        net = f"127.{random.randint(20, 250)}"
+        if is_free([f"{net}.{n % 3 + 1}.{10 + n}" for n in range(machines)],
+                   METRICS_PORT):
+            return net
+    raise CannotRun("the metrics port isn't free")
+
+
 class Node:
     """A machine with one process of the system."""
 
@@ -191,7 +200,7 @@
         self.bootstrap = True
         self.first_seq = first_seq
         self.seeds = None
-        net = f"127.{random.randint(20, 250)}"
+        net = choose_network(edges)
         self.store_ip = f"{net}.200.7"
         self.route = None
         self.net = net
@@ -231,14 +240,18 @@
     def choose(self, zone, packet):
         """The address of the node that gets a packet."""
         live = [it for it in self.edges if it.process is not None]
+        used = []
         for zones in ((zone,), ZONES):
             nodes = [it for it in live if it.zone in zones]
             ready = [it for it in nodes if it.in_rotation]
             if ready:
                 used = ready if 2 * len(ready) >= len(nodes) else nodes
-                name = f"{packet.src}{packet.sport}{packet.dst}{packet.dport}"
-                return used[zlib.crc32(name.encode()) % len(used)].ip
-        return None
+                break
+        used = used or live  # None is in rotation: all are used.
+        if not used:
+            return None
+        name = f"{packet.src}{packet.sport}{packet.dst}{packet.dport}"
+        return used[zlib.crc32(name.encode()) % len(used)].ip
 
     async def check_readiness(self):
         async def check(node):
