--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -205,6 +205,7 @@
         self.route = None
         self.net = net
         self.service = "svc-a"
+        self.kind, self.timeout_ms, self.goal_ms = "non_idempotent", 1500, 200
         self.edges = [Node(self, f"edge-{n}", f"{net}.{n % 3 + 1}.{10 + n}",
                            ZONES[n % 3]) for n in range(edges)]
         self.sides = [Node(self, f"side-{n}", f"{net}.{n % 3 + 1}.{40 + n}",
@@ -275,9 +276,9 @@
             "version": version,
             "routes": [{"name": "r-1", "host": self.route[0],
                         "path_prefix": f"/{self.route[1]}/",
-                        "kind": "non_idempotent", "timeout_ms": 1500,
-                        "goal_ms": 200, "priority": 1, "service": self.service,
-                        "attempts": 2}],
+                        "kind": self.kind, "timeout_ms": self.timeout_ms,
+                        "goal_ms": self.goal_ms, "priority": 1,
+                        "service": self.service, "attempts": 2}],
             "services": [{"name": self.service, "health_path": "/healthz",
                           "max_conns": 2000, "protocol": "h1", "tls": False}],
             "limits": {"header_bytes": 16384, "body_bytes": 262144,
--- a/review/common-2/endpoints.py
+++ b/review/common-2/endpoints.py
@@ -59,6 +59,7 @@
         self.born = int(time.time() * 1000)
         self.flows = {}
         self.runs = {}
+        self.arrivals = []  # packets after openings: (time, key, is_held)
         self.forged = 0
         self.tasks = []
         self.acknowledged = 0
@@ -109,7 +110,9 @@
             self.send(key, flow, SYN, flow.isn)
             return
         lead = (packet.ack - flow.isn) & 0xFFFFFFFF if flow else None
-        if flow is None or not 1 <= lead <= MAX_LEAD:
+        is_held = flow is not None and 1 <= lead <= MAX_LEAD
+        self.arrivals.append((time.monotonic(), key, is_held))
+        if not is_held:
             self.record("server", self.instance, "returns a packet of", key)
             self.socket.sendto(mark_bounced(raw),
                                (self.host, self.ports["outbound"]))
@@ -150,6 +153,12 @@
         self.send(key, flow, 0, flow.sent, packet.data)
         flow.sent = flow.sent + len(packet.data) & 0xFFFFFFFF
 
+    def crash(self):
+        """Ends without a word; its machine and its agent stay up."""
+        self.record("server", self.instance, "crashes")
+        self.flows.clear()
+        self.stop()
+
     def stop(self):
         for task in self.tasks:
             task.cancel()
@@ -169,6 +178,7 @@
         self.reset_by_system_at = None
         self.changed = asyncio.Event()
         self.answers = {}
+        self.sent_data_at = []
 
     def send(self, flags, seq, data=b"", ack=None):
         src, sport, dst, dport = self.key
@@ -198,6 +208,7 @@
         for wait in RETRANSMISSIONS_S:
             if self.state != "open":
                 break
+            self.sent_data_at.append(time.monotonic())
             self.send(ACK, seq, data)
             self.changed.clear()
             until = min(time.monotonic() + wait, end)
