Let an agent's own target outlast the heartbeats of another writer

Cause: an agent took every writer that names another service for a target that has got the address. Each of its heartbeats began the comparison with the own target anew, so that one which never stops kept the own target out of use for ever: at a restarted agent as a rival that never replaces the foreign start, at a running one as a claim that is never rejected. MarkSilentTargetGone() then took the target for gone, and searches reset its flows.

Change: whatever another service sends says nothing against the own target, because late messages and other writers send the same as a target that has got the address. Only the own heartbeats tell these apart, as an ended target sends none. A start of the own service whose heartbeats go on for two timeouts (4.6 s at an interval of 1 s) without a gap of more than one is the present start; further claims are ignored until it is silent. A heartbeat that names another address than the target's claims nothing at all.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -18,6 +18,8 @@
 /// A start is identified by its id and start time; start times don't order
 /// starts, because clocks may go back: of two starts at the same address only
 /// one can be running, and that is the one that goes on sending heartbeats.
+/// Heartbeats may also come from a writer that is no target; they say nothing
+/// of this agent's target if they name another address.
 ///
 /// A target that crashes sends nothing, and its address is given to a target of
 /// another service after the reuse delay. Heartbeats show whose address it is:
@@ -28,6 +30,7 @@
 struct TargetHeartbeat {
   std::string id;
   std::string service;
+  Endpoint address;  ///< Address at which the target receives packets.
   std::uint64_t started_at_ms = 0;  ///< Start of the target, Unix milliseconds.
   std::uint64_t sequence = 0;       ///< Grows with each heartbeat of one start.
   TargetState state = TargetState::kUnknown;
@@ -70,12 +73,21 @@
   std::optional<TimePoint> own_heard_at;
 };
 
+/// Heartbeats of one start of the own service, received while a start of
+/// another service may have the address.
+struct HeartbeatRun {
+  TargetStart start;
+  TimePoint first_heard_at{};
+  TimePoint last_heard_at{};
+};
+
 /// Number of replaced starts that an agent remembers.
 inline constexpr std::size_t kMaxReplacedStarts = 8;
 
 /// State of an agent's target, as known from the heartbeats received.
 struct TargetPresence {
   std::string service;  ///< Name of the service that the target serves.
+  Endpoint address;     ///< Address to which the agent delivers packets.
   /// Mean time between two heartbeats of a target.
   Duration heartbeat_interval = std::chrono::seconds{1};
   /// Time from a target's end after which its address may be used again.
@@ -106,6 +118,11 @@
   /// Service of the present start when its target is of another service: the
   /// address has been given away. Empty otherwise.
   std::string foreign_service;
+  /// Empty until a heartbeat of the own service follows one of another service.
+  std::optional<HeartbeatRun> contested_run;
+  /// The present start has outlasted the heartbeats of another service, see
+  /// OnTargetHeartbeat().
+  bool has_outlasted_claims = false;
   /// Starts that counted as running before, the latest last.
   std::vector<TargetStart> replaced;
   /// Start times of the starts that an earlier process of this agent had, in
@@ -154,6 +171,13 @@
 /// @return Two intervals and an allowance for delays.
 auto ComputeHeartbeatTimeout(Duration interval) -> Duration;
 
+/// Computes how long heartbeats of the own service must go on beside those of
+/// another service to show that the address still belongs to the own target:
+/// longer than late heartbeats of an ended target do.
+/// @param interval Mean time between two heartbeats.
+/// @return The time.
+auto ComputeOutlastingTime(Duration interval) -> Duration;
+
 /// Computes how long after the target's newest heartbeat openings are delivered
 /// to the target: as long as a running target can be silent, but not until its
 /// address can be in use by another target.
@@ -188,7 +212,11 @@
 /// the present one, and the target is gone, when it has sent heartbeats for
 /// ComputeHeartbeatTimeout() in which the present one has been silent. The
 /// claim is rejected when the present one has sent heartbeats for as long in
-/// which the other one has been silent.
+/// which the other one has been silent. Heartbeats of another service can come
+/// from a writer that isn't a target and go on for ever, so they don't outweigh
+/// those of the own service: a start of the own service that sends heartbeats
+/// for ComputeOutlastingTime(), whatever another service sends meanwhile, is
+/// the present one, and further claims are ignored until it is silent.
 /// @param presence State of the target.
 /// @param beat The heartbeat.
 /// @param now Current time.
--- a/src/coordination/target_end.cc
+++ b/src/coordination/target_end.cc
@@ -55,7 +55,7 @@
 auto MarkSilentTargetGone(TargetPresence& presence, Duration listening)
     -> PresenceOutcome {
   if (presence.status.state != TargetState::kUnknown ||
-      presence.rival.has_value() ||
+      presence.rival.has_value() || presence.contested_run.has_value() ||
       listening < ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
     return PresenceOutcome::kKnown;
   }
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -3,9 +3,21 @@
 #include <algorithm>
 #include <array>
 
+#include "coordination/address_claim.h"
+
 namespace hawthornbank {
 namespace {
 
+using detail::AnswerClaim;
+using detail::EraseEndedRun;
+using detail::HasOutlastedOtherService;
+using detail::HasTakenAddress;
+using detail::IgnoresClaims;
+using detail::IsSameClaim;
+using detail::IsSameStart;
+using detail::RejectClaim;
+using detail::RememberReplacedStart;
+
 // Allowance for the delay and the retry of a heartbeat.
 constexpr Duration kHeartbeatDelayAllowance = std::chrono::milliseconds{300};
 
@@ -27,11 +39,6 @@
   return previous_end.has_value() ? std::min(*previous_end, now) : TimePoint{};
 }
 
-auto IsSameStart(const TargetStart& start, const TargetHeartbeat& beat)
-    -> bool {
-  return start.started_at_ms == beat.started_at_ms && start.id == beat.id;
-}
-
 auto GetPresentStart(const TargetPresence& presence) -> TargetStart {
   return TargetStart{.id = presence.id,
                      .started_at_ms = presence.status.started_at_ms,
@@ -77,67 +84,6 @@
   return HasTarget(presence) && presence.foreign_service.empty();
 }
 
-auto IsSameClaim(const TargetPresence& presence, const TargetHeartbeat& beat)
-    -> bool {
-  return presence.claim.has_value() && IsSameStart(presence.claim->start, beat);
-}
-
-auto RememberReplacedStart(TargetPresence& presence, const TargetStart& start)
-    -> void {
-  std::erase_if(presence.replaced, [&](const TargetStart& it) {
-    return it.id == start.id && it.started_at_ms == start.started_at_ms;
-  });
-  presence.replaced.push_back(start);
-  if (presence.replaced.size() > kMaxReplacedStarts) {
-    presence.replaced.erase(presence.replaced.begin());
-  }
-}
-
-auto RejectClaim(TargetPresence& presence) -> void {
-  if (presence.claim.has_value()) {
-    RememberReplacedStart(presence, presence.claim->start);
-    presence.claim.reset();
-  }
-}
-
-// Records a heartbeat of a target of another service that may have the address.
-// Returns whether it has it: like a rival, it must go on while the present
-// start is silent. Own heartbeats may lie unread beside one that has.
-auto HasTakenAddress(TargetPresence& presence,
-                     const TargetHeartbeat& beat,
-                     TimePoint now) -> bool {
-  if (!IsSameClaim(presence, beat) ||
-      presence.claim->own_heard_at.has_value()) {
-    RejectClaim(presence);
-    presence.claim = ForeignClaim{.start = {.id = beat.id,
-                                            .started_at_ms = beat.started_at_ms,
-                                            .sequence = beat.sequence},
-                                  .first_heard_at = now};
-    return false;
-  }
-  presence.claim->start.sequence = beat.sequence;
-  return now - beat.unread_time - presence.claim->first_heard_at >=
-         ComputeHeartbeatTimeout(presence.heartbeat_interval);
-}
-
-// Records a heartbeat of the present start while another service may have its
-// address. In the time after which the claim is rejected, a target of the other
-// service would have sent a heartbeat.
-auto AnswerClaim(TargetPresence& presence,
-                 const TargetHeartbeat& beat,
-                 TimePoint now) -> void {
-  if (!presence.claim.has_value()) {
-    return;
-  }
-  auto& own_heard_at = presence.claim->own_heard_at;
-  if (!own_heard_at.has_value()) {
-    own_heard_at = now;
-  } else if (now - beat.unread_time - *own_heard_at >=
-             ComputeHeartbeatTimeout(presence.heartbeat_interval)) {
-    RejectClaim(presence);
-  }
-}
-
 auto ApplyHeartbeat(TargetPresence& presence,
                     const TargetHeartbeat& beat,
                     TimePoint now) -> PresenceOutcome {
@@ -169,6 +115,7 @@
   }
   presence.warm_at = ComputeWarmupEnd(std::nullopt, beat.warmup_ms, now);
   presence.foreign_service.clear();
+  presence.has_outlasted_claims = false;
   presence.first_heartbeat_at = now;
   presence.has_first_heartbeat = beat.sequence <= kFirstHeartbeatSequence;
   ApplyHeartbeat(presence, beat, now);
@@ -209,6 +156,7 @@
 auto OnForeignHeartbeat(TargetPresence& presence,
                         const TargetHeartbeat& beat,
                         TimePoint now) -> PresenceOutcome {
+  EraseEndedRun(presence, now);
   if (IsSameStart(GetPresentStart(presence), beat) &&
       !presence.foreign_service.empty()) {
     if (beat.sequence > presence.sequence) {
@@ -219,7 +167,8 @@
     }
     return PresenceOutcome::kForeign;
   }
-  if (IsLateForeignHeartbeat(presence, beat, now)) {
+  if (beat.address != presence.address || IgnoresClaims(presence, now) ||
+      IsLateForeignHeartbeat(presence, beat, now)) {
     return PresenceOutcome::kForeign;
   }
   if (!HasOwnTarget(presence)) {
@@ -284,6 +233,7 @@
   if (is_known && beat.sequence <= known->sequence) {
     return PresenceOutcome::kOtherStart;
   }
+  const bool outlasts = HasOutlastedOtherService(presence, beat, now);
   if (!is_known && beat.started_at_ms > presence.status.started_at_ms &&
       !MayHaveEndedBefore(presence, beat)) {
     const bool had_target = HasTarget(presence);
@@ -307,12 +257,13 @@
     return was_running ? PresenceOutcome::kRestarted
                        : PresenceOutcome::kReplaced;
   }
-  if (!HasReplacedPresentStart(presence, beat, now)) {
+  if (!HasReplacedPresentStart(presence, beat, now) && !outlasts) {
     return PresenceOutcome::kOtherStart;
   }
   presence.knows_all_flows = false;
   ReplacePresentStart(presence, beat, now);
   RejectClaim(presence);
+  presence.has_outlasted_claims = outlasts;
   return PresenceOutcome::kReplaced;
 }
 
@@ -362,6 +313,10 @@
   }
   presence.warm_at = ComputeWarmupEnd(presence.warm_at, beat.warmup_ms, now);
   AnswerClaim(presence, beat, now);
+  if (HasOutlastedOtherService(presence, beat, now)) {
+    RejectClaim(presence);
+    presence.has_outlasted_claims = true;
+  }
   const auto outcome = ApplyHeartbeat(presence, beat, now);
   presence.knows_all_flows =
       presence.knows_all_flows || WasHeardFromItsFirstHeartbeat(presence);
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -55,6 +55,7 @@
     target_.random = host_.random();
     target_.warmup.counting_since = GetMonotonicTime();
     presence_.service = settings.service;
+    presence_.address = settings.target;
     presence_.heartbeat_interval = settings.heartbeat_interval;
     presence_.reuse_delay = settings.reuse_delay;
     fleet_.self.service = target_.options.service;
