Don't take number 1 for a target's first heartbeat without evidence

Cause: numbers 0 and 1 both counted as a first heartbeat, because some targets count from 0 and others from 1. The restarted agent received number 1 first, concluded that every flow had passed through it and denied those of its earlier process; no balancer was left to tell it otherwise.

Change: number 0 is a first heartbeat. Number 1 is one only if this process has been up for so long that it would have received number 0, or if the target is younger than half an interval by the host's clock. Neither sign counts alone for other numbers. After a loss of power agents hear their targets' first heartbeats when the targets are that young, so they know all flows as before. The same rule decides whether an unknown start may be an earlier one (MayHaveEndedBefore). The agent's line about its target says the age and whether it knows all flows.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -38,6 +38,9 @@
   std::uint32_t warmup_ms = 0;
   /// Longest time for which the agent may have left it unread.
   Duration unread_time{};
+  /// Time since the target's start by the clock of the agent's host, which may
+  /// have been set since.
+  std::optional<std::chrono::milliseconds> age;
 };
 
 /// Time from the end of a target after which its address may be given to a
@@ -45,7 +48,8 @@
 inline constexpr Duration kDefaultReuseDelay = std::chrono::seconds{2};
 
 /// Largest sequence number of the first heartbeat after a target's start: some
-/// targets count from 0, others from 1.
+/// targets count from 0, others from 1. It doesn't show by itself that the
+/// heartbeat is the first one, see IsFirstHeartbeat().
 inline constexpr std::uint64_t kFirstHeartbeatSequence = 1;
 
 /// A start of a target.
@@ -92,6 +96,7 @@
   Duration heartbeat_interval = std::chrono::seconds{1};
   /// Time from a target's end after which its address may be used again.
   Duration reuse_delay = kDefaultReuseDelay;
+  TimePoint process_started_at{};  ///< When the agent's process started.
   std::string id;
   std::uint64_t sequence = 0;  ///< Sequence number of the newest heartbeat.
   TargetStatus status;
@@ -101,7 +106,7 @@
   TimePoint heard_at{};
   /// When the first heartbeat of the present start was applied.
   TimePoint first_heartbeat_at{};
-  /// That one had the number of a target's first heartbeat.
+  /// That one was the first heartbeat of its start.
   bool has_first_heartbeat = false;
   /// End of the target's warm-up; empty until a heartbeat tells it. Not later
   /// than the present for a target that is warm.
@@ -201,6 +206,20 @@
 auto DescribeTargetStatus(const TargetPresence& presence, TimePoint now)
     -> TargetStatus;
 
+/// Tells whether a heartbeat is the first one of its start, before which the
+/// target holds no flows. Number 0 is. Number 1 may be the second one, so it
+/// counts only if the process has been running for so long that it would have
+/// received number 0, or if the target is younger than half an interval by the
+/// clock. One of the two isn't enough: a clock may have been set, and numbers
+/// don't tell where a target begins to count.
+/// @param presence State of the target.
+/// @param beat The heartbeat.
+/// @param now Current time.
+/// @return Whether the heartbeat is certainly the first one.
+auto IsFirstHeartbeat(const TargetPresence& presence,
+                      const TargetHeartbeat& beat,
+                      TimePoint now) -> bool;
+
 /// Applies a heartbeat of the target. A start that is unknown and started later
 /// replaces the present one at once. It counts as a restart only if the present
 /// start was running during the agent's life: the agent received its first
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -117,7 +117,7 @@
   presence.foreign_service.clear();
   presence.has_outlasted_claims = false;
   presence.first_heartbeat_at = now;
-  presence.has_first_heartbeat = beat.sequence <= kFirstHeartbeatSequence;
+  presence.has_first_heartbeat = IsFirstHeartbeat(presence, beat, now);
   ApplyHeartbeat(presence, beat, now);
 }
 
@@ -218,8 +218,9 @@
 // be an earlier one, as it sends no first heartbeat: the present start runs on
 // from before, or has gone on since, while balancers knew the other one.
 auto MayHaveEndedBefore(const TargetPresence& presence,
-                        const TargetHeartbeat& beat) -> bool {
-  return HasOwnTarget(presence) && beat.sequence > kFirstHeartbeatSequence &&
+                        const TargetHeartbeat& beat,
+                        TimePoint now) -> bool {
+  return HasOwnTarget(presence) && !IsFirstHeartbeat(presence, beat, now) &&
          (IsFormerStart(presence, presence.status.started_at_ms) ||
           (IsFormerStart(presence, beat.started_at_ms) &&
            WasPresentStartRunning(presence)));
@@ -235,7 +236,7 @@
   }
   const bool outlasts = HasOutlastedOtherService(presence, beat, now);
   if (!is_known && beat.started_at_ms > presence.status.started_at_ms &&
-      !MayHaveEndedBefore(presence, beat)) {
+      !MayHaveEndedBefore(presence, beat, now)) {
     const bool had_target = HasTarget(presence);
     const bool was_running = WasPresentStartRunning(presence);
     ReplacePresentStart(presence, beat, now);
@@ -299,6 +300,18 @@
   return status;
 }
 
+auto IsFirstHeartbeat(const TargetPresence& presence,
+                      const TargetHeartbeat& beat,
+                      TimePoint now) -> bool {
+  if (beat.sequence == 0 || beat.sequence > kFirstHeartbeatSequence) {
+    return beat.sequence == 0;
+  }
+  const Duration interval = presence.heartbeat_interval;
+  return now - presence.process_started_at >=
+             ComputeHeartbeatTimeout(interval) ||
+         (beat.age.has_value() && 2 * std::chrono::abs(*beat.age) < interval);
+}
+
 auto OnTargetHeartbeat(TargetPresence& presence,
                        const TargetHeartbeat& beat,
                        TimePoint now) -> PresenceOutcome {
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -58,6 +58,7 @@
     presence_.address = settings.target;
     presence_.heartbeat_interval = settings.heartbeat_interval;
     presence_.reuse_delay = settings.reuse_delay;
+    presence_.process_started_at = host_.start_time();
     fleet_.self.service = target_.options.service;
   }
 
@@ -326,6 +327,7 @@
       -> HttpServerResponse {
     NoteActivity();
     heartbeat.unread_time = ComputeMaxUnreadTime(listening_);
+    heartbeat.age = ComputeAge(heartbeat.started_at_ms);
     const auto outcome = OnTargetHeartbeat(presence_, heartbeat, now);
     ApplyPresenceOutcome(outcome, now);
     if (outcome == PresenceOutcome::kLate || !IsAcknowledged(outcome)) {
@@ -335,6 +337,13 @@
     return MakePresenceResponse(outcome);
   }
 
+  // Returns the time since a start by the clock of this host.
+  static auto ComputeAge(std::uint64_t started_at_ms)
+      -> std::chrono::milliseconds {
+    return GetWallTime().time_since_epoch() -
+           std::chrono::milliseconds{started_at_ms};
+  }
+
   auto OnDeregistrationRequest(const DeregistrationRequest& departure,
                                TimePoint now) -> HttpServerResponse {
     const auto outcome =
@@ -420,10 +429,13 @@
     }
     host_.event_log().WriteEvent(
         EventKind::kStateChange, now,
-        "target_{} id={} state={} born={} seq={} slots={} cold={}",
+        "target_{} id={} state={} born={} age_ms={} seq={} slots={} cold={} "
+        "knows_all={}",
         ToString(outcome), PresentId(), ToString(presence_.status.state),
-        presence_.status.started_at_ms, presence_.sequence,
-        presence_.status.slots, presence_.status.cold);
+        presence_.status.started_at_ms,
+        ComputeAge(presence_.status.started_at_ms).count(), presence_.sequence,
+        presence_.status.slots, presence_.status.cold,
+        presence_.knows_all_flows);
     host_.gossip().AnnounceSelf(now);
   }
 
--- a/test/restart_fleet.h
+++ b/test/restart_fleet.h
@@ -134,7 +134,8 @@
       it.flows = std::make_unique<TargetFlows>();
       it.flows->options.service = kService;
       it.flows->options.self = control;
-      it.presence = TargetPresence{.service = kServiceName};
+      it.presence =
+          TargetPresence{.service = kServiceName, .process_started_at = now};
       it.agent_fleet = {};
     }
     it.fleet().self = self;
--- a/test/restart_targets.h
+++ b/test/restart_targets.h
@@ -41,6 +41,11 @@
 // Whether deregistrations arrive after later messages.
 inline constexpr bool kDelaysDeregistrations = true;
 
+// Returns the number of a start's first heartbeat: targets count from 0 or 1.
+constexpr auto GetFirstSequence(std::uint32_t target) -> std::uint64_t {
+  return target % 2;
+}
+
 struct Deregistration {
   std::string id;
 };
@@ -133,7 +138,7 @@
     if (now - target.ended >= kReuseDelay) {
       target.service = Draw(4) == 0 ? kOtherServiceName : kServiceName;
     }
-    target.sequence = 0;
+    target.sequence = GetFirstSequence(n) - 1;
     target.started = now;
     target.next_heartbeat =
         now + (target.service == kServiceName ? 1ms * Draw(200) : 0ms);
@@ -178,7 +183,7 @@
     Target& target = targets[message.target];
     const auto* beat = std::get_if<TargetHeartbeat>(&message.content);
     const bool is_first =
-        beat != nullptr && beat->sequence == kFirstHeartbeatSequence;
+        beat != nullptr && beat->sequence == GetFirstSequence(message.target);
     const bool may_be_late = beat != nullptr
                                  ? !is_first && !target.is_heartbeat_late
                                  : kDelaysDeregistrations;
@@ -245,6 +250,14 @@
                         is_same_start);
   }
 
+  // Adds the age of the start by the clock of the host.
+  auto AddAge(TargetHeartbeat beat, std::uint32_t n) -> TargetHeartbeat {
+    beat.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                   now.time_since_epoch() + targets[n].clock_step) -
+               std::chrono::milliseconds{beat.started_at_ms};
+    return beat;
+  }
+
   auto OnTargetMessage(const TargetMessage& message) -> void {
     const Endpoint control = MakeAgentEndpoint(message.target);
     Process& agent = processes[control];
@@ -262,7 +275,8 @@
     }
     const auto outcome =
         beat != nullptr
-            ? OnTargetHeartbeat(agent.presence, *beat, now)
+            ? OnTargetHeartbeat(agent.presence, AddAge(*beat, message.target),
+                                now)
             : OnTargetShutdownAnnounced(
                   agent.presence, std::get<Deregistration>(message.content).id,
                   now);
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -401,6 +401,36 @@
   CHECK(presence.knows_all_flows);
 }
 
+// Guards against the denial of flows of a target that counts from 0, whose
+// agent and all balancers restart between its first two heartbeats.
+TEST(TargetPresence, NumberOneIsntProofOfAFirstHeartbeat) {
+  const auto knows_all_flows =
+      [](std::uint64_t sequence, Duration uptime,
+         std::optional<std::chrono::milliseconds> age) {
+        TargetPresence target{.service = "s",
+                              .heartbeat_interval = 1200ms,
+                              .process_started_at = kNow - uptime};
+        auto beat = MakeHeartbeat(100, sequence, TargetState::kReady);
+        beat.age = age;
+        OnTargetHeartbeat(target, beat, kNow);
+        return target.knows_all_flows;
+      };
+  // The agent's process is younger than two intervals.
+  CHECK_FALSE(knows_all_flows(1, 800ms, 1200ms));
+  CHECK_FALSE(knows_all_flows(1, 2699ms, 600ms));
+  CHECK_FALSE(knows_all_flows(1, 800ms, std::nullopt));
+  // The clock of the host has been set.
+  CHECK_FALSE(knows_all_flows(1, 800ms, -600ms));
+  CHECK_FALSE(knows_all_flows(1, 800ms, 1h));
+  // The first heartbeat of a target that counts from 1.
+  CHECK(knows_all_flows(1, 100ms, 0ms));
+  CHECK(knows_all_flows(1, 800ms, 599ms));
+  CHECK(knows_all_flows(1, 2700ms, 1h));
+  // Number 0 is a first one, and no other number is.
+  CHECK(knows_all_flows(0, 100ms, 1h));
+  CHECK_FALSE(knows_all_flows(2, 1h, 0ms));
+}
+
 // Guards against the denial of a running start's flows after a late first
 // heartbeat of a crashed start.
 TEST(TargetPresence, LateFirstHeartbeatAtARestartedAgentIsNoProof) {
