Have agents search for balancers once all that they know have shut down

Cause: an agent leaves out a balancer that has announced its shutdown from all that it sends, but still counted it as one that it knows: it neither announced itself to that balancer's address, which is one of its seeds, nor read the list of balancers.

Change: a balancer counts as known to an agent as long as it may still send (KnowsAnyBalancer, KnowsHost). An agent that knows only balancers that have shut down announces itself to its seeds and reads the list, at the interval of its heartbeats: the short interval of a start is for agents that know no host.

Test: BalancersThatHaveShutDownArentKnown; the functions are new, so it can't be compiled with the code before.

--- a/include/hawthornbank/gossip_plan.h
+++ b/include/hawthornbank/gossip_plan.h
@@ -74,6 +74,20 @@
 /// @return Number of balancers, in all and in this process's zone.
 auto CountBalancers(const Fleet& fleet) -> FleetSize;
 
+/// Tells whether a host is known and may still send messages. One that has
+/// announced its shutdown may start again at the same address, without knowing
+/// this process.
+/// @param fleet Hosts known to this process.
+/// @param control Address of the host.
+/// @param now Current time.
+/// @return Whether the host is known and hasn't shut down.
+auto KnowsHost(const Fleet& fleet, Endpoint control, TimePoint now) -> bool;
+
+/// @param fleet Hosts known to this process.
+/// @param now Current time.
+/// @return Whether another balancer is known that hasn't shut down.
+auto KnowsAnyBalancer(const Fleet& fleet, TimePoint now) -> bool;
+
 /// @param size Size of the fleet.
 /// @return Whether changes and heartbeats are sent to all balancers.
 constexpr auto IsFullMesh(const FleetSize& size) -> bool {
--- a/src/coordination/gossip_plan.cc
+++ b/src/coordination/gossip_plan.cc
@@ -18,6 +18,11 @@
 // Time in which comparisons spread a record to all balancers.
 constexpr Duration kComparisonsTime = std::chrono::seconds{2};
 
+auto HasShutDown(const KnownHost& host, TimePoint now) -> bool {
+  return host.record.is_shutting_down &&
+         now - host.changed >= kBalancerShutdownTime;
+}
+
 auto IsEndpointBefore(Endpoint a, Endpoint b) -> bool {
   return std::pair(a.address, a.port) < std::pair(b.address, b.port);
 }
@@ -37,9 +42,7 @@
 auto ListBalancersByZone(const Fleet& fleet, TimePoint now) -> BalancersByZone {
   BalancersByZone balancers;
   for (const auto& [control, host] : fleet.hosts) {
-    const bool has_shut_down = host.record.is_shutting_down &&
-                               now - host.changed >= kBalancerShutdownTime;
-    if (host.record.role == HostRole::kBalancer && !has_shut_down) {
+    if (host.record.role == HostRole::kBalancer && !HasShutDown(host, now)) {
       (host.record.zone == fleet.self.zone ? balancers.same_zone
                                            : balancers.other_zones)
           .push_back(control);
@@ -113,6 +116,19 @@
   return size;
 }
 
+auto KnowsHost(const Fleet& fleet, Endpoint control, TimePoint now) -> bool {
+  const auto host = fleet.hosts.find(control);
+  return host != fleet.hosts.end() && !HasShutDown(host->second, now);
+}
+
+auto KnowsAnyBalancer(const Fleet& fleet, TimePoint now) -> bool {
+  return std::any_of(fleet.hosts.begin(), fleet.hosts.end(),
+                     [now](const auto& it) {
+                       return it.second.record.role == HostRole::kBalancer &&
+                              !HasShutDown(it.second, now);
+                     });
+}
+
 auto ComputeHeartbeatInterval(const FleetSize& size) -> Duration {
   const double factor = static_cast<double>(size.balancers) /
                         static_cast<double>(kBalancersAtMinHeartbeatInterval);
--- a/src/transport/node_gossip.cc
+++ b/src/transport/node_gossip.cc
@@ -55,8 +55,11 @@
   return fleet_.self.role == HostRole::kBalancer;
 }
 
-auto NodeGossip::KnowsAnyBalancer() const -> bool {
-  return CountBalancers(fleet_).balancers > (IsBalancer() ? 1U : 0U);
+// A balancer whose peers have all shut down doesn't search for others: those
+// that start find it.
+auto NodeGossip::KnowsAnyBalancer(TimePoint now) const -> bool {
+  return IsBalancer() ? CountBalancers(fleet_).balancers > 1
+                      : hawthornbank::KnowsAnyBalancer(fleet_, now);
 }
 
 // Own state -----------------------------------------------------------------
@@ -158,7 +161,8 @@
   const TimePoint now = GetMonotonicTime();
   size_ = CountBalancers(fleet_);
   fleet_.expiry_time = ComputeExpiryTime(size_, fleet_.self.role);
-  const bool was_searching = std::exchange(is_searching_, !KnowsAnyBalancer());
+  const bool was_searching =
+      std::exchange(is_searching_, !KnowsAnyBalancer(now));
   if (is_searching_) {
     AnnounceSelf(now);
     RequestBalancersFromRegistry(now);
@@ -177,7 +181,8 @@
   }
   NodeHost::ScheduleHandler(
       timer_,
-      is_searching_ || (IsBalancer() && !has_asked_registry_)
+      (is_searching_ && fleet_.hosts.empty()) ||
+              (IsBalancer() && !has_asked_registry_)
           ? kSearchAnnouncementInterval
           : DrawHeartbeatInterval(ComputeHeartbeatInterval(size_),
                                   host_.random()),
--- a/src/transport/node_gossip.h
+++ b/src/transport/node_gossip.h
@@ -145,8 +145,9 @@
   auto UpdateOwnState(TimePoint now) -> bool;
   [[nodiscard]] auto MakeAnnouncement(TimePoint now) -> HostAnnouncement;
   [[nodiscard]] auto MakeHeartbeat(TimePoint now) -> HostHeartbeat;
-  [[nodiscard]] auto ListUnknownSeeds() const -> std::vector<Endpoint>;
-  [[nodiscard]] auto KnowsAnyBalancer() const -> bool;
+  [[nodiscard]] auto ListUnknownSeeds(TimePoint now) const
+      -> std::vector<Endpoint>;
+  [[nodiscard]] auto KnowsAnyBalancer(TimePoint now) const -> bool;
   [[nodiscard]] auto IsBalancer() const -> bool;
   auto RequestBalancersFromRegistry(TimePoint now) -> void;
   auto JoinListedBalancers(TimePoint now) -> void;
--- a/src/transport/node_gossip_records.cc
+++ b/src/transport/node_gossip_records.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 auto NodeGossip::OnRosterPart(const RosterPart& part, TimePoint now) -> void {
-  const bool searched = !KnowsAnyBalancer();
+  const bool searched = !KnowsAnyBalancer(now);
   bool has_new_record = false;
   for (const auto& it : part.records) {
     if (!IsUsable(it.record, now) || !ShouldMergeRecord(fleet_, it.record)) {
--- a/src/transport/node_gossip_seeds.cc
+++ b/src/transport/node_gossip_seeds.cc
@@ -8,18 +8,20 @@
 
 namespace hawthornbank::transport {
 
-// Returns the seeds that are not in the fleet yet. While no balancer is known,
-// the result also contains the balancers that the store lists.
-auto NodeGossip::ListUnknownSeeds() const -> std::vector<Endpoint> {
+// Returns the seeds that aren't known, or only as having shut down: they may
+// have started again. While no balancer is known, the result also contains the
+// balancers that the store lists.
+auto NodeGossip::ListUnknownSeeds(TimePoint now) const
+    -> std::vector<Endpoint> {
   std::vector<Endpoint> unknown;
   const auto add = [&](Endpoint it) {
-    if (it != fleet_.self.control && !fleet_.hosts.contains(it)) {
+    if (it != fleet_.self.control && !KnowsHost(fleet_, it, now)) {
       unknown.push_back(it);
     }
   };
   const auto& seeds = host_.settings().seeds;
   std::for_each(seeds.begin(), seeds.end(), add);
-  if (!KnowsAnyBalancer()) {
+  if (!KnowsAnyBalancer(now)) {
     std::for_each(listed_balancers_.begin(), listed_balancers_.end(), add);
   }
   return unknown;
@@ -28,9 +30,9 @@
 // Announces this node to the seeds that it doesn't know. While it knows no
 // balancer, it asks one of them at a time for records.
 auto NodeGossip::SendToUnknownSeeds(TimePoint now) -> void {
-  const std::vector<Endpoint> seeds = ListUnknownSeeds();
+  const std::vector<Endpoint> seeds = ListUnknownSeeds(now);
   HostAnnouncement announcement = MakeAnnouncement(now);
-  const bool is_searching = !KnowsAnyBalancer();
+  const bool is_searching = !KnowsAnyBalancer(now);
   for (std::size_t n = 0; n < seeds.size(); ++n) {
     announcement.wants_roster =
         is_searching &&
--- a/test/gossip_plan_test.cc
+++ b/test/gossip_plan_test.cc
@@ -63,6 +63,29 @@
 
 TEST_GROUP(GossipPlan){};
 
+// Guards against agents that never send to a balancer again which shut down and
+// started again: they took the balancers that had gone for ones they know.
+TEST(GossipPlan, BalancersThatHaveShutDownArentKnown) {
+  Fleet fleet{.self = MakeRecord(0, 9, HostRole::kAgent)};
+  CHECK_FALSE(KnowsAnyBalancer(fleet, kNow));
+  CHECK_FALSE(KnowsHost(fleet, MakeControl(0, 0), kNow));
+  HostRecord record = MakeRecord(0, 0, HostRole::kBalancer);
+  MergeHostRecord(fleet, record, 0s, kNow);
+  CHECK(KnowsHost(fleet, record.control, kNow + 1h));
+  record.is_shutting_down = true;
+  record.revision = 2;
+  MergeHostRecord(fleet, record, 0s, kNow);
+  // It may still send and forward packets for its grace period.
+  CHECK(KnowsAnyBalancer(fleet, kNow + kBalancerShutdownTime - 1ms));
+  CHECK(KnowsHost(fleet, record.control, kNow + kBalancerShutdownTime - 1ms));
+  CHECK_FALSE(KnowsAnyBalancer(fleet, kNow + kBalancerShutdownTime));
+  CHECK_FALSE(KnowsHost(fleet, record.control, kNow + kBalancerShutdownTime));
+  record.is_shutting_down = false;
+  record.incarnation = 2;
+  MergeHostRecord(fleet, record, 0s, kNow + 7s);
+  CHECK(KnowsAnyBalancer(fleet, kNow + 7s));
+}
+
 TEST(GossipPlan, SmallFleetTellsAllBalancers) {
   const Fleet fleet = MakeFleet(0, 0, 3, 4);
   LONGS_EQUAL(11, ListHeartbeatReceivers(fleet, 5, kNow).size());
