--- a/src/transport/node_target_log.cc
+++ b/src/transport/node_target_log.cc
@@ -232,15 +232,15 @@
                          const TargetHeartbeat& beat,
                          PresenceOutcome outcome,
                          TimePoint now) -> void {
-  log.WriteEvent(EventKind::kMalformedInput, now,
-                 "heartbeat_ignored id={} outcome={} service={} own={} addr={} "
-                 "born={} seq={} present_id={} present_born={} present_seq={}",
-                 FormatForLog(beat.id, kMaxLoggedName), ToString(outcome),
-                 FormatForLog(beat.service, kMaxLoggedName),
-                 FormatForLog(presence.service, kMaxLoggedName),
-                 ToString(beat.address), beat.started_at_ms, beat.sequence,
-                 FormatForLog(presence.id, kMaxLoggedName),
-                 presence.status.started_at_ms, presence.sequence);
+  log.WriteEvent(
+      EventKind::kMalformedInput, now,
+      "heartbeat_ignored id={} outcome={} service={} own={} born={} "
+      "seq={} present_id={} present_born={} present_seq={} addr={}",
+      FormatForLog(beat.id, kMaxLoggedName), ToString(outcome),
+      FormatForLog(beat.service, kMaxLoggedName),
+      FormatForLog(presence.service, kMaxLoggedName), beat.started_at_ms,
+      beat.sequence, FormatForLog(presence.id, kMaxLoggedName),
+      presence.status.started_at_ms, presence.sequence, ToString(beat.address));
 }
 
 }  // namespace hawthornbank::transport
