Don't take an agent that returns nothing for the holder of a flow

Cause: a search offers the flow's first packet to one unsure agent after the other. An agent that hadn't returned it within 60 ms counted as the flow's agent and got all further packets. A target that is gone returns nothing.

Change: that nothing comes back shows nothing. The packet is then offered to the next unsure agent, too, first to those whose targets aren't silent; the agent whose target answers is the flow's. If none has answered, those that haven't returned the first packet (at most four) get the other waiting packets, and the caller's next packet starts another search.

Test: OfferedPacketThatIsNotReturnedIsOfferedToTheNextAgentToo, PacketsAreRelayedToAllAgentsThatHaveNotReturnedTheFirst and SilentTargetsAreTriedLast. They replace OfferedPacketThatIsNotReturnedCountsAs- Accepted, which asked for the fault by its name.

--- a/include/hawthornbank/flow_search.h
+++ b/include/hawthornbank/flow_search.h
@@ -50,6 +50,10 @@
   std::size_t max_waiting_packets = 2048;
 };
 
+/// Maximum number of agents that are sent the further waiting packets of a flow
+/// when none of them has returned the first one.
+inline constexpr std::size_t kMaxPossibleHolders = 4;
+
 /// State of the search for one flow's agent.
 struct FlowSearch {
   std::uint32_t service = 0;  ///< Service whose agents are queried.
@@ -69,6 +73,10 @@
   /// Unsure agent that was offered the first waiting packet and hasn't returned
   /// the packet; empty if there is no such agent.
   Endpoint offered_to;
+  /// Unsure agents that were offered that packet and haven't returned it within
+  /// kHostReplyTimeout. Their targets may hold the flow, or return nothing
+  /// because they are gone.
+  std::vector<Endpoint> unreturned;
   /// Agents that didn't reply within kHostReplyTimeout but count as reachable.
   std::vector<Endpoint> unresponsive;
   /// Agents that didn't reply and count as unreachable
--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -5,6 +5,7 @@
 
 #include "coordination/flow_search_scope.h"
 #include "coordination/steering_internal.h"
+#include "coordination/unsure_agents.h"
 
 namespace hawthornbank::detail {
 namespace {
@@ -12,15 +13,6 @@
 using Kind = SteeringAction::Kind;
 using SearchEntry = std::unordered_map<FlowKey, FlowSearch>::iterator;
 
-// Returns the service of an agent, or `otherwise` if the agent is unknown.
-auto FindServiceOfAgent(const Steering& steering,
-                        Endpoint agent,
-                        std::uint32_t otherwise) -> std::uint32_t {
-  const auto host = steering.fleet.hosts.find(agent);
-  return host == steering.fleet.hosts.end() ? otherwise
-                                            : host->second.record.service;
-}
-
 auto RemoveFlowSearch(Steering& steering, SearchEntry entry) -> void {
   steering.searches.packets -= entry->second.packets.size();
   OnQueriesEnded(steering.searches.window, entry->second.unanswered.size());
@@ -94,25 +86,6 @@
   ++steering.counts[static_cast<std::size_t>(SteeringReason::kSearchQueued)];
 }
 
-// Relays the first waiting packet to the next unsure agent. The agent returns
-// the packet if its target doesn't hold the flow.
-auto OfferPacketToUnsureAgent(Steering& steering,
-                              SearchEntry entry,
-                              TimePoint now,
-                              std::vector<SteeringAction>& out) -> void {
-  auto& [flow, search] = *entry;
-  search.offered_to = search.unsure_agents.front();
-  search.unsure_agents.erase(search.unsure_agents.begin());
-  search.asked_at = now;
-  AppendRelayAction(
-      steering, flow, search.offered_to,
-      RelayHeader{.origin = steering.fleet.self.control,
-                  .service = FindServiceOfAgent(steering, search.offered_to,
-                                                search.service),
-                  .wants_flow_reply = true},
-      SteeringReason::kOfferedToUnsureAgent, search.packets.front(), out);
-}
-
 // Returns whether an agent is unknown, or has been unreachable for longer than
 // callers wait for an answer. Flows that the target of such an agent still
 // holds count as lost to this balancer.
@@ -156,7 +129,10 @@
   } else if (count > 0) {
     QueryAgents(steering, entry, std::span(ranked).first(count), now, out);
   } else if (!search.unsure_agents.empty()) {
-    OfferPacketToUnsureAgent(steering, entry, now, out);
+    OfferPacketToUnsureAgent(steering, entry->first, search, now, out);
+  } else if (!search.unreturned.empty()) {
+    RelayToPossibleHolders(steering, entry->first, search, out);
+    RemoveFlowSearch(steering, entry);
   } else {
     EndUnsuccessfulSearch(steering, entry, now, out);
   }
@@ -210,7 +186,6 @@
                                      SearchEntry entry,
                                      Endpoint agent,
                                      std::size_t first,
-                                     bool confirmed,
                                      TimePoint now,
                                      std::vector<SteeringAction>& out) -> void {
   const auto known = steering.flows.find(entry->first);
@@ -223,8 +198,7 @@
   for (std::size_t n = first; n < search.packets.size(); ++n) {
     AppendRelayAction(steering, flow, agent,
                       RelayHeader{.origin = steering.fleet.self.control,
-                                  .service = search.service,
-                                  .wants_flow_reply = !confirmed},
+                                  .service = search.service},
                       reason, std::move(search.packets[n]), out);
   }
   RemoveFlowSearch(steering, entry);
@@ -308,10 +282,13 @@
   }
   FlowSearch& search = entry->second;
   if (reply.ownership == FlowOwnership::kHeld) {
-    const std::size_t sent = search.offered_to == reply.agent ? 1 : 0;
+    const bool was_offered =
+        search.offered_to == reply.agent ||
+        std::find(search.unreturned.begin(), search.unreturned.end(),
+                  reply.agent) != search.unreturned.end();
     search.service = FindServiceOfAgent(steering, reply.agent, search.service);
-    RelayWaitingPacketsAndEndSearch(steering, entry, reply.agent, sent, true,
-                                    now, out);
+    RelayWaitingPacketsAndEndSearch(steering, entry, reply.agent,
+                                    was_offered ? 1 : 0, now, out);
     ContinueQueuedSearches(steering, now, out);
     return;
   }
@@ -337,10 +314,12 @@
                              TimePoint now,
                              std::vector<SteeringAction>& out) -> bool {
   const auto entry = steering.searches.flows.find(flow);
-  if (entry == steering.searches.flows.end() ||
-      entry->second.offered_to != agent) {
+  if (entry == steering.searches.flows.end()) {
     return false;
   }
+  if (entry->second.offered_to != agent) {
+    return std::erase(entry->second.unreturned, agent) > 0;
+  }
   entry->second.offered_to = {};
   ContinueFlowSearch(steering, entry, now, out);
   return true;
@@ -361,12 +340,8 @@
     const auto entry = steering.searches.flows.find(it);
     FlowSearch& search = entry->second;
     if (search.offered_to != Endpoint{}) {
-      // The target didn't return the offered packet, so it may hold the flow.
-      const Endpoint agent = search.offered_to;
-      RecordFlowAgent(steering, it, agent, false, now);
-      search.service = FindServiceOfAgent(steering, agent, search.service);
-      RelayWaitingPacketsAndEndSearch(steering, entry, agent, 1, false, now,
-                                      out);
+      search.unreturned.push_back(std::exchange(search.offered_to, {}));
+      ContinueFlowSearch(steering, entry, now, out);
       continue;
     }
     for (const auto agent : search.unanswered) {
--- a/src/coordination/steering_internal.h
+++ b/src/coordination/steering_internal.h
@@ -178,8 +178,9 @@
                              std::vector<SteeringAction>& out) -> bool;
 
 /// Continues flow searches whose agents didn't reply within kHostReplyTimeout.
-/// If an offered packet wasn't returned in that time, relays the other waiting
-/// packets to the same agent and ends the search.
+/// If an offered packet wasn't returned in that time, offers it to the next
+/// unsure agent, too; after the last one relays the other waiting packets to
+/// all that haven't returned it and ends the search.
 auto OnFlowSearchTick(Steering& steering,
                       TimePoint now,
                       std::vector<SteeringAction>& out) -> void;
--- a/test/flow_search_test.cc
+++ b/test/flow_search_test.cc
@@ -149,23 +149,90 @@
   LONGS_EQUAL(1, out[0].kept.at(0));
 }
 
-TEST(FlowSearch, OfferedPacketThatIsNotReturnedCountsAsAccepted) {
+// Guards against a flow whose packets all go to an agent whose target is gone:
+// it returns nothing, and the flow's own target gets none of them.
+TEST(FlowSearch, OfferedPacketThatIsNotReturnedIsOfferedToTheNextAgentToo) {
   SendCallerPacket(1, 0, kNow);
   AnswerAllQueries(1, FlowOwnership::kUnsure);
-  const auto offered = out[0].to;
+  const auto first = out[0].to;
   SendCallerPacket(1, 1, kNow);
+  out.clear();
+  OnSteeringTick(steering, kNow + kHostReplyTimeout - 1ms, out);
+  LONGS_EQUAL(0, out.size());
   OnSteeringTick(steering, kNow + kHostReplyTimeout, out);
   LONGS_EQUAL(1, out.size());
-  CHECK(out[0].to == offered);
+  CHECK(out[0].reason == SteeringReason::kOfferedToUnsureAgent);
+  const auto second = out[0].to;
+  CHECK(second != first);
+  LONGS_EQUAL(0, out[0].kept.at(0));
+  // The first agent's target answers late; it already has the first packet.
+  DeliverReply(1, first, FlowOwnership::kHeld, kNow + 61ms);
+  LONGS_EQUAL(1, out.size());
+  CHECK(out[0].to == first);
   LONGS_EQUAL(1, out[0].kept.at(0));
-  CHECK(out[0].header.wants_flow_reply);
-  // The flow stays unconfirmed: a new search starts once the agent isn't live.
-  SendCallerPacket(1, 2, kNow + 61ms);
-  CHECK(out[0].kind == Kind::kRelay);
-  SendCallerPacket(1, 3, kNow + 1h);
+  SendCallerPacket(1, 2, kNow + 62ms);
+  CHECK(out[0].reason == SteeringReason::kKnownFlow);
+}
+
+// Guards against the same when no target answers in time: one that holds the
+// flow may wait for the rest of a request.
+TEST(FlowSearch, PacketsAreRelayedToAllAgentsThatHaveNotReturnedTheFirst) {
+  SendCallerPacket(1, 0, kNow);
+  AnswerAllQueries(1, FlowOwnership::kUnsure);
+  std::vector<Endpoint> offered{out[0].to};
+  SendCallerPacket(1, 1, kNow);
+  auto now = kNow;
+  RelayHeader header{.service = kService, .is_returned = true};
+  while (offered.size() < 12) {
+    out.clear();
+    if (offered.size() < 3) {
+      now += kHostReplyTimeout;
+      OnSteeringTick(steering, now, out);
+    } else {
+      header.returned_by = {offered.back().address};
+      OnPacketReturnedByAgent(steering, offered.back(), header,
+                              MakeCallerPacket(1),
+                              std::vector<std::uint8_t>(1232), now, out);
+    }
+    LONGS_EQUAL(1, out.size());
+    offered.push_back(out[0].to);
+  }
+  // The second agent returns the packet after all.
+  out.clear();
+  header.returned_by = {offered[1].address};
+  OnPacketReturnedByAgent(steering, offered[1], header, MakeCallerPacket(1),
+                          std::vector<std::uint8_t>(1232), now, out);
+  LONGS_EQUAL(0, out.size());
+  OnSteeringTick(steering, now + kHostReplyTimeout, out);
+  LONGS_EQUAL(2, out.size());
+  CHECK(out[0].to == offered[0]);
+  CHECK(out[1].to == offered[11]);
+  for (const auto& it : out) {
+    LONGS_EQUAL(1, it.kept.at(0));
+    CHECK(it.header.wants_flow_reply);
+  }
+  LONGS_EQUAL(0, steering.searches.packets);
+  // None of them counts as the flow's agent.
+  SendCallerPacket(1, 2, now + 61ms);
   CHECK(out[0].kind == Kind::kQuery);
 }
 
+// An agent whose target is silent is offered the packet last.
+TEST(FlowSearch, SilentTargetsAreTriedLast) {
+  SendCallerPacket(1, 0, kNow);
+  const auto first = out[0].receivers[0];
+  steering.fleet.hosts.at(first).record.target.state = TargetState::kUnknown;
+  AnswerAllQueries(1, FlowOwnership::kUnsure);
+  auto now = kNow;
+  for (int n = 0; n < 11; ++n) {
+    CHECK(out[0].to != first);
+    now += kHostReplyTimeout;
+    out.clear();
+    OnSteeringTick(steering, now, out);
+  }
+  CHECK(out[0].to == first);
+}
+
 TEST(FlowSearch, WaitingPacketsAreLimitedPerFlowAndInTotal) {
   steering.options.search.max_packets_per_flow = 4;
   steering.options.search.max_waiting_packets = 6;
