Don't reset an opening that a slow target may still accept

Cause: an agent whose target hasn't answered an opening for 30 ms returns it and says that the target may have accepted it. The balancer offered it to other targets and reset the caller when all had refused or were as slow. Agents that reject openings themselves already look at that mark, the balancer didn't. The logs show nobody_took after eight returns with the reason silent.

Change: such an opening is dropped instead of reset when no target takes it. The caller's next copy is offered again.

OpeningThatATargetMayStillAcceptIsNotReset fails with the code before (1 of 35 tests).

--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -113,8 +113,9 @@
   TimePoint received_at{};  ///< When the opening arrived from the caller.
   /// A target returned the opening at the limit of its warm-up.
   bool was_at_warmup_limit = false;
-  /// The packet may be a late copy of the opening of an open flow, so its
-  /// caller isn't reset.
+  /// The packet may be a late copy of the opening of an open flow, or a target
+  /// that has left it unanswered may still accept it, so its caller isn't
+  /// reset.
   bool may_be_open = false;
 };
 
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -302,6 +302,9 @@
       pending.excluded_zones.push_back(sender->second.record.zone);
     }
     pending.was_at_warmup_limit |= header.is_at_warmup_limit;
+    // The target has got the opening and may still accept it.
+    pending.may_be_open |=
+        header.may_be_accepted && !pending.header.may_be_accepted;
     pending.header.may_be_accepted |= header.may_be_accepted;
     for (const auto it : header.returned_by) {
       if (std::find(pending.header.returned_by.begin(),
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -276,6 +276,22 @@
   CHECK(steering.openings.empty());
 }
 
+// Guards against the reset of a flow that opens at a slow target: its agent
+// returned the opening after some time without an answer, and then all others
+// refused it.
+TEST(Steering, OpeningThatATargetMayStillAcceptIsNotReset) {
+  auto action = SendCallerPacket(MakeCallerPacket(1, true), kNow);
+  action.header.may_be_accepted = true;
+  while (action.kind == Kind::kRelay) {
+    action = ReturnPacketFromAgent(action, MakeCallerPacket(1, true), kNow);
+  }
+  CHECK(action.kind == Kind::kDrop);
+  CHECK(action.reason == SteeringReason::kAllTargetsRefused);
+  // The target accepts the caller's next copy.
+  action = SendCallerPacket(MakeCallerPacket(1, true), kNow + 200ms);
+  CHECK(action.kind == Kind::kRelay);
+}
+
 TEST(Steering, OpeningThatAnAgentMayHaveAcceptedStaysMarked) {
   auto action = SendCallerPacket(MakeCallerPacket(1, true), kNow);
   action = ReturnPacketFromAgent(action, MakeCallerPacket(1, true), kNow);
