Don't reset the copies of an opening that a slow target may accept either

Cause: a dropped opening was forgotten, so that its copy, 200 ms later, was one without a history: refused by all, it was reset while the slow target's answer to the first one was on its way.

Change: the balancer remembers that a target may still accept the opening (SteeredFlow::may_be_open). Its copies are offered again and dropped if nobody takes them; other packets of the flow start a search.

--- a/include/hawthornbank/steering.h
+++ b/include/hawthornbank/steering.h
@@ -98,7 +98,10 @@
   /// Sequence number of the caller's latest packet, if one was seen.
   std::optional<std::uint32_t> caller_sequence;
   bool confirmed = false;  ///< The agent replied that its target has the flow.
-  TimePoint last_used{};   ///< When the agent was recorded or sent a packet.
+  /// The opening was dropped because a target that left it unanswered may still
+  /// accept it; `agent` isn't known to have the flow.
+  bool may_be_open = false;
+  TimePoint last_used{};  ///< When the agent was recorded or sent a packet.
 };
 
 /// An opening packet that no agent has confirmed yet.
--- a/src/coordination/caller_openings.cc
+++ b/src/coordination/caller_openings.cc
@@ -169,8 +169,9 @@
     OnOpeningOfUnknownFlow(steering, opening, out);
     return;
   }
-  const EarlierCopies earlier{.may_be_accepted = true,
-                              .may_be_open = remembered.confirmed};
+  const EarlierCopies earlier{
+      .may_be_accepted = true,
+      .may_be_open = remembered.confirmed || remembered.may_be_open};
   if (BelongsToFlowAgent(steering, remembered, route_service, now)) {
     RelayToFlowAgent(steering, known, opening, earlier, out);
   } else {
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -202,10 +202,23 @@
     return true;
   }
   const auto host = steering.fleet.hosts.find(flow.agent);
-  return host != steering.fleet.hosts.end() &&
+  return host != steering.fleet.hosts.end() && !flow.may_be_open &&
          IsHostLive(host->second, detail::GetReadTime(steering, now));
 }
 
+// Ends the memory of an opening that no target took. If a target may still
+// accept it, its copies aren't reset either.
+auto EndRefusedOpening(Steering& steering,
+                       const FlowKey& flow,
+                       const PendingOpening& opening) -> void {
+  const auto known = steering.flows.find(flow);
+  if (known != steering.flows.end() && opening.may_be_open) {
+    known->second.may_be_open = true;
+  } else if (known != steering.flows.end()) {
+    steering.flows.erase(known);
+  }
+}
+
 }  // namespace
 
 auto ToString(SteeringReason reason) -> std::string_view {
@@ -315,8 +328,8 @@
     }
     if (!OfferOpeningToNextTarget(steering, flow, pending,
                                   SteeringReason::kSentBack, now, out)) {
+      EndRefusedOpening(steering, flow, pending);
       steering.openings.erase(flow);
-      steering.flows.erase(flow);
     }
     return;
   }
@@ -412,7 +425,7 @@
       ++it;
       continue;
     }
-    steering.flows.erase(it->first);
+    EndRefusedOpening(steering, it->first, opening);
     it = steering.openings.erase(it);
   }
 }
