--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -210,8 +210,8 @@
 /// target holds no flows. Number 0 is. Number 1 may be the second one, so it
 /// counts only if the process has been running for so long that it would have
 /// received number 0, or if the target is younger than half an interval by the
-/// clock. One of the two isn't enough: a clock may have been set, and numbers
-/// don't tell where a target begins to count.
+/// clock. Neither the number nor the clock shows it alone: targets begin to
+/// count at different numbers, and a clock may have been set.
 /// @param presence State of the target.
 /// @param beat The heartbeat.
 /// @param now Current time.
