--- a/review/common-3/server.py
+++ b/review/common-3/server.py
@@ -35,17 +35,19 @@
     """Runs requests of its flows, returns packets of others, sends beats."""
 
     def __init__(self, machine, service, record, name, work_s=0.02,
-                 beat_s=1.2, slots=3):
+                 beat_s=1.2, slots=3, clock_ahead_s=0.0, holds_beats=False,
+                 instance=None):
         self.machine = machine
         self.service = service
         self.record = record
         self.name = name
-        self.id = f"i-{random.getrandbits(32):08x}"
+        self.id = instance or f"i-{random.getrandbits(32):08x}"
+        self.holds_beats = holds_beats  # Its heartbeats are held up.
         self.work_s = work_s
         self.beat_s = beat_s
         self.slots = slots
         self.state = "ready"
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() + clock_ahead_s) * 1000)
         self.seq = 0
         self.is_up = False
         self.flows = {}
@@ -57,7 +59,6 @@
         self.acknowledged = asyncio.Event()
         self.heard = []  # (state, status, time) of each beat
         self.loop = None
-        self.is_busy_opening = lambda: False
 
     async def start(self):
         self.loop = asyncio.get_running_loop()
@@ -86,16 +87,19 @@
     def _on_health(self, method, path, body, peer):
         return (200 if self.state == "ready" else 503), {}
 
+    def make_beat(self):
+        """Makes the next heartbeat: method, path and body of the call."""
+        self.seq += 1
+        return "PUT", f"/api/instances/{self.id}", {
+            "service": self.service, "addr": "%s:%d" % self.machine.app,
+            "zone": self.machine.zone, "version": "v1", "slots": self.slots,
+            "state": self.state, "warmup_ms": 0, "seq": self.seq,
+            "born": self.born}
+
     async def beat(self):
         """Sends one heartbeat. Returns whether it was acknowledged."""
-        self.seq += 1
         state = self.state
-        status, _ = await httpio.call(
-            self.machine.control, "PUT", f"/api/instances/{self.id}", {
-                "service": self.service, "addr": "%s:%d" % self.machine.app,
-                "zone": self.machine.zone, "version": "v1",
-                "slots": self.slots, "state": state, "warmup_ms": 0,
-                "seq": self.seq, "born": self.born})
+        status, _ = await httpio.call(self.machine.control, *self.make_beat())
         is_good = 200 <= status < 300
         self.heard.append((state, status, time.monotonic()))
         if is_good and state == "draining" and not self.acknowledged.is_set():
@@ -105,7 +109,8 @@
 
     async def _send_beats(self):
         while True:
-            await self.beat()
+            if not self.holds_beats:
+                await self.beat()
             await asyncio.sleep(self.beat_s)
 
     # Packets -------------------------------------------------------------
--- a/review/common-3/store.py
+++ b/review/common-3/store.py
@@ -5,6 +5,9 @@
 
 import httpio
 
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_048_576
+
 
 class Store:
     """Keeps objects by kind and name; each change increases the revision."""
@@ -47,6 +50,17 @@
             "spec": spec, "status": known["status"] if known else status}
         return objects[name]
 
+    @staticmethod
+    def _take_page(objects):
+        """Returns the objects of the first page: 500 or 1 MB at most."""
+        page, size = [], 0
+        for it in objects[:PAGE_ITEMS]:
+            size += len(json.dumps(it))
+            if page and size > PAGE_BYTES:
+                break
+            page.append(it)
+        return page
+
     def _handle(self, method, path, raw, peer):
         url = urllib.parse.urlsplit(path)
         parts = url.path.strip("/").split("/")
@@ -58,8 +72,9 @@
         if len(parts) == 3 and method == "GET":
             first = query.get("after", [""])[0]
             names = sorted(it for it in objects if it > first)
-            return 200, {"items": [objects[it] for it in names[:500]],
-                         "has_more": len(names) > 500, "as_of": self.revision}
+            items = self._take_page([objects[it] for it in names])
+            return 200, {"items": items, "has_more": len(items) < len(names),
+                         "as_of": self.revision}
         try:
             body = json.loads(raw) if raw else {}
         except ValueError:
