--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -119,7 +119,8 @@
             for it in sockets:
                 it.close()
 
-    # Settings as DEPLOY.md shows them, with the figures of tezontle-l4.
+    # Settings as DEPLOY.md shows them, with the figures of tezontle-l4 and what
+    # a case puts into `bounds`.
     def settings_of(self, machine):
         edges = [it for it in self.machines if it.kind == "edge"]
         seeds = ",".join('"%s:%d"' % it.control for it in edges[:3])
