Don't forget an open flow because of a late packet of its port

Callers' open flows were reset 4.5 s after a balancer had been frozen for 4 s, if they used a port whose earlier flow had packets at that balancer.

Cause: an agent had no rule that says which flow of a port a message is about. A late packet or query of the earlier flow counted as proof that the caller had opened the present flow elsewhere; a late reset or end closed the present flow; a late packet that the target returned, or the target's reset of late data, ended it too. The agent forgot the flow and denied it from then on.

A flow is forgotten only because of a message that is certainly of it. An agent that may not know all flows of its target offers a packet of another flow instead of denying it. The log and metrics have the reason other_flow.

Ruled out: refining the acknowledgement check alone (resets have none), and not denying keys that were forgotten (the reasons to forget are all certain now).

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -171,6 +171,8 @@
   kWaiting,          ///< Packet of a request that waits for a place.
   kHandedOver,  ///< Packet of a request that has waited, sent to the target.
   kNotHeard,    ///< The target's newest heartbeat is too old.
+  /// The packet is of another flow of the port than the one that is recorded.
+  kOtherFlow,
   kCount,
 };
 
@@ -270,8 +272,8 @@
                      TimePoint now,
                      std::vector<TargetAction>& out) -> void;
 
-/// Replies to a balancer's query whether the target holds a flow. Erases the
-/// flow if the query shows that the caller opened it at another target.
+/// Replies to a balancer's query whether the target holds a flow. A query about
+/// another flow of the port leaves the recorded one as it is.
 /// @param target What the agent keeps about its target's flows.
 /// @param query The balancer's query.
 /// @param now Current time.
--- a/src/coordination/target_flows.cc
+++ b/src/coordination/target_flows.cc
@@ -9,12 +9,14 @@
 namespace hawthornbank {
 namespace {
 
+using detail::AppendAnswerAction;
 using detail::AppendCountedAction;
 using detail::AppendDeliverAction;
 using detail::AppendReplyAction;
 using detail::AppendReturnAction;
 using detail::EraseFlow;
 using detail::HandOverWaitingRequests;
+using detail::MatchCallerMessage;
 using detail::OccupySlotForFlow;
 using detail::RecordFailedRequest;
 using detail::ReleaseSlotOfFlow;
@@ -22,18 +24,12 @@
 using detail::StoreReturnableHeader;
 using Kind = TargetAction::Kind;
 
-using detail::kMaxAcknowledgementLead;
-
-// Maximum number of bytes that a target can have sent on a flow after a packet
-// that is acknowledged by a late packet of the caller.
-constexpr std::int32_t kMaxAcknowledgementLag = 1 << 24;
-
 constexpr std::array<std::string_view, kTargetReasonCount> kReasonNames = {
     "delivered",     "opened",      "offered",   "answered",
     "wrong_service", "not_ready",   "full",      "failing",
     "not_here",      "returned",    "silent",    "target_restarted",
     "target_gone",   "malformed",   "zone_out",  "warmup",
-    "waiting",       "handed_over", "not_heard",
+    "waiting",       "handed_over", "not_heard", "other_flow",
 };
 static_assert(!kReasonNames.back().empty());
 
@@ -52,84 +48,6 @@
   }
 }
 
-// Forgets an opening that the target has returned, or whose flow's packet the
-// target has returned.
-auto EraseUnansweredOpening(TargetFlows& target,
-                            const FlowKey& key,
-                            const FlowPacket& packet) -> void {
-  const auto opening = target.openings.find(key);
-  if (opening != target.openings.end() &&
-      (!packet.is_opening || opening->second.sequence == packet.sequence)) {
-    target.openings.erase(opening);
-  }
-}
-
-auto OnPacketReturnedByTarget(TargetFlows& target,
-                              const FlowPacket& packet,
-                              TimePoint now,
-                              std::vector<TargetAction>& out) -> void {
-  const FlowKey key = ExtractCallerFlowKey(packet);
-  const auto known = target.flows.find(key);
-  const bool is_of_other_flow =
-      packet.is_opening && known != target.flows.end() &&
-      known->second.opening_sequence != packet.sequence;
-  if (known != target.flows.end() && known->second.is_accepted &&
-      !is_of_other_flow) {
-    SuspectTargetRestart(target.warmup, now);
-  }
-  const ReturnablePacket& stored =
-      target.returnable_packets.at(packet.return_id % kReturnablePackets);
-  if (stored.return_id != packet.return_id || packet.return_id == 0) {
-    AppendCountedAction(target,
-                        TargetAction{.kind = Kind::kDrop,
-                                     .reason = TargetReason::kReturned,
-                                     .flow = key},
-                        out);
-    return;
-  }
-  EraseUnansweredOpening(target, key, packet);
-  if (!is_of_other_flow) {
-    EraseFlow(target, key);
-  }
-  AppendReturnAction(target, key, stored.header, TargetReason::kReturned, out);
-}
-
-// Returns whether an acknowledgement number is one of the flow at this target.
-// A packet may be late, so it can be far behind what the target has sent.
-auto IsAcknowledgementPlausible(const TargetFlow& flow,
-                                std::uint32_t acknowledgement) -> bool {
-  if (!flow.sent_sequence.has_value()) {
-    return true;
-  }
-  const auto lead =
-      static_cast<std::int32_t>(acknowledgement - *flow.sent_sequence);
-  return lead <= static_cast<std::int32_t>(kMaxAcknowledgementLead) &&
-         lead >= -kMaxAcknowledgementLag;
-}
-
-// Returns whether the caller's acknowledgement number shows that the caller
-// opened the flow at another target. Two targets may accept the same opening
-// packet, or one the opening of a flow and the other that of a later flow of
-// the same port. The first number after the opening is checked against the
-// number of the target's acceptance.
-auto CheckIfOpenedAtAnotherTarget(TargetFlow& flow,
-                                  bool has_acknowledgement,
-                                  std::uint32_t acknowledgement) -> bool {
-  if (!has_acknowledgement) {
-    return false;
-  }
-  if (!flow.unacknowledged_sequence.has_value()) {
-    return flow.is_accepted &&
-           !IsAcknowledgementPlausible(flow, acknowledgement);
-  }
-  if (acknowledgement - *flow.unacknowledged_sequence >
-      kMaxAcknowledgementLead) {
-    return true;
-  }
-  flow.unacknowledged_sequence.reset();
-  return false;
-}
-
 // Compares sequence numbers, which wrap around.
 auto IsSequenceAfter(std::uint32_t a, std::uint32_t b) -> bool {
   return static_cast<std::int32_t>(a - b) > 0;
@@ -157,9 +75,12 @@
   ReleaseSlotOfFlow(target, flow);
 }
 
+// Records a caller's packet. Its end or reset counts only if the packet is
+// certainly of the flow: a flow that is taken for ended is forgotten.
 auto RecordCallerPacket(TargetFlows& target,
                         TargetFlow& flow,
                         const FlowPacket& packet,
+                        FlowMatch match,
                         TimePoint now) -> void {
   flow.last_packet_at = now;
   if (packet.has_acknowledgement) {
@@ -173,6 +94,9 @@
     }
     flow.has_unanswered_request = true;
   }
+  if (match != FlowMatch::kSame) {
+    return;
+  }
   if (packet.is_finish) {
     flow.caller_ended = true;
   }
@@ -223,6 +147,66 @@
                       StoreReturnableHeader(target, header), out);
 }
 
+// Whether a flow that isn't recorded isn't held by the target either.
+auto DeniesUnknownFlows(const TargetFlows& target) -> bool {
+  return target.knows_all_flows && !target.has_untracked_flows;
+}
+
+// Offers a packet of a flow that isn't recorded to the target, which returns it
+// if it doesn't hold the flow.
+auto OfferPacket(TargetFlows& target,
+                 const FlowKey& flow,
+                 const RelayHeader& header,
+                 const FlowPacket& packet,
+                 TimePoint now,
+                 std::vector<TargetAction>& out) -> void {
+  if (packet.data_bytes > 0) {
+    CountWarmupRequest(target.warmup, now);
+  }
+  AppendDeliverAction(target, flow, TargetReason::kOffered,
+                      StoreReturnableHeader(target, header), out);
+}
+
+auto OnPacketOfUnknownFlow(TargetFlows& target,
+                           const FlowKey& flow,
+                           const RelayHeader& header,
+                           const FlowPacket& packet,
+                           TimePoint now,
+                           std::vector<TargetAction>& out) -> void {
+  if (DeniesUnknownFlows(target)) {
+    AppendReturnAction(target, flow, header, TargetReason::kNotHere, out);
+    return;
+  }
+  if (target.flows.size() < target.options.max_flows) {
+    // The flow counts as accepted when the target's first packet arrives.
+    target.flows[flow] =
+        TargetFlow{.last_balancer = header.origin,
+                   .target_started_at_ms = target.status.started_at_ms,
+                   .last_packet_at = now};
+  }
+  OfferPacket(target, flow, header, packet, now, out);
+}
+
+// Handles a packet of another flow than the one that is recorded for its port.
+// The recorded flow may be open: it is forgotten only if the caller has opened
+// it at another target.
+auto OnPacketOfOtherFlow(TargetFlows& target,
+                         const FlowKey& flow,
+                         const RelayHeader& header,
+                         const FlowPacket& packet,
+                         TimePoint now,
+                         std::vector<TargetAction>& out) -> void {
+  if (detail::IsOpenedAtAnotherTarget(target.flows.at(flow),
+                                      ReadCallerNumbers(packet))) {
+    EraseFlow(target, flow);
+    AppendReturnAction(target, flow, header, TargetReason::kNotHere, out);
+  } else if (DeniesUnknownFlows(target)) {
+    AppendReturnAction(target, flow, header, TargetReason::kOtherFlow, out);
+  } else {
+    OfferPacket(target, flow, header, packet, now, out);
+  }
+}
+
 }  // namespace
 
 auto ToString(TargetReason reason) -> std::string_view {
@@ -248,31 +232,17 @@
                                 packet.acknowledgement, now);
   const auto known = target.flows.find(flow);
   if (known == target.flows.end()) {
-    if (target.knows_all_flows && !target.has_untracked_flows) {
-      AppendReturnAction(target, flow, header, TargetReason::kNotHere, out);
-      return;
-    }
-    if (target.flows.size() < target.options.max_flows) {
-      // The flow counts as accepted when the target's first packet arrives.
-      target.flows[flow] =
-          TargetFlow{.last_balancer = header.origin,
-                     .target_started_at_ms = target.status.started_at_ms,
-                     .last_packet_at = now};
-    }
-    if (packet.data_bytes > 0) {
-      CountWarmupRequest(target.warmup, now);
-    }
-    AppendDeliverAction(target, flow, TargetReason::kOffered,
-                        StoreReturnableHeader(target, header), out);
+    OnPacketOfUnknownFlow(target, flow, header, packet, now, out);
     return;
   }
-  if (CheckIfOpenedAtAnotherTarget(known->second, packet.has_acknowledgement,
-                                   packet.acknowledgement)) {
-    EraseFlow(target, flow);
-    AppendReturnAction(target, flow, header, TargetReason::kNotHere, out);
+  const MessageNumbers numbers = ReadCallerNumbers(packet);
+  const FlowMatch match = MatchCallerMessage(known->second, numbers);
+  if (match == FlowMatch::kOther) {
+    OnPacketOfOtherFlow(target, flow, header, packet, now, out);
     return;
   }
-  RecordCallerPacket(target, known->second, packet, now);
+  detail::RecordAcknowledgedAcceptance(known->second, numbers);
+  RecordCallerPacket(target, known->second, packet, match, now);
   DeliverOrKeepPacket(target, known->second, header, packet, bytes, now, out);
   const bool must_reply =
       header.wants_flow_reply || known->second.last_balancer != header.origin;
@@ -290,17 +260,17 @@
   detail::ReplaceFlowIfReopened(target, query.flow, query.has_acknowledgement,
                                 query.acknowledgement, now);
   const auto known = target.flows.find(query.flow);
+  const MessageNumbers numbers{
+      .target = query.has_acknowledgement ? std::optional(query.acknowledgement)
+                                          : std::nullopt};
   auto ownership = FlowOwnership::kUnsure;
-  if (known == target.flows.end()) {
-    if (target.knows_all_flows && !target.has_untracked_flows) {
+  if (known == target.flows.end() ||
+      MatchCallerMessage(known->second, numbers) == FlowMatch::kOther) {
+    if (DeniesUnknownFlows(target)) {
       ownership = FlowOwnership::kNotHeld;
     }
-  } else if (CheckIfOpenedAtAnotherTarget(known->second,
-                                          query.has_acknowledgement,
-                                          query.acknowledgement)) {
-    EraseFlow(target, query.flow);
-    ownership = FlowOwnership::kNotHeld;
   } else if (known->second.is_accepted) {
+    detail::RecordAcknowledgedAcceptance(known->second, numbers);
     known->second.last_balancer = query.origin;
     ownership = FlowOwnership::kHeld;
   }
@@ -314,14 +284,24 @@
   target.unresponsive_until = {};
   target.last_target_packet_at = now;
   if (packet.is_returned) {
-    OnPacketReturnedByTarget(target, packet, now, out);
+    detail::OnPacketReturnedByTarget(target, packet, now, out);
     return;
   }
   const FlowKey key = ExtractTargetFlowKey(packet);
-  if (packet.is_opening && detail::RecordAnswerToLaterOpening(
-                               target, key, packet.sequence, now, out)) {
+  if (packet.is_opening &&
+      detail::RecordAnswerToLaterOpening(target, key, packet, now, out)) {
     return;
   }
+  const auto known = target.flows.find(key);
+  if (known != target.flows.end() &&
+      detail::MatchTargetPacket(known->second, packet) == FlowMatch::kOther) {
+    if (!packet.is_opening || known->second.is_accepted) {
+      AppendAnswerAction(target, key, out);
+      return;
+    }
+    // The recorded opening is another one of the port, such as a late copy.
+    known->second.opening_sequence = packet.acknowledgement - 1;
+  }
   TargetFlow& flow = target.flows[key];
   flow.last_packet_at = now;
   if (flow.target_started_at_ms == 0) {
@@ -362,11 +342,7 @@
     ReleaseSlotOfFlow(target, flow);
   }
   CloseFlowIfEnded(target, flow, now);
-  AppendCountedAction(target,
-                      TargetAction{.kind = Kind::kToCaller,
-                                   .reason = TargetReason::kAnswered,
-                                   .flow = key},
-                      out);
+  AppendAnswerAction(target, key, out);
   HandOverWaitingRequests(target, now, out);
 }
 
--- a/src/coordination/target_flows_internal.cc
+++ b/src/coordination/target_flows_internal.cc
@@ -16,6 +16,16 @@
   out.push_back(std::move(action));
 }
 
+auto AppendAnswerAction(TargetFlows& target,
+                        const FlowKey& flow,
+                        std::vector<TargetAction>& out) -> void {
+  AppendCountedAction(target,
+                      TargetAction{.kind = Kind::kToCaller,
+                                   .reason = TargetReason::kAnswered,
+                                   .flow = flow},
+                      out);
+}
+
 auto AppendReturnAction(TargetFlows& target,
                         const FlowKey& flow,
                         RelayHeader header,
--- a/src/coordination/target_flows_internal.h
+++ b/src/coordination/target_flows_internal.h
@@ -5,22 +5,49 @@
 #include <span>
 #include <vector>
 
+#include "hawthornbank/flow_identity.h"
 #include "hawthornbank/target_flows.h"
 
 /// @file
 /// Declarations shared by the source files of an agent's packet handling.
 namespace hawthornbank::detail {
 
-/// Maximum number of bytes by which the caller's first acknowledgement number
-/// is ahead of the target's sequence number: a target sends no more before that
-/// packet arrives. A larger lead shows that the caller chose another target.
-inline constexpr std::uint32_t kMaxAcknowledgementLead = 76'800;
+/// @param flow A flow that the target holds or may hold.
+/// @param message Numbers of a caller's packet or of a query about one.
+/// @return Which flow of the port the message is about. As long as the caller
+/// hasn't acknowledged the target's acceptance, another acknowledgement number
+/// is one of another flow, or of another target that accepted the opening too.
+auto MatchCallerMessage(const TargetFlow& flow, const MessageNumbers& message)
+    -> FlowMatch;
+
+/// @param flow A flow that the target holds or may hold.
+/// @param packet A packet that the target has sent to the caller.
+/// @return Which flow of the port the packet is about: the target may still
+/// send packets of an earlier one, for example the reset of late data.
+auto MatchTargetPacket(const TargetFlow& flow, const FlowPacket& packet)
+    -> FlowMatch;
+
+/// Returns whether a message shows that the caller opened the flow at another
+/// target: two targets may accept the same opening, and the caller acknowledges
+/// the answer of one.
+/// @param message Numbers of a caller's packet.
+auto IsOpenedAtAnotherTarget(const TargetFlow& flow,
+                             const MessageNumbers& message) -> bool;
+
+/// Records that a message of the flow acknowledges the target's acceptance.
+auto RecordAcknowledgedAcceptance(TargetFlow& flow,
+                                  const MessageNumbers& message) -> void;
 
 /// Counts an action's reason and appends the action to `out`.
 auto AppendCountedAction(TargetFlows& target,
                          TargetAction action,
                          std::vector<TargetAction>& out) -> void;
 
+/// Appends the action that sends a target's packet to the caller.
+auto AppendAnswerAction(TargetFlows& target,
+                        const FlowKey& flow,
+                        std::vector<TargetAction>& out) -> void;
+
 /// Appends the action that returns a packet to the balancer that relayed it.
 auto AppendReturnAction(TargetFlows& target,
                         const FlowKey& flow,
@@ -91,12 +118,12 @@
 /// Records that the target has accepted a later opening of the port of an open
 /// flow. The caller's next acknowledgement tells which of the two flows is
 /// open, as the opening may be a late copy of an earlier one.
-/// @param accepted_sequence Sequence number of the target's answer.
+/// @param answer The target's answer to an opening.
 /// @return Whether the answer is of another flow than the open one. It is
 /// passed on to the caller then.
 auto RecordAnswerToLaterOpening(TargetFlows& target,
                                 const FlowKey& key,
-                                std::uint32_t accepted_sequence,
+                                const FlowPacket& answer,
                                 TimePoint now,
                                 std::vector<TargetAction>& out) -> bool;
 
@@ -108,6 +135,13 @@
                            std::uint32_t acknowledgement,
                            TimePoint now) -> void;
 
+/// Handles a caller's packet that the target has returned. The packet's flow
+/// is forgotten only if the packet is certainly of the flow that is recorded.
+auto OnPacketReturnedByTarget(TargetFlows& target,
+                              const FlowPacket& packet,
+                              TimePoint now,
+                              std::vector<TargetAction>& out) -> void;
+
 /// Handles an opening that a balancer relayed: delivers it, returns it to the
 /// balancer or rejects it.
 /// @param sequence Sequence number of the opening. An opening of a known flow
--- a/src/coordination/target_reopened_flows.cc
+++ b/src/coordination/target_reopened_flows.cc
@@ -6,7 +6,7 @@
 
 auto RecordAnswerToLaterOpening(TargetFlows& target,
                                 const FlowKey& key,
-                                std::uint32_t accepted_sequence,
+                                const FlowPacket& answer,
                                 TimePoint now,
                                 std::vector<TargetAction>& out) -> bool {
   const auto known = target.flows.find(key);
@@ -16,16 +16,17 @@
   const auto opening = target.openings.find(key);
   const bool has_opening = opening != target.openings.end();
   const auto& known_sequence = known->second.accepted_sequence;
-  if (known_sequence == accepted_sequence) {
+  if (known_sequence == answer.sequence) {
     target.openings.erase(key);  // A repeated answer of the open flow.
     return false;
   }
-  if (!known_sequence.has_value() && !has_opening) {
+  if (!known_sequence.has_value() && !has_opening &&
+      MatchTargetPacket(known->second, answer) != FlowMatch::kOther) {
     return false;  // May be a repeated answer of the open flow.
   }
   ReopenedFlow& flow = target.reopened[key];
   flow = ReopenedFlow{.header = {.origin = known->second.last_balancer},
-                      .accepted_sequence = accepted_sequence,
+                      .accepted_sequence = answer.sequence,
                       .accepted_at = now};
   if (has_opening) {
     flow.header = std::move(opening->second.header);
@@ -33,11 +34,7 @@
     target.openings.erase(opening);
   }
   AppendReplyAction(key, flow.header.origin, FlowOwnership::kHeld, out);
-  AppendCountedAction(target,
-                      TargetAction{.kind = TargetAction::Kind::kToCaller,
-                                   .reason = TargetReason::kAnswered,
-                                   .flow = key},
-                      out);
+  AppendAnswerAction(target, key, out);
   return true;
 }
 
@@ -51,8 +48,7 @@
   }
   const auto reopened = target.reopened.find(key);
   if (reopened == target.reopened.end() ||
-      acknowledgement - reopened->second.accepted_sequence >
-          kMaxAcknowledgementLead) {
+      acknowledgement - reopened->second.accepted_sequence > kMaxSequenceLead) {
     return;
   }
   const ReopenedFlow flow = std::move(reopened->second);
