Keep a balancer's memory of an open flow when a late packet arrives

A packet of an earlier flow of the port made a balancer forget the open flow and hold back its packets until a search had ended; it confirmed a pending opening of the port, whose retry was lost; and the search's reset could end the caller's next attempt.

Cause: the balancer told flows of a port apart in one place only, and what followed was keyed by the port.

Change: MatchSteeredFlow asks MatchFlow. The memory stays while another flow of the port is searched for, packets of the remembered flow go to its agent meanwhile, and a search for another flow than the remembered one ends without a reset. A packet confirms an opening only if it is of that opening.

--- a/src/coordination/flow_search.cc
+++ b/src/coordination/flow_search.cc
@@ -23,7 +23,9 @@
 // caller is sent a reset only if the balancer knows all agents or their targets
 // have just started, all agents have been queried, each of them replied or is
 // unreachable, and at most half of them are unreachable. Otherwise, or if the
-// first waiting packet is itself a reset, the waiting packets are dropped.
+// first waiting packet is itself a reset, the waiting packets are dropped. They
+// are dropped too if the balancer remembers another flow of the port: they may
+// be late packets of an earlier flow, and that one must not be reset.
 auto EndUnsuccessfulSearch(Steering& steering,
                            SearchEntry entry,
                            TimePoint now,
@@ -39,7 +41,9 @@
       !search.queried_addresses.empty() && search.unresponsive.empty() &&
       most_are_reachable &&
       search.queried_addresses.size() < GetAgentLimit(steering, search);
-  if (knows_holders && all_have_replied && !search.first_packet_is_reset) {
+  const bool may_reset = !search.first_packet_is_reset &&
+                         !IsSearchForOtherFlow(steering, entry->first);
+  if (knows_holders && all_have_replied && may_reset) {
     AppendResetAction(steering, entry->first, SteeringReason::kFlowUnknown,
                       search.acknowledgement, out);
   } else {
@@ -190,6 +194,9 @@
                                      std::vector<SteeringAction>& out) -> void {
   const auto known = steering.flows.find(entry->first);
   if (known != steering.flows.end()) {
+    if (IsSearchForOtherFlow(steering, entry->first)) {
+      known->second.opening.reset();
+    }
     known->second.caller_sequence = entry->second.sequence;
   }
   auto& [flow, search] = *entry;
--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -122,10 +122,6 @@
 using detail::RecordFlowAgent;
 using Kind = SteeringAction::Kind;
 
-// Maximum number of bytes between the packets of a flow that one balancer sees:
-// other balancers may get those between them.
-constexpr std::uint32_t kMaxSequenceDistance = 1U << 24U;
-
 constexpr std::array<std::string_view, kSteeringReasonCount> kReasonNames = {
     "placed",       "repeated",    "remembered",   "looked_for",
     "held",         "found",       "unsure",       "search_limit",
@@ -138,14 +134,13 @@
 static_assert(!kReasonNames.back().empty());
 
 // Returns whether a packet belongs to another flow of the port than the one
-// that is remembered. Another balancer may have opened it.
+// that is remembered: a late packet of an earlier flow, or one of a later flow
+// that another balancer has opened. A reset goes to the remembered agent, which
+// can tell more exactly.
 auto IsPacketOfOtherFlow(const SteeredFlow& flow, const FlowPacket& packet)
     -> bool {
-  if (!flow.caller_sequence.has_value() || packet.is_reset) {
-    return false;
-  }
-  const std::uint32_t lead = packet.sequence - *flow.caller_sequence;
-  return lead > kMaxSequenceDistance && 0 - lead > kMaxSequenceDistance;
+  return !packet.is_reset &&
+         detail::MatchSteeredFlow(flow, packet.sequence) == FlowMatch::kOther;
 }
 
 auto HasFlowTargetExited(const Steering& steering,
@@ -251,20 +246,17 @@
     detail::OnCallerOpening(steering, packet, *route, bytes, now, out);
     return;
   }
-  if (packet.has_acknowledgement) {
-    // A target has accepted the opening, whose confirmation may be lost.
-    steering.openings.erase(flow);
-  }
-  if (detail::HoldPacketForSearch(steering, flow, bytes, out)) {
+  detail::EraseAcknowledgedOpening(steering, flow, packet);
+  const auto known = steering.flows.find(flow);
+  const bool is_of_other_flow = known != steering.flows.end() &&
+                                IsPacketOfOtherFlow(known->second, packet);
+  const bool waits_for_search =
+      is_of_other_flow || !detail::IsSearchForOtherFlow(steering, flow);
+  if (waits_for_search &&
+      detail::HoldPacketForSearch(steering, flow, bytes, out)) {
     return;
   }
-  auto known = steering.flows.find(flow);
-  if (known != steering.flows.end() &&
-      IsPacketOfOtherFlow(known->second, packet)) {
-    steering.flows.erase(known);
-    known = steering.flows.end();
-  }
-  if (known == steering.flows.end() ||
+  if (known == steering.flows.end() || is_of_other_flow ||
       !IsFlowAgentUsable(steering, known->second, now)) {
     detail::StartFlowSearch(steering, flow, packet, bytes,
                             ChooseService(*route, HashFlow(flow)), {}, now,
@@ -342,7 +334,9 @@
     return;
   }
   const auto known = steering.flows.find(flow);
-  if (known != steering.flows.end()) {
+  if (known != steering.flows.end() &&
+      detail::MatchSteeredFlow(known->second, packet.sequence) !=
+          FlowMatch::kOther) {
     if (known->second.agent != agent) {
       // The flow has since been found at another agent.
       AppendRelayAction(steering, flow, known->second.agent, std::move(header),
--- a/src/coordination/steering_internal.h
+++ b/src/coordination/steering_internal.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <vector>
 
+#include "hawthornbank/flow_identity.h"
 #include "hawthornbank/steering.h"
 
 /// @file
@@ -53,6 +54,23 @@
                      bool confirmed,
                      TimePoint now) -> SteeredFlow*;
 
+/// @param flow A remembered flow.
+/// @param sequence Sequence number of a caller's packet.
+/// @return Which flow of the port the packet is of.
+auto MatchSteeredFlow(const SteeredFlow& flow, std::uint32_t sequence)
+    -> FlowMatch;
+
+/// @return Whether the search for a flow's agent is for another flow of the
+/// port than the remembered one.
+auto IsSearchForOtherFlow(const Steering& steering, const FlowKey& flow)
+    -> bool;
+
+/// Ends a pending opening whose flow a caller's packet acknowledges: a target
+/// has accepted it, and the confirmation may be lost.
+auto EraseAcknowledgedOpening(Steering& steering,
+                              const FlowKey& flow,
+                              const FlowPacket& packet) -> void;
+
 /// @return Time up to which the absence of a reply is known: a process that is
 /// behind with reading must not take its own delay for an agent's silence.
 auto GetReadTime(const Steering& steering, TimePoint now) -> TimePoint;
