Keep an operator's order before names of no zone

With 40 entries of another writer under evacuations, whose names are no zones, half of all new flows still opened in a zone that the operator had taken out of service.

Cause: the set of zones out of service holds 32 names, and the first 32 of all names in alphabetical order were kept, whether they are zones or not.

Change: the settings tell a process the names of all zones; these are kept before others. Names that the settings don't have get the room that is left, as a zone may be newer than the settings.

Ruled out: leaving out all names that the settings don't have (a zone that they don't have yet would stay in service); a larger set (reports must fit datagrams).

Result: ZoneService.KnownZonesAreKeptBeforeOtherNames, which doesn't compile before.

--- a/include/hawthornbank/zone_service.h
+++ b/include/hawthornbank/zone_service.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,11 +59,15 @@
 
 /// Builds a set.
 /// @param position Position of the store.
-/// @param zones Names in any order; names that are empty or too long, and those
-///   beyond the maximum number, are left out.
+/// @param zones Names in any order; names that are empty or too long are left
+///   out.
+/// @param known_zones Names that are kept before others if there are more than
+///   the maximum number: others may be no zones at all.
 /// @return The set.
 auto MakeZonesOutOfService(StorePosition position,
-                           std::vector<std::string> zones) -> ZonesOutOfService;
+                           std::vector<std::string> zones,
+                           std::span<const std::string> known_zones = {})
+    -> ZonesOutOfService;
 
 /// @param set The zones out of service.
 /// @return Whether the set has been read by this process or a peer.
--- a/src/coordination/zone_service.cc
+++ b/src/coordination/zone_service.cc
@@ -15,14 +15,23 @@
 }  // namespace
 
 auto MakeZonesOutOfService(StorePosition position,
-                           std::vector<std::string> zones)
+                           std::vector<std::string> zones,
+                           std::span<const std::string> known_zones)
     -> ZonesOutOfService {
   std::erase_if(zones, [](const std::string& it) {
     return it.empty() || it.size() > kMaxZoneNameLength;
   });
   std::sort(zones.begin(), zones.end());
   zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
-  zones.resize(std::min(zones.size(), kMaxZonesOutOfService));
+  if (zones.size() > kMaxZonesOutOfService) {
+    std::stable_partition(
+        zones.begin(), zones.end(), [&](const std::string& it) {
+          return std::find(known_zones.begin(), known_zones.end(), it) !=
+                 known_zones.end();
+        });
+    zones.resize(kMaxZonesOutOfService);
+    std::sort(zones.begin(), zones.end());
+  }
   return ZonesOutOfService{.position = position, .zones = std::move(zones)};
 }
 
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -33,6 +33,8 @@
   std::string name;
   HostRole role = HostRole::kBalancer;
   std::string zone;
+  /// Names of all zones of the platform, as far as it tells them.
+  std::vector<std::string> zones;
   /// Receives datagrams (UDP) and fetches of routes (TCP) from other balancers
   /// and agents.
   Endpoint control;
@@ -152,7 +154,9 @@
   /// Builds the request that lists the zones out of service. Its response also
   /// contains the store's revision, and is as small while the list is empty.
   std::function<HttpRequest()> make_list_zones_request;
-  std::function<ZonesResponse(const HttpResponse& reply)> decode_zones_response;
+  std::function<ZonesResponse(const HttpResponse& reply,
+                              std::span<const std::string> known_zones)>
+      decode_zones_response;
   /// Decodes the routes document that a peer of an older build sent.
   std::function<std::optional<RouteSet>(const std::string& document)>
       decode_routes_document;
--- a/src/transport/store_reader.cc
+++ b/src/transport/store_reader.cc
@@ -84,7 +84,8 @@
 
 auto StoreReader::OnZonesResponse(CallId id, const HttpResponse& reply)
     -> void {
-  ZonesResponse answer = host_.codec().decode_zones_response(reply);
+  ZonesResponse answer =
+      host_.codec().decode_zones_response(reply, host_.settings().zones);
   if (!answer.is_decoded) {
     OnCallFailed(id, reply, answer.failure);
     return;
--- a/test/zone_service_test.cc
+++ b/test/zone_service_test.cc
@@ -43,6 +43,22 @@
   CHECK(MakeSet(3, std::vector<std::string>(1, "a")).zones.size() == 1);
 }
 
+// Guards against an operator's order that entries of another writer push out of
+// the set.
+TEST(ZoneService, KnownZonesAreKeptBeforeOtherNames) {
+  std::vector<std::string> names = {"zone-a", "zone-b"};
+  for (std::size_t n = 0; n < kMaxZonesOutOfService + 8; ++n) {
+    names.push_back("area-" + std::to_string(n));
+  }
+  const std::vector<std::string> known = {"zone-b", "zone-a", "zone-c"};
+  const auto set = MakeZonesOutOfService({.revision = 3}, names, known);
+  LONGS_EQUAL(kMaxZonesOutOfService, set.zones.size());
+  CHECK(IsOutOfService(set, "zone-a"));
+  CHECK(IsOutOfService(set, "zone-b"));
+  CHECK_FALSE(IsOutOfService(set, "zone-c"));
+  CHECK(std::is_sorted(set.zones.begin(), set.zones.end()));
+}
+
 TEST(ZoneService, SetOfALaterPositionReplacesAnEarlierOne) {
   ZonesOutOfService in_force = MakeSet(5, {"a"});
   const auto older = ReplaceZonesIfNewer(in_force, MakeSet(4));
