Read lists of configurations and zones out of service page by page

With two entries of 1 MB of another writer beside config/main, new configurations were never in force, at no balancer, without a line that says so. Two such entries under evacuations kept orders from taking effect.

Cause: the store answers lists in pages; only the first one was read. A page without main counted as the whole list and confirmed the routes in force.

Evidence: the stand-in's calls show that none continues a list.

Change: StoreReader reads on until it has found the routes, or to the end of the zones. StorePageCursor is the rule for all three lists. A list of configurations that can't be read to its end confirms nothing. A next page begins after the last name that can be read, also of an entry that can't be parsed.

Ruled out: reading config/main alone, as that answer doesn't tell the store's position.

--- a/include/hawthornbank/pending_calls.h
+++ b/include/hawthornbank/pending_calls.h
@@ -79,6 +79,13 @@
                          std::size_t received_bytes,
                          TimePoint now) -> void;
 
+/// Records that a call goes on with a further request, after its response so
+/// far has arrived.
+/// @param calls The pending calls.
+/// @param id A call; ignored if it isn't pending.
+/// @param now Current time.
+auto BeginNextResponse(PendingCalls& calls, CallId id, TimePoint now) -> void;
+
 /// Removes a call that was answered or has failed.
 /// @param calls The pending calls.
 /// @param id A call.
--- a/src/coordination/pending_calls.cc
+++ b/src/coordination/pending_calls.cc
@@ -38,6 +38,14 @@
   }
 }
 
+auto BeginNextResponse(PendingCalls& calls, CallId id, TimePoint now) -> void {
+  const auto call = FindCall(calls, id);
+  if (call != calls.calls.end()) {
+    call->received_bytes = 0;
+    call->last_byte_at = now;
+  }
+}
+
 auto EndPendingCall(PendingCalls& calls, CallId id)
     -> std::optional<PendingCall> {
   const auto it = FindCall(calls, id);
--- a/src/protocol/json_list.cc
+++ b/src/protocol/json_list.cc
@@ -171,16 +171,29 @@
   return it == members->end() ? std::string_view{} : it->value;
 }
 
-auto FindEntryName(std::string_view entry,
-                   std::span<const std::string_view> name_path,
-                   std::size_t position) -> std::string {
+// Finds the text of an entry's name, with its quotes; empty if it has none.
+auto FindRawName(std::string_view entry,
+                 std::span<const std::string_view> name_path)
+    -> std::string_view {
   for (const auto it : name_path) {
     entry = FindRawMember(entry, it);
   }
   const bool is_string = entry.size() > 2 && entry.front() == '"';
-  return is_string
-             ? FormatForLog(entry.substr(1, entry.size() - 2), kMaxNameBytes)
-             : "#" + std::to_string(position);
+  return is_string ? entry : std::string_view{};
+}
+
+auto FormatEntryName(std::string_view raw_name, std::size_t position)
+    -> std::string {
+  return raw_name.empty()
+             ? "#" + std::to_string(position)
+             : FormatForLog(raw_name.substr(1, raw_name.size() - 2),
+                            kMaxNameBytes);
+}
+
+auto DecodeEntryName(std::string_view raw_name) -> std::string {
+  const json name =
+      json::parse(raw_name.begin(), raw_name.end(), nullptr, false);
+  return name.is_string() ? name.get<std::string>() : std::string{};
 }
 
 auto ParseEntry(std::string_view text) -> JsonEntry {
@@ -228,7 +241,9 @@
     page.entries.clear();
     for (const auto it : elements.value_or(std::vector<std::string_view>{})) {
       JsonEntry entry = ParseEntry(it);
-      entry.name = FindEntryName(it, name_path, page.entries.size());
+      const std::string_view raw_name = FindRawName(it, name_path);
+      entry.name = FormatEntryName(raw_name, page.entries.size());
+      entry.full_name = DecodeEntryName(raw_name);
       page.entries.push_back(std::move(entry));
     }
   }
--- a/src/protocol/json_list.h
+++ b/src/protocol/json_list.h
@@ -27,6 +27,9 @@
 /// An entry of a list.
 struct JsonEntry {
   std::string name;  ///< Printable name, or the entry's place, such as "#3".
+  /// Name as its writer gave it, also of an entry that can't be parsed; empty
+  /// if the name itself can't be read.
+  std::string full_name;
   std::optional<nlohmann::json> value;  ///< Empty if it can't be parsed.
   std::string failure;                  ///< Why it can't be parsed, or empty.
 };
--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -106,6 +106,9 @@
   std::string document;
   std::string failure;                  ///< Why decoding failed, or empty.
   std::vector<IgnoredSetting> ignored;  ///< Settings of `routes`.
+  /// Name after which the next page begins, which may have the routes; empty if
+  /// there is none.
+  std::string next_after;
   /// Which entries and routes can't be used, and why; or empty.
   std::string skipped;
 };
@@ -113,9 +116,10 @@
 /// The store's response to a request for the zones out of service.
 struct ZonesResponse {
   bool is_decoded = false;
-  ZonesOutOfService zones;
-  std::string skipped;  ///< Which entries are malformed, and why; or empty.
-  std::string failure;  ///< Why decoding failed, or empty.
+  ZonesOutOfService zones;  ///< Those of the page.
+  std::string next_after;   ///< As in RoutesResponse.
+  std::string skipped;      ///< Which entries are malformed, and why; or empty.
+  std::string failure;      ///< Why decoding failed, or empty.
 };
 
 /// A page of the store's list of balancers.
@@ -143,17 +147,18 @@
                             std::string_view target,
                             std::string_view body)>
       decode_node_request;
-  /// Builds the request that lists the stored routes.
-  std::function<HttpRequest()> make_list_routes_request;
+  /// Builds the request that lists the stored routes after a name.
+  std::function<HttpRequest(const std::string& after)> make_list_routes_request;
   /// Builds a request whose small response contains the store's revision.
   std::function<HttpRequest()> make_read_revision_request;
   std::function<std::optional<StorePosition>(const HttpResponse& reply)>
       decode_store_position;
   std::function<RoutesResponse(const HttpResponse& reply)>
       decode_routes_response;
-  /// Builds the request that lists the zones out of service. Its response also
-  /// contains the store's revision, and is as small while the list is empty.
-  std::function<HttpRequest()> make_list_zones_request;
+  /// Builds the request that lists the zones out of service after a name. Its
+  /// response also contains the store's revision, and is as small while the
+  /// list is empty.
+  std::function<HttpRequest(const std::string& after)> make_list_zones_request;
   std::function<ZonesResponse(const HttpResponse& reply,
                               std::span<const std::string> known_zones)>
       decode_zones_response;
--- a/src/transport/registry_client.cc
+++ b/src/transport/registry_client.cc
@@ -11,8 +11,6 @@
 constexpr int kFirstError = 300;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
-// Limit of the pages that are read, far above the list of the largest fleet.
-constexpr int kMaxPages = 64;
 
 }  // namespace
 
@@ -41,13 +39,13 @@
 auto RegistryClient::RequestBalancerList(Handler handler) -> void {
   handler_ = std::move(handler);
   balancers_.clear();
-  pages_ = 0;
-  RequestBalancerPage({});
+  cursor_ = {};
+  RequestBalancerPage();
 }
 
-auto RegistryClient::RequestBalancerPage(const std::string& after) -> void {
-  SendRequest(codec_.make_list_balancers_request(after),
-              [this, after](const HttpResponse& reply) {
+auto RegistryClient::RequestBalancerPage() -> void {
+  SendRequest(codec_.make_list_balancers_request(cursor_.after),
+              [this](const HttpResponse& reply) {
                 const auto page = codec_.decode_balancer_page(reply);
                 if (!page.has_value()) {
                   log_.WriteEvent(EventKind::kDependency, GetMonotonicTime(),
@@ -55,20 +53,19 @@
                                   reply.status, reply.failure);
                   return;
                 }
-                if (!after.empty() && page->era != era_) {
+                if (!cursor_.after.empty() && page->era != era_) {
                   // The store returned from a copy between two pages.
                   balancers_.clear();
-                  RequestBalancerPage({});
+                  cursor_ = {.pages = cursor_.pages + 1};
+                  RequestBalancerPage();
                   return;
                 }
                 LogSkippedEntries(page->skipped);
                 era_ = page->era;
                 balancers_.insert(balancers_.end(), page->hosts.begin(),
                                   page->hosts.end());
-                // Unreadable names could repeat a page for ever.
-                if (!page->next_after.empty() && page->next_after != after &&
-                    ++pages_ < kMaxPages) {
-                  RequestBalancerPage(page->next_after);
+                if (MoveToNextPage(cursor_, page->next_after)) {
+                  RequestBalancerPage();
                   return;
                 }
                 const Handler handler = std::exchange(handler_, {});
--- a/src/transport/registry_client.h
+++ b/src/transport/registry_client.h
@@ -10,6 +10,7 @@
 #include "transport/event_log.h"
 #include "transport/http_client.h"
 #include "transport/node_binding.h"
+#include "transport/store_page_cursor.h"
 
 /// @file
 /// Reads and updates the list of balancers in the platform's store.
@@ -51,7 +52,7 @@
   }
 
  private:
-  auto RequestBalancerPage(const std::string& after) -> void;
+  auto RequestBalancerPage() -> void;
   auto LogSkippedEntries(const std::string& skipped) -> void;
   auto SendNextChange() -> void;
   auto SendRequest(const HttpRequest& request, HttpClient::Handler handler)
@@ -64,8 +65,8 @@
   EventLog& log_;
   Handler handler_;
   std::vector<Endpoint> balancers_;
-  std::uint64_t era_ = 0;  // Of the first page of `balancers_`.
-  int pages_ = 0;          // Number of pages read of the list.
+  std::uint64_t era_ = 0;   // Of the first page of `balancers_`.
+  StorePageCursor cursor_;  // Number of pages read of the list.
   std::string logged_skipped_;
   std::vector<HttpRequest> pending_changes_;
 };
--- a/src/transport/store_reader.cc
+++ b/src/transport/store_reader.cc
@@ -3,10 +3,26 @@
 #include <algorithm>
 #include <utility>
 
+#include "protocol/json_list.h"
 #include "transport/clock.h"
 #include "transport/node_host.h"
 
 namespace hawthornbank::transport {
+namespace {
+
+constexpr const char* kLossBetweenPages =
+    "the store returned from a copy between two pages";
+constexpr const char* kListNotReadToItsEnd = "list not read to its end";
+
+// Adds the entries that were skipped on a further page.
+auto AppendSkippedPage(std::string& skipped, const std::string& page) -> void {
+  if (!page.empty() && skipped.size() < kMaxSkippedText) {
+    skipped += skipped.empty() ? "" : "; ";
+    skipped += page;
+  }
+}
+
+}  // namespace
 
 StoreReader::StoreReader(NodeHost& host,
                          RouteFollower& follower,
@@ -22,32 +38,44 @@
   const StoreCall call = BeginStoreCallIfDue(follower_, rank, now);
   switch (call.kind) {
     case StoreCallKind::kRevision:
-      SendPoll(call.id);
+      if (follower_.lists_zones) {
+        RequestZonesPage(call.id, {});
+      } else {
+        SendRevisionRequest(call.id);
+      }
       break;
     case StoreCallKind::kRoutes:
-      calls_.SendRequest(call.id, store_,
-                         host_.codec().make_list_routes_request(),
-                         [this, id = call.id](const HttpResponse& reply) {
-                           OnRoutesResponse(id, reply);
-                         });
+      RequestRoutesPage(call.id, {});
       break;
     case StoreCallKind::kNone:
       break;
   }
 }
 
-auto StoreReader::SendPoll(CallId id) -> void {
-  const NodeCodec& codec = host_.codec();
-  calls_.SendRequest(id, store_,
-                     follower_.lists_zones ? codec.make_list_zones_request()
-                                           : codec.make_read_revision_request(),
-                     [this, id](const HttpResponse& reply) {
-                       if (follower_.lists_zones) {
-                         OnZonesResponse(id, reply);
-                       } else {
-                         OnRevisionResponse(id, reply);
-                       }
-                     });
+auto StoreReader::SendRevisionRequest(CallId id) -> void {
+  calls_.SendRequest(
+      id, store_, host_.codec().make_read_revision_request(),
+      [this, id](const HttpResponse& reply) { OnRevisionResponse(id, reply); });
+}
+
+auto StoreReader::RequestRoutesPage(CallId id, RoutesRead read) -> void {
+  const HttpRequest request =
+      host_.codec().make_list_routes_request(read.cursor.after);
+  calls_.SendRequest(
+      id, store_, request,
+      [this, id, read = std::move(read)](const HttpResponse& reply) mutable {
+        OnRoutesPage(id, read, reply);
+      });
+}
+
+auto StoreReader::RequestZonesPage(CallId id, ZonesRead read) -> void {
+  const HttpRequest request =
+      host_.codec().make_list_zones_request(read.cursor.after);
+  calls_.SendRequest(
+      id, store_, request,
+      [this, id, read = std::move(read)](const HttpResponse& reply) mutable {
+        OnZonesPage(id, read, reply);
+      });
 }
 
 auto StoreReader::SetStore(Endpoint store) -> void {
@@ -82,14 +110,43 @@
   callbacks_.on_answer_handled();
 }
 
-auto StoreReader::OnZonesResponse(CallId id, const HttpResponse& reply)
-    -> void {
-  ZonesResponse answer =
-      host_.codec().decode_zones_response(reply, host_.settings().zones);
-  if (!answer.is_decoded) {
-    OnCallFailed(id, reply, answer.failure);
+// A list of several pages has the position of the first one: later changes may
+// be missing in it.
+auto StoreReader::OnZonesPage(CallId id,
+                              ZonesRead& read,
+                              const HttpResponse& reply) -> void {
+  const auto& known_zones = host_.settings().zones;
+  ZonesResponse page = host_.codec().decode_zones_response(reply, known_zones);
+  if (!page.is_decoded) {
+    OnCallFailed(id, reply, page.failure);
     return;
   }
+  const std::string next_after = std::move(page.next_after);
+  ZonesResponse& answer = read.answer;
+  if (read.cursor.pages == 0) {
+    answer = std::move(page);
+  } else if (HasStoreLostChanges(answer.zones.position, page.zones.position)) {
+    OnCallFailed(id, reply, kLossBetweenPages);
+    return;
+  } else {
+    std::vector<std::string> zones = std::move(answer.zones.zones);
+    zones.insert(zones.end(), page.zones.zones.begin(), page.zones.zones.end());
+    answer.zones = MakeZonesOutOfService(answer.zones.position,
+                                         std::move(zones), known_zones);
+    AppendSkippedPage(answer.skipped, page.skipped);
+  }
+  if (MoveToNextPage(read.cursor, next_after)) {
+    BeginNextResponse(follower_.store_calls, id, GetMonotonicTime());
+    RequestZonesPage(id, std::move(read));
+    return;
+  }
+  if (!next_after.empty()) {
+    AppendSkippedEntry(answer.skipped, "list", kListNotReadToItsEnd);
+  }
+  ApplyZones(id, answer);
+}
+
+auto StoreReader::ApplyZones(CallId id, ZonesResponse& answer) -> void {
   const StorePosition position = answer.zones.position;
   RecordAnswer(id, position);
   const StorePosition before = follower_.newest_position;
@@ -117,13 +174,41 @@
   }
 }
 
-auto StoreReader::OnRoutesResponse(CallId id, const HttpResponse& reply)
-    -> void {
-  const RoutesResponse answer = host_.codec().decode_routes_response(reply);
-  if (!answer.is_decoded) {
-    OnCallFailed(id, reply, answer.failure);
+// A list that can't be read to its end may have the routes further on, so it
+// doesn't count as read.
+auto StoreReader::OnRoutesPage(CallId id,
+                               RoutesRead& read,
+                               const HttpResponse& reply) -> void {
+  RoutesResponse page = host_.codec().decode_routes_response(reply);
+  if (!page.is_decoded) {
+    OnCallFailed(id, reply, page.failure);
+    return;
+  }
+  const std::string next_after = std::move(page.next_after);
+  RoutesResponse& answer = read.answer;
+  if (read.cursor.pages > 0) {
+    if (HasStoreLostChanges(answer.position, page.position)) {
+      OnCallFailed(id, reply, kLossBetweenPages);
+      return;
+    }
+    page.position = answer.position;
+    AppendSkippedPage(answer.skipped, page.skipped);
+    page.skipped = std::move(answer.skipped);
+  }
+  answer = std::move(page);
+  if (MoveToNextPage(read.cursor, next_after)) {
+    BeginNextResponse(follower_.store_calls, id, GetMonotonicTime());
+    RequestRoutesPage(id, std::move(read));
+    return;
+  }
+  if (!next_after.empty()) {
+    OnCallFailed(id, reply, kListNotReadToItsEnd);
     return;
   }
+  ApplyRoutes(id, answer);
+}
+
+auto StoreReader::ApplyRoutes(CallId id, const RoutesResponse& answer) -> void {
   RecordAnswer(id, answer.position);
   const StorePosition before = follower_.newest_position;
   OnStoreRoutes(follower_, id, answer.position);
--- a/src/transport/store_reader.h
+++ b/src/transport/store_reader.h
@@ -10,6 +10,7 @@
 #include "transport/call_pool.h"
 #include "transport/latency_histogram.h"
 #include "transport/node_binding.h"
+#include "transport/store_page_cursor.h"
 
 /// @file
 /// Makes a balancer's calls that read the platform's store, as the route
@@ -56,13 +57,29 @@
 
  private:
   auto MarkLateCalls(TimePoint now) -> void;
-  auto SendPoll(CallId id) -> void;
+  // A list that is read page by page, and what its pages so far had.
+  struct RoutesRead {
+    StorePageCursor cursor;
+    RoutesResponse answer;
+  };
+  struct ZonesRead {
+    StorePageCursor cursor;
+    ZonesResponse answer;
+  };
+
+  auto SendRevisionRequest(CallId id) -> void;
+  auto RequestRoutesPage(CallId id, RoutesRead read) -> void;
+  auto RequestZonesPage(CallId id, ZonesRead read) -> void;
   auto OnRevisionResponse(CallId id, const HttpResponse& reply) -> void;
-  auto OnZonesResponse(CallId id, const HttpResponse& reply) -> void;
+  auto OnRoutesPage(CallId id, RoutesRead& read, const HttpResponse& reply)
+      -> void;
+  auto OnZonesPage(CallId id, ZonesRead& read, const HttpResponse& reply)
+      -> void;
+  auto ApplyRoutes(CallId id, const RoutesResponse& answer) -> void;
+  auto ApplyZones(CallId id, ZonesResponse& answer) -> void;
   auto LogSkippedEntries(std::string_view list,
                          const std::string& skipped,
                          std::string& logged) -> void;
-  auto OnRoutesResponse(CallId id, const HttpResponse& reply) -> void;
   auto OnCallFailed(CallId id,
                     const HttpResponse& reply,
                     const std::string& reason) -> void;
--- a/test/pending_calls_test.cc
+++ b/test/pending_calls_test.cc
@@ -44,6 +44,18 @@
 }
 
 // Load pattern: a response that always makes progress but never ends.
+// A list is read in several responses, each counted from its first byte.
+TEST(PendingCalls, CallIsInTimeWhileFurtherResponsesArrive) {
+  const CallId id = StartPendingCall(calls, kNow);
+  RecordReceivedBytes(calls, id, 9000, kNow + 600ms);
+  BeginNextResponse(calls, id, kNow + 600ms);
+  CHECK_FALSE(IsResponseArriving(calls));
+  RecordReceivedBytes(calls, id, 1000, kNow + 1200ms);
+  CHECK(IsResponseArriving(calls));
+  LONGS_EQUAL(0, MarkLateCalls(calls, kNow + 1800ms).late.size());
+  LONGS_EQUAL(1, MarkLateCalls(calls, kNow + 1900ms).late.size());
+}
+
 TEST(PendingCalls, ResponseThatTricklesDoesNotPreventAnotherCall) {
   const CallId id = StartPendingCall(calls, kNow);
   for (std::size_t n = 1; n <= 20; ++n) {
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -407,6 +407,24 @@
   CHECK_FALSE(answer.routes.has_value());
 }
 
+// Guards against routes on a further page that isn't read.
+TEST(Platform, NextPageIsNamedUntilTheRoutesAreFound) {
+  const std::string archive =
+      R"({"meta":{"name":"archive 1"},"spec":{"version":1,"routes":[]}})";
+  const std::string main =
+      R"({"meta":{"name":"main"},"spec":{"version":7,"routes":[]}})";
+  const std::string rest = R"(],"has_more":true,"as_of":3})";
+  const auto first = DecodeRoutesResponse(
+      {.status = 200, .body = R"({"items":[)" + archive + rest});
+  STRCMP_EQUAL("archive 1", first.next_after.c_str());
+  STRCMP_EQUAL("/api/objects/config?after=archive%201",
+               MakeListRoutesRequest(first.next_after).target.c_str());
+  const auto last = DecodeRoutesResponse(
+      {.status = 200, .body = R"({"items":[)" + archive + "," + main + rest});
+  LONGS_EQUAL(7, last.routes->version);
+  CHECK(last.next_after.empty());
+}
+
 TEST(Platform, MalformedStoreResponsesAreRejected) {
   CHECK_FALSE(DecodeRoutesResponse({.status = 503}).is_decoded);
   CHECK_FALSE(DecodeRoutesResponse({.status = 200, .body = "{"}).is_decoded);
--- a/test/platform_zones_test.cc
+++ b/test/platform_zones_test.cc
@@ -63,6 +63,21 @@
   }
 }
 
+// Guards against an order on a further page that isn't read.
+TEST(PlatformZones, NextPageBeginsAfterTheLastReadableName) {
+  const auto answer = Decode(
+      R"({"items":[{"meta":{"name":"a"}},{"meta":{"name":"b\u00f8","x":1e999}},)"
+      R"({"spec":{}}],"has_more":true,"as_of":31})");
+  STRCMP_EQUAL("b\u00f8", answer.next_after.c_str());
+  CHECK(
+      Decode(R"({"items":[{"meta":{"name":"a"}}],"has_more":false,"as_of":3})")
+          .next_after.empty());
+  CHECK(
+      Decode(R"({"items":[{"meta":{"name":"a"}}],"has_more":"yes","as_of":3})")
+          .next_after.empty());
+  CHECK(Decode(R"({"items":[],"has_more":true,"as_of":3})").next_after.empty());
+}
+
 TEST(PlatformZones, NamesMayBeAnyText) {
   const auto answer =
       Decode(R"({"items":[{"meta":{"name":"førde 2"}}],"as_of":31})");
