Don't end a running start because of one late heartbeat

All flows of a target were reset when a heartbeat of a start that had crashed arrived 12 s late, if the time of day had been ahead at that start.

Cause: an unknown start with a later start time replaced the present one on one message. Only an agent that had restarted asked for evidence.

Evidence: the agent's outcome of the late heartbeat is `restarted`.

Change: a start that ran while the agent did is replaced at once only by one that may be younger than an interval by the host's clock; any other is a rival.

Ruled out: making each unknown start a rival, as that delays the resets after each restart of a target by 2.3 s.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -221,7 +221,9 @@
                       TimePoint now) -> bool;
 
 /// Applies a heartbeat of the target. A start that is unknown and started later
-/// replaces the present one at once. It counts as a restart only if the present
+/// replaces the present one at once, unless the present one was running during
+/// the agent's life and the heartbeat is of a start older than an interval: it
+/// may be a late one of a start that has ended. The replacement counts as a restart only if the present
 /// start was running during the agent's life: the agent received its first
 /// heartbeat or heard it for ComputeHeartbeatTimeout(). Otherwise all that was
 /// heard of it may be a late message. Any other start replaces it when it has
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -226,6 +226,27 @@
            WasPresentStartRunning(presence)));
 }
 
+// Whether a start may have begun within the last interval, so that a heartbeat
+// of it can be the first sign that it runs. One that is older has sent others,
+// and this one may be late.
+auto MayHaveJustStarted(const TargetPresence& presence,
+                        const TargetHeartbeat& beat) -> bool {
+  return !beat.age.has_value() ||
+         (*beat.age > -presence.heartbeat_interval &&
+          *beat.age - beat.unread_time < presence.heartbeat_interval);
+}
+
+// Whether an unknown start replaces the present one at once. A start that ran
+// while this agent did ends only by evidence: its flows are reset then.
+auto MustReplaceAtOnce(const TargetPresence& presence,
+                       const TargetHeartbeat& beat,
+                       TimePoint now) -> bool {
+  return beat.started_at_ms > presence.status.started_at_ms &&
+         !MayHaveEndedBefore(presence, beat, now) &&
+         (!WasPresentStartRunning(presence) ||
+          MayHaveJustStarted(presence, beat));
+}
+
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
                              const TargetHeartbeat& beat,
                              TimePoint now) -> PresenceOutcome {
@@ -235,8 +256,7 @@
     return PresenceOutcome::kOtherStart;
   }
   const bool outlasts = HasOutlastedOtherService(presence, beat, now);
-  if (!is_known && beat.started_at_ms > presence.status.started_at_ms &&
-      !MayHaveEndedBefore(presence, beat, now)) {
+  if (!is_known && MustReplaceAtOnce(presence, beat, now)) {
     const bool had_target = HasTarget(presence);
     const bool was_running = WasPresentStartRunning(presence);
     ReplacePresentStart(presence, beat, now);
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -460,6 +460,47 @@
 // Guards against the reset of a running start's flows by a late heartbeat of a
 // crashed start with a later start time, which the agent's earlier process
 // knew.
+// Guards against a late heartbeat of a crashed start, whose start time was ahead
+// as the clock had been, that ends the running start at an agent that has heard
+// that one from its first heartbeat on: all its flows were reset.
+TEST(TargetPresence, LateHeartbeatOfALaterStartTimeDoesntEndARunningStart) {
+  for (std::uint64_t n = 1; n <= 9; ++n) {
+    ReceiveHeartbeat(1000, n, TargetState::kReady, (n - 1) * 1s);
+  }
+  CHECK(presence.knows_all_flows);
+  auto late = MakeHeartbeat(1600, 1, TargetState::kReady);
+  late.id = "i-2";
+  late.age = 9400ms;
+  CHECK(OnTargetHeartbeat(presence, late, kNow + 8500ms) ==
+        PresenceOutcome::kOtherStart);
+  CHECK(ReceiveHeartbeat(1000, 10, TargetState::kReady, 9s) ==
+        PresenceOutcome::kKnown);
+  CHECK(presence.knows_all_flows);
+  // A later start whose clock was set back since its start can't be told.
+  late.age = -1000ms;
+  CHECK(OnTargetHeartbeat(presence, late, kNow + 9100ms) ==
+        PresenceOutcome::kOtherStart);
+  // It counts once it has gone on while the present one was silent.
+  late.age = 3400ms;
+  late.sequence = 2;
+  CHECK(OnTargetHeartbeat(presence, late, kNow + 11500ms) ==
+        PresenceOutcome::kReplaced);
+}
+
+TEST(TargetPresence, StartYoungerThanAnIntervalEndsARunningStartAtOnce) {
+  ReceiveHeartbeat(1000, 1, TargetState::kReady);
+  auto beat = MakeHeartbeat(9000, 1, TargetState::kReady);
+  beat.age = 999ms;
+  CHECK(OnTargetHeartbeat(presence, beat, kNow + 8s) ==
+        PresenceOutcome::kRestarted);
+  // The agent may have read the heartbeat late.
+  beat.started_at_ms = 12000;
+  beat.age = 1500ms;
+  beat.unread_time = 600ms;
+  CHECK(OnTargetHeartbeat(presence, beat, kNow + 12s) ==
+        PresenceOutcome::kRestarted);
+}
+
 TEST(TargetPresence, LateHeartbeatDoesntEndTheStartOfAnEarlierProcess) {
   RecordFormerStart(presence, 200);
   for (std::uint64_t n = 1; n < 10; ++n) {
