Let silence confirm the deregistration of a draining target too

All open flows of a draining target were reset when a deregistration of its start before, under the same id, arrived late and its agent was then stopped.

Cause: a deregistration names no start. One that came while the target drained ended it at once; only for a ready one silence had to confirm it.

Change: each deregistration is provisional until silence confirms it. ShutdownOfAnotherIdIsIgnored asked for the fault: it expected a draining target to be gone at once. It now expects the deregistration and its confirmation.

Ruled out: the time since the acknowledged drain as evidence; targets serve on for seconds after drain_ms.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -115,8 +115,8 @@
   /// has passed through this agent.
   bool knows_all_flows = false;
   /// When a deregistration of the present start's id came; empty if a heartbeat
-  /// of the start has followed. While the target counts as ready, the
-  /// deregistration may be a late one of an earlier start.
+  /// of the start has followed. Until silence confirms it, it may be a late one
+  /// of an earlier start.
   std::optional<TimePoint> deregistered_at;
   std::optional<RivalStart> rival;
   std::optional<ForeignClaim> claim;
@@ -154,8 +154,8 @@
   kClaimed,
   /// The target's address belongs to a target of another service now.
   kGivenAway,
-  /// The target has deregistered without having been heard draining. It may be
-  /// that an earlier start has: the target's state is unknown, its flows go on.
+  /// The target has deregistered. It may be that an earlier start has: a ready
+  /// target's state is unknown, its flows go on.
   kDeregistered,
 };
 
@@ -223,14 +223,15 @@
 /// Applies a heartbeat of the target. A start that is unknown and started later
 /// replaces the present one at once, unless the present one was running during
 /// the agent's life and the heartbeat is of a start older than an interval: it
-/// may be a late one of a start that has ended. The replacement counts as a restart only if the present
-/// start was running during the agent's life: the agent received its first
-/// heartbeat or heard it for ComputeHeartbeatTimeout(). Otherwise all that was
-/// heard of it may be a late message. Any other start replaces it when it has
-/// sent heartbeats for ComputeHeartbeatTimeout() in which the present one has
-/// been silent. A start of another service claims the address when it started
-/// later or the present one is silent: the target counts as silent. It replaces
-/// the present one, and the target is gone, when it has sent heartbeats for
+/// may be a late one of a start that has ended. The replacement counts as a
+/// restart only if the present start was running during the agent's life: the
+/// agent received its first heartbeat or heard it for
+/// ComputeHeartbeatTimeout(). Otherwise all that was heard of it may be a late
+/// message. Any other start replaces it when it has sent heartbeats for
+/// ComputeHeartbeatTimeout() in which the present one has been silent. A start
+/// of another service claims the address when it started later or the present
+/// one is silent: the target counts as silent. It replaces the present one, and
+/// the target is gone, when it has sent heartbeats for
 /// ComputeHeartbeatTimeout() in which the present one has been silent. The
 /// claim is rejected when the present one has sent heartbeats for as long in
 /// which the other one has been silent. Heartbeats of another service can come
@@ -259,9 +260,9 @@
     -> bool;
 
 /// Handles a deregistration. It carries no start, so it may be a late one of an
-/// earlier start with the same id. A target that was heard draining is gone at
-/// once. Any other counts as silent from now on, and is gone when
-/// ConfirmDeregistration() says so, unless it sends a heartbeat before.
+/// earlier start with the same id. A ready target counts as silent from now on.
+/// The target is gone when ConfirmDeregistration() says so, unless it sends a
+/// heartbeat before.
 /// @param presence State of the target.
 /// @param id Id of the target that is shutting down.
 /// @param now Current time.
@@ -270,11 +271,10 @@
                                const std::string& id,
                                TimePoint now) -> PresenceOutcome;
 
-/// Marks a target as gone that has deregistered while it counted as ready, and
-/// has sent no heartbeat for ComputeHeartbeatTimeout() in which this agent has
-/// read its messages without a pause. A rival start with the same id may have
-/// sent the deregistration, so the present one isn't gone while a rival may
-/// still replace it.
+/// Marks a target as gone that has deregistered and has sent no heartbeat for
+/// ComputeHeartbeatTimeout() in which this agent has read its messages without
+/// a pause. A rival start with the same id may have sent the deregistration, so
+/// the present one isn't gone while a rival may still replace it.
 /// @param presence State of the target.
 /// @param listening Time for which the agent has read its messages without a
 /// pause.
--- a/src/coordination/target_end.cc
+++ b/src/coordination/target_end.cc
@@ -31,11 +31,7 @@
     return PresenceOutcome::kKnown;
   }
   presence.deregistered_at = now;
-  if (presence.status.state == TargetState::kReady) {
-    return PresenceOutcome::kDeregistered;
-  }
-  presence.status.state = TargetState::kGone;
-  return PresenceOutcome::kChanged;
+  return PresenceOutcome::kDeregistered;
 }
 
 auto ConfirmDeregistration(TargetPresence& presence,
@@ -43,7 +39,7 @@
                            TimePoint now) -> PresenceOutcome {
   const Duration timeout = ComputeHeartbeatTimeout(presence.heartbeat_interval);
   if (!presence.deregistered_at.has_value() ||
-      presence.status.state != TargetState::kReady || listening < timeout ||
+      presence.status.state == TargetState::kGone || listening < timeout ||
       now - presence.last_heartbeat_at < timeout ||
       MayRivalReplacePresentStart(presence, now)) {
     return PresenceOutcome::kKnown;
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -72,12 +72,43 @@
   CHECK(OnTargetShutdownAnnounced(presence, "i-0", kNow) ==
         PresenceOutcome::kOtherStart);
   CHECK(OnTargetShutdownAnnounced(presence, "i-1", kNow) ==
+        PresenceOutcome::kDeregistered);
+  CHECK(OnTargetShutdownAnnounced(presence, "i-1", kNow) ==
+        PresenceOutcome::kKnown);
+  CHECK(ConfirmDeregistration(presence, 9s, kNow + 2300ms) ==
         PresenceOutcome::kChanged);
   CHECK(presence.status.state == TargetState::kGone);
-  CHECK(OnTargetShutdownAnnounced(presence, "i-1", kNow) ==
+  CHECK(OnTargetShutdownAnnounced(presence, "i-1", kNow + 3s) ==
         PresenceOutcome::kKnown);
 }
 
+// Guards against a late deregistration of an earlier start under the same id
+// that ends a draining start: its agent reset all its flows when it was stopped
+// before the next heartbeat.
+TEST(TargetPresence, DeregistrationOfADrainingTargetNeedsSilence) {
+  ReceiveHeartbeat(100, 1, TargetState::kReady);
+  ReceiveHeartbeat(100, 2, TargetState::kDraining, 1s);
+  const auto outcome =
+      OnTargetShutdownAnnounced(presence, "i-1", kNow + 1400ms);
+  CHECK(outcome == PresenceOutcome::kDeregistered);
+  CHECK(IsAcknowledged(outcome));
+  CHECK(presence.status.state == TargetState::kDraining);
+  CHECK(DescribeTargetStatus(presence, kNow + 1400ms).state ==
+        TargetState::kDraining);
+  CHECK(ConfirmDeregistration(presence, 9s, kNow + 1999ms) ==
+        PresenceOutcome::kKnown);
+  ReceiveHeartbeat(100, 3, TargetState::kDraining, 2s);
+  CHECK_FALSE(presence.deregistered_at.has_value());
+  CHECK(ConfirmDeregistration(presence, 9s, kNow + 9s) ==
+        PresenceOutcome::kKnown);
+  OnTargetShutdownAnnounced(presence, "i-1", kNow + 2100ms);
+  CHECK(ConfirmDeregistration(presence, 9s, kNow + 4299ms) ==
+        PresenceOutcome::kKnown);
+  CHECK(ConfirmDeregistration(presence, 9s, kNow + 4300ms) ==
+        PresenceOutcome::kChanged);
+  CHECK(presence.status.state == TargetState::kGone);
+}
+
 // Guards against a late deregistration of an earlier start that ends a later
 // start with the same id.
 TEST(TargetPresence, DeregistrationOfAReadyTargetNeedsSilence) {
@@ -460,9 +491,9 @@
 // Guards against the reset of a running start's flows by a late heartbeat of a
 // crashed start with a later start time, which the agent's earlier process
 // knew.
-// Guards against a late heartbeat of a crashed start, whose start time was ahead
-// as the clock had been, that ends the running start at an agent that has heard
-// that one from its first heartbeat on: all its flows were reset.
+// Guards against a late heartbeat of a crashed start, whose start time was
+// ahead as the clock had been, that ends the running start at an agent that has
+// heard that one from its first heartbeat on: all its flows were reset.
 TEST(TargetPresence, LateHeartbeatOfALaterStartTimeDoesntEndARunningStart) {
   for (std::uint64_t n = 1; n <= 9; ++n) {
     ReceiveHeartbeat(1000, n, TargetState::kReady, (n - 1) * 1s);
