--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -113,6 +113,28 @@
   LONGS_EQUAL(2, settings.http.size());
 }
 
+// Guards against orders to empty a zone that are ignored because the platform
+// states their bound as a fraction.
+TEST(Platform, TimesMayBeFractions) {
+  using std::chrono::milliseconds;
+  const auto read = [](const std::string& from, const std::string& to) {
+    return ParseNodeSettings(ReplaceText(kEdgeSettings, from, to),
+                             "local.toml");
+  };
+  const std::string bound = "evacuate_ms = ";
+  CHECK(read(bound + "5000", bound + "4500.5").zone_evacuation_time ==
+        milliseconds{4'501});
+  CHECK(read(bound + "5000", bound + "-1.5").zone_evacuation_time ==
+        milliseconds{});
+  CHECK(read(bound + "5000", bound + "inf").zone_evacuation_time ==
+        milliseconds{});
+  const std::string interval = "heartbeat_ms = ";
+  CHECK(read(interval + "1200", interval + "770.25").heartbeat_interval ==
+        milliseconds{770});
+  CHECK(read(interval + "1200", interval + "true").heartbeat_interval ==
+        milliseconds{1'000});
+}
+
 TEST(Platform, ReuseDelayIsLimitedAndTwoSecondsUnlessItIsANumber) {
   const auto read = [](const std::string& value) {
     return ParseNodeSettings(
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -488,9 +488,6 @@
   CHECK(told.knows_all_flows);
 }
 
-// Guards against the reset of a running start's flows by a late heartbeat of a
-// crashed start with a later start time, which the agent's earlier process
-// knew.
 // Guards against a late heartbeat of a crashed start, whose start time was
 // ahead as the clock had been, that ends the running start at an agent that has
 // heard that one from its first heartbeat on: all its flows were reset.
@@ -532,6 +529,9 @@
         PresenceOutcome::kRestarted);
 }
 
+// Guards against the reset of a running start's flows by a late heartbeat of a
+// crashed start with a later start time, which the agent's earlier process
+// knew.
 TEST(TargetPresence, LateHeartbeatDoesntEndTheStartOfAnEarlierProcess) {
   RecordFormerStart(presence, 200);
   for (std::uint64_t n = 1; n < 10; ++n) {
