Don't replace a start that has just begun by a late heartbeat

Openings went to a draining target 3.5 s after its drain was acknowledged, when a late heartbeat of the start arrived that balancers had told its restarted agent of.

Cause: only a start that was heard for two intervals counted as running beside the former one; and number 1 of a late heartbeat counted as a first one.

Change: a start that the agent has heard from its beginning, and that began after the agent's process, is later than the starts that balancers remember. A first heartbeat of a start older than an interval is no sign of a new start.

Result: TargetPresence.LateHeartbeatOfTheFormerStartDoesntEndOneThatHasJustBegun fails without the change.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -108,6 +108,9 @@
   TimePoint first_heartbeat_at{};
   /// That one was the first heartbeat of its start.
   bool has_first_heartbeat = false;
+  /// By that one and the clock of the target's host, the present start began
+  /// after the agent's process: starts that balancers remember came before.
+  bool has_begun_in_process_life = false;
   /// End of the target's warm-up; empty until a heartbeat tells it. Not later
   /// than the present for a target that is warm.
   std::optional<TimePoint> warm_at;
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -102,6 +102,16 @@
                                             : PresenceOutcome::kChanged;
 }
 
+// Whether a start may have begun within the last interval, so that a heartbeat
+// of it can be the first sign that it runs. One that is older has sent others,
+// and this one may be late.
+auto MayHaveJustStarted(const TargetPresence& presence,
+                        const TargetHeartbeat& beat) -> bool {
+  return !beat.age.has_value() ||
+         (*beat.age > -presence.heartbeat_interval &&
+          *beat.age - beat.unread_time < presence.heartbeat_interval);
+}
+
 // Applies the first heartbeat of a start that now counts as running.
 auto ReplacePresentStart(TargetPresence& presence,
                          const TargetHeartbeat& beat,
@@ -118,6 +128,10 @@
   presence.has_outlasted_claims = false;
   presence.first_heartbeat_at = now;
   presence.has_first_heartbeat = IsFirstHeartbeat(presence, beat, now);
+  presence.has_begun_in_process_life =
+      presence.has_first_heartbeat && beat.age.has_value() &&
+      MayHaveJustStarted(presence, beat) &&
+      now - presence.process_started_at >= *beat.age;
   ApplyHeartbeat(presence, beat, now);
 }
 
@@ -215,25 +229,19 @@
 }
 
 // Whether a start that is unknown to an agent whose process has restarted may
-// be an earlier one, as it sends no first heartbeat: the present start runs on
-// from before, or has gone on since, while balancers knew the other one.
+// be an earlier one, as it hasn't just sent its first heartbeat: the present
+// start runs on from before, has begun since, or has gone on since, while
+// balancers knew the other one.
 auto MayHaveEndedBefore(const TargetPresence& presence,
                         const TargetHeartbeat& beat,
                         TimePoint now) -> bool {
-  return HasOwnTarget(presence) && !IsFirstHeartbeat(presence, beat, now) &&
+  const bool has_just_started = IsFirstHeartbeat(presence, beat, now) &&
+                                MayHaveJustStarted(presence, beat);
+  return HasOwnTarget(presence) && !has_just_started &&
          (IsFormerStart(presence, presence.status.started_at_ms) ||
           (IsFormerStart(presence, beat.started_at_ms) &&
-           WasPresentStartRunning(presence)));
-}
-
-// Whether a start may have begun within the last interval, so that a heartbeat
-// of it can be the first sign that it runs. One that is older has sent others,
-// and this one may be late.
-auto MayHaveJustStarted(const TargetPresence& presence,
-                        const TargetHeartbeat& beat) -> bool {
-  return !beat.age.has_value() ||
-         (*beat.age > -presence.heartbeat_interval &&
-          *beat.age - beat.unread_time < presence.heartbeat_interval);
+           (presence.has_begun_in_process_life ||
+            WasPresentStartRunning(presence))));
 }
 
 // Whether an unknown start replaces the present one at once. A start that ran
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -515,6 +515,32 @@
         PresenceOutcome::kReplaced);
 }
 
+// Guards against a late heartbeat of the start that balancers remember, with a
+// later start time, that replaces a start which has begun since the agent's:
+// the target was draining, and its openings went on.
+TEST(TargetPresence,
+     LateHeartbeatOfTheFormerStartDoesntEndOneThatHasJustBegun) {
+  presence.process_started_at = kNow;
+  RecordFormerStart(presence, 1600);
+  auto first = MakeHeartbeat(1000, 0, TargetState::kReady);
+  first.age = 100ms;
+  OnTargetHeartbeat(presence, first, kNow + 2s);
+  ReceiveHeartbeat(1000, 1, TargetState::kDraining, 2500ms);
+  auto late = MakeHeartbeat(1600, 1, TargetState::kReady);
+  late.id = "i-2";
+  late.age = 3500ms;
+  CHECK(OnTargetHeartbeat(presence, late, kNow + 4s) ==
+        PresenceOutcome::kOtherStart);
+  CHECK(presence.status.state == TargetState::kDraining);
+  // A start that may have begun before the agent's process is no evidence.
+  TargetPresence unsure{.service = "s", .process_started_at = kNow};
+  RecordFormerStart(unsure, 1600);
+  first.age = 300ms;
+  OnTargetHeartbeat(unsure, first, kNow + 100ms);
+  CHECK(OnTargetHeartbeat(unsure, late, kNow + 1s) ==
+        PresenceOutcome::kReplaced);
+}
+
 TEST(TargetPresence, StartYoungerThanAnIntervalEndsARunningStartAtOnce) {
   ReceiveHeartbeat(1000, 1, TargetState::kReady);
   auto beat = MakeHeartbeat(9000, 1, TargetState::kReady);
