--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -15,6 +15,11 @@
 
 constexpr std::size_t kMaxFlows = 150;
 constexpr int kFlowsPerStep = 2;
+// One of so many ended flows has a late packet.
+constexpr std::uint32_t kFlowsPerLatePacket = 4;
+constexpr std::uint32_t kLatePacketKinds = 4;
+constexpr std::chrono::milliseconds kMinPacketLateness{200};
+constexpr std::uint32_t kPacketLatenessSpreadMs = 9800;
 // Greatest difference between a reset's sequence number and the caller's last
 // acknowledgement number, in both directions.
 constexpr std::int64_t kMaxResetDistance = 76'800;
@@ -88,6 +93,7 @@
     -> void {
   in_final_phase_ = in_final_phase;
   SendLateCopies(now);
+  SendLatePackets(now);
   for (int n = 0; n < kFlowsPerStep && flows_.size() < kMaxFlows; ++n) {
     OpenFlow(now, in_final_phase);
   }
@@ -312,6 +318,49 @@
   }
 }
 
+// Keeps a packet of a flow that its caller and target have ended: data, an end,
+// or a reset without or with an acknowledgement.
+auto Callers::KeepLatePacket(const CallerFlow& ended, TimePoint now) -> void {
+  if (!late_packet_random_.has_value() ||
+      (*late_packet_random_)() % kFlowsPerLatePacket != 0) {
+    return;
+  }
+  Random& random = *late_packet_random_;
+  const std::uint32_t kind = random() % kLatePacketKinds;
+  const bool is_reset = kind >= 2;
+  const FlowPacket packet{
+      .source = {.address = local_.address, .port = ended.port},
+      .destination = ended.route.address,
+      .has_acknowledgement = kind != 2,
+      .is_finish = kind == 1,
+      .is_reset = is_reset,
+      .sequence = ended.opening_sequence + 1,
+      .acknowledgement = kind != 2 ? ended.target_sequence + 1 : 0};
+  late_packets_.emplace(
+      now + kMinPacketLateness +
+          std::chrono::milliseconds{random() % kPacketLatenessSpreadMs},
+      packet);
+}
+
+auto Callers::SendLatePackets(TimePoint now) -> void {
+  while (!late_packets_.empty() && late_packets_.begin()->first <= now) {
+    const FlowPacket packet =
+        late_packets_.extract(late_packets_.begin()).mapped();
+    const std::size_t balancer = (*late_packet_random_)() % balancers_.size();
+    RecordPacket(CallerFlow{.route = {.address = packet.destination},
+                            .port = packet.source.port,
+                            .opening_sequence = packet.sequence - 1},
+                 {.what = packet.is_reset    ? "late reset"
+                          : packet.is_finish ? "late end"
+                                             : "late data",
+                  .balancer = balancer,
+                  .is_sent = true});
+    socket_.SendDatagram(
+        balancers_[balancer],
+        EncodeFlowPacket(packet, Payload{.request = 0, .filler_blocks = 2}));
+  }
+}
+
 auto Callers::RecordSentPacket(const CallerFlow& flow,
                                const FlowPacket& packet,
                                std::size_t balancer,
@@ -360,6 +409,9 @@
   CallerFlow ended = std::move(it->second);
   flows_.erase(it);
   const TimePoint now = transport::GetMonotonicTime();
+  if (served) {
+    KeepLatePacket(ended, now);
+  }
   if (!ports_.ReleasePort(port, now)) {
     return;
   }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -115,6 +115,12 @@
     pause_random_ = Random{seed, kPauseStream};
   }
 
+  /// Lets packets of some ended flows arrive late from now on.
+  /// @param seed Seed of the choice of these packets.
+  auto StartLatePackets(std::uint64_t seed) -> void {
+    late_packet_random_ = Random{seed, kLatePacketStream};
+  }
+
   /// @param share Share of packets from callers to balancers to drop, 0 to 1.
   auto SetPacketLossShare(double share) -> void { loss_share_ = share; }
 
@@ -144,6 +150,8 @@
  private:
   // Stream of the random numbers of long pauses.
   static constexpr std::uint64_t kPauseStream = 15;
+  // Stream of the random numbers of late packets.
+  static constexpr std::uint64_t kLatePacketStream = 16;
 
   auto OpenFlow(TimePoint now, bool in_final_phase) -> void;
   auto SendDuePacket(CallerFlow& flow, TimePoint now) -> bool;
@@ -160,6 +168,8 @@
                        const FlowPacket& packet,
                        bool is_by_load_balancer) -> void;
   auto SendLateCopies(TimePoint now) -> void;
+  auto KeepLatePacket(const CallerFlow& ended, TimePoint now) -> void;
+  auto SendLatePackets(TimePoint now) -> void;
   auto FinishFlow(std::uint16_t port, bool served) -> void;
   auto RecordSentPacket(const CallerFlow& flow,
                         const FlowPacket& packet,
@@ -186,6 +196,9 @@
   /// Copies of opening packets of ended flows, by the time at which they
   /// arrive at a balancer.
   std::multimap<TimePoint, CallerFlow> late_copies_;
+  /// Chooses the packets of ended flows that arrive late, if any do.
+  std::optional<Random> late_packet_random_;
+  std::multimap<TimePoint, FlowPacket> late_packets_;  ///< By arrival.
   std::uint64_t next_request_ = 1;
   double loss_share_ = 0;
   bool in_final_phase_ = false;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -194,8 +194,10 @@
       "late_copies (with reuse_ports), "
       "hand_over (any way), together, early_agent, late_agent, kept_agent, "
       "kept_agent_sighup, drained, late_heartbeat, suspended_balancer, "
-      "killed_agent, step_clock, earlier_heartbeat, heartbeat_at_restart, "
-      "late_deregistration, idle_timeout, replace_most, drop_route, "
+      "killed_agent, late_packets, step_clock, earlier_heartbeat, "
+      "heartbeat_at_restart, "
+      "late_deregistration, unheard_start, deregistration_at_stop, "
+      "idle_timeout, replace_most, drop_route, "
       "move_route",
       false,
       "KIND",
--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -102,6 +102,12 @@
     case RestartKind::kMoveRoute:
       MoveRoute(event, now);
       break;
+    case RestartKind::kUnheardStart:
+      PlayUnheardStart(event, now);
+      break;
+    case RestartKind::kDeregistrationAtStop:
+      PlayDeregistrationAtStop(event, now);
+      break;
     case RestartKind::kCount:
       break;
   }
--- a/soak/restarts.cc
+++ b/soak/restarts.cc
@@ -11,8 +11,10 @@
 
 using std::chrono::milliseconds;
 
-// Stream of random numbers of the series.
+// Streams of random numbers of the series: that of the kinds in kLateStarts is
+// its own, so that the others are drawn as without them.
 constexpr std::uint64_t kRandomStream = 38;
+constexpr std::uint64_t kLateStartStream = 55;
 constexpr milliseconds kMinEventPause{500};
 constexpr milliseconds kMaxEventPause{1500};
 constexpr milliseconds kMinClockStep{100};
@@ -32,6 +34,13 @@
 constexpr milliseconds kMaxLowIdleTimeout{6000};
 constexpr milliseconds kMinHighIdleTimeout{38'000};
 constexpr milliseconds kMaxHighIdleTimeout{55'000};
+constexpr milliseconds kMinLateStartPause{3000};
+constexpr milliseconds kMaxLateStartPause{9000};
+constexpr milliseconds kMinClockLead{1000};
+constexpr milliseconds kMaxClockLead{4000};
+constexpr milliseconds kMinLateStartLateness{1000};
+constexpr std::array kLateStarts = {RestartKind::kUnheardStart,
+                                    RestartKind::kDeregistrationAtStop};
 constexpr std::uint32_t kMaxLateMessages = 4;
 constexpr std::size_t kSubjects = 64;
 
@@ -39,7 +48,8 @@
     kNames = {"step_clock",           "earlier_heartbeat",
               "heartbeat_at_restart", "late_deregistration",
               "idle_timeout",         "replace_most",
-              "drop_route",           "move_route"};
+              "drop_route",           "move_route",
+              "unheard_start",        "deregistration_at_stop"};
 
 auto DrawDuration(Random& random, Duration min, Duration max) -> Duration {
   return min + Duration{static_cast<Duration::rep>(
@@ -64,6 +74,29 @@
   return arrivals;
 }
 
+auto AppendLateStarts(std::uint64_t seed,
+                      Duration length,
+                      const std::vector<RestartKind>& kinds,
+                      std::vector<RestartEvent>& events) -> void {
+  Random random{seed, kLateStartStream};
+  const auto draw_pause = [&random] {
+    return DrawDuration(random, kMinLateStartPause, kMaxLateStartPause);
+  };
+  for (Duration start = draw_pause(); !kinds.empty() && start < length;
+       start += draw_pause()) {
+    RestartEvent event{.kind = kinds[random() % kinds.size()],
+                       .start_offset = start,
+                       .subject_index = random() % kSubjects};
+    event.pause = DrawDuration(random, kMinRestartPause, kMaxRestartPause);
+    event.clock_lead = DrawDuration(random, kMinClockLead, kMaxClockLead);
+    event.idle_timeout = kMinHighIdleTimeout;
+    event.late_arrivals = {
+        event.pause + kRecoveryTime +
+        DrawDuration(random, kMinLateStartLateness, kMaxLateness)};
+    events.push_back(std::move(event));
+  }
+}
+
 }  // namespace
 
 auto ParseRestartKind(const std::string& name) -> std::optional<RestartKind> {
@@ -90,16 +123,20 @@
                            const std::set<RestartKind>& kinds)
     -> std::vector<RestartEvent> {
   Random random{seed, kRandomStream};
-  const std::vector<RestartKind> drawn(kinds.begin(), kinds.end());
+  std::vector<RestartKind> drawn(kinds.begin(), kinds.end());
+  std::vector<RestartKind> late_starts;
+  for (const auto it : kLateStarts) {
+    if (std::erase(drawn, it) > 0) {
+      late_starts.push_back(it);
+    }
+  }
   // Pauses in which the idle timeout is once low don't count, so half of the
   // series have none.
   const bool has_low_idle_timeouts = random() % 2 == 0;
   std::vector<RestartEvent> events;
-  if (drawn.empty()) {
-    return events;
-  }
+  AppendLateStarts(seed, length, late_starts, events);
   Duration start = DrawDuration(random, kMinEventPause, kMaxEventPause);
-  while (start < length) {
+  while (!drawn.empty() && start < length) {
     RestartEvent event{.kind = drawn[random() % drawn.size()],
                        .start_offset = start,
                        .subject_index = random() % kSubjects};
@@ -130,6 +167,10 @@
     events.push_back(std::move(event));
     start += DrawDuration(random, kMinEventPause, kMaxEventPause);
   }
+  std::stable_sort(events.begin(), events.end(),
+                   [](const RestartEvent& a, const RestartEvent& b) {
+                     return a.start_offset < b.start_offset;
+                   });
   return events;
 }
 
--- a/soak/restarts.h
+++ b/soak/restarts.h
@@ -29,6 +29,12 @@
   kReplaceMost,
   kDropRoute,  ///< A route is dropped and returns for the other service.
   kMoveRoute,  ///< A route is given to the other service.
+  /// A target starts while its clock is ahead and crashes before it is heard;
+  /// its heartbeat arrives seconds after the next start.
+  kUnheardStart,
+  /// A target starts again under its id and drains; the deregistration of the
+  /// start before arrives, then its agent is stopped.
+  kDeregistrationAtStop,
   kCount,
 };
 
@@ -61,7 +67,10 @@
   /// Time from a target's end to its next start.
   Duration pause{};
   bool has_same_id = false;  ///< Whether targets keep their ids.
-  /// Arrivals of late messages, from the target's end, in no order.
+  /// Time by which the clock of the unheard start is ahead (kUnheardStart).
+  Duration clock_lead{};
+  /// Arrivals of late messages, from the target's end, in no order; the start
+  /// of the drain before the late message (kDeregistrationAtStop).
   std::vector<Duration> late_arrivals;
   /// Time from the target's next start to the stop of its agent
   /// (kHeartbeatAtRestart).
--- a/soak/reuse.cc
+++ b/soak/reuse.cc
@@ -21,10 +21,10 @@
 constexpr std::size_t kSubjects = 64;
 
 constexpr std::array<const char*, static_cast<std::size_t>(ReuseKind::kCount)>
-    kNames = {"reuse_ports",        "late_copies", "together",
-              "early_agent",        "late_agent",  "kept_agent",
-              "kept_agent_sighup",  "drained",     "late_heartbeat",
-              "suspended_balancer", "killed_agent"};
+    kNames = {"reuse_ports",        "late_copies",  "together",
+              "early_agent",        "late_agent",   "kept_agent",
+              "kept_agent_sighup",  "drained",      "late_heartbeat",
+              "suspended_balancer", "killed_agent", "late_packets"};
 
 auto DrawDuration(Random& random, Duration min, Duration max) -> Duration {
   return min + Duration{static_cast<Duration::rep>(
@@ -76,9 +76,9 @@
 
 auto GetHandOverKinds() -> std::set<ReuseKind> {
   std::set<ReuseKind> kinds = GetAllReuseKinds();
-  for (const auto it :
-       {ReuseKind::kPorts, ReuseKind::kLateCopies,
-        ReuseKind::kSuspendedBalancer, ReuseKind::kKilledAgent}) {
+  for (const auto it : {ReuseKind::kPorts, ReuseKind::kLateCopies,
+                        ReuseKind::kSuspendedBalancer, ReuseKind::kKilledAgent,
+                        ReuseKind::kLatePackets}) {
     kinds.erase(it);
   }
   return kinds;
@@ -92,6 +92,7 @@
   std::vector<ReuseKind> kinds(options.kinds.begin(), options.kinds.end());
   std::erase(kinds, ReuseKind::kPorts);
   std::erase(kinds, ReuseKind::kLateCopies);
+  std::erase(kinds, ReuseKind::kLatePackets);
   std::vector<ReuseEvent> events;
   if (kinds.empty()) {
     return events;
--- a/soak/reuse.h
+++ b/soak/reuse.h
@@ -32,6 +32,9 @@
   kLateHeartbeat,      ///< A heartbeat of the former target arrives late.
   kSuspendedBalancer,  ///< A balancer gets SIGSTOP, then SIGCONT or SIGKILL.
   kKilledAgent,        ///< An agent is killed and restarts; its target lives.
+  /// Data, ends and resets of ended flows arrive through any balancer, when
+  /// their port's next flow may be open.
+  kLatePackets,
   kCount,
 };
 
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -89,6 +89,9 @@
                   options_.reuse.kinds.contains(ReuseKind::kLateCopies),
                   options_.seed),
       options_.seed, MakeCallerEvents());
+  if (options_.reuse.kinds.contains(ReuseKind::kLatePackets)) {
+    callers_->StartLatePackets(options_.seed);
+  }
 }
 
 auto SoakEnvironment::AddAndStartNode(const std::string& subject,
--- a/soak/world.h
+++ b/soak/world.h
@@ -173,6 +173,11 @@
       -> std::optional<std::size_t>;
   auto PrepareLateMessages(std::size_t target, const RestartEvent& event)
       -> std::vector<transport::HttpRequest>;
+  auto PlayUnheardStart(const RestartEvent& event, TimePoint now) -> void;
+  auto PlayDeregistrationAtStop(const RestartEvent& event, TimePoint now)
+      -> void;
+  auto DrainAndStopAgent(std::size_t target,
+                         const transport::HttpRequest& deregistration) -> void;
   auto EndTargetWithLateMessages(const RestartEvent& event, TimePoint now)
       -> void;
   auto SendLateMessage(std::size_t target,
--- a/test/soak_judge_test.cc
+++ b/test/soak_judge_test.cc
@@ -145,7 +145,8 @@
   for (const auto& it : GenerateReuseSeries(5, 60s, late)) {
     CHECK(it.kind == ReuseKind::kLateAgent && it.agent_end == 300ms);
   }
-  std::set<ReuseKind> drawn{ReuseKind::kPorts, ReuseKind::kLateCopies};
+  std::set<ReuseKind> drawn{ReuseKind::kPorts, ReuseKind::kLateCopies,
+                            ReuseKind::kLatePackets};
   for (const auto& it :
        GenerateReuseSeries(5, 300s, {.kinds = GetAllReuseKinds()})) {
     drawn.insert(it.kind);
