--- a/soak/main.cc
+++ b/soak/main.cc
@@ -231,6 +231,15 @@
       "", "route-changes", "Add routes that change their service", command};
   TCLAP::SwitchArg scale_in{
       "", "scale-in", "Let targets drain, leave and come back later", command};
+  TCLAP::ValueArg<std::size_t> other_entries{
+      "",
+      "other-entries",
+      "Entries of another writer beside the operator's in the store, which "
+      "then lists ten a page",
+      false,
+      0,
+      "N",
+      command};
   TCLAP::MultiArg<std::string> plants{
       "",
       "plant",
@@ -277,6 +286,7 @@
                     arguments.plants.getValue().empty(),
       .has_route_changes = arguments.route_changes.getValue(),
       .has_scale_ins = arguments.scale_in.getValue(),
+      .other_entries = arguments.other_entries.getValue(),
       .heartbeat_interval =
           std::chrono::milliseconds{arguments.heartbeat_ms.getValue()},
       .reuse =
--- a/soak/node_settings.cc
+++ b/soak/node_settings.cc
@@ -57,8 +57,15 @@
     text +=
         fmt::format("evacuate_ms = {}\n", parameters.evacuation_time.count());
   }
-  return text +
-         fmt::format("[platform]\naddr = \"{}\"\n", ToString(parameters.store));
+  text +=
+      fmt::format("[platform]\naddr = \"{}\"\n", ToString(parameters.store));
+  if (!parameters.zones.empty()) {
+    text += "[zones]\n";
+    for (const auto& it : parameters.zones) {
+      text += fmt::format("{} = \"r\"\n", it);
+    }
+  }
+  return text;
 }
 
 }  // namespace hawthornbank::soak
--- a/soak/node_settings.h
+++ b/soak/node_settings.h
@@ -38,6 +38,7 @@
   Endpoint store;
   std::string service;  ///< Service of an agent's target; empty for a balancer.
   std::string zone = "a";
+  std::vector<std::string> zones;  ///< Zones of the platform that it tells.
   /// Bound of zones out of service; 0: the node doesn't read them.
   std::chrono::milliseconds evacuation_time{};
   /// Mean time between two heartbeats of a target.
--- a/soak/store_standin.cc
+++ b/soak/store_standin.cc
@@ -1,5 +1,7 @@
 #include "soak/store_standin.h"
 
+#include <fmt/format.h>
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -11,6 +13,7 @@
 using transport::HttpServerResponse;
 
 constexpr std::string_view kObjectsPath = "/api/objects/";
+constexpr std::string_view kAfterQuery = "?after=";
 
 auto MakeConfigurationObject(const StoreStandin& store) -> json {
   json routes = json::array();
@@ -30,26 +33,60 @@
           {"spec", spec}};
 }
 
-auto ListObjects(const StoreStandin& store, const std::string& kind)
-    -> HttpServerResponse {
-  json items = json::array();
+using Objects = std::map<std::string, json>;  // By name.
+
+// Adds the entries of another writer: configurations of older versions, and
+// orders for zones that nobody has.
+auto AddOtherEntries(const StoreStandin& store,
+                     const std::string& kind,
+                     Objects& objects) -> void {
+  for (std::size_t n = 0; n < store.other_entries; ++n) {
+    const std::string name = fmt::format("A-{:03}", n);
+    objects[name] = {{"meta", {{"name", name}, {"revision", 1}}},
+                     {"spec", json::object()}};
+    if (kind == "config") {
+      objects[name]["spec"] = {{"version", 0}, {"routes", json::array()}};
+    }
+  }
+}
+
+auto CollectObjects(const StoreStandin& store, const std::string& kind)
+    -> Objects {
+  Objects objects;
+  if (kind == "config" || kind == "evacuations") {
+    AddOtherEntries(store, kind, objects);
+  }
   if (kind == "config" && store.routes_version != 0) {
-    items.push_back(MakeConfigurationObject(store));
+    objects["main"] = MakeConfigurationObject(store);
   }
   if (kind == "evacuations") {
     for (const auto& it : store.zones_out) {
-      items.push_back({{"meta", {{"name", it}, {"revision", store.revision}}},
-                       {"spec", json::object()}});
+      objects[it] = {{"meta", {{"name", it}, {"revision", store.revision}}},
+                     {"spec", json::object()}};
     }
   }
   const auto it = store.load_balancer_objects.find(kind);
   if (it != store.load_balancer_objects.end()) {
     for (const auto& [name, text] : it->second) {
-      items.push_back(json::parse(text));
+      objects[name] = json::parse(text);
     }
   }
-  const json reply = {
-      {"items", items}, {"has_more", false}, {"as_of", store.revision}};
+  return objects;
+}
+
+// Lists the objects after a name; the names that are listed need no decoding.
+auto ListObjects(const StoreStandin& store,
+                 const std::string& kind,
+                 const std::string& after) -> HttpServerResponse {
+  const Objects objects = CollectObjects(store, kind);
+  json items = json::array();
+  auto it = after.empty() ? objects.begin() : objects.upper_bound(after);
+  for (; it != objects.end() && items.size() < store.page_entries; ++it) {
+    items.push_back(it->second);
+  }
+  const json reply = {{"items", items},
+                      {"has_more", it != objects.end()},
+                      {"as_of", store.revision}};
   return HttpServerResponse{.body = reply.dump()};
 }
 
@@ -116,7 +153,11 @@
   const auto slash = rest.find('/');
   const std::string kind = rest.substr(0, slash);
   if (call.method == "GET" && slash == std::string::npos) {
-    return ListObjects(store, kind);
+    const auto query = call.target.find(kAfterQuery);
+    return ListObjects(store, kind,
+                       query == std::string::npos
+                           ? std::string{}
+                           : call.target.substr(query + kAfterQuery.size()));
   }
   if (call.method == "POST" && slash == std::string::npos) {
     return CreateObject(store, kind, call.body);
--- a/soak/store_standin.h
+++ b/soak/store_standin.h
@@ -2,6 +2,7 @@
 #define HAWTHORNBANK_SOAK_STORE_STANDIN_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -37,6 +38,10 @@
   std::map<std::string, std::map<std::string, std::string>>
       load_balancer_objects;
   bool is_busy = false;  ///< Whether all calls are answered with status 503.
+  /// Number of entries of another writer beside the operator's, of each kind
+  /// that the operator writes; their names come before the operator's.
+  std::size_t other_entries = 0;
+  std::size_t page_entries = 500;  ///< Maximum number of entries of a page.
 };
 
 /// Replaces the routes and increases the routes version by 2.
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -15,6 +15,7 @@
 using transport::HttpServerRequest;
 
 // Last byte of the address of the first or only host of each kind.
+constexpr std::size_t kShortPageEntries = 10;
 constexpr std::uint32_t kStoreHost = 1;
 constexpr std::uint32_t kFirstBalancerHost = 2;
 constexpr std::uint32_t kFirstTargetHost = 40;
@@ -81,6 +82,10 @@
         io_, host, ports_, service, GetZone(n), options_.heartbeat_interval,
         MakeTargetEvents(n)));
   }
+  if (options_.other_entries > 0) {
+    store_.other_entries = options_.other_entries;
+    store_.page_entries = kShortPageEntries;
+  }
   callers_ = std::make_unique<Callers>(
       io_,
       Endpoint{.address = GetHostAddress(kCallerHost), .port = ports_.data},
@@ -105,6 +110,9 @@
     node->parameters.evacuation_time =
         std::chrono::duration_cast<std::chrono::milliseconds>(kEvacuationTime);
   }
+  for (std::size_t zone = 0; zone < options_.zones; ++zone) {
+    node->parameters.zones.push_back(GetZone(zone));
+  }
   node->parameters.seed_hosts = {GetHostAddress(kFirstBalancerHost),
                                  GetHostAddress(kFirstBalancerHost + 1)};
   node->parameters.store = {.address = GetHostAddress(kFirstProxyHost + n),
--- a/soak/world.h
+++ b/soak/world.h
@@ -52,6 +52,8 @@
   bool has_route_changes = false;
   /// Whether targets drain, leave for some time and come back.
   bool has_scale_ins = false;
+  /// Entries of another writer in the store, which then lists ten a page.
+  std::size_t other_entries = 0;
   /// Whether the operator's series of events is played: zones out of service if
   /// there are several, and changes of routes.
   bool has_operator_events = true;
--- a/support/check.sh
+++ b/support/check.sh
@@ -117,8 +117,12 @@
   --reuse
 tail -n 1 "$LOGS/soak-reuse.log"
 run_step soak-operator build/release/soak/soak --seed 1 --seconds 12 \
-  --targets 10 --zones 3 --route-changes --scale-in
+  --targets 10 --zones 3 --route-changes --scale-in --other-entries 40
 tail -n 1 "$LOGS/soak-operator.log"
+run_step soak-late-messages build/release/soak/soak --seed 1 --seconds 25 \
+  --targets 10 --only reuse_ports --only late_packets --only unheard_start \
+  --only deregistration_at_stop
+tail -n 1 "$LOGS/soak-late-messages.log"
 sed -n '/what callers saw/,$p' "$LOGS/demo.log"
 if [ -s KNOWN-RED.txt ]; then
   echo "known failures, passed over:"
