Keep one search for a port if the remembered agent may be down

A packet of a remembered flow whose agent may be down didn't wait for a search for another flow of its port. It started a second one, which the table of searches doesn't hold: the packet was lost and counted as waiting for ever.

Cause: the packet's way around the search depended on the flow's numbers only.

Change: it is relayed beside the search only if its agent can be used.

Result: EarlierFlowSteering.PacketWaitsForTheSearchIfItsAgentMayBeDown fails without the change.

--- a/src/coordination/steering.cc
+++ b/src/coordination/steering.cc
@@ -250,14 +250,16 @@
   const auto known = steering.flows.find(flow);
   const bool is_of_other_flow = known != steering.flows.end() &&
                                 IsPacketOfOtherFlow(known->second, packet);
+  const bool is_agent_known = known != steering.flows.end() &&
+                              !is_of_other_flow &&
+                              IsFlowAgentUsable(steering, known->second, now);
   const bool waits_for_search =
-      is_of_other_flow || !detail::IsSearchForOtherFlow(steering, flow);
+      !is_agent_known || !detail::IsSearchForOtherFlow(steering, flow);
   if (waits_for_search &&
       detail::HoldPacketForSearch(steering, flow, bytes, out)) {
     return;
   }
-  if (known == steering.flows.end() || is_of_other_flow ||
-      !IsFlowAgentUsable(steering, known->second, now)) {
+  if (!is_agent_known) {
     detail::StartFlowSearch(steering, flow, packet, bytes,
                             ChooseService(*route, HashFlow(flow)), {}, now,
                             out);
--- a/test/earlier_flow_steering_test.cc
+++ b/test/earlier_flow_steering_test.cc
@@ -118,6 +118,18 @@
   ExpectPacketGoesToTheAgent();
 }
 
+// Guards against a second search for the port, which would lose the waiting
+// packets of the first one.
+TEST(EarlierFlowSteering, PacketWaitsForTheSearchIfItsAgentMayBeDown) {
+  Send(kEarlier + 1);
+  LONGS_EQUAL(1, steering.searches.packets);
+  steering.flows.at(kFlow).may_be_open = true;
+  Send(kOpen + 1);
+  LONGS_EQUAL(0, out.size());
+  LONGS_EQUAL(2, steering.searches.packets);
+  LONGS_EQUAL(2, steering.searches.flows.at(kFlow).packets.size());
+}
+
 // Another balancer may have opened a later flow of the port.
 TEST(EarlierFlowSteering, OtherFlowThatAnAgentHoldsIsRemembered) {
   Reply(agent, FlowOwnership::kHeld);
