--- a/soak/late_start_events.cc
+++ b/soak/late_start_events.cc
@@ -24,13 +24,12 @@
 
 auto SoakEnvironment::PlayUnheardStart(const RestartEvent& event, TimePoint now)
     -> void {
-  const auto found = FindTargetToRestart(event.subject_index);
+  const auto found = TakeTargetToRestart(event.subject_index);
   if (!found.has_value()) {
     return;
   }
   const std::size_t n = *found;
   TargetStandin& target = *targets_[n];
-  handing_over_.insert(n);
   const auto pause = std::chrono::duration_cast<milliseconds>(event.pause);
   const auto lead = std::chrono::duration_cast<milliseconds>(event.clock_lead);
   RecordEvent(fmt::format(
@@ -52,13 +51,12 @@
 
 auto SoakEnvironment::PlayDeregistrationAtStop(const RestartEvent& event,
                                                TimePoint now) -> void {
-  const auto found = FindTargetToRestart(event.subject_index);
+  const auto found = TakeTargetToRestart(event.subject_index);
   if (!found.has_value()) {
     return;
   }
   const std::size_t n = *found;
   TargetStandin& target = *targets_[n];
-  handing_over_.insert(n);
   RecordEvent(fmt::format("{} target {} of {}", ToString(event.kind), n,
                           target.service_name()));
   RecordDisturbance(checker_, GetTargetSubject(n), false, now + event.pause);
--- a/soak/restart_events.cc
+++ b/soak/restart_events.cc
@@ -135,6 +135,17 @@
   return std::nullopt;
 }
 
+// Finds a target as FindTargetToRestart() does, and keeps other events away
+// from it until it has started again.
+auto SoakEnvironment::TakeTargetToRestart(std::size_t first)
+    -> std::optional<std::size_t> {
+  const auto found = FindTargetToRestart(first);
+  if (found.has_value()) {
+    handing_over_.insert(*found);
+  }
+  return found;
+}
+
 // Returns messages of a target's present start, in another order than the
 // target would send them, and a heartbeat of an earlier start.
 auto SoakEnvironment::PrepareLateMessages(std::size_t target,
@@ -159,13 +170,12 @@
 
 auto SoakEnvironment::EndTargetWithLateMessages(const RestartEvent& event,
                                                 TimePoint now) -> void {
-  const auto found = FindTargetToRestart(event.subject_index);
+  const auto found = TakeTargetToRestart(event.subject_index);
   if (!found.has_value()) {
     return;
   }
   const std::size_t n = *found;
   TargetStandin& target = *targets_[n];
-  handing_over_.insert(n);
   RecordEvent(fmt::format("{} target {} of {}, starts again after {} ms{}",
                           ToString(event.kind), n, target.service_name(),
                           ToMilliseconds(event.pause),
--- a/soak/world.h
+++ b/soak/world.h
@@ -175,6 +175,7 @@
       -> std::optional<std::size_t>;
   auto PrepareLateMessages(std::size_t target, const RestartEvent& event)
       -> std::vector<transport::HttpRequest>;
+  auto TakeTargetToRestart(std::size_t first) -> std::optional<std::size_t>;
   auto PlayUnheardStart(const RestartEvent& event, TimePoint now) -> void;
   auto PlayDeregistrationAtStop(const RestartEvent& event, TimePoint now)
       -> void;
