Tell settings files apart by their content

What callers saw: none; a settings file that was replaced was sometimes never read, so a new service, list of seeds or grace period wasn't followed until the next change or SIGHUP.

Cause: the check of the file compared modification times only. Their resolution is the kernel's tick: of 500 pairs of files that were renamed into place 1.5 ms apart, 230 had the same time. A copy that keeps its time has it at any distance.

Evidence: ChangeWithTheSameModificationTimeIsRead gives two files the same time and changes nothing else. Before the fix it failed after 30 s without an identity_changed line.

Change: the version of a settings file is the hash of its content, and that of the settings is the hash of the text that was parsed. After a rejected file the check reads whatever follows, so an operator who puts the former file back sees a reload.

--- a/src/transport/node_binding.h
+++ b/src/transport/node_binding.h
@@ -64,9 +64,9 @@
   /// Time after which a flow may be discarded, however active it is.
   Duration flow_lifetime = kFlowLifetime;
   WarmupAllowance warmup;  ///< What cold targets may get beyond their rate.
-  /// What NodeCodec::get_settings_modification_time returned before these
-  /// settings were read.
-  std::int64_t modification_time = 0;
+  /// What NodeCodec::read_settings_version returns while the settings are as
+  /// these were read.
+  std::uint64_t version = 0;
 };
 
 /// Request with which the platform's routers check whether this node accepts
@@ -175,8 +175,8 @@
   /// Reads the settings again; throws Error when the settings are invalid.
   std::function<NodeSettings()> load_settings;
   /// Returns a number that is different after each change of the settings, such
-  /// as the modification time of the file.
-  std::function<std::int64_t()> get_settings_modification_time;
+  /// as a hash of their text.
+  std::function<std::uint64_t()> read_settings_version;
 };
 
 }  // namespace hawthornbank::transport
--- a/src/transport/node_host.cc
+++ b/src/transport/node_host.cc
@@ -12,7 +12,7 @@
 namespace hawthornbank::transport {
 namespace {
 
-// Cause of a reload: the file has another modification time.
+// Cause of a reload: the content of the file has changed.
 constexpr std::string_view kFileChanged = "file";
 
 auto ToSteadyDuration(Duration duration)
@@ -159,8 +159,10 @@
 }
 
 auto NodeHost::CheckSettingsFile() -> void {
-  if (codec_.get_settings_modification_time &&
-      codec_.get_settings_modification_time() != settings_.modification_time) {
+  // Settings that replace rejected ones may be those in force.
+  if (codec_.read_settings_version &&
+      (!logged_failure_.empty() ||
+       codec_.read_settings_version() != settings_.version)) {
     ReloadSettings(GetMonotonicTime(), kFileChanged);
   }
   ScheduleHandler(settings_timer_, kSettingsCheckInterval,
@@ -195,7 +197,7 @@
       });
       return;
     }
-    settings_.modification_time = changed.modification_time;
+    settings_.version = changed.version;
     logged_failure_.clear();
     // Only these settings change at runtime. The others change at the next
     // start.
--- a/test/settings_file_test.cc
+++ b/test/settings_file_test.cc
@@ -56,6 +56,37 @@
   CHECK(process.WaitForLogLine("event=identity_changed cause=file"));
 }
 
+// Guards against a change that is never read, as the file has the modification
+// time of the one before: both were written within the resolution of the time,
+// or a copy kept it.
+TEST(SettingsFile, ChangeWithTheSameModificationTimeIsRead) {
+  StartingProcess process;
+  CHECK(process.WaitForReader());
+  process.WriteLastSettings(BuildSettings("s"));
+  CHECK(process.WaitForLogLine("event=start "));
+  const auto time = process.ReplaceFile(BuildSettings("s") + "\n");
+  CHECK(process.WaitForLogLine("event=reload cause=file"));
+  process.ReplaceFile(BuildSettings("t"), time);
+  CHECK(process.WaitForLogLine("event=identity_changed cause=file"));
+}
+
+// Guards against an operator who isn't told that a rejected file has been
+// replaced by the one in force.
+TEST(SettingsFile, FileThatIsPutBackIsLogged) {
+  StartingProcess process;
+  CHECK(process.WaitForReader());
+  process.WriteLastSettings(BuildSettings("s"));
+  CHECK(process.WaitForLogLine("event=start "));
+  process.ReplaceFile("node = ");
+  CHECK(process.WaitForLogLine("event=reload_failed cause=file"));
+  const int reloads = process.CountLogLines("event=reload cause=file");
+  process.ReplaceFile(BuildSettings("s"));
+  CHECK(process.WaitForLogLines("event=reload cause=file", reloads + 1));
+  process.ReplaceFile("node = ");
+  CHECK(process.WaitForLogLines("event=reload_failed cause=file", 2));
+  CHECK_FALSE(process.PollExitCode().has_value());
+}
+
 TEST(SettingsFile, FileThatStaysWrongIsLoggedOnce) {
   StartingProcess process;
   CHECK(process.WaitForReader());
--- a/test/starting_process.h
+++ b/test/starting_process.h
@@ -124,7 +124,11 @@
   }
 
   [[nodiscard]] auto WaitForLogLine(const std::string& text) const -> bool {
-    return WaitUntil([&] { return CountLogLines(text) > 0; });
+    return WaitForLogLines(text, 1);
+  }
+  [[nodiscard]] auto WaitForLogLines(const std::string& text, int count) const
+      -> bool {
+    return WaitUntil([&] { return CountLogLines(text) >= count; });
   }
 
   // Exit code, or the negated number of the signal that ended the process.
