End a start that is heard only after it has missed a heartbeat

Cause: by the clock such a start has just begun, and a start that has just begun ended the present one at once, even one that had been heard a moment ago. No clock tells the two apart; what does is whether the present one goes on.

Ruled out: a rival's own heartbeats (the present start had missed none), and number 1 taken for a first heartbeat (the age alone decides here).

Change: a start that ran while the agent did is ended at once only if it has also missed a heartbeat: an interval and 300 ms since it was last heard, with the time in which messages may have lain unread taken off. Before that the other start is a rival. Its next heartbeat after that time puts it in force. Flows may have opened at a rival meanwhile, so none is reset then; the target returns packets of flows that it doesn't hold.

Cost: a target that restarts within that time is in force an interval later.

--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -224,24 +224,26 @@
                       TimePoint now) -> bool;
 
 /// Applies a heartbeat of the target. A start that is unknown and started later
-/// replaces the present one at once, unless the present one was running during
-/// the agent's life and the heartbeat is of a start older than an interval: it
-/// may be a late one of a start that has ended. The replacement counts as a
-/// restart only if the present start was running during the agent's life: the
-/// agent received its first heartbeat or heard it for
-/// ComputeHeartbeatTimeout(). Otherwise all that was heard of it may be a late
-/// message. Any other start replaces it when it has sent heartbeats for
-/// ComputeHeartbeatTimeout() in which the present one has been silent. A start
-/// of another service claims the address when it started later or the present
-/// one is silent: the target counts as silent. It replaces the present one, and
-/// the target is gone, when it has sent heartbeats for
-/// ComputeHeartbeatTimeout() in which the present one has been silent. The
-/// claim is rejected when the present one has sent heartbeats for as long in
-/// which the other one has been silent. Heartbeats of another service can come
-/// from a writer that isn't a target and go on for ever, so they don't outweigh
-/// those of the own service: a start of the own service that sends heartbeats
-/// for ComputeOutlastingTime(), whatever another service sends meanwhile, is
-/// the present one, and further claims are ignored until it is silent.
+/// replaces the present one at once. If the present one was running during the
+/// agent's life, it must have missed a heartbeat, and the other one must be
+/// younger than an interval: its heartbeat may be a late one of a start that
+/// has ended. Such a replacement counts as a restart. The present start was
+/// running if the agent received its first heartbeat or heard it for
+/// ComputeHeartbeatTimeout(); otherwise all that was heard of it may be a late
+/// message. A start that is heard before the present one has missed a heartbeat
+/// replaces it with its next one, which doesn't count as a restart. Any other
+/// start replaces it when it has sent heartbeats for ComputeHeartbeatTimeout()
+/// in which the present one has been silent. A start of another service claims
+/// the address when it started later or the present one is silent: the target
+/// counts as silent. It replaces the present one, and the target is gone, when
+/// it has sent heartbeats for ComputeHeartbeatTimeout() in which the present
+/// one has been silent. The claim is rejected when the present one has sent
+/// heartbeats for as long in which the other one has been silent. Heartbeats of
+/// another service can come from a writer that isn't a target and go on for
+/// ever, so they don't outweigh those of the own service: a start of the own
+/// service that sends heartbeats for ComputeOutlastingTime(), whatever another
+/// service sends meanwhile, is the present one, and further claims are ignored
+/// until it is silent.
 /// @param presence State of the target.
 /// @param beat The heartbeat.
 /// @param now Current time.
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -56,6 +56,11 @@
       [&](const TargetStart& it) { return IsSameStart(it, beat); });
 }
 
+auto IsRival(const TargetPresence& presence, const TargetHeartbeat& beat)
+    -> bool {
+  return presence.rival.has_value() && IsSameStart(presence.rival->start, beat);
+}
+
 // Records a heartbeat of a start that may have replaced the present one.
 // Returns whether it has: a single late message of an earlier start doesn't
 // show it, and neither do several that arrive together. Heartbeats of the
@@ -63,8 +68,7 @@
 auto HasReplacedPresentStart(TargetPresence& presence,
                              const TargetHeartbeat& beat,
                              TimePoint now) -> bool {
-  if (!presence.rival.has_value() ||
-      !IsSameStart(presence.rival->start, beat)) {
+  if (!IsRival(presence, beat)) {
     presence.rival = RivalStart{.start = {.id = beat.id,
                                           .started_at_ms = beat.started_at_ms,
                                           .sequence = beat.sequence},
@@ -102,14 +106,18 @@
                                             : PresenceOutcome::kChanged;
 }
 
-// Whether a start may have begun within the last interval, so that a heartbeat
-// of it can be the first sign that it runs. One that is older has sent others,
-// and this one may be late.
+// Whether a start may have begun within an interval before `known_for` ago, so
+// that a heartbeat of it can be the first sign that it runs. One that is older
+// has sent others, and this one may be late.
 auto MayHaveJustStarted(const TargetPresence& presence,
-                        const TargetHeartbeat& beat) -> bool {
-  return !beat.age.has_value() ||
-         (*beat.age > -presence.heartbeat_interval &&
-          *beat.age - beat.unread_time < presence.heartbeat_interval);
+                        const TargetHeartbeat& beat,
+                        Duration known_for = {}) -> bool {
+  if (!beat.age.has_value()) {
+    return true;
+  }
+  const Duration age = *beat.age - known_for;
+  return age > -presence.heartbeat_interval &&
+         age - beat.unread_time < presence.heartbeat_interval;
 }
 
 // Applies the first heartbeat of a start that now counts as running.
@@ -244,6 +252,31 @@
             WasPresentStartRunning(presence))));
 }
 
+// Whether the present start has missed a heartbeat, as one that has ended does.
+auto HasMissedAHeartbeat(const TargetPresence& presence,
+                         const TargetHeartbeat& beat,
+                         TimePoint now) -> bool {
+  return now - beat.unread_time - presence.last_heartbeat_at >=
+         presence.heartbeat_interval + kHeartbeatDelayAllowance;
+}
+
+// Whether a start may have ended the present one, which ran. Unless that one
+// has missed a heartbeat, another one of the start must follow: a late one
+// looks like that of a start that has just begun if the clock was ahead by as
+// much as the heartbeat is late.
+auto MayHaveRestarted(const TargetPresence& presence,
+                      const TargetHeartbeat& beat,
+                      TimePoint now) -> bool {
+  if (!IsRival(presence, beat)) {
+    return MayHaveJustStarted(presence, beat) &&
+           HasMissedAHeartbeat(presence, beat, now);
+  }
+  const RivalStart& rival = *presence.rival;
+  return beat.sequence > rival.start.sequence &&
+         MayHaveJustStarted(presence, beat, now - rival.first_heard_at) &&
+         HasMissedAHeartbeat(presence, beat, now);
+}
+
 // Whether an unknown start replaces the present one at once. A start that ran
 // while this agent did ends only by evidence: its flows are reset then.
 auto MustReplaceAtOnce(const TargetPresence& presence,
@@ -252,7 +285,7 @@
   return beat.started_at_ms > presence.status.started_at_ms &&
          !MayHaveEndedBefore(presence, beat, now) &&
          (!WasPresentStartRunning(presence) ||
-          MayHaveJustStarted(presence, beat));
+          MayHaveRestarted(presence, beat, now));
 }
 
 auto OnHeartbeatOfOtherStart(TargetPresence& presence,
@@ -266,14 +299,16 @@
   const bool outlasts = HasOutlastedOtherService(presence, beat, now);
   if (!is_known && MustReplaceAtOnce(presence, beat, now)) {
     const bool had_target = HasTarget(presence);
-    const bool was_running = WasPresentStartRunning(presence);
+    // Flows may have opened at a rival since it began.
+    const bool ends_flows =
+        WasPresentStartRunning(presence) && !presence.rival.has_value();
     ReplacePresentStart(presence, beat, now);
     // Every flow has passed through this agent in two cases: it has heard the
     // start from its first heartbeat on, or the target restarted while this
     // agent was running.
     presence.knows_all_flows =
         WasHeardFromItsFirstHeartbeat(presence) ||
-        (was_running && !IsFormerStart(presence, beat.started_at_ms));
+        (ends_flows && !IsFormerStart(presence, beat.started_at_ms));
     if (presence.claim.has_value()) {
       presence.claim->own_heard_at = now;
       if (beat.started_at_ms > presence.claim->start.started_at_ms) {
@@ -283,8 +318,8 @@
     if (!had_target) {
       return PresenceOutcome::kChanged;
     }
-    return was_running ? PresenceOutcome::kRestarted
-                       : PresenceOutcome::kReplaced;
+    return ends_flows ? PresenceOutcome::kRestarted
+                      : PresenceOutcome::kReplaced;
   }
   if (!HasReplacedPresentStart(presence, beat, now) && !outlasts) {
     return PresenceOutcome::kOtherStart;
