Soak: late heartbeats of starts that seem to have just begun

Half of the unheard starts now have a clock that is ahead by as much as their heartbeat is late, by the clock of their agent, so that the start is younger than 400 ms by that clock when the heartbeat arrives. The other kinds and the series drawn before are as they were: the ages come from a stream of their own. check.sh plays one such run.

--- a/soak/late_start_events.cc
+++ b/soak/late_start_events.cc
@@ -22,6 +22,17 @@
 
 }  // namespace
 
+auto SoakEnvironment::ComputeClockLead(std::size_t target,
+                                       const RestartEvent& event) -> Duration {
+  if (!event.age_at_arrival.has_value()) {
+    return event.clock_lead;
+  }
+  const auto& clock = GetAgent(target).clock;
+  const Duration agent_offset = clock != nullptr ? clock->offset() : Duration{};
+  return event.late_arrivals.front() + agent_offset -
+         targets_[target]->clock_offset() - *event.age_at_arrival;
+}
+
 auto SoakEnvironment::PlayUnheardStart(const RestartEvent& event, TimePoint now)
     -> void {
   const auto found = TakeTargetToRestart(event.subject_index);
@@ -31,18 +42,19 @@
   const std::size_t n = *found;
   TargetStandin& target = *targets_[n];
   const auto pause = std::chrono::duration_cast<milliseconds>(event.pause);
-  const auto lead = std::chrono::duration_cast<milliseconds>(event.clock_lead);
+  const Duration clock_lead = ComputeClockLead(n, event);
+  const auto lead = std::chrono::duration_cast<milliseconds>(clock_lead);
   RecordEvent(fmt::format(
       "{} target {} of {}, clock ahead by {} ms, starts again after {} ms",
       ToString(event.kind), n, target.service_name(), lead.count(),
       pause.count()));
   RecordDisturbance(checker_, GetTargetSubject(n), false, now + event.pause);
   target.CrashTarget();
-  target.StepClock(event.clock_lead);
+  target.StepClock(clock_lead);
   target.RestartTarget(target.service_name());
   const HttpRequest unheard = target.MakeFirstHeartbeat();
   target.CrashTarget();
-  target.StepClock(-event.clock_lead);
+  target.StepClock(-clock_lead);
   RunAfterDelay(event.pause, [this, n, event] { StartTargetAgain(n, event); });
   RunAfterDelay(event.late_arrivals.front(), [this, n, unheard] {
     SendLateMessage(n, unheard, [](bool) {});
--- a/soak/restarts.cc
+++ b/soak/restarts.cc
@@ -11,10 +11,11 @@
 
 using std::chrono::milliseconds;
 
-// Streams of random numbers of the series: that of the kinds in kLateStarts is
-// its own, so that the others are drawn as without them.
+// Streams of random numbers of the series: those of the kinds in kLateStarts
+// are their own, so that the others are drawn as without them.
 constexpr std::uint64_t kRandomStream = 38;
 constexpr std::uint64_t kLateStartStream = 55;
+constexpr std::uint64_t kAgeStream = 56;
 constexpr milliseconds kMinEventPause{500};
 constexpr milliseconds kMaxEventPause{1500};
 constexpr milliseconds kMinClockStep{100};
@@ -39,6 +40,7 @@
 constexpr milliseconds kMinClockLead{1000};
 constexpr milliseconds kMaxClockLead{4000};
 constexpr milliseconds kMinLateStartLateness{1000};
+constexpr milliseconds kMaxAgeAtArrival{400};
 constexpr std::array kLateStarts = {RestartKind::kUnheardStart,
                                     RestartKind::kDeregistrationAtStop};
 constexpr std::uint32_t kMaxLateMessages = 4;
@@ -79,6 +81,7 @@
                       const std::vector<RestartKind>& kinds,
                       std::vector<RestartEvent>& events) -> void {
   Random random{seed, kLateStartStream};
+  Random ages{seed, kAgeStream};
   const auto draw_pause = [&random] {
     return DrawDuration(random, kMinLateStartPause, kMaxLateStartPause);
   };
@@ -93,6 +96,9 @@
     event.late_arrivals = {
         event.pause + kRecoveryTime +
         DrawDuration(random, kMinLateStartLateness, kMaxLateness)};
+    if (ages() % 2 == 0) {
+      event.age_at_arrival = DrawDuration(ages, Duration{}, kMaxAgeAtArrival);
+    }
     events.push_back(std::move(event));
   }
 }
--- a/soak/restarts.h
+++ b/soak/restarts.h
@@ -69,6 +69,9 @@
   bool has_same_id = false;  ///< Whether targets keep their ids.
   /// Time by which the clock of the unheard start is ahead (kUnheardStart).
   Duration clock_lead{};
+  /// Age of the unheard start by its agent's clock when its heartbeat arrives,
+  /// which `clock_lead` then follows from (kUnheardStart).
+  std::optional<Duration> age_at_arrival;
   /// Arrivals of late messages, from the target's end, in no order; the start
   /// of the drain before the late message (kDeregistrationAtStop).
   std::vector<Duration> late_arrivals;
--- a/soak/target_standin.h
+++ b/soak/target_standin.h
@@ -106,6 +106,9 @@
   /// @param step Negative for a step back.
   auto StepClock(Duration step) -> void { clock_offset_ += step; }
 
+  /// @return Time by which the target's time of day is ahead of the machine's.
+  [[nodiscard]] auto clock_offset() const -> Duration { return clock_offset_; }
+
   /// @param warmup_time Time after each later start for which heartbeats report
   /// that the target is slow.
   auto SetWarmupTime(Duration warmup_time) -> void {
--- a/soak/world.h
+++ b/soak/world.h
@@ -176,6 +176,9 @@
   auto PrepareLateMessages(std::size_t target, const RestartEvent& event)
       -> std::vector<transport::HttpRequest>;
   auto TakeTargetToRestart(std::size_t first) -> std::optional<std::size_t>;
+  // Returns the time by which the clock of an unheard start is ahead.
+  auto ComputeClockLead(std::size_t target, const RestartEvent& event)
+      -> Duration;
   auto PlayUnheardStart(const RestartEvent& event, TimePoint now) -> void;
   auto PlayDeregistrationAtStop(const RestartEvent& event, TimePoint now)
       -> void;
--- a/support/check.sh
+++ b/support/check.sh
@@ -123,6 +123,9 @@
   --targets 10 --only reuse_ports --only late_packets --only unheard_start \
   --only deregistration_at_stop
 tail -n 1 "$LOGS/soak-late-messages.log"
+run_step soak-unheard-starts build/release/soak/soak --seed 2 --seconds 25 \
+  --targets 10 --only unheard_start
+tail -n 1 "$LOGS/soak-unheard-starts.log"
 sed -n '/what callers saw/,$p' "$LOGS/demo.log"
 if [ -s KNOWN-RED.txt ]; then
   echo "known failures, passed over:"
--- a/test/soak_restarts_test.cc
+++ b/test/soak_restarts_test.cc
@@ -87,6 +87,8 @@
   int forward = 0;
   int same_id = 0;
   int first_heartbeats = 0;
+  int late_starts = 0;
+  int seeming_starts = 0;
   std::size_t repeated_messages = 0;
   const auto events = GenerateRestartSeries(5, 300s, GetAllRestartKinds());
   for (const auto& it : events) {
@@ -103,11 +105,14 @@
     same_id += it.has_same_id ? 1 : 0;
     first_heartbeats += it.is_first_heartbeat ? 1 : 0;
     repeated_messages += it.late_arrivals.size() - 1;
+    late_starts += it.clock_lead > Duration{} ? 1 : 0;
+    seeming_starts += it.age_at_arrival.has_value() ? 1 : 0;
   }
   const auto count = static_cast<int>(events.size());
   CHECK(forward > 0 && same_id > 0 && same_id < count);
   CHECK(first_heartbeats > 0 && first_heartbeats < count);
   CHECK(repeated_messages > 0);
+  CHECK(seeming_starts > 0 && seeming_starts < late_starts);
 }
 
 TEST(RestartSeries, HalfOfTheSeriesHaveNoLowIdleTimeout) {
