Report flows that opened while a replacing start was heard as held

Cause: when a rival start comes into force, the agent takes all flows for unconfirmed, as the start before may have opened them, and answers searches with "unsure". But a flow that the target has accepted since the rival's first heartbeat came is held whichever of the two starts runs: the rival has been running since then, or the present one has gone on.

Change: the time of a start's first heartbeat is kept, also while it is a rival, and flows accepted since then stay accepted.

Test: FlowOfAReplacingStartIsReportedAsHeld of target_flows_test failed before.

--- a/include/hawthornbank/target_flows.h
+++ b/include/hawthornbank/target_flows.h
@@ -308,12 +308,15 @@
 
 /// Applies the status of a start that has replaced the present one without a
 /// certain sign of a restart. No flow is reset: the target returns the packets
-/// of flows that it doesn't hold.
+/// of flows that it doesn't hold. It holds those that it has accepted since a
+/// heartbeat of the new start came, whichever of the two starts runs.
 /// @param target What the agent keeps about its target's flows.
 /// @param status The new status.
+/// @param heard_since When the first heartbeat of the new start came.
 /// @param now Current time.
 auto ApplyReplacedTarget(TargetFlows& target,
                          const TargetStatus& status,
+                         TimePoint heard_since,
                          TimePoint now) -> void;
 
 /// Returns opening packets that the target didn't answer in time to the
--- a/include/hawthornbank/target_presence.h
+++ b/include/hawthornbank/target_presence.h
@@ -106,6 +106,9 @@
   TimePoint heard_at{};
   /// When the first heartbeat of the present start was applied.
   TimePoint first_heartbeat_at{};
+  /// When the first heartbeat of the present start came. It is earlier if the
+  /// start was a rival then.
+  TimePoint first_heard_at{};
   /// That one was the first heartbeat of its start.
   bool has_first_heartbeat = false;
   /// By that one and the clock of the target's host, the present start began
--- a/src/coordination/target_flow_expiry.cc
+++ b/src/coordination/target_flow_expiry.cc
@@ -132,11 +132,16 @@
 
 auto ApplyReplacedTarget(TargetFlows& target,
                          const TargetStatus& status,
+                         TimePoint heard_since,
                          TimePoint now) -> void {
   SetTargetStatus(target, status, now);
   ForgetPreviousStart(target);
   for (auto& [key, flow] : target.flows) {
-    MarkFlowUnaccepted(target, flow);
+    if (flow.is_accepted && flow.accepted_at >= heard_since) {
+      flow.target_started_at_ms = status.started_at_ms;
+    } else {
+      MarkFlowUnaccepted(target, flow);
+    }
   }
 }
 
--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -135,6 +135,8 @@
   presence.foreign_service.clear();
   presence.has_outlasted_claims = false;
   presence.first_heartbeat_at = now;
+  presence.first_heard_at =
+      IsRival(presence, beat) ? presence.rival->first_heard_at : now;
   presence.has_first_heartbeat = IsFirstHeartbeat(presence, beat, now);
   presence.has_begun_in_process_life =
       presence.has_first_heartbeat && beat.age.has_value() &&
--- a/src/transport/agent_node.cc
+++ b/src/transport/agent_node.cc
@@ -412,7 +412,8 @@
         PerformTargetActions({}, {}, now);
         break;
       case PresenceOutcome::kReplaced:
-        ApplyReplacedTarget(target_, presence_.status, now);
+        ApplyReplacedTarget(target_, presence_.status, presence_.first_heard_at,
+                            now);
         break;
       case PresenceOutcome::kClaimed:
       case PresenceOutcome::kDeregistered:
--- a/test/restart_targets.h
+++ b/test/restart_targets.h
@@ -309,7 +309,7 @@
     SetWarmupEnd(flows.warmup, presence.warm_at, presence.last_heartbeat_at);
     std::vector<TargetAction> out;
     if (outcome == PresenceOutcome::kReplaced) {
-      ApplyReplacedTarget(flows, presence.status, now);
+      ApplyReplacedTarget(flows, presence.status, presence.first_heard_at, now);
     } else if (outcome == PresenceOutcome::kChanged ||
                outcome == PresenceOutcome::kRestarted ||
                outcome == PresenceOutcome::kGivenAway) {
--- a/test/target_flows_test.cc
+++ b/test/target_flows_test.cc
@@ -609,7 +609,7 @@
                       {.state = TargetState::kDraining,
                        .started_at_ms = 400,  // The clock has gone back.
                        .slots = 2},
-                      kNow + 5s);
+                      kNow + 5s, kNow + 5s);
   target.knows_all_flows = false;
   QueryFlow(1);
   CHECK(out[0].ownership == FlowOwnership::kUnsure);
@@ -634,6 +634,28 @@
   LONGS_EQUAL(1, out[0].flow.caller.port);
 }
 
+// Guards against packets of an open flow that are led to other targets, since
+// the agent of its own one replies that this one may hold it: the flow had
+// opened between the new start's first heartbeat and the one that put it in
+// force.
+TEST(TargetFlows, FlowOfAReplacingStartIsReportedAsHeld) {
+  OpenFlowWithRequest(1);
+  const auto heard = kNow + 1s;
+  RelayCallerPacket(MakeCallerPacket(2, true), {}, heard + 100ms);
+  ReceiveTargetPacket(MakeTargetPacket(2), heard + 100ms);
+  ApplyReplacedTarget(
+      target, {.state = TargetState::kReady, .started_at_ms = 600, .slots = 2},
+      heard, heard + 800ms);
+  target.knows_all_flows = false;
+  QueryFlow(2);
+  CHECK(out[0].ownership == FlowOwnership::kHeld);
+  QueryFlow(1);
+  CHECK(out[0].ownership == FlowOwnership::kUnsure);
+  // A later restart ends the flow, too.
+  SetTargetState(TargetState::kReady, 700, heard + 9s);
+  CHECK(target.flows.empty());
+}
+
 // Guards against resets of flows that were idle for longer than a constant and
 // shorter than the configured idle timeout: the agent had forgotten the flow
 // and replied that its target doesn't hold it.
--- a/test/target_presence_test.cc
+++ b/test/target_presence_test.cc
@@ -587,6 +587,7 @@
         PresenceOutcome::kReplaced);
   LONGS_EQUAL(1400, presence.status.started_at_ms);
   CHECK_FALSE(presence.knows_all_flows);
+  CHECK(presence.first_heard_at == kNow + 500ms);
 }
 
 TEST(TargetPresence, StartYoungerThanAnIntervalEndsARunningStartAtOnce) {
--- a/test/warmup_history_test.cc
+++ b/test/warmup_history_test.cc
@@ -104,7 +104,8 @@
     ApplyTargetStatus(history.target, history.presence.status, now,
                       history.out);
   } else if (outcome == PresenceOutcome::kReplaced) {
-    ApplyReplacedTarget(history.target, history.presence.status, now);
+    ApplyReplacedTarget(history.target, history.presence.status,
+                        history.presence.first_heard_at, now);
   }
   history.next_heartbeat =
       now + 800ms + std::chrono::milliseconds{Draw(history, 400)};
