Soak: acknowledge the caller's packet in targets' answers

Targets of the soak answered requests with acknowledgement number 0, which no target of the platform does. Agents took such an answer for one of another flow of the port: they delivered it, but learnt nothing from it.

The answer acknowledges the number of the packet that it answers. It doesn't acknowledge the data, as all requests of a caller have the same number.

--- a/soak/target_standin.cc
+++ b/soak/target_standin.cc
@@ -286,7 +286,9 @@
                         .destination = packet.source,
                         .has_acknowledgement = true,
                         .is_finish = is_draining_,
-                        .sequence = packet.acknowledgement},
+                        .sequence = packet.acknowledgement,
+                        // Callers' later requests have the same number.
+                        .acknowledgement = packet.sequence},
              request + plants_.answer_offset);
 }
 
