--- a/src/coordination/target_presence.cc
+++ b/src/coordination/target_presence.cc
@@ -106,9 +106,9 @@
                                             : PresenceOutcome::kChanged;
 }
 
-// Whether a start may have begun within an interval before `known_for` ago, so
-// that a heartbeat of it can be the first sign that it runs. One that is older
-// has sent others, and this one may be late.
+// Whether a start had just begun, by the clock, when its first heartbeat came
+// `known_for` ago, so that this one can be the first sign that it runs. One
+// that was older than an interval has sent others, and this one may be late.
 auto MayHaveJustStarted(const TargetPresence& presence,
                         const TargetHeartbeat& beat,
                         Duration known_for = {}) -> bool {
